--- /dev/null
+++ b/apps/cli/bin/shallotpass.js
@@ -0,0 +1,2 @@
+#!/usr/bin/env node
+import '../dist/main.js';
--- /dev/null
+++ b/apps/daemon/src/make-peer-handlers.ts
@@ -0,0 +1,34 @@
+/** What this daemon answers its peers, each method passed to the task that owns the matter. */
+import {type PeerHandlers} from '@shallotpass/peers/peer-methods.js';
+import {type ClaimService} from '@shallotpass/tasks/claim-service.js';
+import {type ConfigurationTask} from '@shallotpass/tasks/configuration-task.js';
+import {type Environment} from '@shallotpass/tasks/environment.js';
+import {type MembershipTask} from '@shallotpass/tasks/membership-task.js';
+import {type SuspectBook} from '@shallotpass/tasks/suspect-book.js';
+
+type HandlerTasks = {
+	readonly environment: Environment;
+	readonly configuration: ConfigurationTask;
+	readonly membership: MembershipTask;
+	readonly claims: ClaimService;
+	readonly suspects: SuspectBook;
+};
+
+export const makePeerHandlers = ({environment, configuration, membership, claims, suspects}: HandlerTasks): PeerHandlers => ({
+	probe: (parameters, from) => membership.answerProbe(parameters, from),
+	probeFor: async ({id}) => membership.answerProbeFor(id),
+	offer() {
+		const offer = configuration.makeOffer();
+		return {...offer, accepted: [...offer.accepted]};
+	},
+	status: () => ({
+		availabilityZone: environment.settings.instance.availabilityZone,
+		versions: Object.fromEntries([...configuration.getInForce().teams.values()].map(({team, version}) => [team, version as number])),
+	}),
+	claim: async ({claim, isNew}) => claims.answerPeer(claim, isNew),
+	recordOutcome: async ({keyName, outcome}) => ({isRecorded: await claims.recordForPeer(keyName, outcome)}),
+	suspects(parameters) {
+		suspects.merge(parameters.suspects, parameters.lifted);
+		return {};
+	},
+});
--- /dev/null
+++ b/apps/daemon/src/open-platform.ts
@@ -0,0 +1,36 @@
+/** The platform that the settings name, or one in this process's memory. */
+import {type Clock} from '@shallotpass/common/clock.js';
+import {type LogService} from '@shallotpass/common/log-service.js';
+import {type Settings} from '@shallotpass/common/settings-schema.js';
+import {makeHttpLog} from '@shallotpass/platform/http-log.js';
+import {makeMemoryLog} from '@shallotpass/platform/memory-log.js';
+import {Agent} from 'undici';
+
+export type Platform = {
+	readonly log: LogService;
+	readonly isEmbedded: boolean;
+	readonly instancesUrl: string | undefined;
+	readonly cloudUrl: string | undefined;
+	readonly dispatcher: Agent;
+	readonly close: () => Promise<void>;
+};
+
+const connectTimeoutMs = 1500;
+
+/** Long polls of the log, the list and the notices each hold a connection. */
+const mostConnections = 64;
+
+export const openPlatform = (settings: Settings, clock: Clock): Platform => {
+	const dispatcher = new Agent({connect: {timeout: connectTimeoutMs}, connections: mostConnections, pipelining: 1});
+	const {platform} = settings;
+	return {
+		log: platform === undefined ? makeMemoryLog(clock) : makeHttpLog({baseUrl: platform.log, dispatcher, now: clock.now}),
+		isEmbedded: platform === undefined,
+		instancesUrl: platform?.instances,
+		cloudUrl: platform?.cloud,
+		dispatcher,
+		async close() {
+			await dispatcher.destroy();
+		},
+	};
+};
--- /dev/null
+++ b/apps/daemon/src/start-daemon.ts
@@ -0,0 +1,337 @@
+/** Wires the tasks of one daemon together. Several daemons can live in one process. */
+import {setMaxListeners} from 'node:events';
+import {systemClock, waitQuietly, type Clock} from '@shallotpass/common/clock.js';
+import {configurationStream, keyMemoryMs} from '@shallotpass/common/constants.js';
+import {type ConfigurationRecord} from '@shallotpass/common/log-records.js';
+import {type Settings} from '@shallotpass/common/settings-schema.js';
+import {addMilliseconds, noConfigurationVersion, type LogOffset} from '@shallotpass/common/types.js';
+import {startAdminListener} from '@shallotpass/admin/listener.js';
+import {type PeerStatus} from '@shallotpass/admin/admin-services.js';
+import {makeBackendConnections} from '@shallotpass/backends/backend-connections.js';
+import {makeAdmissionGate} from '@shallotpass/callers/admission-gate.js';
+import {startCallerListener} from '@shallotpass/callers/listener.js';
+import {type AcceptedConfiguration} from '@shallotpass/core/configuration/types.js';
+import {type Suspect} from '@shallotpass/core/retries/suspects.js';
+import {makePeerClient} from '@shallotpass/peers/peer-client.js';
+import {splitAddress} from '@shallotpass/peers/peer-connection.js';
+import {startPeerServer} from '@shallotpass/peers/peer-server.js';
+import {followNotices} from '@shallotpass/platform/cloud-notices.js';
+import {followInstanceList} from '@shallotpass/platform/instance-list-client.js';
+import {makeBackendRegistry} from '@shallotpass/tasks/backend-registry.js';
+import {makeClaimService} from '@shallotpass/tasks/claim-service.js';
+import {startConfigurationTask} from '@shallotpass/tasks/configuration-task.js';
+import {type Environment} from '@shallotpass/tasks/environment.js';
+import {makeServiceId} from '@shallotpass/tasks/in-force.js';
+import {runLoadReports} from '@shallotpass/tasks/load-reports.js';
+import {startMembershipTask} from '@shallotpass/tasks/membership-task.js';
+import {makeSuspectBook} from '@shallotpass/tasks/suspect-book.js';
+import {makeLogger} from '@shallotpass/telemetry/logger.js';
+import {makeMetrics} from '@shallotpass/telemetry/metrics.js';
+import {startTracing} from '@shallotpass/telemetry/tracing.js';
+import {makePeerHandlers} from './make-peer-handlers.js';
+import {openPlatform} from './open-platform.js';
+
+export type Daemon = {
+	readonly callers: string;
+	readonly admin: string;
+	readonly peers: string;
+	readonly environment: Environment;
+	readonly isReady: () => boolean;
+	/** Stops taking requests, lets what runs finish, then stops. */
+	readonly drain: () => Promise<void>;
+	/** Stops at once, as a crash does. */
+	readonly stop: () => Promise<void>;
+	/** Bytes of the peer links since the start. */
+	readonly countPeerBytes: () => number;
+	readonly listMembers: () => string[];
+	readonly getVersion: (team: string) => number;
+};
+
+type DaemonOptions = {
+	readonly settings: Settings;
+	readonly clock?: Clock;
+	readonly random?: () => number;
+	/** First configuration of a daemon on its own. */
+	readonly configurationText?: string;
+	/** Told when an operator asks for a drain. */
+	readonly onDrainAsked?: () => void;
+};
+
+/** After a drain begins, requests are still taken for so long: the balancer needs it to notice. */
+const drainNoticeMs = 1000;
+
+const peerTimeoutMs = 1500;
+
+/** Peers that are told at once of a new version; they tell others. */
+const spreadCount = 3;
+
+/** Peers asked by a daemon that cannot judge the configuration alone. */
+const mostAsked = 5;
+
+const hoursToMs = 60 * 60 * 1000;
+
+/** The key memory is promised to callers; a log that forgets earlier would break the promise silently. */
+const checkRetention = (settings: Settings): void => {
+	const retentionMs = (settings.platform?.logRetentionHours ?? Number.POSITIVE_INFINITY) * hoursToMs;
+	if (retentionMs <= keyMemoryMs) {
+		throw new RangeError(`platform.log_retention_hours: expected more than the key memory of ${keyMemoryMs / hoursToMs} hours, found ${settings.platform!.logRetentionHours}`);
+	}
+};
+
+export const startDaemon = async (options: DaemonOptions): Promise<Daemon> => {
+	const {settings, clock = systemClock, random = Math.random} = options;
+	checkRetention(settings);
+	const stopping = new AbortController();
+	// Every long poll of the daemon listens for its end.
+	setMaxListeners(0, stopping.signal);
+	const metrics = makeMetrics();
+	const environment: Environment = {
+		settings,
+		clock,
+		random,
+		metrics,
+		makeLogger: task => makeLogger(task, settings.instance.id),
+		signal: stopping.signal,
+	};
+	const logger = environment.makeLogger('daemon');
+	const epoch = clock.now();
+	const platform = openPlatform(settings, clock);
+	const connections = makeBackendConnections();
+	const tracing = startTracing({
+		instance: settings.instance.id,
+		otlp: settings.tracing.otlp,
+		sampleRatio: settings.tracing.sampleRatio,
+		logger: environment.makeLogger('trace'),
+	});
+	const client = makePeerClient({
+		selfId: settings.instance.id, keys: settings.peers.keys, now: clock.now, signal: stopping.signal,
+	});
+	if (platform.isEmbedded) {
+		logger.warn('embedded_platform', {meaning: 'the log is in this process; for trying out only'});
+	}
+
+	const registry = makeBackendRegistry({environment});
+	const membership = startMembershipTask({
+		environment,
+		client,
+		epoch,
+		makeVersionDigest: () => configuration.makeVersionDigest(),
+		takeVersions(address, versions) {
+			configuration.takeVersions(address, versions);
+		},
+	});
+
+	const pickPeers = (count: number) => membership.listPeers()
+		.map(member => ({member, order: random()}))
+		.toSorted((left, right) => left.order - right.order)
+		.slice(0, count)
+		.map(entry => entry.member);
+
+	const tellVersions = async (address: string): Promise<void> => {
+		try {
+			const {versions} = await client.ask(address, 'probe', {updates: [membership.getSelf()], versions: configuration.makeVersionDigest()}, addMilliseconds(clock.now(), peerTimeoutMs));
+			configuration.takeVersions(address, versions);
+		} catch {
+			// The next probes carry the versions too.
+		}
+	};
+
+	const configuration = startConfigurationTask({
+		environment,
+		log: platform.log,
+		async fetchOffer(address) {
+			const offer = await client.ask(address, 'offer', {}, addMilliseconds(clock.now(), peerTimeoutMs));
+			return {...offer, accepted: offer.accepted as unknown as AcceptedConfiguration[], foldedTo: offer.foldedTo as LogOffset};
+		},
+		listPeerAddresses: () => [...settings.peers.seeds, ...pickPeers(mostAsked).map(member => member.address)],
+		getPlace: () => membership.listReachable().indexOf(settings.instance.id),
+		spread() {
+			for (const member of pickPeers(spreadCount)) {
+				void tellVersions(member.address);
+			}
+		},
+	});
+	configuration.onInForce(inForce => {
+		registry.takeConfiguration(inForce);
+	});
+
+	const claims = makeClaimService({
+		environment, log: platform.log, client, membership,
+	});
+	const tellSuspects = async (address: string, suspects: readonly Suspect[], lifted: readonly string[]): Promise<void> => {
+		try {
+			const parameters = {suspects: suspects.map(suspect => ({...suspect, deaths: [...suspect.deaths]})), lifted: [...lifted]};
+			await client.ask(address, 'suspects', parameters, addMilliseconds(clock.now(), peerTimeoutMs));
+		} catch (error) {
+			logger.debug('suspects_not_told', {address, error});
+		}
+	};
+
+	const suspects = makeSuspectBook({
+		environment,
+		registry,
+		spread(news, lifted) {
+			for (const member of membership.listPeers()) {
+				void tellSuspects(member.address, news, lifted);
+			}
+		},
+	});
+	const gate = makeAdmissionGate({
+		environment,
+		getCapacity: serviceId => registry.countServing(serviceId) * settings.limits.maxRunningPerBackend,
+		countMembers: () => membership.listReachable().length,
+	});
+
+	const peerServer = await startPeerServer({
+		listen: settings.listen.peers,
+		selfId: settings.instance.id,
+		keys: settings.peers.keys,
+		handlers: makePeerHandlers({
+			environment, configuration, membership, claims, suspects,
+		}),
+		onRefused(reason, remote) {
+			metrics.peerRefusals.inc();
+			environment.makeLogger('peers').warn('peer_refused', {reason, remote});
+		},
+	});
+	const callerListener = await startCallerListener({
+		listen: splitAddress(settings.listen.callers),
+		services: {
+			environment, configuration, membership, registry, claims, suspects, connections, gate, tracing, epoch,
+		},
+	});
+
+	let isDraining = false;
+	let draining: Promise<void> | undefined;
+	const isReady = (): boolean => !isDraining && (configuration.hasReadLog() || configuration.getInForce().teams.size > 0);
+
+	const askPeerStatuses = async (): Promise<PeerStatus[]> => Promise.all(membership.listPeers().map(async member => {
+		const {id, availabilityZone} = member;
+		try {
+			const {versions} = await client.ask(member.address, 'status', {}, addMilliseconds(clock.now(), peerTimeoutMs));
+			return {id, availabilityZone, versions};
+		} catch {
+			return {id, availabilityZone, versions: undefined};
+		}
+	}));
+
+	const adminListener = await startAdminListener({
+		listen: splitAddress(settings.listen.admin),
+		isReady,
+		services: {
+			environment,
+			configuration,
+			membership,
+			registry,
+			suspects,
+			log: platform.log,
+			isEmbedded: platform.isEmbedded,
+			isDraining: () => isDraining,
+			drain() {
+				if (options.onDrainAsked === undefined) {
+					void drain();
+				} else {
+					options.onDrainAsked();
+				}
+			},
+			askPeerStatuses,
+			countInFlight: callerListener.countInFlight,
+			countWaiting: gate.countWaiting,
+		},
+	});
+
+	const stop = async (): Promise<void> => {
+		stopping.abort();
+		await Promise.all([callerListener.close(), adminListener.close(), peerServer.close(), connections.close(), platform.close()]);
+		await tracing.shutdown();
+	};
+
+	const drainOnce = async (): Promise<void> => {
+		isDraining = true;
+		logger.info('drain_began', {inFlight: callerListener.countInFlight()});
+		membership.announceLeaving();
+		await waitQuietly(clock, addMilliseconds(clock.now(), drainNoticeMs), stopping.signal);
+		callerListener.startDraining();
+		await callerListener.waitIdle();
+		await claims.settle();
+		logger.info('drain_ended');
+		await stop();
+	};
+
+	const drain = async (): Promise<void> => {
+		draining ??= drainOnce();
+		return draining;
+	};
+
+	const isModelService = (serviceId: string): boolean => [...configuration.getInForce().teams.values()].some(({team, configuration: file}) =>
+		file.service.some(service => service.kind === 'model' && makeServiceId(team, service.name) === serviceId));
+
+	membership.start(peerServer.address);
+	void runLoadReports({
+		environment,
+		registry,
+		dispatcher: connections.shared,
+		isEngine: serviceIds => serviceIds.some(serviceId => isModelService(serviceId)),
+		listZoneMembers: () => [settings.instance.id, ...membership.listPeers().filter(member => member.availabilityZone === settings.instance.availabilityZone).map(member => member.id)],
+	});
+
+	if (platform.instancesUrl !== undefined) {
+		void followInstanceList({
+			baseUrl: platform.instancesUrl,
+			dispatcher: platform.dispatcher,
+			clock,
+			signal: stopping.signal,
+			send(event) {
+				if (event.kind === 'outage') {
+					logger.debug('instance_list_unreachable', {error: event.error});
+					return;
+				}
+
+				registry.takeList(event.list);
+				membership.noteAddresses(event.list.instances.filter(instance => instance.role === 'entry' && instance.state === 'live').map(instance => instance.address));
+			},
+		});
+	}
+
+	if (platform.cloudUrl !== undefined) {
+		void followNotices({
+			baseUrl: platform.cloudUrl,
+			dispatcher: platform.dispatcher,
+			clock,
+			signal: stopping.signal,
+			onNotice({instanceId, leavesAt}) {
+				if (instanceId === settings.instance.id) {
+					logger.warn('own_instance_reclaimed', {leavesAt});
+					options.onDrainAsked?.();
+					void drain();
+					return;
+				}
+
+				registry.noteLeaving(instanceId, leavesAt);
+			},
+			onOutage(error) {
+				logger.debug('cloud_unreachable', {error});
+			},
+		});
+	}
+
+	if (options.configurationText !== undefined) {
+		const record: ConfigurationRecord = {
+			kind: 'configuration', id: `start-${epoch}`, team: 'default', base: noConfigurationVersion, toml: options.configurationText, by: 'start', at: epoch,
+		};
+		await platform.log.append({stream: configurationStream, record});
+	}
+
+	return {
+		callers: callerListener.address,
+		admin: adminListener.address,
+		peers: peerServer.address,
+		environment,
+		isReady,
+		drain,
+		stop,
+		countPeerBytes: () => client.bytes.sent + client.bytes.received + peerServer.bytes.sent + peerServer.bytes.received,
+		listMembers: membership.listReachable,
+		getVersion: team => configuration.getInForce().teams.get(team)?.version ?? noConfigurationVersion,
+	};
+};
--- /dev/null
+++ b/packages/admin/src/listener.ts
@@ -0,0 +1,178 @@
+/** The operators' listener: health, metrics and the routes. */
+import {Buffer} from 'node:buffer';
+import {randomUUID} from 'node:crypto';
+import {createServer, type IncomingMessage, type ServerResponse} from 'node:http';
+import {type AddressInfo} from 'node:net';
+import {computeRetryAfterSeconds, makeProblem} from '@shallotpass/common/problem.js';
+import {ServingError, toServingError} from '@shallotpass/common/serving-error.js';
+import {authenticateOperator, requireRole} from './authorize.js';
+import {type AdminServices} from './admin-services.js';
+import {adminRoutes, type AdminReply} from './routes.js';
+
+export type AdminListener = {
+	readonly address: string;
+	readonly close: () => Promise<void>;
+};
+
+type AdminListenerOptions = {
+	readonly listen: {readonly host: string; readonly port: number};
+	readonly services: AdminServices;
+	readonly isReady: () => boolean;
+};
+
+const mostBodyBytes = 4 * 1024 * 1024;
+
+const readText = async (request: IncomingMessage): Promise<string> => {
+	const chunks: Uint8Array[] = [];
+	let length = 0;
+	for await (const chunk of request as AsyncIterable<Uint8Array>) {
+		length += chunk.length;
+		if (length > mostBodyBytes) {
+			throw new ServingError(`the body is larger than ${mostBodyBytes} bytes`, {kind: 'payload_too_large'});
+		}
+
+		chunks.push(chunk);
+	}
+
+	try {
+		return new TextDecoder('utf8', {fatal: true}).decode(Buffer.concat(chunks));
+	} catch {
+		throw new ServingError('the body is not UTF-8', {kind: 'configuration_invalid'});
+	}
+};
+
+type TextReply = {
+	readonly status: number;
+	readonly type: string;
+	readonly text: string;
+	readonly headers?: Readonly<Record<string, string>>;
+};
+
+const sendText = (response: ServerResponse, {status, type, text, headers = {}}: TextReply): void => {
+	response.writeHead(status, {'content-type': type, 'content-length': Buffer.byteLength(text), ...headers});
+	response.end(text);
+};
+
+const sendReply = (response: ServerResponse, reply: AdminReply): void => {
+	if (reply.kind === 'toml') {
+		sendText(response, {
+			status: 200, type: 'application/toml', text: reply.text, headers: {etag: `"${reply.version}"`},
+		});
+		return;
+	}
+
+	sendText(response, {status: reply.status, type: 'application/json', text: `${JSON.stringify(reply.body)}\n`});
+};
+
+const sendRefusal = (response: ServerResponse, error: ServingError, now: number): void => {
+	if (response.headersSent) {
+		response.destroy();
+		return;
+	}
+
+	const requestId = randomUUID();
+	const problem = makeProblem(error, requestId);
+	const retryAfter = computeRetryAfterSeconds(error, now);
+	sendText(response, {
+		status: problem.status,
+		type: 'application/problem+json',
+		text: JSON.stringify(problem),
+		headers: {'x-request-id': requestId, ...(retryAfter === undefined ? {} : {'retry-after': String(retryAfter)})},
+	});
+};
+
+const decodeParts = (groups: Readonly<Record<string, string>> = {}): Record<string, string> => {
+	try {
+		return Object.fromEntries(Object.entries(groups).map(([key, value]) => [key, decodeURIComponent(value)]));
+	} catch {
+		throw new ServingError('the path holds a broken escape', {kind: 'invalid_request'});
+	}
+};
+
+export const startAdminListener = async ({listen, services, isReady}: AdminListenerOptions): Promise<AdminListener> => {
+	const {environment} = services;
+	const logger = environment.makeLogger('admin');
+
+	const sendProbe = (response: ServerResponse, isFine: boolean): void => {
+		sendText(response, {status: isFine ? 200 : 503, type: 'text/plain', text: isFine ? 'ok\n' : 'not ready\n'});
+	};
+
+	const performRoute = async (request: IncomingMessage, url: URL): Promise<AdminReply> => {
+		const matching = adminRoutes.filter(candidate => candidate.pattern.test(url.pathname));
+		if (matching.length === 0) {
+			throw new ServingError(`nothing is served at ${url.pathname.slice(0, 100)}`, {kind: 'not_found'});
+		}
+
+		const operator = authenticateOperator(request, environment.settings.adminKey);
+		const route = matching.find(candidate => candidate.method === request.method);
+		if (route === undefined) {
+			throw new ServingError(`${request.method ?? 'the method'} is not served here`, {kind: 'method_not_allowed'});
+		}
+
+		requireRole(operator, route.role);
+		const parts = decodeParts(route.pattern.exec(url.pathname)?.groups);
+		const reply = await route.perform({
+			request, url, operator, parts, readText: async () => readText(request),
+		}, services);
+		if (route.method !== 'GET') {
+			logger.info('operator_acted', {operator: operator.name, method: route.method, path: url.pathname});
+		}
+
+		return reply;
+	};
+
+	const serve = async (request: IncomingMessage, response: ServerResponse): Promise<void> => {
+		try {
+			const url = new URL(request.url ?? '/', 'http://admin');
+			switch (url.pathname) {
+				case '/healthz': {
+					sendProbe(response, true);
+					return;
+				}
+
+				case '/readyz': {
+					sendProbe(response, isReady());
+					return;
+				}
+
+				case '/metrics': {
+					const {registry} = environment.metrics;
+					sendText(response, {status: 200, type: registry.contentType, text: await registry.metrics()});
+					return;
+				}
+
+				default: {
+					sendReply(response, await performRoute(request, url));
+				}
+			}
+		} catch (error) {
+			const serving = toServingError(error);
+			if (serving.kind === 'internal') {
+				logger.error('request_failed', {error});
+			}
+
+			sendRefusal(response, serving, environment.clock.now());
+		}
+	};
+
+	const server = createServer({requestTimeout: 30_000, headersTimeout: 10_000}, (request, response) => {
+		response.on('error', () => {/* the operator has gone */});
+		void serve(request, response);
+	});
+	await new Promise<void>((resolve, reject) => {
+		server.once('error', reject);
+		server.listen(listen, resolve);
+	});
+	const {address, port} = server.address() as AddressInfo;
+	return {
+		address: address.includes(':') ? `[${address}]:${port}` : `${address}:${port}`,
+		async close() {
+			server.closeAllConnections();
+			await new Promise<void>(resolve => {
+				server.close(() => {
+					resolve();
+				});
+			});
+		},
+	};
+};
--- /dev/null
+++ b/packages/backends/src/engine-load.ts
@@ -0,0 +1,41 @@
+/** Load reports of a model engine, and the check of one that has gone quiet. */
+import {Client, type Dispatcher, request} from 'undici';
+import {z} from 'zod';
+
+const loadSchema = z.object({
+	running: z.number().nonnegative(),
+	queued: z.number().nonnegative(),
+	cachedTokens: z.number().nonnegative().default(0),
+	at: z.number(),
+});
+
+export type EngineLoad = z.output<typeof loadSchema>;
+
+const loadTimeoutMs = 1000;
+
+export const readLoad = async (address: string, dispatcher: Dispatcher, signal: AbortSignal): Promise<EngineLoad> => {
+	const response = await request(`http://${address}/load`, {
+		dispatcher,
+		signal: AbortSignal.any([signal, AbortSignal.timeout(loadTimeoutMs)]),
+	});
+	const body: unknown = await response.body.json();
+	return loadSchema.parse(body);
+};
+
+/** Whether the backend server answers at all on a connection made just now. */
+export const isAnswering = async (address: string, signal: AbortSignal): Promise<boolean> => {
+	const client = new Client(`http://${address}`, {connect: {timeout: loadTimeoutMs}});
+	try {
+		const response = await client.request({
+			method: 'GET',
+			path: '/load',
+			signal: AbortSignal.any([signal, AbortSignal.timeout(loadTimeoutMs)]),
+		});
+		await response.body.dump();
+		return true;
+	} catch {
+		return false;
+	} finally {
+		void client.destroy();
+	}
+};
--- /dev/null
+++ b/packages/callers/src/admission-gate.ts
@@ -0,0 +1,205 @@
+/** Lets requests in: limits of client accounts first, then a bounded place in line for each service. */
+import {type Account} from '@shallotpass/common/configuration-schema.js';
+import {ServingError} from '@shallotpass/common/serving-error.js';
+import {addMilliseconds, type Deadline} from '@shallotpass/common/types.js';
+import {limitRate, shareLimit} from '@shallotpass/core/admission/limit-rate.js';
+import {
+	dequeueRequest,
+	enqueueRequest,
+	expireRequests,
+	makeWaitingQueue,
+	removeRequest,
+	type WaitingQueue,
+} from '@shallotpass/core/admission/waiting-queue.js';
+import {type Environment} from '@shallotpass/tasks/environment.js';
+
+export type EntryRequest = {
+	readonly id: string;
+	readonly team: string;
+	readonly account: Account;
+	readonly serviceId: string;
+	readonly rank: number;
+	/** Expected work in tokens, 1 for plain services. */
+	readonly work: number;
+	readonly deadline: Deadline;
+	readonly signal: AbortSignal;
+};
+
+export type AdmissionGate = {
+	/** Resolves to the function that gives the place back; rejects with a refusal. */
+	readonly enter: (request: EntryRequest) => Promise<() => void>;
+	readonly countRunning: () => number;
+	readonly countWaiting: () => number;
+};
+
+type GateOptions = {
+	readonly environment: Environment;
+	/** Requests that all backend servers of the service may run for this daemon. */
+	readonly getCapacity: (serviceId: string) => number;
+	/** Daemons that share the limits. */
+	readonly countMembers: () => number;
+};
+
+type Waiter = {
+	readonly resolve: () => void;
+	readonly reject: (error: Error) => void;
+};
+
+type Line = {
+	readonly queue: WaitingQueue;
+	readonly waiters: Map<string, Waiter>;
+	running: number;
+};
+
+const retryFullMs = 1000;
+const checkEveryMs = 20;
+
+/** What may be used at once of a limit: so many seconds' worth. */
+const burstSeconds = 2;
+
+const secondsPerMinute = 60;
+
+export const makeAdmissionGate = ({environment, getCapacity, countMembers}: GateOptions): AdmissionGate => {
+	const {clock, settings, metrics} = environment;
+	const lines = new Map<string, Line>();
+	const paidRequests = new Map<string, number>();
+	const paidTokens = new Map<string, number>();
+	let timer: NodeJS.Timeout | undefined;
+
+	const getLine = (serviceId: string): Line => {
+		const known = lines.get(serviceId);
+		if (known !== undefined) {
+			return known;
+		}
+
+		const line: Line = {queue: makeWaitingQueue(), waiters: new Map(), running: 0};
+		lines.set(serviceId, line);
+		return line;
+	};
+
+	const countWaiting = (): number => [...lines.values()].reduce((sum, line) => sum + line.queue.entries.length, 0);
+
+	const pay = (paid: Map<string, number>, name: string, amount: number, perSecond: number | undefined): void => {
+		if (perSecond === undefined) {
+			return;
+		}
+
+		const now = clock.now();
+		const own = shareLimit(perSecond, countMembers());
+		const decision = limitRate(paid.get(name) ?? 0, amount, now, {perSecond: own, burst: Math.max(1, own * burstSeconds)});
+		if (!decision.isAllowed) {
+			throw new ServingError(`client account ${name} is over its limit of ${perSecond} a second`, {kind: 'rate_limited', retryAt: decision.retryAt as Deadline});
+		}
+
+		paid.set(name, decision.paidAt);
+	};
+
+	const checkLimits = ({team, account, work}: EntryRequest): void => {
+		const name = `${team}/${account.name}`;
+		pay(paidRequests, name, 1, account.requestsPerSecond);
+		pay(paidTokens, name, work, account.tokensPerMinute === undefined ? undefined : account.tokensPerMinute / secondsPerMinute);
+	};
+
+	const refuse = (line: Line, id: string, error: ServingError): void => {
+		line.waiters.get(id)?.reject(error);
+		line.waiters.delete(id);
+	};
+
+	const letIn = (serviceId: string, line: Line): void => {
+		while (line.queue.entries.length > 0 && line.running < getCapacity(serviceId)) {
+			const next = dequeueRequest(line.queue, () => true);
+			if (next === undefined) {
+				return;
+			}
+
+			line.running++;
+			line.waiters.get(next.id)?.resolve();
+			line.waiters.delete(next.id);
+		}
+	};
+
+	const check = (): void => {
+		for (const [serviceId, line] of lines) {
+			for (const expired of expireRequests(line.queue, clock.now())) {
+				refuse(line, expired.id, new ServingError('the deadline passed while the request waited', {kind: 'deadline_unreachable', retryAt: addMilliseconds(clock.now(), retryFullMs)}));
+			}
+
+			letIn(serviceId, line);
+		}
+
+		metrics.waiting.set(countWaiting());
+		timer = undefined;
+		if (countWaiting() > 0) {
+			startTimer();
+		}
+	};
+
+	const startTimer = (): void => {
+		timer ??= setTimeout(check, checkEveryMs).unref();
+	};
+
+	const waitInLine = async (request: EntryRequest, line: Line): Promise<void> => new Promise((resolve, reject) => {
+		const leave = (): void => {
+			if (removeRequest(line.queue, request.id)) {
+				refuse(line, request.id, new ServingError('the caller went away', {kind: 'caller_cancelled', executed: 'no'}));
+			}
+		};
+
+		request.signal.addEventListener('abort', leave, {once: true});
+		const settle = (act: () => void) => () => {
+			request.signal.removeEventListener('abort', leave);
+			act();
+		};
+
+		line.waiters.set(request.id, {
+			resolve: settle(resolve),
+			reject(error) {
+				settle(() => {
+					reject(error);
+				})();
+			},
+		});
+		const {id, account, rank, work, deadline} = request;
+		const gaveWay = enqueueRequest(line.queue, {
+			id, account: `${request.team}/${account.name}`, share: account.share, rank, work, waitingSince: clock.now(), deadline,
+		}, settings.limits.maxWaiting);
+		if (gaveWay !== undefined) {
+			refuse(line, gaveWay.id, new ServingError('too many requests wait already', {kind: 'over_capacity', retryAt: addMilliseconds(clock.now(), retryFullMs)}));
+		}
+
+		startTimer();
+	});
+
+	const makeRelease = (serviceId: string, line: Line) => {
+		let isReleased = false;
+		return () => {
+			if (isReleased) {
+				return;
+			}
+
+			isReleased = true;
+			line.running--;
+			letIn(serviceId, line);
+		};
+	};
+
+	return {
+		async enter(request) {
+			checkLimits(request);
+			const line = getLine(request.serviceId);
+			if (getCapacity(request.serviceId) === 0) {
+				throw new ServingError('no backend server serves this now', {kind: 'no_backend', retryAt: addMilliseconds(clock.now(), retryFullMs)});
+			}
+
+			if (line.queue.entries.length === 0 && line.running < getCapacity(request.serviceId)) {
+				line.running++;
+			} else {
+				await waitInLine(request, line);
+			}
+
+			return makeRelease(request.serviceId, line);
+		},
+		countRunning: () => [...lines.values()].reduce((sum, line) => sum + line.running, 0),
+		countWaiting,
+	};
+};
--- /dev/null
+++ b/packages/callers/src/listener.ts
@@ -0,0 +1,246 @@
+/** The callers' listener: limits of the connection, routes, and an answer for everything. */
+import {
+	createServer, type IncomingMessage, type Server, type ServerResponse,
+} from 'node:http';
+import {type AddressInfo, type Socket} from 'node:net';
+import {isRepeatable} from '@shallotpass/common/configuration-schema.js';
+import {type ErrorKind} from '@shallotpass/common/error-kinds.js';
+import {ServingError, toServingError} from '@shallotpass/common/serving-error.js';
+import {addMilliseconds} from '@shallotpass/common/types.js';
+import {getField, makeRequestId, type CallerCall} from './caller-call.js';
+import {makePlainWork} from './plain-call.js';
+import {sendProblem, sendRawProblem} from './respond.js';
+import {makeRetryBudgets, type RetryBudgets} from './retry-budgets.js';
+import {serveChat} from './serve-chat.js';
+import {serveClaimed} from './serve-claimed.js';
+import {serveModels} from './serve-models.js';
+import {serveRepeatable} from './serve-repeatable.js';
+import {type CallerServices} from './services.js';
+
+export type CallerListener = {
+	readonly address: string;
+	readonly countInFlight: () => number;
+	/** From now on new requests are refused, and answers close their connections. */
+	readonly startDraining: () => void;
+	/** Resolves when nothing is in flight. */
+	readonly waitIdle: () => Promise<void>;
+	readonly close: () => Promise<void>;
+};
+
+type ListenerOptions = {
+	readonly listen: {readonly host: string; readonly port: number};
+	readonly services: CallerServices;
+};
+
+const retryMs = 1000;
+
+/** How often Node looks for connections whose request came too slowly. */
+const slowCheckMs = 1000;
+
+const servePlain = async (call: CallerCall, services: CallerServices, budgets: RetryBudgets): Promise<string> => {
+	const work = makePlainWork(call, services);
+	await (isRepeatable(work.service, work.method) ? serveRepeatable(work, budgets) : serveClaimed(work));
+	return work.serviceId;
+};
+
+const checkMethod = (request: IncomingMessage, method: string): void => {
+	if (request.method !== method) {
+		throw new ServingError(`${request.method ?? 'the method'} is not served here, ${method} is`, {kind: 'method_not_allowed'});
+	}
+};
+
+const route = async (call: CallerCall, services: CallerServices, budgets: RetryBudgets): Promise<string> => {
+	const {pathname} = call.url;
+	if (services.configuration.getInForce().teams.size === 0) {
+		throw new ServingError('no configuration has been accepted, or none has reached this daemon', {kind: 'no_configuration', retryAt: addMilliseconds(services.environment.clock.now(), retryMs)});
+	}
+
+	if (pathname === '/v1/chat/completions') {
+		checkMethod(call.request, 'POST');
+		return serveChat(call, services, budgets);
+	}
+
+	if (pathname === '/v1/models') {
+		checkMethod(call.request, 'GET');
+		serveModels(call, services);
+		return 'models';
+	}
+
+	if (pathname.startsWith('/services/')) {
+		return servePlain(call, services, budgets);
+	}
+
+	throw new ServingError(`nothing is served at ${pathname.slice(0, 100)}`, {kind: 'not_found'});
+};
+
+const describeParseError = (error: NodeJS.ErrnoException): {kind: ErrorKind; detail: string} => {
+	if (error.code === 'HPE_HEADER_OVERFLOW') {
+		return {kind: 'headers_too_large', detail: 'the header fields are larger than this daemon takes'};
+	}
+
+	if (error.code === 'ERR_HTTP_REQUEST_TIMEOUT') {
+		return {kind: 'request_timeout', detail: 'the request was not sent in time'};
+	}
+
+	return {kind: 'invalid_request', detail: `not HTTP/1.1: ${error.code ?? 'unreadable'}`};
+};
+
+const parseUrl = (request: IncomingMessage): URL => {
+	try {
+		return new URL(request.url ?? '/', 'http://callers');
+	} catch {
+		throw new ServingError('the request target cannot be read', {kind: 'invalid_request'});
+	}
+};
+
+export const startCallerListener = async ({listen, services}: ListenerOptions): Promise<CallerListener> => {
+	const {environment, tracing} = services;
+	const {settings, clock, metrics} = environment;
+	const {limits} = settings;
+	const logger = environment.makeLogger('callers');
+	const budgets = makeRetryBudgets();
+	const sockets = new Set<Socket>();
+	let inFlight = 0;
+	let isDraining = false;
+	const idleWaiters: Array<() => void> = [];
+
+	const finish = (): void => {
+		inFlight--;
+		if (inFlight === 0) {
+			for (const resolve of idleWaiters.splice(0)) {
+				resolve();
+			}
+		}
+	};
+
+	const refuse = (call: Pick<CallerCall, 'response' | 'requestId'>, error: ServingError): void => {
+		if (error.kind === 'internal') {
+			logger.error('request_failed', {requestId: call.requestId, error: error.cause ?? error});
+		}
+
+		sendProblem(call.response, error, call.requestId, clock.now());
+	};
+
+	const serve = async (call: CallerCall): Promise<void> => {
+		let result = 'ok';
+		let service = 'none';
+		let failure: ServingError | undefined;
+		try {
+			if (isDraining) {
+				throw new ServingError('this instance is leaving', {kind: 'draining', retryAt: addMilliseconds(clock.now(), retryMs)});
+			}
+
+			service = await route(call, services, budgets);
+		} catch (error) {
+			failure = toServingError(error);
+			result = failure.kind;
+			refuse(call, failure);
+		} finally {
+			call.hop.end(failure);
+			metrics.requests.inc({service, result});
+			metrics.requestSeconds.observe({service}, (clock.now() - call.startedAt) / 1000);
+			logger.debug('request_ended', {
+				requestId: call.requestId, result, service, milliseconds: clock.now() - call.startedAt,
+			});
+			finish();
+		}
+	};
+
+	const handle = (request: IncomingMessage, response: ServerResponse): void => {
+		const requestId = makeRequestId();
+		inFlight++;
+		if (isDraining) {
+			response.setHeader('connection', 'close');
+		}
+
+		const gone = new AbortController();
+		response.once('close', () => {
+			if (!response.writableFinished) {
+				gone.abort();
+			}
+		});
+		request.on('error', () => {/* seen by whoever reads the body */});
+		response.on('error', () => {/* the caller has gone */});
+		try {
+			const url = parseUrl(request);
+			const hop = tracing.startHop('caller', getField(request, 'traceparent'), {method: request.method ?? '', path: url.pathname, requestId});
+			void serve({
+				request, response, requestId, url, hop, startedAt: clock.now(), goneSignal: gone.signal,
+			});
+		} catch (error) {
+			refuse({response, requestId}, toServingError(error));
+			finish();
+		}
+	};
+
+	const server: Server = createServer({
+		maxHeaderSize: limits.maxHeaderBytes,
+		headersTimeout: limits.headersWithinMs,
+		requestTimeout: limits.bodyWithinMs,
+		connectionsCheckingInterval: slowCheckMs,
+		keepAliveTimeout: 65_000,
+		noDelay: true,
+	}, handle);
+	server.on('connection', socket => {
+		sockets.add(socket);
+		metrics.connections.set(sockets.size);
+		socket.once('close', () => {
+			sockets.delete(socket);
+			metrics.connections.set(sockets.size);
+		});
+		if (sockets.size > limits.maxConnections) {
+			socket.on('error', () => {/* it is closed anyway */});
+			sendRawProblem(socket, 'connection_limit', `this instance takes ${limits.maxConnections} connections`, makeRequestId());
+		}
+	});
+	server.on('clientError', (error: NodeJS.ErrnoException, socket) => {
+		const {kind, detail} = describeParseError(error);
+		metrics.requests.inc({service: 'none', result: kind});
+		sendRawProblem(socket, kind, detail, makeRequestId());
+	});
+	server.on('checkExpectation', (_request, response: ServerResponse) => {
+		const requestId = makeRequestId();
+		sendProblem(response, new ServingError('only Expect: 100-continue is understood', {kind: 'invalid_request'}), requestId, clock.now());
+	});
+	server.on('upgrade', (_request, socket) => {
+		sendRawProblem(socket, 'invalid_request', 'upgrades are not served', makeRequestId());
+	});
+	server.on('connect', (_request, socket) => {
+		sendRawProblem(socket, 'method_not_allowed', 'CONNECT is not served', makeRequestId());
+	});
+	await new Promise<void>((resolve, reject) => {
+		server.once('error', reject);
+		server.listen(listen, resolve);
+	});
+	const {address, port} = server.address() as AddressInfo;
+	return {
+		address: address.includes(':') ? `[${address}]:${port}` : `${address}:${port}`,
+		countInFlight: () => inFlight,
+		startDraining() {
+			isDraining = true;
+		},
+		async waitIdle() {
+			if (inFlight === 0) {
+				return;
+			}
+
+			await new Promise<void>(resolve => {
+				idleWaiters.push(resolve);
+			});
+		},
+		async close() {
+			server.closeIdleConnections();
+			const closing = new Promise<void>(resolve => {
+				server.close(() => {
+					resolve();
+				});
+			});
+			// What is still open has had its whole answer or has sent no request.
+			for (const socket of sockets) {
+				socket.destroySoon();
+			}
+
+			await closing;
+		},
+	};
+};
--- /dev/null
+++ b/packages/callers/src/second-run.ts
@@ -0,0 +1,108 @@
+/**
+ * Who may run a suspected request again. A request that was in flight at a death
+ * may be run once more, by one daemon in all; the log decides which, as it does
+ * for calls that must not repeat. So at most two backend servers die of it,
+ * however often and wherever the caller sends it.
+ */
+import {randomUUID} from 'node:crypto';
+import {keyMemoryMs} from '@shallotpass/common/constants.js';
+import {type Claim} from '@shallotpass/common/log-records.js';
+import {ServingError} from '@shallotpass/common/serving-error.js';
+import {addMilliseconds, type Deadline} from '@shallotpass/common/types.js';
+import {waitQuietly} from '@shallotpass/common/clock.js';
+import {makeKeyName} from '@shallotpass/core/claims/fold-claims.js';
+import {type CallerServices} from './services.js';
+
+export type SecondRun = {
+	/** The request came through without a death. */
+	readonly clear: () => Promise<void>;
+	/** The backend server died again, or nobody knows. */
+	readonly convict: () => Promise<void>;
+	/** Nothing was sent; another try may take the place. */
+	readonly giveBack: () => Promise<void>;
+};
+
+const askAgainMs = 200;
+const longestRunMs = 60_000;
+const retryMs = 5000;
+
+const quarantined = (): ServingError =>
+	new ServingError('backend servers died while they ran this request', {kind: 'request_quarantined'});
+
+const makeSuspectClaim = (services: CallerServices, fingerprint: string): Claim => {
+	const {environment, epoch} = services;
+	const now = environment.clock.now();
+	return {
+		id: randomUUID(),
+		account: '',
+		service: 'second-run',
+		key: fingerprint,
+		digest: fingerprint,
+		owner: environment.settings.instance.id,
+		ownerEpoch: String(epoch),
+		dispatchBy: now + longestRunMs,
+		answerBy: now + longestRunMs,
+	};
+};
+
+/** Waits for the right to run the suspect; undefined when it has been cleared meanwhile. */
+export const acquireSecondRun = async (services: CallerServices, fingerprint: string, deadline: Deadline, signal: AbortSignal): Promise<SecondRun | undefined> => {
+	const {claims, environment, suspects} = services;
+	const {clock} = environment;
+	const claim = makeSuspectClaim(services, fingerprint);
+	const key = makeKeyName(claim);
+	const end = async (kind: 'answered_not_kept' | 'unknown' | 'not_sent'): Promise<void> => {
+		await claims.recordOutcome(claim, {kind, claimId: claim.id, key});
+	};
+
+	while (clock.now() < deadline && !signal.aborted) {
+		const answer = await claims.claim(claim, deadline); // eslint-disable-line no-await-in-loop -- asked again until the one before has ended
+		switch (answer.kind) {
+			case 'won': {
+				return {
+					async clear() {
+						suspects.lift(fingerprint);
+						await end('answered_not_kept');
+					},
+					convict: async () => end('unknown'),
+					giveBack: async () => end('not_sent'),
+				};
+			}
+
+			case 'answered':
+			case 'answered_not_kept': {
+				suspects.lift(fingerprint);
+				return undefined;
+			}
+
+			case 'running': {
+				await waitQuietly(clock, addMilliseconds(clock.now(), askAgainMs), signal); // eslint-disable-line no-await-in-loop
+				break;
+			}
+
+			case 'unknown':
+			case 'reused': {
+				suspects.merge([{
+					fingerprint, deaths: ['first', 'second'], isConvicted: true, forgetAt: clock.now() + keyMemoryMs,
+				}], []);
+				throw quarantined();
+			}
+
+			case 'unsafe':
+			case 'unavailable': {
+				void end('not_sent');
+				// Without the log nobody can tell whether it runs elsewhere; it is not risked.
+				throw new ServingError('a request that may end backend servers waits until the log answers', {kind: 'claims_unavailable', retryAt: addMilliseconds(clock.now(), retryMs)});
+			}
+		}
+	}
+
+	throw new ServingError('the request was not cleared before its deadline', {kind: 'deadline_unreachable', retryAt: addMilliseconds(clock.now(), retryMs)});
+};
+
+/** Refuses a request that is convicted. */
+export const checkQuarantine = (services: CallerServices, fingerprint: string): void => {
+	if (services.suspects.get(fingerprint)?.isConvicted) {
+		throw quarantined();
+	}
+};
--- /dev/null
+++ b/packages/callers/src/serve-models.ts
@@ -0,0 +1,15 @@
+import {type CallerServices} from './services.js';
+import {authenticate, type CallerCall} from './caller-call.js';
+
+/** The models that the caller's account may use, in OpenAI's format. */
+export const serveModels = (call: CallerCall, {configuration}: CallerServices): void => {
+	const inForce = configuration.getInForce();
+	const {team, account} = authenticate(call.request, inForce);
+	const services = inForce.teams.get(team)?.configuration.service ?? [];
+	const models = services
+		.filter(service => service.kind === 'model' && account.services.includes(service.name))
+		.flatMap(service => service.models);
+	const text = JSON.stringify({object: 'list', data: models.map(id => ({id, object: 'model', owned_by: 'shallotpass'}))}); // eslint-disable-line @typescript-eslint/naming-convention -- OpenAI's name
+	call.response.writeHead(200, {'content-type': 'application/json', 'x-request-id': call.requestId});
+	call.response.end(text);
+};
--- /dev/null
+++ b/packages/callers/src/services.ts
@@ -0,0 +1,24 @@
+import {type BackendConnections} from '@shallotpass/backends/backend-connections.js';
+import {type BackendRegistry} from '@shallotpass/tasks/backend-registry.js';
+import {type ClaimService} from '@shallotpass/tasks/claim-service.js';
+import {type ConfigurationTask} from '@shallotpass/tasks/configuration-task.js';
+import {type Environment} from '@shallotpass/tasks/environment.js';
+import {type MembershipTask} from '@shallotpass/tasks/membership-task.js';
+import {type SuspectBook} from '@shallotpass/tasks/suspect-book.js';
+import {type Tracing} from '@shallotpass/telemetry/tracing.js';
+import {type AdmissionGate} from './admission-gate.js';
+
+/** What the callers' listener works with. */
+export type CallerServices = {
+	readonly environment: Environment;
+	readonly configuration: ConfigurationTask;
+	readonly membership: MembershipTask;
+	readonly registry: BackendRegistry;
+	readonly claims: ClaimService;
+	readonly suspects: SuspectBook;
+	readonly connections: BackendConnections;
+	readonly gate: AdmissionGate;
+	readonly tracing: Tracing;
+	/** Start of this daemon's process, for claims. */
+	readonly epoch: number;
+};
--- /dev/null
+++ b/packages/common/src/configuration-schema.ts
@@ -0,0 +1,148 @@
+/** What operators apply: one file for a team. Keys are written with underscores in files. */
+import {z} from 'zod';
+
+const sha256Pattern = /^[\da-f]{64}$/v;
+const namePattern = /^[a-z\d](?:[a-z\d._\-]{0,62})$/v;
+
+const name = z.string().regex(namePattern, 'a name of lower-case letters, digits, dots, dashes or underscores, 63 at most');
+const sha256 = z.string().regex(sha256Pattern, '64 hexadecimal digits, the SHA-256 of the key');
+const moment = z.preprocess(
+	value => value instanceof Date ? value.getTime() : value,
+	z.number({error: 'a date and time such as 2027-03-01T00:00:00Z'}),
+);
+const hostAndPort = z.string().regex(/^(?:\[[\da-f:]+\]|[\d.]+):\d{1,5}$/v, 'an IP address and a port such as 127.0.0.1:9001');
+
+const latencyClass = z.strictObject({
+	name: name.describe('Name that callers give in X-Request-Class'),
+	rank: z.int().min(0).max(1000).describe('Lower is served first'),
+	firstTokenMs: z.number().positive().optional().describe('Target for the first token, 95 in 100'),
+	betweenTokensMs: z.number().positive().optional().describe('Target between tokens, 95 in 100'),
+});
+
+const service = z.strictObject({
+	name: name.describe('Name in the path and in the lists of accounts and backend servers'),
+	kind: z.enum(['model', 'plain']).describe('Model engines speak chat completions; plain services speak any HTTP'),
+	models: z.array(z.string().min(1)).default([]).describe('Names that callers give as model'),
+	defaultClass: name.optional().describe('Class of calls that name none'),
+	repeatable: z.boolean().optional().describe('Whether a call may run twice; false by default for plain services'),
+	pathPrefix: z.string().startsWith('/').default('/').describe('What is called at the backend server'),
+});
+
+const account = z.strictObject({
+	name: name.describe('Name of the client account'),
+	keySha256: z.array(sha256).min(1).describe('Digests of the keys; two while a key is being changed'),
+	services: z.array(name).describe('Services the account may call'),
+	classes: z.array(name).default([]).describe('Classes the account may ask for'),
+	share: z.number().positive().default(1).describe('Weight in fair sharing'),
+	requestsPerSecond: z.number().positive().optional().describe('Limit over the whole system'),
+	tokensPerMinute: z.number().positive().optional().describe('Limit over the whole system'),
+});
+
+const backend = z.strictObject({
+	id: z.string().min(1).describe('Name of the backend server'),
+	address: hostAndPort.describe('Where it listens'),
+	availabilityZone: name.describe('Its availability zone'),
+	machineClass: z.string().default('default').describe('Its class of machine, as in prices'),
+	services: z.array(name).min(1).describe('Services it runs'),
+	checksFencing: z.boolean().default(false).describe('Whether it refuses an order with an old fencing number'),
+});
+
+const price = z.strictObject({
+	availabilityZone: name.describe('Availability zone the price holds in'),
+	machineClass: z.string().describe('Class of machine'),
+	reclaimable: z.number().nonnegative().describe('Credits an hour'),
+	onDemand: z.number().nonnegative().describe('Credits an hour'),
+});
+
+const configurationShape = z.strictObject({
+	creditsExpireAt: moment.optional().describe('When the credits end'),
+	class: z.array(latencyClass).default([]),
+	service: z.array(service).default([]),
+	account: z.array(account).default([]),
+	backend: z.array(backend).default([]),
+	price: z.array(price).default([]),
+});
+
+type NameList = {readonly path: Array<string | number>; readonly names: readonly string[]; readonly known: ReadonlySet<string>; readonly what: string};
+
+const reportUnknownNames = (list: NameList, report: (path: Array<string | number>, message: string) => void): void => {
+	for (const [index, item] of list.names.entries()) {
+		if (!list.known.has(item)) {
+			report([...list.path, index], `the name of a ${list.what} in this file (${[...list.known].join(', ') || 'it has none'})`);
+		}
+	}
+};
+
+const reportRepeated = (path: string, names: readonly string[], report: (path: Array<string | number>, message: string) => void): void => {
+	const seen = new Set<string>();
+	for (const [index, item] of names.entries()) {
+		if (seen.has(item)) {
+			report([path, index], `one ${path} only named ${item}`);
+		}
+
+		seen.add(item);
+	}
+};
+
+/** Schema of the configuration file, with the checks that span several entries. */
+export const configurationSchema = configurationShape.superRefine((file, context) => {
+	const report = (path: Array<string | number>, message: string): void => {
+		context.addIssue({code: 'custom', path, message});
+	};
+
+	const classes = new Set(file.class.map(item => item.name));
+	const services = new Set(file.service.map(item => item.name));
+	reportRepeated('class', file.class.map(item => item.name), report);
+	reportRepeated('service', file.service.map(item => item.name), report);
+	reportRepeated('account', file.account.map(item => item.name), report);
+	reportRepeated('backend', file.backend.map(item => item.id), report);
+	reportRepeated('account', file.account.flatMap(item => item.keySha256), (_path, _message) => {
+		report(['account'], 'each key digest at one account only');
+	});
+	for (const [index, item] of file.service.entries()) {
+		if (item.defaultClass !== undefined) {
+			reportUnknownNames({
+				path: ['service', index, 'defaultClass'], names: [item.defaultClass], known: classes, what: 'class',
+			}, (_path, message) => {
+				report(['service', index, 'defaultClass'], message);
+			});
+		}
+
+		if (item.kind === 'model' && item.models.length === 0) {
+			report(['service', index, 'models'], 'at least one model name');
+		}
+	}
+
+	for (const [index, item] of file.account.entries()) {
+		reportUnknownNames({
+			path: ['account', index, 'services'], names: item.services, known: services, what: 'service',
+		}, report);
+		reportUnknownNames({
+			path: ['account', index, 'classes'], names: item.classes, known: classes, what: 'class',
+		}, report);
+	}
+
+	for (const [index, item] of file.backend.entries()) {
+		reportUnknownNames({
+			path: ['backend', index, 'services'], names: item.services, known: services, what: 'service',
+		}, report);
+	}
+});
+
+/** The tables of the file without the checks that span them, for the reference page. */
+export const configurationTables = configurationShape;
+
+export type Configuration = z.output<typeof configurationSchema>;
+export type Service = Configuration['service'][number];
+export type Account = Configuration['account'][number];
+export type LatencyClass = Configuration['class'][number];
+export type ConfiguredBackend = Configuration['backend'][number];
+
+/** Whether a call with this method to this service may run more than once. */
+export const isRepeatable = (item: Service, method: string): boolean => {
+	if (method === 'GET' || method === 'HEAD' || method === 'OPTIONS') {
+		return true;
+	}
+
+	return item.repeatable ?? item.kind === 'model';
+};
--- /dev/null
+++ b/packages/common/src/problem.ts
@@ -0,0 +1,36 @@
+import {errorAnswers, type ErrorKind, type Executed} from './error-kinds.js';
+import {type ServingError} from './serving-error.js';
+
+/** Body of a refusal, RFC 9457. */
+export type Problem = {
+	readonly type: string;
+	readonly kind: ErrorKind;
+	readonly status: number;
+	readonly title: string;
+	readonly detail: string;
+	readonly executed: Executed;
+	readonly requestId?: string;
+};
+
+export const makeProblem = (error: ServingError, requestId?: string): Problem => {
+	const {status, title} = errorAnswers[error.kind];
+	return {
+		type: `urn:shallotpass:error:${error.kind}`,
+		kind: error.kind,
+		status,
+		title,
+		// The text of an unforeseen error may hold what is not the caller's to see.
+		detail: error.kind === 'internal' ? 'See the log of the instance under this request id.' : error.message,
+		executed: error.executed,
+		requestId,
+	};
+};
+
+/** Whole seconds until the error's retry moment, at least 1; undefined when it names none. */
+export const computeRetryAfterSeconds = (error: ServingError, now: number): number | undefined => {
+	if (error.retryAt === undefined) {
+		return undefined;
+	}
+
+	return Math.max(1, Math.ceil((error.retryAt - now) / 1000));
+};
--- /dev/null
+++ b/packages/core/src/admission/waiting-queue.ts
@@ -0,0 +1,110 @@
+/** Requests that wait for a backend server: by class rank, then fairly between accounts, in bounds. */
+
+export type WaitingRequest = {
+	readonly id: string;
+	readonly account: string;
+	readonly share: number;
+	readonly rank: number;
+	/** Expected work in tokens; what fairness is measured in. */
+	readonly work: number;
+	readonly waitingSince: number;
+	readonly deadline: number;
+};
+
+type Entry = WaitingRequest & {readonly finishTag: number};
+
+export type WaitingQueue = {
+	readonly entries: Entry[];
+	/** Virtual finish time of each account's last request. */
+	readonly accountTags: Map<string, number>;
+	virtualTime: number;
+	takenSinceOldest: number;
+};
+
+/** One in this many goes to the request that waited longest, whatever its class, so that no class starves. */
+const oldestTurn = 16;
+
+export const makeWaitingQueue = (): WaitingQueue => ({
+	entries: [],
+	accountTags: new Map(),
+	virtualTime: 0,
+	takenSinceOldest: 0,
+});
+
+const isBefore = (left: Entry, right: Entry): boolean =>
+	left.rank === right.rank ? left.finishTag < right.finishTag : left.rank < right.rank;
+
+/** Adds a request. Returns the request that had to give way when the queue is full, which may be the new one. */
+export const enqueueRequest = (queue: WaitingQueue, request: WaitingRequest, capacity: number): WaitingRequest | undefined => {
+	const start = Math.max(queue.virtualTime, queue.accountTags.get(request.account) ?? 0);
+	const entry = {...request, finishTag: start + (request.work / request.share)};
+	queue.accountTags.set(request.account, entry.finishTag);
+	queue.entries.push(entry);
+	if (queue.entries.length <= capacity) {
+		return undefined;
+	}
+
+	let last = 0;
+	for (const [index, candidate] of queue.entries.entries()) {
+		if (isBefore(queue.entries[last]!, candidate)) {
+			last = index;
+		}
+	}
+
+	return queue.entries.splice(last, 1)[0];
+};
+
+const pickIndex = (queue: WaitingQueue, isEligible: (request: WaitingRequest) => boolean): number => {
+	const wantsOldest = queue.takenSinceOldest >= oldestTurn - 1;
+	let best = -1;
+	for (const [index, entry] of queue.entries.entries()) {
+		if (!isEligible(entry)) {
+			continue;
+		}
+
+		const current = queue.entries[best];
+		if (current === undefined || (wantsOldest ? entry.waitingSince < current.waitingSince : isBefore(entry, current))) {
+			best = index;
+		}
+	}
+
+	return best;
+};
+
+/** Takes the next request that `isEligible` allows. */
+export const dequeueRequest = (queue: WaitingQueue, isEligible: (request: WaitingRequest) => boolean): WaitingRequest | undefined => {
+	const index = pickIndex(queue, isEligible);
+	if (index === -1) {
+		return undefined;
+	}
+
+	const [entry] = queue.entries.splice(index, 1);
+	queue.takenSinceOldest = queue.takenSinceOldest >= oldestTurn - 1 ? 0 : queue.takenSinceOldest + 1;
+	queue.virtualTime = Math.max(queue.virtualTime, entry!.finishTag - (entry!.work / entry!.share));
+	if (queue.entries.length === 0) {
+		queue.accountTags.clear();
+		queue.virtualTime = 0;
+	}
+
+	return entry;
+};
+
+/** Takes out the requests whose deadline has passed. */
+export const expireRequests = (queue: WaitingQueue, now: number): WaitingRequest[] => {
+	const expired = queue.entries.filter(entry => entry.deadline <= now);
+	for (const entry of expired) {
+		queue.entries.splice(queue.entries.indexOf(entry), 1);
+	}
+
+	return expired;
+};
+
+export const removeRequest = (queue: WaitingQueue, id: string): boolean => {
+	const index = queue.entries.findIndex(entry => entry.id === id);
+	if (index === -1) {
+		return false;
+	}
+
+	queue.entries.splice(index, 1);
+	return true;
+};
--- /dev/null
+++ b/packages/core/src/routing/learn-speed.ts
@@ -0,0 +1,37 @@
+import {type LearnedSpeed} from './types.js';
+
+/** Weight of a new sample; about the last ten count. */
+const sampleWeight = 0.2;
+
+/** Where learning starts: a middling engine, so that an unknown one is neither shunned nor flooded. */
+export const unknownSpeed: LearnedSpeed = {
+	firstTokenMs: 20, tokenMs: 10, prefillTokenMs: 0.1, samples: 0,
+};
+
+export type SpeedSample = {
+	readonly firstTokenMs: number;
+	/** Time between tokens; absent for an answer of one piece. */
+	readonly tokenMs?: number;
+	/** Prompt tokens that were not thought to be cached. */
+	readonly uncachedTokens: number;
+};
+
+const blend = (old: number, sample: number, samples: number): number => {
+	const weight = Math.max(sampleWeight, 1 / (samples + 1));
+	return old + (weight * (sample - old));
+};
+
+/** Prompts shorter than this tell of the fixed part of the wait, longer ones of the reading. */
+const readingPromptTokens = 500;
+
+/** Learns from one answer. */
+export const learnSpeed = (speed: LearnedSpeed, sample: SpeedSample): LearnedSpeed => {
+	const isLong = sample.uncachedTokens >= readingPromptTokens;
+	const reading = Math.max(0, sample.firstTokenMs - speed.firstTokenMs) / Math.max(1, sample.uncachedTokens);
+	return {
+		firstTokenMs: isLong ? speed.firstTokenMs : blend(speed.firstTokenMs, sample.firstTokenMs, speed.samples),
+		tokenMs: sample.tokenMs === undefined ? speed.tokenMs : blend(speed.tokenMs, sample.tokenMs, speed.samples),
+		prefillTokenMs: isLong ? blend(speed.prefillTokenMs, reading, speed.samples) : speed.prefillTokenMs,
+		samples: speed.samples + 1,
+	};
+};
--- /dev/null
+++ b/packages/core/src/routing/types.ts
@@ -0,0 +1,64 @@
+/** What routing knows of a backend server and of a call. */
+
+export type LearnedSpeed = {
+	/** Smoothed time from sending to the first token, with nothing waiting, in milliseconds. */
+	readonly firstTokenMs: number;
+	/** Smoothed time of one call's token, in milliseconds. */
+	readonly tokenMs: number;
+	/** Smoothed time to read one prompt token that is not cached, in milliseconds. */
+	readonly prefillTokenMs: number;
+	readonly samples: number;
+};
+
+export type LoadReport = {
+	readonly running: number;
+	readonly queued: number;
+	/** When the engine measured it, milliseconds since the epoch. */
+	readonly at: number;
+};
+
+export type BackendView = {
+	readonly id: string;
+	readonly address: string;
+	readonly availabilityZone: string;
+	readonly machineClass: string;
+	readonly services: readonly string[];
+	readonly checksFencing: boolean;
+	readonly isLeaving: boolean;
+	/** Nothing new before this moment, after failures to connect. */
+	readonly avoidUntil: number;
+	/** Calls of this daemon that run there. */
+	readonly running: number;
+	/** Calls of this daemon sent since the report was measured. */
+	readonly sentSinceReport: number;
+	readonly report?: LoadReport;
+	readonly speed: LearnedSpeed;
+	/** Credits an hour. */
+	readonly price: number;
+};
+
+export type RoutedCall = {
+	readonly service: string;
+	readonly promptTokens: number;
+	/** Hashes of the prompt's blocks, each over all before it; empty for plain services. */
+	readonly chain: readonly bigint[];
+	readonly expectedTokens: number;
+	readonly now: number;
+	/** The caller's availability zone: this daemon's. */
+	readonly availabilityZone: string;
+	/** Backend servers that were tried for this call. */
+	readonly excluded: ReadonlySet<string>;
+};
+
+/** How many leading blocks of the chain the backend server holds in its cache, as far as known. */
+export type CountCachedBlocks = (backendId: string, chain: readonly bigint[]) => number;
+
+export type RoutingContext = {
+	readonly call: RoutedCall;
+	readonly backends: readonly BackendView[];
+	readonly countCachedBlocks: CountCachedBlocks;
+	readonly random: () => number;
+};
+
+/** A way of choosing; undefined when no candidate can take the call. */
+export type RoutingPolicy = (context: RoutingContext) => BackendView | undefined;
--- /dev/null
+++ b/packages/peers/src/peer-methods.ts
@@ -0,0 +1,74 @@
+/** What daemons ask of each other: one schema for the question and one for the answer of each method. */
+import {claimSchema, outcomeSchema, recordedAnswerSchema} from '@shallotpass/common/log-records.js';
+import {memberUpdateSchema} from '@shallotpass/core/membership/types.js';
+import {z} from 'zod';
+
+const versionsSchema = z.record(z.string(), z.number());
+
+const acceptedSchema = z.object({
+	team: z.string(),
+	version: z.int().nonnegative(),
+	id: z.string(),
+	toml: z.string(),
+	by: z.string(),
+	at: z.number(),
+});
+
+export const suspectSchema = z.object({
+	fingerprint: z.string(),
+	deaths: z.array(z.string()),
+	isConvicted: z.boolean(),
+	forgetAt: z.number(),
+});
+
+export const verdictSchema = z.discriminatedUnion('kind', [
+	z.object({kind: z.literal('won'), fencing: z.number()}),
+	z.object({kind: z.literal('reused')}),
+	z.object({kind: z.literal('answered'), answer: recordedAnswerSchema}),
+	z.object({kind: z.literal('answered_not_kept')}),
+	z.object({kind: z.literal('running'), owner: z.string(), answerBy: z.number()}),
+	z.object({kind: z.literal('unknown')}),
+	z.object({kind: z.literal('unsafe'), until: z.number()}),
+	z.object({kind: z.literal('unavailable'), detail: z.string()}),
+]);
+
+export type ClaimAnswer = z.output<typeof verdictSchema>;
+
+export const peerMethods = {
+	probe: {
+		parameters: z.object({updates: z.array(memberUpdateSchema), versions: versionsSchema}),
+		result: z.object({updates: z.array(memberUpdateSchema), versions: versionsSchema}),
+	},
+	probeFor: {
+		parameters: z.object({id: z.string()}),
+		result: z.object({isAlive: z.boolean()}),
+	},
+	offer: {
+		parameters: z.object({}),
+		result: z.object({accepted: z.array(acceptedSchema), foldedTo: z.number(), isComplete: z.boolean()}),
+	},
+	status: {
+		parameters: z.object({}),
+		result: z.object({availabilityZone: z.string(), versions: versionsSchema}),
+	},
+	claim: {
+		parameters: z.object({claim: claimSchema, isNew: z.boolean()}),
+		result: verdictSchema,
+	},
+	recordOutcome: {
+		parameters: z.object({keyName: z.string(), outcome: outcomeSchema}),
+		result: z.object({isRecorded: z.boolean()}),
+	},
+	suspects: {
+		parameters: z.object({suspects: z.array(suspectSchema), lifted: z.array(z.string()).default([])}),
+		result: z.object({}),
+	},
+} as const;
+
+export type PeerMethod = keyof typeof peerMethods;
+export type PeerParameters<Method extends PeerMethod> = z.input<(typeof peerMethods)[Method]['parameters']>;
+export type PeerResult<Method extends PeerMethod> = z.output<(typeof peerMethods)[Method]['result']>;
+
+export type PeerHandlers = {
+	readonly [Method in PeerMethod]: (parameters: z.output<(typeof peerMethods)[Method]['parameters']>, from: string) => Promise<PeerResult<Method>> | PeerResult<Method>;
+};
--- /dev/null
+++ b/packages/platform/src/http-log.ts
@@ -0,0 +1,89 @@
+/** The log service over HTTP. Nothing outside this file knows its format. */
+import {ServingError} from '@shallotpass/common/serving-error.js';
+import {type LogReading, type LogService, type ReadOptions} from '@shallotpass/common/log-service.js';
+import {type LogOffset} from '@shallotpass/common/types.js';
+import {type Dispatcher, request} from 'undici';
+import {z} from 'zod';
+
+const appendReplySchema = z.object({offset: z.int().nonnegative()});
+
+const readReplySchema = z.object({
+	records: z.array(z.object({offset: z.int().nonnegative(), appendedAt: z.number(), record: z.unknown()})),
+	next: z.int().nonnegative(),
+});
+
+const trimmedReplySchema = z.object({earliest: z.int().nonnegative()});
+
+const appendTimeoutMs = 2000;
+const readTimeoutMs = 5000;
+
+type HttpLogOptions = {
+	readonly baseUrl: string;
+	readonly dispatcher: Dispatcher;
+	readonly now: () => number;
+};
+
+const unavailable = (detail: string, cause?: unknown): ServingError =>
+	new ServingError(`the log service ${detail}`, {kind: 'platform_unavailable', cause});
+
+const withTimeout = (signal: AbortSignal | undefined, timeoutMs: number): AbortSignal => {
+	const timeout = AbortSignal.timeout(timeoutMs);
+	return signal === undefined ? timeout : AbortSignal.any([signal, timeout]);
+};
+
+export const makeHttpLog = ({baseUrl, dispatcher, now}: HttpLogOptions): LogService => {
+	const makeUrl = (stream: string): URL => new URL(`streams/${encodeURIComponent(stream)}`, baseUrl.endsWith('/') ? baseUrl : `${baseUrl}/`);
+
+	const send = async (url: URL, options: Parameters<typeof request>[1]): Promise<{status: number; body: unknown}> => {
+		try {
+			const response = await request(url, {...options, dispatcher});
+			const text = await response.body.text();
+			const isJson = response.statusCode < 500 && response.statusCode !== 429;
+			return {status: response.statusCode, body: isJson ? JSON.parse(text) : undefined};
+		} catch (error) {
+			throw unavailable('does not answer', error);
+		}
+	};
+
+	return {
+		async append({stream, record, signal}) {
+			const reply = await send(makeUrl(stream), {
+				method: 'POST',
+				headers: {'content-type': 'application/json'},
+				body: JSON.stringify({record}),
+				signal: withTimeout(signal, appendTimeoutMs),
+			});
+			const parsed = appendReplySchema.safeParse(reply.body);
+			if (reply.status >= 300 || !parsed.success) {
+				throw unavailable(`answered an append with status ${reply.status}`);
+			}
+
+			return parsed.data.offset as LogOffset;
+		},
+		async read({stream, from, limit, waitUntil, signal}: ReadOptions): Promise<LogReading> {
+			const url = makeUrl(stream);
+			const waitMs = waitUntil === undefined ? 0 : Math.max(0, Math.round(waitUntil - now()));
+			url.searchParams.set('from', String(from));
+			url.searchParams.set('limit', String(limit));
+			url.searchParams.set('waitMs', String(waitMs));
+			const reply = await send(url, {method: 'GET', signal: withTimeout(signal, waitMs + readTimeoutMs)});
+			if (reply.status === 410) {
+				const trimmed = trimmedReplySchema.safeParse(reply.body);
+				if (trimmed.success) {
+					return {kind: 'trimmed', earliest: trimmed.data.earliest as LogOffset};
+				}
+			}
+
+			const parsed = readReplySchema.safeParse(reply.body);
+			if (reply.status >= 300 || !parsed.success) {
+				throw unavailable(`answered a read with status ${reply.status}`);
+			}
+
+			return {
+				kind: 'records',
+				records: parsed.data.records.map(item => ({...item, offset: item.offset as LogOffset})),
+				next: parsed.data.next as LogOffset,
+			};
+		},
+	};
+};
--- /dev/null
+++ b/packages/stand-ins/src/engine-stand-in.ts
@@ -0,0 +1,342 @@
+/* eslint-disable @typescript-eslint/naming-convention -- names of the OpenAI wire format */
+/** A model engine over HTTP, around the engine on paper. */
+import {type ServerResponse} from 'node:http';
+import {setImmediate as nextTurn, setTimeout as sleep} from 'node:timers/promises';
+import {randomUUID} from 'node:crypto';
+import {z} from 'zod';
+import {
+	defaultEngineParameters,
+	makeEngineCore,
+	type CacheEvent,
+	type EngineCounts,
+	type EngineParameters,
+	type TokenEvent,
+} from './engine-core.js';
+import {makeFaultTable, type Fault, type FaultTable} from './faults.js';
+import {
+	answerWithFaults,
+	readJson,
+	sendJson,
+	startStandIn,
+	type JsonReply,
+	type StandInServer,
+} from './http-stand-in.js';
+
+const chatSchema = z.looseObject({
+	model: z.string(),
+	messages: z.array(z.looseObject({role: z.string(), content: z.string()})).min(1),
+	stream: z.boolean().default(false),
+	max_tokens: z.int().positive().default(16),
+	priority: z.number().default(0),
+	resume: z.object({id: z.string(), after: z.int().min(-1)}).optional(),
+});
+
+const ordersSchema = z.object({
+	fencing: z.int().nonnegative(),
+	wanted: z.object({
+		models: z.array(z.string()).optional(), adapters: z.array(z.string()).optional(), versions: z.array(z.string()).optional(), role: z.string().optional(),
+	}),
+});
+
+type ChatBody = z.output<typeof chatSchema>;
+
+type OpenStream = {
+	readonly id: string;
+	readonly body: ChatBody;
+	readonly marker: string;
+	readonly response: ServerResponse;
+	readonly fault: Fault | undefined;
+	readonly pieces: string[];
+	sent: number;
+	isSilent: boolean;
+};
+
+export type EngineStandIn = StandInServer & {
+	readonly faults: FaultTable;
+	readonly counts: EngineCounts;
+	/** Requests that reached the engine, resumed ones included. */
+	readonly countRequests: () => number;
+	readonly countCancelled: () => number;
+	readonly countRunning: () => number;
+	/** Orders that were carried out. */
+	readonly orders: ReadonlyArray<z.output<typeof ordersSchema>>;
+};
+
+type EngineOptions = {
+	readonly models?: readonly string[];
+	readonly parameters?: Partial<EngineParameters>;
+	readonly checksFencing?: boolean;
+	/** A prompt that holds this text ends the engine without notice. */
+	readonly crashMarker?: string;
+	readonly port?: number;
+};
+
+/** Text of one token: the request's own marker and the index, so that a reader can tell whose it is. */
+export const makeTokenText = (marker: string, index: number): string => `${marker}:${index} `;
+
+/** The first word of the last message; what its tokens are marked with. */
+export const getMarker = (messages: ReadonlyArray<{readonly content: string}>): string => messages.at(-1)!.content.split(/\s/v, 1)[0] ?? '';
+
+const makeChunk = (stream: OpenStream, delta: Record<string, unknown>, finishReason?: string): string => `data: ${JSON.stringify({
+	id: stream.id,
+	object: 'chat.completion.chunk',
+	created: 0,
+	model: stream.body.model,
+	choices: [{index: 0, delta, finish_reason: finishReason ?? null}],
+})}\n\n`;
+
+const makeWhole = (stream: OpenStream): unknown => ({
+	id: stream.id,
+	object: 'chat.completion',
+	created: 0,
+	model: stream.body.model,
+	choices: [{index: 0, message: {role: 'assistant', content: stream.pieces.join('')}, finish_reason: 'stop'}],
+	usage: {completion_tokens: stream.pieces.length},
+});
+
+/** Operations for faults: `chat`, `load`, `cancel`, `events`, `orders`, `kv`. */
+export const startEngineStandIn = async (options: EngineOptions = {}): Promise<EngineStandIn> => {
+	const parameters = {...defaultEngineParameters, ...options.parameters};
+	const core = makeEngineCore(parameters);
+	const faults = makeFaultTable();
+	const streams = new Map<string, OpenStream>();
+	const events: Array<CacheEvent & {seq: number}> = [];
+	const orders: Array<z.output<typeof ordersSchema>> = [];
+	let report = {...core.getLoad(), at: Date.now()};
+	let requests = 0;
+	let cancelled = 0;
+	let isRunning = false;
+	let isClosed = false;
+
+	const endStream = (stream: OpenStream): void => {
+		streams.delete(stream.id);
+		if (stream.body.stream) {
+			stream.response.end(`${makeChunk(stream, {}, 'stop')}data: [DONE]\n\n`);
+			return;
+		}
+
+		sendJson(stream.response, {status: 200, body: makeWhole(stream)});
+	};
+
+	const strike = (stream: OpenStream): boolean => {
+		const {fault} = stream;
+		if (fault === undefined || stream.sent < (fault.afterChunks ?? 0)) {
+			return false;
+		}
+
+		switch (fault.kind) {
+			case 'cut':
+			case 'lose_reply': {
+				core.cancel(stream.id);
+				streams.delete(stream.id);
+				stream.response.destroy();
+				return true;
+			}
+
+			case 'silent': {
+				stream.isSilent = true;
+				return true;
+			}
+
+			case 'break': {
+				stream.response.write('data: {"id": broken\n\n');
+				return true;
+			}
+
+			case 'mismatch': {
+				stream.response.write(makeChunk({...stream, id: 'of-another-stream'}, {content: 'not yours'}));
+				return true;
+			}
+
+			case 'delay':
+			case 'refuse': {
+				return false;
+			}
+		}
+	};
+
+	const emitToken = (token: TokenEvent): void => {
+		const stream = streams.get(token.id);
+		if (stream === undefined || stream.isSilent || strike(stream)) {
+			return;
+		}
+
+		const content = makeTokenText(stream.marker, token.index);
+		stream.sent++;
+		if (stream.body.stream) {
+			stream.response.write(makeChunk(stream, {content}));
+		} else {
+			stream.pieces.push(content);
+		}
+
+		if (token.isLast) {
+			endStream(stream);
+		}
+	};
+
+	const noteEvents = (): void => {
+		for (const event of core.takeEvents()) {
+			events.push({...event, seq: events.length});
+		}
+	};
+
+	const run = async (): Promise<void> => {
+		if (isRunning) {
+			return;
+		}
+
+		isRunning = true;
+		let owedMs = 0;
+		for (let step = core.step(); step !== undefined; step = isClosed ? undefined : core.step()) {
+			owedMs += step.durationMs;
+			// Timers are no finer than a millisecond; shorter steps are gathered up.
+			if (owedMs >= 1) {
+				const startedAt = performance.now();
+				await sleep(owedMs); // eslint-disable-line no-await-in-loop -- steps follow each other
+				owedMs -= performance.now() - startedAt;
+			} else {
+				await nextTurn(); // eslint-disable-line no-await-in-loop -- steps follow each other
+			}
+
+			for (const token of step.tokens) {
+				emitToken(token);
+			}
+
+			noteEvents();
+		}
+
+		isRunning = false;
+	};
+
+	const openStream = (body: ChatBody, response: ServerResponse, requestId: string, fault: Fault | undefined): void => {
+		const id = body.resume?.id ?? `chatcmpl-${randomUUID()}`;
+		const stream: OpenStream = {
+			id, body, marker: getMarker(body.messages), response, fault, pieces: [], sent: 0, isSilent: false,
+		};
+		streams.set(id, stream);
+		response.once('close', () => {
+			if (streams.get(id) === stream) {
+				streams.delete(id);
+				core.cancel(id);
+				cancelled++;
+			}
+		});
+		if (body.stream) {
+			response.writeHead(200, {'content-type': 'text/event-stream', 'cache-control': 'no-store', 'x-request-id': requestId});
+			response.write(makeChunk(stream, {role: 'assistant', content: ''}));
+		}
+
+		core.submit({
+			id,
+			prompt: body.messages.map(message => `${message.role}\n${message.content}\n`).join(''),
+			priority: body.priority,
+			maxTokens: body.max_tokens,
+			resumeAfter: body.resume?.after ?? -1,
+		});
+		void run();
+	};
+
+	const chat = async (body: unknown, response: ServerResponse, requestId: string): Promise<void> => {
+		requests++;
+		const parsed = chatSchema.safeParse(body);
+		if (!parsed.success || !(options.models ?? [parsed.data.model]).includes(parsed.data.model)) {
+			sendJson(response, {status: parsed.success ? 404 : 400, body: {error: {message: 'no such model or no chat request'}}});
+			return;
+		}
+
+		if (options.crashMarker !== undefined && JSON.stringify(parsed.data.messages).includes(options.crashMarker)) {
+			await close();
+			return;
+		}
+
+		const fault = faults.take('chat');
+		if (fault?.kind === 'refuse') {
+			sendJson(response, {status: 503, headers: {'retry-after': '1'}});
+			return;
+		}
+
+		if (fault?.kind === 'delay') {
+			await sleep(fault.delayMs ?? 100);
+		}
+
+		openStream(parsed.data, response, requestId, fault);
+	};
+
+	const getReport = (): JsonReply => {
+		const now = Date.now();
+		if (now - report.at >= parameters.loadLagMs) {
+			report = {...core.getLoad(), at: now};
+		}
+
+		return {status: 200, body: report};
+	};
+
+	const takeOrder = (body: unknown): JsonReply => {
+		const parsed = ordersSchema.safeParse(body);
+		if (!parsed.success) {
+			return {status: 400};
+		}
+
+		if (options.checksFencing === true && orders.some(order => order.fencing > parsed.data.fencing)) {
+			return {status: 409, body: {error: 'an older fencing number'}};
+		}
+
+		orders.push(parsed.data);
+		return {status: 200};
+	};
+
+	const server = await startStandIn(async (request, response) => {
+		const url = new URL(request.url ?? '/', 'http://engine');
+		const route = `${request.method} ${url.pathname}`;
+		if (route === 'POST /v1/chat/completions') {
+			const requestId = String(request.headers['x-request-id'] ?? randomUUID());
+			await chat(await readJson(request), response, requestId);
+			return;
+		}
+
+		if (route === 'GET /load') {
+			await answerWithFaults(response, faults, 'load', getReport);
+			return;
+		}
+
+		if (route === 'GET /events') {
+			const from = Number(url.searchParams.get('from') ?? 0);
+			await answerWithFaults(response, faults, 'events', () => ({status: 200, body: {events: events.slice(from), next: events.length}}));
+			return;
+		}
+
+		if (route === 'POST /orders') {
+			const body = await readJson(request);
+			await answerWithFaults(response, faults, 'orders', () => takeOrder(body));
+			return;
+		}
+
+		if (request.method === 'DELETE' && url.pathname.startsWith('/v1/requests/')) {
+			const id = decodeURIComponent(url.pathname.slice('/v1/requests/'.length));
+			await answerWithFaults(response, faults, 'cancel', () => {
+				const isKnown = core.cancel(id);
+				streams.get(id)?.response.destroy();
+				return {status: isKnown ? 200 : 404};
+			});
+			return;
+		}
+
+		sendJson(response, {status: 404});
+	}, options.port);
+
+	const close = async (): Promise<void> => {
+		isClosed = true;
+		await server.close();
+	};
+
+	return {
+		...server,
+		close,
+		faults,
+		counts: core.counts,
+		countRequests: () => requests,
+		countCancelled: () => cancelled,
+		countRunning: () => streams.size,
+		orders,
+	};
+};
--- /dev/null
+++ b/packages/stand-ins/src/http-stand-in.ts
@@ -0,0 +1,117 @@
+/** What the HTTP stand-ins share: a server on a free port, JSON in and out, and faults. */
+import {Buffer} from 'node:buffer';
+import {createServer, type IncomingMessage, type ServerResponse} from 'node:http';
+import {type AddressInfo} from 'node:net';
+import {setTimeout as sleep} from 'node:timers/promises';
+import {type FaultTable} from './faults.js';
+
+export type StandInServer = {
+	readonly address: string;
+	readonly url: string;
+	/** Closes the listener and every connection at once, as a crash does. */
+	readonly close: () => Promise<void>;
+};
+
+export type JsonReply = {
+	readonly status: number;
+	readonly body?: unknown;
+	readonly headers?: Readonly<Record<string, string>>;
+};
+
+export type StandInHandler = (request: IncomingMessage, response: ServerResponse) => Promise<void> | void;
+
+export const startStandIn = async (handler: StandInHandler, port = 0): Promise<StandInServer> => {
+	const server = createServer({keepAliveTimeout: 60_000}, (request, response) => {
+		(async () => {
+			try {
+				await handler(request, response);
+			} catch (error) {
+				if (!response.headersSent) {
+					sendJson(response, {status: 400, body: {error: String(error)}});
+				}
+			}
+		})();
+	});
+	await new Promise<void>((resolve, reject) => {
+		server.once('error', reject);
+		server.listen(port, '127.0.0.1', resolve);
+	});
+	const address = `127.0.0.1:${(server.address() as AddressInfo).port}`;
+	return {
+		address,
+		url: `http://${address}`,
+		async close() {
+			server.closeAllConnections();
+			await new Promise<void>(resolve => {
+				server.close(() => {
+					resolve();
+				});
+			});
+		},
+	};
+};
+
+export const readBody = async (request: IncomingMessage): Promise<Uint8Array> => {
+	const chunks: Uint8Array[] = [];
+	for await (const chunk of request) {
+		chunks.push(chunk as Uint8Array);
+	}
+
+	return Buffer.concat(chunks);
+};
+
+export const readJson = async (request: IncomingMessage): Promise<unknown> => {
+	const body = await readBody(request);
+	return body.length === 0 ? undefined : JSON.parse(new TextDecoder().decode(body));
+};
+
+export const sendJson = (response: ServerResponse, reply: JsonReply): void => {
+	const text = JSON.stringify(reply.body ?? {});
+	response.writeHead(reply.status, {'content-type': 'application/json', 'content-length': Buffer.byteLength(text), ...reply.headers});
+	response.end(text);
+};
+
+/** Answers an operation under its faults; `act` has the effect and gives the reply. */
+export const answerWithFaults = async (
+	response: ServerResponse,
+	faults: FaultTable,
+	operation: string,
+	act: () => JsonReply | Promise<JsonReply>,
+): Promise<void> => {
+	const fault = faults.take(operation);
+	switch (fault?.kind) {
+		case undefined: {
+			sendJson(response, await act());
+			return;
+		}
+
+		case 'refuse': {
+			sendJson(response, {status: 503, headers: {'retry-after': '1'}});
+			return;
+		}
+
+		case 'silent': {
+			return;
+		}
+
+		case 'lose_reply':
+		case 'cut': {
+			await act();
+			response.destroy();
+			return;
+		}
+
+		case 'delay': {
+			const reply = await act();
+			await sleep(fault.delayMs ?? 100);
+			sendJson(response, reply);
+			return;
+		}
+
+		case 'break':
+		case 'mismatch': {
+			await act();
+			response.end('{"not": "what was asked');
+		}
+	}
+};
--- /dev/null
+++ b/packages/tasks/src/backend-registry.ts
@@ -0,0 +1,264 @@
+/** Owns what this daemon knows of backend servers and chooses among them. */
+import {leavingGraceMs} from '@shallotpass/common/constants.js';
+import {type InstanceList} from '@shallotpass/common/instance-list.js';
+import {
+	countCachedBlocks, forgetBackend, makeKnownPrefixes, notePrefix,
+} from '@shallotpass/core/routing/known-prefixes.js';
+import {learnSpeed, unknownSpeed, type SpeedSample} from '@shallotpass/core/routing/learn-speed.js';
+import {chooseLowestCost} from '@shallotpass/core/routing/policies.js';
+import {
+	type BackendView, type LoadReport, type RoutedCall, type RoutingPolicy,
+} from '@shallotpass/core/routing/types.js';
+import {type Environment} from './environment.js';
+import {findPrice, listConfiguredBackends, type InForce} from './in-force.js';
+
+type Origin = 'configuration' | 'list';
+
+type Entry = {
+	view: BackendView;
+	readonly origin: Origin;
+	leavesAt: number | undefined;
+	/** Aborted when what runs there must move. */
+	leaving: AbortController;
+	lastSentAt: number[];
+};
+
+export type BackendRegistry = {
+	readonly takeConfiguration: (inForce: InForce) => void;
+	readonly takeList: (list: InstanceList) => void;
+	/** A reclaim notice; calls that run there move before `leavesAt`. */
+	readonly noteLeaving: (id: string, leavesAt: number | undefined) => void;
+	readonly takeReport: (id: string, report: LoadReport) => void;
+	readonly choose: (call: RoutedCall) => BackendView | undefined;
+	readonly begin: (id: string) => void;
+	readonly end: (id: string) => void;
+	readonly learn: (id: string, sample: SpeedSample, chain: readonly bigint[]) => void;
+	/** Nothing new goes there for a while. */
+	readonly avoid: (id: string) => void;
+	readonly list: () => BackendView[];
+	readonly getView: (id: string) => BackendView | undefined;
+	readonly countCached: (id: string, chain: readonly bigint[]) => number;
+	/** Aborted when the backend server is about to be taken away. */
+	readonly getLeavingSignal: (id: string) => AbortSignal | undefined;
+	readonly isLeaving: (id: string) => boolean;
+	readonly countServing: (serviceId: string) => number;
+};
+
+type RegistryOptions = {
+	readonly environment: Environment;
+	readonly policy?: RoutingPolicy;
+};
+
+const avoidForMs = 1000;
+
+/** Streams move this long before their backend server is taken away. */
+const moveMarginMs = 1500;
+
+const mostKnownBlocks = 20_000;
+
+/** Sent calls that are remembered for correcting a lagging report. */
+const mostRememberedSends = 1024;
+
+export const makeBackendRegistry = ({environment, policy = chooseLowestCost}: RegistryOptions): BackendRegistry => {
+	const {clock, random, metrics, signal} = environment;
+	const logger = environment.makeLogger('backends');
+	const entries = new Map<string, Entry>();
+	const prefixes = makeKnownPrefixes(mostKnownBlocks);
+	const noticed = new Map<string, number | undefined>();
+	let inForce: InForce | undefined;
+	let lastList: InstanceList | undefined;
+
+	const moveLater = async (entry: Entry): Promise<void> => {
+		const {leavesAt} = entry;
+		if (leavesAt === undefined) {
+			return;
+		}
+
+		const {leaving} = entry;
+		try {
+			await clock.waitUntil(Math.max(clock.now(), leavesAt - moveMarginMs) as never, signal);
+		} catch {
+			return;
+		}
+
+		if (entry.leaving === leaving) {
+			leaving.abort();
+		}
+	};
+
+	const markLeaving = (entry: Entry, leavesAt: number | undefined): void => {
+		const isNews = !entry.view.isLeaving || entry.leavesAt !== leavesAt;
+		entry.view = {...entry.view, isLeaving: true};
+		if (!isNews) {
+			return;
+		}
+
+		entry.leavesAt = leavesAt ?? entry.leavesAt;
+		logger.info('backend_leaving', {backend: entry.view.id, leavesAt});
+		void moveLater(entry);
+	};
+
+	type Described = Pick<BackendView, 'id' | 'address' | 'availabilityZone' | 'machineClass' | 'services' | 'checksFencing'>;
+
+	const put = (described: Described, origin: Origin): Entry => {
+		const price = inForce === undefined ? 0 : findPrice(inForce, described.availabilityZone, described.machineClass);
+		const known = entries.get(described.id);
+		if (known?.view.address === described.address) {
+			known.view = {...known.view, ...described, price};
+			return known;
+		}
+
+		// The same id at a new address is a new process with an empty cache.
+		forgetBackend(prefixes, described.id);
+		const entry: Entry = {
+			view: {
+				...described, price, isLeaving: false, avoidUntil: 0, running: 0, sentSinceReport: 0, speed: unknownSpeed,
+			},
+			origin,
+			leavesAt: undefined,
+			leaving: new AbortController(),
+			lastSentAt: [],
+		};
+		entries.set(described.id, entry);
+		return entry;
+	};
+
+	const remove = (id: string): void => {
+		entries.delete(id);
+		forgetBackend(prefixes, id);
+	};
+
+	const report = (): void => {
+		const views = [...entries.values()].map(entry => entry.view);
+		metrics.backends.set({state: 'live'}, views.filter(view => !view.isLeaving).length);
+		metrics.backends.set({state: 'leaving'}, views.filter(view => view.isLeaving).length);
+	};
+
+	const rebuild = (): void => {
+		const present = new Set<string>();
+		for (const backend of inForce === undefined ? [] : listConfiguredBackends(inForce)) {
+			const {id, address, availabilityZone, machineClass, serviceIds, checksFencing} = backend;
+			present.add(id);
+			put({
+				id, address, availabilityZone, machineClass, services: serviceIds, checksFencing,
+			}, 'configuration');
+		}
+
+		for (const instance of lastList?.instances ?? []) {
+			if (instance.role !== 'backend') {
+				continue;
+			}
+
+			const {id, address, availabilityZone, machineClass, services} = instance;
+			const configured = present.has(id) ? entries.get(id) : undefined;
+			present.add(id);
+			const entry = configured ?? put({
+				id, address, availabilityZone, machineClass, services, checksFencing: false,
+			}, 'list');
+			if (instance.state === 'leaving') {
+				markLeaving(entry, instance.leavesAt);
+			} else if (!noticed.has(id) && entry.view.isLeaving) {
+				entry.view = {...entry.view, isLeaving: false};
+				entry.leavesAt = undefined;
+				entry.leaving = new AbortController();
+			}
+		}
+
+		for (const [id, leavesAt] of noticed) {
+			const entry = entries.get(id);
+			if (entry !== undefined) {
+				markLeaving(entry, leavesAt);
+			}
+
+			// A notice outlives a list that lags behind it, and no longer.
+			if (leavesAt !== undefined && clock.now() > leavesAt + (leavingGraceMs * 10)) {
+				noticed.delete(id);
+			}
+		}
+
+		for (const id of entries.keys()) {
+			if (!present.has(id)) {
+				remove(id);
+			}
+		}
+
+		report();
+	};
+
+	const change = (id: string, update: (view: BackendView) => BackendView): void => {
+		const entry = entries.get(id);
+		if (entry !== undefined) {
+			entry.view = update(entry.view);
+		}
+	};
+
+	return {
+		takeConfiguration(next) {
+			inForce = next;
+			rebuild();
+		},
+		takeList(list) {
+			lastList = list;
+			rebuild();
+		},
+		noteLeaving(id, leavesAt) {
+			noticed.set(id, leavesAt);
+			rebuild();
+		},
+		takeReport(id, load) {
+			const entry = entries.get(id);
+			if (entry === undefined || (entry.view.report?.at ?? 0) > load.at) {
+				return;
+			}
+
+			entry.lastSentAt = entry.lastSentAt.filter(sentAt => sentAt > load.at);
+			entry.view = {...entry.view, report: load, sentSinceReport: entry.lastSentAt.length};
+		},
+		choose(call) {
+			return policy({
+				call,
+				backends: [...entries.values()].map(entry => entry.view),
+				countCachedBlocks: (id, chain) => countCachedBlocks(prefixes, id, chain),
+				random,
+			});
+		},
+		begin(id) {
+			const entry = entries.get(id);
+			if (entry === undefined) {
+				return;
+			}
+
+			entry.lastSentAt = [...entry.lastSentAt.slice(-mostRememberedSends), clock.now()];
+			entry.view = {...entry.view, running: entry.view.running + 1, sentSinceReport: entry.view.report === undefined ? 0 : entry.view.sentSinceReport + 1};
+			metrics.running.inc();
+		},
+		end(id) {
+			change(id, view => ({...view, running: Math.max(0, view.running - 1)}));
+			metrics.running.dec();
+		},
+		learn(id, sample, chain) {
+			change(id, view => ({...view, speed: learnSpeed(view.speed, sample)}));
+			if (entries.has(id)) {
+				notePrefix(prefixes, id, chain);
+			}
+		},
+		avoid(id) {
+			change(id, view => ({...view, avoidUntil: clock.now() + avoidForMs}));
+		},
+		list: () => [...entries.values()].map(entry => entry.view),
+		getView: id => entries.get(id)?.view,
+		countCached: (id, chain) => countCachedBlocks(prefixes, id, chain),
+		getLeavingSignal: id => entries.get(id)?.leaving.signal,
+		isLeaving: id => entries.get(id)?.view.isLeaving ?? true,
+		countServing(serviceId) {
+			let count = 0;
+			for (const {view} of entries.values()) {
+				if (!view.isLeaving && view.services.includes(serviceId)) {
+					count++;
+				}
+			}
+
+			return count;
+		},
+	};
+};
--- /dev/null
+++ b/packages/tasks/src/claim-shard.ts
@@ -0,0 +1,251 @@
+/**
+ * One claim stream as a writer sees it: gathers claims and outcomes into appends
+ * and tells from the log alone what each has come to.
+ */
+import {keyMemoryMs} from '@shallotpass/common/constants.js';
+import {waitQuietly} from '@shallotpass/common/clock.js';
+import {
+	type Claim, type Outcome, type RecordedAnswer, claimStreamRecordSchema,
+} from '@shallotpass/common/log-records.js';
+import {type LogService} from '@shallotpass/common/log-service.js';
+import {addMilliseconds, type LogOffset} from '@shallotpass/common/types.js';
+import {
+	foldClaimRecord, forgetOldKeys, makeClaimState, makeKeyName, noteClaimTrim,
+} from '@shallotpass/core/claims/fold-claims.js';
+import {judgeClaim} from '@shallotpass/core/claims/judge-claim.js';
+import {type ClaimState, type ClaimVerdict} from '@shallotpass/core/claims/types.js';
+import {type ClaimAnswer} from '@shallotpass/peers/peer-methods.js';
+import {type Environment} from './environment.js';
+
+type Waiting<Item> = {
+	readonly item: Item;
+	readonly resolve: (isInLog: boolean) => void;
+};
+
+export type ClaimShard = {
+	/** Claims the key and tells what came of it. */
+	readonly claim: (claim: Claim) => Promise<ClaimAnswer>;
+	/** Reads the log to its end and tells where the key stands, without claiming. */
+	readonly lookUp: (claim: Claim) => Promise<ClaimAnswer>;
+	/** Resolves to whether the outcome is in the log. */
+	readonly recordOutcome: (outcome: Outcome) => Promise<boolean>;
+	readonly countKeys: () => number;
+};
+
+type ClaimShardOptions = {
+	readonly environment: Environment;
+	readonly log: LogService;
+	readonly stream: string;
+	readonly isOwnerGone: (owner: string, ownerEpoch: string) => boolean;
+};
+
+const readLimit = 1000;
+
+/** Most claims in one append; a record stays well under a megabyte. */
+const mostClaimsInAppend = 500;
+
+const unavailable = (detail: string): ClaimAnswer => ({kind: 'unavailable', detail});
+
+export const makeClaimShard = ({environment, log, stream, isOwnerGone}: ClaimShardOptions): ClaimShard => {
+	const {clock, settings, signal, metrics} = environment;
+	const logger = environment.makeLogger('claims');
+	let state: ClaimState = makeClaimState();
+	const claims: Array<Waiting<Claim>> = [];
+	const outcomes: Array<Waiting<Outcome>> = [];
+	let isFlushing = false;
+	let reading: Promise<void> = Promise.resolve();
+
+	const noteTrim = async (earliest: LogOffset): Promise<void> => {
+		const first = await log.read({
+			stream, from: earliest, limit: 1, signal,
+		});
+		const oldestLeftAt = first.kind === 'records' ? first.records[0]?.appendedAt ?? clock.now() : clock.now();
+		state = noteClaimTrim(state, earliest, oldestLeftAt, keyMemoryMs);
+		logger.warn('claims_trimmed_before_reading', {stream, earliest, unsafeUntil: state.unsafeUntil});
+	};
+
+	const readToEnd = async (): Promise<void> => {
+		for (;;) {
+			/* eslint-disable no-await-in-loop -- each reading starts where the last ended */
+			const result = await log.read({
+				stream, from: state.foldedTo, limit: readLimit, signal,
+			});
+			if (result.kind === 'trimmed') {
+				await noteTrim(result.earliest);
+				continue;
+			}
+
+			/* eslint-enable no-await-in-loop */
+			for (const record of result.records) {
+				state = foldClaimRecord(state, record);
+			}
+
+			if (result.records.length === 0) {
+				forgetOldKeys(state, clock.now(), keyMemoryMs);
+				return;
+			}
+		}
+	};
+
+	const readAfter = async (before: Promise<void>): Promise<void> => {
+		try {
+			await before;
+		} catch {
+			// Whoever started that reading sees its failure.
+		}
+
+		await readToEnd();
+	};
+
+	/** One reading at a time; a caller that comes later needs one that starts later. */
+	const catchUp = async (): Promise<void> => {
+		const own = readAfter(reading);
+		reading = own;
+		await own;
+	};
+
+	const judge = (claim: Claim): ClaimVerdict => judgeClaim({
+		state, claim, now: clock.now(), isOwnerGone,
+	});
+
+	const readAnswer = async (offset: LogOffset, claim: Claim): Promise<RecordedAnswer | undefined> => {
+		const result = await log.read({
+			stream, from: offset, limit: 1, signal,
+		});
+		const record = result.kind === 'records' ? claimStreamRecordSchema.safeParse(result.records[0]?.record) : undefined;
+		const keyName = makeKeyName(claim);
+		const outcome = record?.data?.outcomes.find(item => item.kind === 'answered' && item.key === keyName);
+		return outcome?.kind === 'answered' ? outcome.answer : undefined;
+	};
+
+	const toAnswer = async (verdict: ClaimVerdict, claim: Claim): Promise<ClaimAnswer> => {
+		switch (verdict.kind) {
+			case 'answered': {
+				const answer = await readAnswer(verdict.outcomeOffset, claim);
+				return answer === undefined ? {kind: 'answered_not_kept'} : {kind: 'answered', answer};
+			}
+
+			case 'running': {
+				return {kind: 'running', owner: verdict.claim.owner, answerBy: verdict.claim.answerBy};
+			}
+
+			case 'absent': {
+				return unavailable('the claim is not in the log');
+			}
+
+			case 'won':
+			case 'reused':
+			case 'answered_not_kept':
+			case 'unknown':
+			case 'unsafe': {
+				return verdict;
+			}
+		}
+	};
+
+	const isKnown = (outcome: Outcome): boolean => {
+		const known = state.keys.get(outcome.key);
+		return known?.claim.id === outcome.claimId && known.outcome !== undefined;
+	};
+
+	const isClaimInLog = (claim: Claim): boolean => {
+		const verdict = judge(claim);
+		return verdict.kind !== 'absent' && verdict.kind !== 'unsafe';
+	};
+
+	/** Appends, then reads past the append. A failed append may have taken effect; only the reading tells. */
+	const flushOnce = async (): Promise<void> => {
+		const claimBatch = claims.splice(0, mostClaimsInAppend);
+		const outcomeBatch = outcomes.splice(0, mostClaimsInAppend);
+		const record = {
+			kind: 'claims',
+			outcomes: outcomeBatch.map(({item}) => item),
+			claims: claimBatch.map(({item}) => item),
+		};
+		try {
+			await log.append({stream, record, signal});
+			metrics.logAppends.inc({stream, result: 'done'});
+		} catch (error) {
+			metrics.logAppends.inc({stream, result: 'failed'});
+			logger.warn('append_unclear', {
+				stream, claims: claimBatch.length, outcomes: outcomeBatch.length, error,
+			});
+		}
+
+		let isRead = true;
+		try {
+			await catchUp();
+		} catch (error) {
+			isRead = false;
+			logger.warn('log_unreachable', {stream, error});
+		}
+
+		for (const {item, resolve} of outcomeBatch) {
+			resolve(isRead && isKnown(item));
+		}
+
+		for (const {item, resolve} of claimBatch) {
+			resolve(isRead && isClaimInLog(item));
+		}
+	};
+
+	const flush = async (): Promise<void> => {
+		if (isFlushing) {
+			return;
+		}
+
+		isFlushing = true;
+		while (claims.length + outcomes.length > 0) {
+			/* eslint-disable no-await-in-loop -- one append at a time; what comes meanwhile shares the next */
+			await waitQuietly(clock, addMilliseconds(clock.now(), settings.limits.claimWindowMs), signal);
+			await flushOnce();
+			/* eslint-enable no-await-in-loop */
+		}
+
+		isFlushing = false;
+	};
+
+	const enqueueClaim = async (claim: Claim): Promise<boolean> => new Promise(resolve => {
+		claims.push({item: claim, resolve});
+		void flush();
+	});
+
+	const isUnsafe = (): boolean => clock.now() < state.unsafeUntil;
+
+	return {
+		async claim(claim) {
+			try {
+				// The log's beginning must have been read before the first claim: a key may stand there.
+				if (state.foldedTo === 0) {
+					await catchUp();
+				}
+
+				const before = judge(claim);
+				const isSettled = before.kind === 'answered' || before.kind === 'answered_not_kept' || before.kind === 'reused';
+				if (isSettled || (before.kind === 'unsafe' && isUnsafe())) {
+					return await toAnswer(before, claim);
+				}
+
+				const isInLog = await enqueueClaim(claim);
+				return isInLog ? await toAnswer(judge(claim), claim) : unavailable('the log does not answer');
+			} catch (error) {
+				return unavailable(error instanceof Error ? error.message : 'the log does not answer');
+			}
+		},
+		async lookUp(claim) {
+			try {
+				await catchUp();
+				return await toAnswer(judge(claim), claim);
+			} catch (error) {
+				return unavailable(error instanceof Error ? error.message : 'the log does not answer');
+			}
+		},
+		async recordOutcome(outcome) {
+			return new Promise(resolve => {
+				outcomes.push({item: outcome, resolve});
+				void flush();
+			});
+		},
+		countKeys: () => state.keys.size,
+	};
+};
--- /dev/null
+++ b/packages/tasks/src/load-reports.ts
@@ -0,0 +1,62 @@
+/** Reads load reports of the model engines that this daemon is a reporter of. */
+import {waitQuietly} from '@shallotpass/common/clock.js';
+import {addMilliseconds} from '@shallotpass/common/types.js';
+import {readLoad} from '@shallotpass/backends/engine-load.js';
+import {rankByRendezvous} from '@shallotpass/core/routing/rank-by-rendezvous.js';
+import {type Dispatcher} from 'undici';
+import {type BackendRegistry} from './backend-registry.js';
+import {type Environment} from './environment.js';
+
+type LoadReportOptions = {
+	readonly environment: Environment;
+	readonly registry: BackendRegistry;
+	readonly dispatcher: Dispatcher;
+	/** Whether the backend server runs a model service. */
+	readonly isEngine: (serviceIds: readonly string[]) => boolean;
+	/** Members of this availability zone, this one included. */
+	readonly listZoneMembers: () => readonly string[];
+};
+
+const readEveryMs = 1000;
+
+/** Up to so many engines a daemon reads them all; above, it reads those it is one of the reporters of. */
+const mostReadByAll = 16;
+
+/** Reporters of one engine, so that one that dies leaves no gap. */
+const reportersPerEngine = 2;
+
+export const runLoadReports = async (options: LoadReportOptions): Promise<void> => {
+	const {environment, registry, dispatcher} = options;
+	const {clock, signal, settings} = environment;
+
+	const listOwn = (): string[] => {
+		const engines = registry.list().filter(view => options.isEngine(view.services));
+		if (engines.length <= mostReadByAll) {
+			return engines.map(view => view.id);
+		}
+
+		const members = options.listZoneMembers();
+		return engines
+			.filter(view => view.availabilityZone === settings.instance.availabilityZone)
+			.filter(view => rankByRendezvous(view.id, members).slice(0, reportersPerEngine).includes(settings.instance.id))
+			.map(view => view.id);
+	};
+
+	const readOne = async (id: string): Promise<void> => {
+		const view = registry.getView(id);
+		if (view === undefined) {
+			return;
+		}
+
+		try {
+			registry.takeReport(id, await readLoad(view.address, dispatcher, signal));
+		} catch {
+			// An engine without a report is judged by this daemon's own calls.
+		}
+	};
+
+	while (!signal.aborted) {
+		await Promise.all(listOwn().map(async id => readOne(id))); // eslint-disable-line no-await-in-loop
+		await waitQuietly(clock, addMilliseconds(clock.now(), readEveryMs), signal); // eslint-disable-line no-await-in-loop
+	}
+};
--- /dev/null
+++ b/scripts/measure/src/latencies.ts
@@ -0,0 +1,31 @@
+import {build, type Histogram} from 'hdr-histogram-js';
+
+/** Latencies in microseconds, reported in milliseconds. */
+export type Latencies = {
+	readonly record: (milliseconds: number) => void;
+	readonly get: (percentile: number) => number;
+	readonly count: () => number;
+};
+
+const microsecondsInMs = 1000;
+
+export const makeLatencies = (): Latencies => {
+	const histogram: Histogram = build({lowestDiscernibleValue: 1, highestTrackableValue: 600_000_000, numberOfSignificantValueDigits: 3});
+	return {
+		record(milliseconds) {
+			histogram.recordValue(Math.max(1, Math.round(milliseconds * microsecondsInMs)));
+		},
+		get: percentile => histogram.getValueAtPercentile(percentile) / microsecondsInMs,
+		count: () => histogram.totalCount,
+	};
+};
+
+export type Quantiles = {readonly p50: number; readonly p95: number; readonly p99: number};
+
+export const getQuantiles = (latencies: Latencies): Quantiles => ({
+	p50: latencies.get(50),
+	p95: latencies.get(95),
+	p99: latencies.get(99),
+});
+
+export const round = (value: number, digits = 3): number => Number(value.toFixed(digits));
--- /dev/null
+++ b/scripts/measure/src/local-fleet.ts
@@ -0,0 +1,127 @@
+/** Stand-ins and daemons together in one process, on free ports of the loopback. */
+import {createHash} from 'node:crypto';
+import {settingsSchema, type Settings} from '@shallotpass/common/settings-schema.js';
+import {startDaemon, type Daemon} from '@shallotpass/daemon/start-daemon.js';
+import {startCloudStandIn, type CloudStandIn} from '@shallotpass/stand-ins/cloud-stand-in.js';
+import {startInstanceListStandIn, type InstanceListStandIn} from '@shallotpass/stand-ins/instance-list-stand-in.js';
+import {startLogStandIn, type LogStandIn} from '@shallotpass/stand-ins/log-stand-in.js';
+import {type z} from 'zod';
+
+export const hashKey = (key: string): string => createHash('sha256').update(key).digest('hex');
+
+export const operatorKey = 'operator-key-of-the-stand-ins';
+export const callerKey = 'caller-key-of-the-stand-ins';
+export const peerKey = 'peer-key-of-the-stand-ins';
+
+type SettingsInput = z.input<typeof settingsSchema>;
+
+export type FleetPlatform = {
+	readonly log: LogStandIn;
+	readonly list: InstanceListStandIn;
+	readonly cloud: CloudStandIn;
+	readonly close: () => Promise<void>;
+};
+
+export const startPlatform = async (): Promise<FleetPlatform> => {
+	const [log, list, cloud] = await Promise.all([startLogStandIn(), startInstanceListStandIn(), startCloudStandIn()]);
+	return {
+		log,
+		list,
+		cloud,
+		async close() {
+			await Promise.all([log.close(), list.close(), cloud.close()]);
+		},
+	};
+};
+
+type MemberOptions = {
+	readonly id: string;
+	readonly availabilityZone: string;
+	readonly platform: FleetPlatform | undefined;
+	readonly seeds?: readonly string[];
+	readonly limits?: SettingsInput['limits'];
+	readonly peers?: Partial<NonNullable<SettingsInput['peers']>>;
+	readonly logUrl?: string;
+	readonly instancesUrl?: string;
+};
+
+export const makeSettings = (options: MemberOptions): Settings => settingsSchema.parse({
+	instance: {id: options.id, availabilityZone: options.availabilityZone, region: 'region-1'},
+	platform: options.platform === undefined
+		? undefined
+		: {
+			log: options.logUrl ?? options.platform.log.url,
+			instances: options.instancesUrl ?? options.platform.list.url,
+			cloud: options.platform.cloud.url,
+		},
+	peers: {
+		seeds: [...options.seeds ?? []], keys: [peerKey], probeEveryMs: 200, suspectForMs: 800, ...options.peers,
+	},
+	adminKey: [{name: 'operator', sha256: hashKey(operatorKey), role: 'administrator'}],
+	limits: options.limits,
+});
+
+export const startMember = async (options: MemberOptions): Promise<Daemon> => startDaemon({settings: makeSettings(options)});
+
+/** Waits until the condition holds; throws when it has not by then. */
+export const waitFor = async (what: string, condition: () => boolean | Promise<boolean>, withinMs = 15_000): Promise<void> => {
+	const giveUpAt = Date.now() + withinMs;
+	while (!await condition()) { // eslint-disable-line no-await-in-loop -- polls
+		if (Date.now() > giveUpAt) {
+			throw new Error(`${what}: not within ${withinMs} ms`);
+		}
+
+		await new Promise(resolve => { // eslint-disable-line no-await-in-loop -- polls
+			setTimeout(resolve, 10);
+		});
+	}
+};
+
+/** Configuration of the stand-ins: a model service, a service that must not repeat and one that may. */
+export const makeConfigurationText = (note = 'first'): string => `# ${note}
+credits_expire_at = 2030-01-01T00:00:00Z
+
+[[class]]
+name = "counter"
+rank = 0
+first_token_ms = 430
+between_tokens_ms = 28
+
+[[class]]
+name = "draft"
+rank = 10
+
+[[service]]
+name = "assistant"
+kind = "model"
+models = ["assistant-7b"]
+default_class = "draft"
+
+[[service]]
+name = "reservations"
+kind = "plain"
+repeatable = false
+
+[[service]]
+name = "catalogue"
+kind = "plain"
+repeatable = true
+
+[[account]]
+name = "tartu-shop"
+key_sha256 = ["${hashKey(callerKey)}"]
+services = ["assistant", "reservations", "catalogue"]
+classes = ["counter", "draft"]
+`;
+
+export type ApplyOutcome = {readonly status: number; readonly body: {readonly version?: number; readonly id?: string; readonly kind?: string}};
+
+/** Applies a configuration through a daemon's admin interface. */
+export const applyThrough = async (daemon: Daemon, text: string, base?: number, team = 'default'): Promise<ApplyOutcome> => {
+	const response = await fetch(`http://${daemon.admin}/admin/v1/teams/${team}/configuration`, {
+		method: 'PUT',
+		headers: {authorization: `Bearer ${operatorKey}`, ...(base === undefined ? {} : {'if-match': String(base)})},
+		body: text,
+	});
+	return {status: response.status, body: await response.json() as ApplyOutcome['body']};
+};
--- /dev/null
+++ b/scripts/measure/src/run-experiment.ts
@@ -0,0 +1,43 @@
+/** Finds an experiment by its name or its TOML file and runs it. */
+import {existsSync, readFileSync} from 'node:fs';
+import {fileURLToPath} from 'node:url';
+import {formatMistake, readToml} from '@shallotpass/common/toml-file.js';
+import {type z} from 'zod';
+import {pathExperiment} from './path-experiment.js';
+
+export type Report = Readonly<Record<string, unknown>>;
+
+/** An experiment: the schema of its file, and what it does. */
+export type Experiment<Schema extends z.ZodType = z.ZodType> = {
+	readonly name: string;
+	readonly schema: Schema;
+	readonly run: (options: z.output<Schema>, tell: (line: string) => void) => Promise<Report>;
+};
+
+const experiments: ReadonlyArray<Experiment<any>> = [pathExperiment];
+
+const getFolder = (): string => fileURLToPath(new URL('../experiments/', import.meta.url));
+
+const findFile = (name: string): string => name.endsWith('.toml') ? name : `${getFolder()}${name}.toml`;
+
+export const runExperiment = async (name: string, seed: number | undefined, tell: (line: string) => void): Promise<Report> => {
+	const file = findFile(name);
+	if (!existsSync(file)) {
+		throw new Error(`there is no experiment ${name}; the experiments are ${experiments.map(item => item.name).join(', ')}`);
+	}
+
+	const text = readFileSync(file, 'utf8');
+	const kind = /^experiment *= *"(?<kind>[a-z\-]+)"/mv.exec(text)?.groups?.kind;
+	const experiment = experiments.find(item => item.name === kind);
+	if (experiment === undefined) {
+		throw new Error(`${file}: experiment: expected one of ${experiments.map(item => item.name).join(', ')}, found ${kind ?? 'nothing'}`);
+	}
+
+	const reading = readToml(text, experiment.schema);
+	if (reading.kind === 'mistakes') {
+		throw new Error(reading.mistakes.map(mistake => formatMistake(file, mistake)).join('\n'));
+	}
+
+	const options = reading.value as Record<string, unknown>;
+	return experiment.run(seed === undefined ? options : {...options, seed}, tell);
+};
--- /dev/null
+++ b/xo.config.js
@@ -0,0 +1,50 @@
+/** Lint settings: XO's rules, and the import arrows of docs/STYLE.md as restrictions. */
+const forbidImports = names => ({
+	'no-restricted-imports': ['error', {
+		patterns: [{
+			group: names.map(name => `@shallotpass/${name}/**`),
+			message: 'The import arrows go one way: apps, then platform, backends and peers, then core, then common.',
+		}],
+	}],
+});
+
+const sockets = ['node:net', 'node:http', 'node:https', 'node:fs', 'node:fs/promises', 'node:timers', 'node:timers/promises', 'undici'];
+
+export default [
+	{
+		ignores: ['**/dist/**', 'reports/**'],
+	},
+	{
+		files: ['packages/common/**/*.ts'],
+		rules: forbidImports(['core', 'platform', 'backends', 'peers', 'stand-ins', 'daemon', 'cli', 'measure']),
+	},
+	{
+		files: ['packages/core/**/*.ts'],
+		rules: {
+			'no-restricted-imports': ['error', {
+				paths: sockets.map(name => ({name, message: 'The core does no input or output.'})),
+				patterns: [{
+					group: ['platform', 'backends', 'peers', 'stand-ins', 'daemon', 'cli', 'measure'].map(name => `@shallotpass/${name}/**`),
+					message: 'The core imports only common.',
+				}],
+			}],
+			'no-restricted-globals': ['error', 'setTimeout', 'setInterval', 'fetch', 'Date'],
+		},
+	},
+	{
+		files: ['packages/{platform,backends,peers}/**/*.ts'],
+		rules: forbidImports(['stand-ins', 'daemon', 'cli', 'measure']),
+	},
+	{
+		files: ['apps/daemon/**/*.ts'],
+		rules: forbidImports(['stand-ins', 'cli', 'measure']),
+	},
+	{
+		// These files are the programs themselves.
+		files: ['apps/*/src/main.ts', 'apps/*/bin/*.js', 'scripts/**/*.{js,ts}'],
+		rules: {
+			'unicorn/no-process-exit': 'off',
+			'import-x/no-unassigned-import': 'off',
+		},
+	},
+];
