--- a/packages/stand-ins/src/engine-core.ts
+++ b/packages/stand-ins/src/engine-core.ts
@@ -18,6 +18,8 @@
 	readonly mostRunning: number;
 	/** Prompt tokens that the cache holds. */
 	readonly cacheTokens: number;
+	/** Milliseconds between two tokens of one sequence at the least; 0 gives one each step. */
+	readonly paceMs: number;
 	/** Age of a load report, in milliseconds. */
 	readonly loadLagMs: number;
 };
@@ -29,6 +31,7 @@
 	prefillChunkTokens: 2048,
 	mostRunning: 64,
 	cacheTokens: 200_000,
+	paceMs: 0,
 	loadLagMs: 500,
 };
 
@@ -48,6 +51,8 @@
 	readonly chain: readonly bigint[];
 	prefillLeft: number;
 	produced: number;
+	/** When the next token may come, in milliseconds of engine time. */
+	dueAt: number;
 };
 
 export type TokenEvent = {readonly id: string; readonly index: number; readonly isLast: boolean};
@@ -134,6 +139,7 @@
 	const waiting: Sequence[] = [];
 	let running: Sequence[] = [];
 	let events: CacheEvent[] = [];
+	let elapsedMs = 0;
 	const cache = makePrefixCache(Math.floor(parameters.cacheTokens / blockTokens), event => {
 		events.push(event);
 	});
@@ -173,10 +179,12 @@
 	const decode = (): TokenEvent[] => {
 		const tokens: TokenEvent[] = [];
 		for (const sequence of running) {
-			if (sequence.prefillLeft > 0) {
+			if (sequence.prefillLeft > 0 || sequence.dueAt > elapsedMs) {
 				continue;
 			}
 
+			sequence.dueAt = elapsedMs + parameters.paceMs;
+
 			const index = sequence.job.resumeAfter + 1 + sequence.produced;
 			sequence.produced++;
 			tokens.push({id: sequence.job.id, index, isLast: index + 1 >= sequence.job.maxTokens});
@@ -191,7 +199,7 @@
 		submit(job) {
 			const promptTokens = estimateTokens(job.prompt.length);
 			waiting.push({
-				job, promptTokens, chain: hashPrompt(job.prompt), prefillLeft: 0, produced: 0,
+				job, promptTokens, chain: hashPrompt(job.prompt), prefillLeft: 0, produced: 0, dueAt: 0,
 			});
 		},
 		cancel(id) {
@@ -214,6 +222,7 @@
 			const sequences = running.length;
 			const read = prefill();
 			const durationMs = parameters.stepMs + (sequences * parameters.sequenceMs) + (read * parameters.prefillTokenMs);
+			elapsedMs += durationMs;
 			return {durationMs, tokens: decode()};
 		},
 		getLoad: () => ({running: running.length, queued: waiting.length, cachedTokens: cache.size() * blockTokens}),
--- a/scripts/measure/src/path-experiment.ts
+++ b/scripts/measure/src/path-experiment.ts
@@ -1,5 +1,6 @@
 /** What the daemon adds to a streamed answer, against the same engine called directly in the same run. */
 import process from 'node:process';
+import {setTimeout as sleep} from 'node:timers/promises';
 import {Agent} from 'undici';
 import {z} from 'zod';
 import {askStream} from './caller-client.js';
@@ -7,6 +8,7 @@
 import {
 	getQuantiles, makeLatencies, round, type Latencies,
 } from './latencies.js';
+import {makeRandom} from './random.js';
 import {startWorker, type HostedWorker} from './worker-host.js';
 import {type Experiment, type Report} from './run-experiment.js';
 
@@ -19,6 +21,8 @@
 	rounds: z.int().positive(),
 	floodStreams: z.int().positive(),
 	floodTokens: z.int().positive(),
+	/** Requests of each of 100 streams before anything counts. */
+	warmUpRequests: z.int().positive(),
 	/** Pace of the engine in the comparison, in milliseconds; the flood goes as fast as it can. */
 	tokenMs: z.number().positive(),
 });
@@ -41,6 +45,9 @@
 	readonly requests: number;
 	readonly tokens: number;
 	readonly label: string;
+	/** Longest pause of a stream between two questions, in milliseconds. */
+	readonly pauseMs: number;
+	readonly random: () => number;
 };
 
 const makeResult = (): LoadResult => ({
@@ -52,6 +59,7 @@
 	const startedAt = performance.now();
 	const runStream = async (stream: number): Promise<void> => {
 		for (let index = 0; index < options.requests; index++) {
+			await sleep(options.random() * options.pauseMs); // eslint-disable-line no-await-in-loop -- streams start apart
 			const marker = `${options.label}-${stream}-${index}`;
 			// eslint-disable-next-line no-await-in-loop -- one question after the other on each stream
 			const result = await askStream({
@@ -90,34 +98,48 @@
 	return startWorker({kind: 'daemon', settings, configurationText});
 };
 
-const compare = async (options: Options, streams: number, engine: HostedWorker, daemon: HostedWorker) => {
-	const direct = makeResult();
-	const through = makeResult();
+type Way = {
+	readonly name: 'direct' | 'bare' | 'daemon';
+	readonly address: string;
+	readonly result: LoadResult;
+};
+
+const subtractQuantiles = (one: Quantiles, other: Quantiles): Quantiles => ({
+	p50: round(one.p50 - other.p50),
+	p95: round(one.p95 - other.p95),
+	p99: round(one.p99 - other.p99),
+});
+
+const compare = async (options: Options, streams: number, addresses: ReadonlyArray<Pick<Way, 'name' | 'address'>>) => {
+	const ways: Way[] = addresses.map(way => ({...way, result: makeResult()}));
 	for (let index = 0; index < options.rounds; index++) {
-		const load = {streams, requests: options.requestsPerStream, tokens: options.tokens};
-		/* eslint-disable no-await-in-loop -- in turn, so that drift of the machine strikes both */
-		await runLoad({...load, address: engine.address, label: `d${index}`}, direct);
-		await runLoad({...load, address: daemon.address, label: `t${index}`}, through);
-		/* eslint-enable no-await-in-loop */
+		for (const {name, address, result} of ways) {
+			// eslint-disable-next-line no-await-in-loop -- in turn, so that drift of the machine strikes all
+			await runLoad({
+				streams,
+				requests: options.requestsPerStream,
+				tokens: options.tokens,
+				pauseMs: options.tokenMs * 4,
+				random: makeRandom(options.seed + index),
+				address,
+				label: `${name}${index}`,
+			}, result);
+		}
 	}
 
-	const directFirst = getQuantiles(direct.firstToken);
-	const throughFirst = getQuantiles(through.firstToken);
-	const perChunk = ((through.milliseconds - direct.milliseconds) * streams) / Math.max(1, through.chunks);
+	const [direct, bare, daemon] = ways.map(way => getQuantiles(way.result.firstToken));
+	const results = ways.map(way => way.result);
 	return {
 		streams,
-		requests: through.whole.count(),
-		directFirstTokenMs: directFirst,
-		daemonFirstTokenMs: throughFirst,
-		addedFirstTokenMs: {
-			p50: round(throughFirst.p50 - directFirst.p50),
-			p95: round(throughFirst.p95 - directFirst.p95),
-			p99: round(throughFirst.p99 - directFirst.p99),
-		},
-		addedMsPerChunkOfOneStream: round(perChunk, 4),
-		lost: through.lost + direct.lost,
-		stray: through.stray + direct.stray,
-		refused: through.refused + direct.refused,
+		requests: results.reduce((sum, result) => sum + result.whole.count(), 0),
+		directFirstTokenMs: direct!,
+		bareFirstTokenMs: bare!,
+		daemonFirstTokenMs: daemon!,
+		addedByBareMs: subtractQuantiles(bare!, direct!),
+		addedByDaemonMs: subtractQuantiles(daemon!, direct!),
+		lost: results.reduce((sum, result) => sum + result.lost, 0),
+		stray: results.reduce((sum, result) => sum + result.stray, 0),
+		refused: results.reduce((sum, result) => sum + result.refused, 0),
 	};
 };
 
@@ -125,7 +147,7 @@
 	const result = makeResult();
 	const before = await daemon?.readUsage();
 	await runLoad({
-		address, streams: options.floodStreams, requests: 2, tokens: options.floodTokens, label: 'f',
+		address, streams: options.floodStreams, requests: 2, tokens: options.floodTokens, label: 'f', pauseMs: 0, random: Math.random,
 	}, result);
 	const after = await daemon?.readUsage();
 	const busyMs = after === undefined || before === undefined ? undefined : after.activeMs - before.activeMs;
@@ -140,22 +162,29 @@
 
 const run = async (options: Options, tell: (line: string) => void): Promise<Report> => {
 	const models = ['assistant-7b'];
-	const engine = await startWorker({kind: 'engine', parameters: {...freeEngine, stepMs: options.tokenMs}, models});
+	const engine = await startWorker({kind: 'engine', parameters: {...freeEngine, paceMs: options.tokenMs}, models});
 	const daemon = await startDaemonWorker(engine);
+	const bare = await startWorker({kind: 'bare', target: engine.address});
 	const floodEngine = await startWorker({kind: 'engine', parameters: freeEngine, models});
 	const floodDaemon = await startDaemonWorker(floodEngine);
 	try {
-		await runLoad({
-			address: daemon.address, streams: 20, requests: 20, tokens: 20, label: 'w',
-		}, makeResult());
-		await runLoad({
-			address: engine.address, streams: 20, requests: 20, tokens: 20, label: 'w',
-		}, makeResult());
+		const ways = [
+			{name: 'direct', address: engine.address},
+			{name: 'bare', address: bare.address},
+			{name: 'daemon', address: daemon.address},
+		] as const;
+		for (const {address} of [...ways, {address: floodDaemon.address}, {address: floodEngine.address}]) {
+			// eslint-disable-next-line no-await-in-loop -- compiled code first, or the first requests are all that is seen
+			await runLoad({
+				address, streams: 100, requests: options.warmUpRequests, tokens: 5, label: 'w', pauseMs: 20, random: Math.random,
+			}, makeResult());
+		}
+
 		const points = [];
 		for (const streams of options.streams) {
-			const point = await compare(options, streams, engine, daemon); // eslint-disable-line no-await-in-loop -- one after the other
+			const point = await compare(options, streams, ways); // eslint-disable-line no-await-in-loop -- one after the other
 			points.push(point);
-			tell(`${streams} streams: first token p95 ${point.directFirstTokenMs.p95} ms direct, ${point.daemonFirstTokenMs.p95} ms through the daemon`);
+			tell(`${streams} streams: first token p95 ${point.directFirstTokenMs.p95} ms direct, ${point.bareFirstTokenMs.p95} bare, ${point.daemonFirstTokenMs.p95} through the daemon`);
 		}
 
 		const direct = await flood(options, floodEngine.address, undefined);
@@ -171,7 +200,7 @@
 			peakRssMbOfAll: round(process.resourceUsage().maxRSS / 1024, 1),
 		};
 	} finally {
-		await Promise.all([daemon.close(), engine.close(), floodDaemon.close(), floodEngine.close()]);
+		await Promise.all([bare.close(), daemon.close(), engine.close(), floodDaemon.close(), floodEngine.close()]);
 	}
 };
 
--- /dev/null
+++ b/scripts/measure/src/random.ts
@@ -0,0 +1,9 @@
+/** Random numbers from a seed, so that a run can be repeated. */
+import {uniformFloat64} from 'pure-rand/distribution/uniformFloat64';
+import {xoroshiro128plus} from 'pure-rand/generator/xoroshiro128plus';
+
+/** Makes a function that gives uniform numbers in [0, 1). */
+export const makeRandom = (seed: number): (() => number) => {
+	const generator = xoroshiro128plus(seed);
+	return () => uniformFloat64(generator);
+};
--- a/xo.config.js
+++ b/xo.config.js
@@ -39,6 +39,13 @@
 		files: ['apps/daemon/**/*.ts'],
 		rules: forbidImports(['stand-ins', 'cli', 'measure']),
 	},
+	{
+		files: ['**/*.test.ts'],
+		rules: {
+			// The runner itself waits for tests.
+			'@typescript-eslint/no-floating-promises': ['error', {allowForKnownSafeCalls: [{from: 'package', name: 'test', package: 'node:test'}]}],
+		},
+	},
 	{
 		// These files are the programs themselves.
 		files: ['apps/*/src/main.ts', 'apps/*/bin/*.js', 'scripts/**/*.{js,ts}'],
