--- a/apps/cli/src/apply.ts
+++ b/apps/cli/src/apply.ts
@@ -20,7 +20,7 @@
 
 type Zone = {readonly members: number; readonly silent: readonly string[]; readonly versions: Readonly<Record<string, number>>};
 
-const mostTries = 5;
+const mostTries = 3;
 const retryMs = 500;
 const waitWithinMs = 30_000;
 const lookEveryMs = 100;
--- /dev/null
+++ b/packages/core/src/claims/claims.test.ts
@@ -0,0 +1,163 @@
+import assert from 'node:assert/strict';
+import test from 'node:test';
+import {type Claim, type Outcome} from '@shallotpass/common/log-records.js';
+import {type LogRecord} from '@shallotpass/common/log-service.js';
+import {type LogOffset} from '@shallotpass/common/types.js';
+import fc from 'fast-check';
+import {
+	foldClaimRecord, forgetOldKeys, makeClaimState, makeKeyName, noteClaimTrim,
+} from './fold-claims.js';
+import {judgeClaim} from './judge-claim.js';
+import {pickClaimStream, pickClaimWriter} from './pick-claim-shard.js';
+import {type ClaimState, type ClaimVerdict} from './types.js';
+
+const makeClaim = (id: string, key = 'k', digest = 'd'): Claim => ({
+	id, account: 'a', service: 's', key, digest, owner: `owner-${id}`, ownerEpoch: '1', dispatchBy: 1000, answerBy: 10_000,
+});
+
+const makeRecord = (offset: number, claims: readonly Claim[], outcomes: readonly Outcome[] = []): LogRecord => ({
+	offset: offset as LogOffset, appendedAt: offset, record: {kind: 'claims', claims, outcomes},
+});
+
+const makeOutcome = (kind: 'answered_not_kept' | 'not_sent' | 'unknown', claim: Claim): Outcome => ({kind, claimId: claim.id, key: makeKeyName(claim)});
+
+const foldAll = (records: readonly LogRecord[]): ClaimState => {
+	let state = makeClaimState();
+	for (const record of records) {
+		state = foldClaimRecord(state, record);
+	}
+
+	return state;
+};
+
+const judge = (state: ClaimState, claim: Claim, now = 0, gone: readonly string[] = []): ClaimVerdict['kind'] =>
+	judgeClaim({
+		state, claim, now, isOwnerGone: owner => gone.includes(owner),
+	}).kind;
+
+const first = makeClaim('1');
+const second = makeClaim('2');
+
+type Row = {
+	readonly name: string;
+	readonly records: readonly LogRecord[];
+	readonly now?: number;
+	readonly gone?: readonly string[];
+	/** What the first claim's owner and a second caller with the key are told. */
+	readonly first: ClaimVerdict['kind'];
+	readonly second: ClaimVerdict['kind'];
+};
+
+/** The steps between accepting a call and answering it, and what each caller gets when the owner dies there. */
+const rows: readonly Row[] = [
+	{
+		name: 'before the claim is in the log', records: [], first: 'absent', second: 'absent',
+	},
+	{
+		name: 'claimed, owner alive', records: [makeRecord(0, [first, second])], first: 'won', second: 'running',
+	},
+	{
+		name: 'claimed, owner gone before or after sending', records: [makeRecord(0, [first, second])], gone: ['owner-1'], first: 'won', second: 'unknown',
+	},
+	{
+		name: 'claimed, owner silent past its deadlines', records: [makeRecord(0, [first, second])], now: 20_000, first: 'won', second: 'unknown',
+	},
+	{
+		name: 'proved unsent, then claimed again', records: [makeRecord(0, [first]), makeRecord(1, [], [makeOutcome('not_sent', first)]), makeRecord(2, [second])], first: 'running', second: 'won',
+	},
+	{
+		name: 'proved unsent and claimed again in one append', records: [makeRecord(0, [first]), makeRecord(1, [second], [makeOutcome('not_sent', first)])], first: 'running', second: 'won',
+	},
+	{
+		name: 'answered', records: [makeRecord(0, [first]), makeRecord(1, [], [makeOutcome('answered_not_kept', first)])], gone: ['owner-1'], first: 'answered_not_kept', second: 'answered_not_kept',
+	},
+	{
+		name: 'sent, and no answer was heard', records: [makeRecord(0, [first]), makeRecord(1, [], [makeOutcome('unknown', first)])], first: 'unknown', second: 'unknown',
+	},
+	{
+		name: 'an outcome of a claim that did not win', records: [makeRecord(0, [first, second]), makeRecord(1, [], [makeOutcome('not_sent', second)])], first: 'won', second: 'running',
+	},
+	{
+		name: 'an outcome that contradicts the first', records: [makeRecord(0, [first]), makeRecord(1, [], [makeOutcome('unknown', first)]), makeRecord(2, [second], [makeOutcome('not_sent', first)])], first: 'unknown', second: 'unknown',
+	},
+	{
+		name: 'the claim stands twice, as after a lost reply', records: [makeRecord(0, [first]), makeRecord(1, [first]), makeRecord(2, [second])], first: 'won', second: 'running',
+	},
+];
+
+for (const row of rows) {
+	test(`a claim and a second call with its key: ${row.name}`, () => {
+		const state = foldAll(row.records);
+		assert.deepEqual(
+			{first: judge(state, first, row.now, row.gone), second: judge(state, second, row.now, row.gone)},
+			{first: row.first, second: row.second},
+		);
+	});
+}
+
+test('a different body under a used key is told apart whatever became of the first', () => {
+	const state = foldAll([makeRecord(0, [first])]);
+	assert.equal(judge(state, makeClaim('3', 'k', 'other')), 'reused');
+});
+
+test('keys of different accounts and services never meet', () => {
+	const names = fc.tuple(fc.string(), fc.string(), fc.string());
+	fc.assert(fc.property(names, names, (left, right) => {
+		const [one, other] = [left, right].map(([account, service, key]) => makeKeyName({account, service, key}));
+		assert.equal(one === other, left.join('\u0000\u0000') === right.join('\u0000\u0000') && left.every((part, index) => part === right[index]));
+	}), {seed: 7});
+});
+
+test('records of the key memory that were trimmed unread make every unknown key unsafe for a while', () => {
+	// The log forgot earlier than promised and a new instance starts. A key that it has never
+	// seen may have been used; running it could be the second time.
+	const state = noteClaimTrim(makeClaimState(), 5 as LogOffset, 1000, 500);
+	assert.equal(judge(state, first, 1400), 'unsafe');
+	assert.equal(judge(state, first, 1500), 'absent');
+	const seen = noteClaimTrim(foldAll([makeRecord(0, [first])]), 1 as LogOffset, 1000, 500);
+	assert.equal(judge(seen, second, 1400), 'running');
+});
+
+test('keys are forgotten after the key memory and not before', () => {
+	const state = foldAll([makeRecord(0, [first]), makeRecord(1, [makeClaim('3', 'other')])]);
+	forgetOldKeys(state, 500, 500);
+	assert.equal(state.keys.size, 1);
+	assert.equal(judge(state, second, 500), 'absent');
+});
+
+test('every reader of any log agrees, and at most one claim of a key may ever be sent', () => {
+	// Daemons claim, give up, answer and repeat in any order, and writers append some claims
+	// twice. A claim may be sent while it is the winner and was not declared unsent; two such
+	// claims for one key would be two reservations.
+	const step = fc.record({id: fc.nat(5), kind: fc.constantFrom('claim', 'not_sent', 'unknown', 'answered_not_kept')});
+	fc.assert(fc.property(fc.array(step, {maxLength: 25}), steps => {
+		const claims = Array.from({length: 6}, (_value, index) => makeClaim(String(index)));
+		const winners = new Set<string>();
+		const declaredUnsent = new Set<string>();
+		let state = makeClaimState();
+		for (const [offset, {id, kind}] of steps.entries()) {
+			const claim = claims[id]!;
+			if (kind === 'not_sent') {
+				// An owner only says so while it holds back its call for good.
+				declaredUnsent.add(claim.id);
+			}
+
+			state = foldClaimRecord(state, kind === 'claim' ? makeRecord(offset, [claim]) : makeRecord(offset, [], [makeOutcome(kind, claim)]));
+			for (const candidate of claims) {
+				if (judge(state, candidate) === 'won' && !declaredUnsent.has(candidate.id)) {
+					winners.add(candidate.id);
+				}
+			}
+		}
+
+		assert.ok([...winners].filter(id => !declaredUnsent.has(id)).length <= 1);
+	}), {seed: 7, numRuns: 1000});
+});
+
+test('a key has one stream and members agree on its writer in whatever order they are seen', () => {
+	fc.assert(fc.property(fc.string(), fc.uniqueArray(fc.string({minLength: 1}), {minLength: 1, maxLength: 10}), (key, members) => {
+		const stream = pickClaimStream(key);
+		assert.match(stream, /^claims-\d$/v);
+		assert.equal(pickClaimWriter(stream, members), pickClaimWriter(stream, members.toReversed()));
+	}), {seed: 7});
+});
--- /dev/null
+++ b/packages/core/src/membership/membership.test.ts
@@ -0,0 +1,121 @@
+import assert from 'node:assert/strict';
+import test from 'node:test';
+import fc from 'fast-check';
+import {makeRandom} from '../testing/make-random.js';
+import {
+	announceLeaving,
+	applyUpdate,
+	applyUpdates,
+	chooseProbe,
+	expireMembers,
+	isProcessGone,
+	listReachable,
+	makeMembershipState,
+	suspectMember,
+	takeRumors,
+} from './fold-membership.js';
+import {
+	defaultMembershipOptions, memberStatuses, type MembershipState, type MemberUpdate,
+} from './types.js';
+
+const options = {...defaultMembershipOptions, suspectForMs: 1000};
+
+const makeUpdate = (id: string, change: Partial<MemberUpdate> = {}): MemberUpdate => ({
+	id, address: `${id}:1`, availabilityZone: 'z', region: 'r', epoch: 1, incarnation: 0, status: 'alive', ...change,
+});
+
+const makeState = (...ids: readonly string[]): MembershipState =>
+	applyUpdates(makeMembershipState(makeUpdate('self')), ids.map(id => makeUpdate(id)), 0, options);
+
+test('a member that is silent is suspected, then dead, then forgotten', () => {
+	let state = suspectMember(makeState('a'), 'a', 0, options);
+	assert.deepEqual(listReachable(state), ['self']);
+	state = expireMembers(state, 999, options);
+	assert.equal(state.members.get('a')?.status, 'suspect');
+	state = expireMembers(state, 1000, options);
+	assert.equal(state.members.get('a')?.status, 'dead');
+	state = expireMembers(state, 1000 + options.forgetAfterMs, options);
+	assert.equal(state.members.has('a'), false);
+});
+
+test('a member that was paused refutes its suspicion when it returns', () => {
+	// An instance stops for some seconds, as when its host is moved, and goes on. It hears that
+	// it is suspected and says that it is not; its requests are routed again.
+	const others = suspectMember(makeState('self-of-a'), 'self-of-a', 0, options);
+	const paused = makeMembershipState(makeUpdate('self-of-a'));
+	const told = applyUpdate(paused, {...others.members.get('self-of-a')!}, 0, options);
+	assert.equal(told.self.incarnation, 1);
+	const back = applyUpdate(others, told.self, 0, options);
+	assert.equal(back.members.get('self-of-a')?.status, 'alive');
+});
+
+test('a dead member does not come back by old news, only by its own word or as a new process', () => {
+	let state = expireMembers(suspectMember(makeState('a'), 'a', 0, options), 1000, options);
+	state = applyUpdate(state, makeUpdate('a'), 1000, options);
+	assert.equal(state.members.get('a')?.status, 'dead');
+	assert.equal(isProcessGone(state, 'a', 1), true);
+	const restarted = applyUpdate(state, makeUpdate('a', {epoch: 2}), 1000, options);
+	assert.equal(restarted.members.get('a')?.status, 'alive');
+	assert.equal(isProcessGone(restarted, 'a', 1), true);
+	assert.equal(isProcessGone(restarted, 'a', 2), false);
+});
+
+test('news of another region changes nothing', () => {
+	assert.equal(applyUpdate(makeState(), makeUpdate('far', {region: 'other'}), 0, options).members.size, 0);
+});
+
+test('a member that leaves says so and still answers', () => {
+	const leaving = announceLeaving(makeMembershipState(makeUpdate('a')));
+	const state = applyUpdate(makeState('a'), leaving.self, 0, options);
+	assert.equal(state.members.get('a')?.status, 'leaving');
+	assert.deepEqual(listReachable(state), ['a', 'self']);
+});
+
+test('in whatever order news arrives, members come to the same view', () => {
+	const update = fc.record({
+		id: fc.constantFrom('a', 'b'), epoch: fc.nat(2), incarnation: fc.nat(3), status: fc.constantFrom(...memberStatuses),
+	});
+	fc.assert(fc.property(fc.array(update, {maxLength: 12}), fc.infiniteStream(fc.double({min: 0, max: 1, noNaN: true})), (news, orders) => {
+		const updates = news.map(change => makeUpdate(change.id, change));
+		// Each is known alive first: a death of nobody known is not news.
+		const base = makeState('a', 'b');
+		const shuffled = updates.map(item => ({item, order: orders.next().value as number})).toSorted((left, right) => left.order - right.order).map(entry => entry.item);
+		const views = [updates, shuffled].map(list => [...applyUpdates(base, list, 0, options).members.values()]
+			.toSorted((left, right) => left.id < right.id ? -1 : 1)
+			.map(({id, epoch, incarnation, status}) => ({
+				id, epoch, incarnation, status,
+			})));
+		assert.deepEqual(views[0], views[1]);
+	}), {seed: 7, numRuns: 500});
+});
+
+test('each member is probed once a round', () => {
+	let state = makeState('a', 'b', 'c', 'd');
+	const random = makeRandom(1);
+	const probed: string[] = [];
+	for (let index = 0; index < 8; index++) {
+		const choice = chooseProbe(state, random);
+		state = choice.state;
+		probed.push(choice.target!.id);
+	}
+
+	assert.deepEqual(probed.slice(0, 4).toSorted(), ['a', 'b', 'c', 'd']);
+	assert.deepEqual(probed.slice(4).toSorted(), ['a', 'b', 'c', 'd']);
+});
+
+test('a message carries a bounded number of updates, and each piece of news is sent often enough and then no more', () => {
+	let state = makeState(...Array.from({length: 50}, (_value, index) => `m${index}`));
+	const sent = new Map<string, number>();
+	for (let index = 0; index < 500; index++) {
+		const choice = takeRumors(state, options);
+		state = choice.state;
+		assert.ok(choice.updates.length <= options.mostUpdates);
+		for (const {id} of choice.updates) {
+			sent.set(id, (sent.get(id) ?? 0) + 1);
+		}
+	}
+
+	assert.deepEqual(new Set(sent.values()), new Set([18]));
+	assert.equal(sent.size, 51);
+	assert.equal(takeRumors(state, options).updates.length, 0);
+});
--- a/scripts/measure/src/random.ts
+++ b/packages/core/src/testing/make-random.ts
@@ -1,4 +1,4 @@
-/** Random numbers from a seed, so that a run can be repeated. */
+/** Random numbers from a seed, for tests and measurements. */
 import {uniformFloat64} from 'pure-rand/distribution/uniformFloat64';
 import {xoroshiro128plus} from 'pure-rand/generator/xoroshiro128plus';
 
--- a/packages/tasks/src/backend-registry.ts
+++ b/packages/tasks/src/backend-registry.ts
@@ -1,4 +1,5 @@
 /** Owns what this daemon knows of backend servers and chooses among them. */
+import {setMaxListeners} from 'node:events';
 import {leavingGraceMs} from '@shallotpass/common/constants.js';
 import {type InstanceList} from '@shallotpass/common/instance-list.js';
 import {
@@ -59,6 +60,13 @@
 /** Sent calls that are remembered for correcting a lagging report. */
 const mostRememberedSends = 1024;
 
+/** Every call that runs at the backend server listens for it. */
+const makeLeavingController = (): AbortController => {
+	const controller = new AbortController();
+	setMaxListeners(0, controller.signal);
+	return controller;
+};
+
 export const makeBackendRegistry = ({environment, policy = chooseLowestCost}: RegistryOptions): BackendRegistry => {
 	const {clock, random, metrics, signal} = environment;
 	const logger = environment.makeLogger('backends');
@@ -116,7 +124,7 @@
 			},
 			origin,
 			leavesAt: undefined,
-			leaving: new AbortController(),
+			leaving: makeLeavingController(),
 			lastSentAt: [],
 		};
 		entries.set(described.id, entry);
@@ -160,7 +168,7 @@
 			} else if (!noticed.has(id) && entry.view.isLeaving) {
 				entry.view = {...entry.view, isLeaving: false};
 				entry.leavesAt = undefined;
-				entry.leaving = new AbortController();
+				entry.leaving = makeLeavingController();
 			}
 		}
 
--- a/scripts/measure/src/path-experiment.ts
+++ b/scripts/measure/src/path-experiment.ts
@@ -3,12 +3,16 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import {Agent} from 'undici';
 import {z} from 'zod';
+import {makeRandom} from '@shallotpass/core/testing/make-random.js';
 import {askStream} from './caller-client.js';
 import {makeConfigurationText, makeSettings} from './local-fleet.js';
 import {
-	getQuantiles, makeLatencies, round, type Latencies,
+	getQuantiles,
+	makeLatencies,
+	round,
+	type Latencies,
+	type Quantiles,
 } from './latencies.js';
-import {makeRandom} from './random.js';
 import {startWorker, type HostedWorker} from './worker-host.js';
 import {type Experiment, type Report} from './run-experiment.js';
 
--- a/xo.config.js
+++ b/xo.config.js
@@ -42,6 +42,8 @@
 	{
 		files: ['**/*.test.ts'],
 		rules: {
+			// Names of environment variables and of other formats.
+			'@typescript-eslint/naming-convention': 'off',
 			// The runner itself waits for tests.
 			'@typescript-eslint/no-floating-promises': ['error', {allowForKnownSafeCalls: [{from: 'package', name: 'test', package: 'node:test'}]}],
 		},
