Read claims from the append's own offset; measure claims and configuration

Cause: a claim cost one append and two readings of the log, one of them empty; at 60 callers the log answered three requests for every batch. And one event loop shared by three daemons, the log and the load measured that loop, not the daemons. Change: an append that lies right behind what was read is folded without reading; daemons, platform and service of the claims experiment run in threads of their own; relays that cut, forget and block by source; the configuration experiment cuts zones from the platform and from each other.

--- a/apps/daemon/src/start-daemon.ts
+++ b/apps/daemon/src/start-daemon.ts
@@ -53,6 +53,8 @@
 	readonly random?: () => number;
 	/** First configuration of a daemon on its own. */
 	readonly configurationText?: string;
+	/** Address that peers are told, where it is not the listener's own. */
+	readonly announcePeersAs?: string;
 	/** Told when an operator asks for a drain. */
 	readonly onDrainAsked?: () => void;
 };
@@ -78,6 +80,13 @@
 	}
 };
 
+/** Peers reach this instance at the address of the settings, at the port that the listener got. */
+const announceAddress = (settings: Settings, listening: string): string => {
+	const {address} = settings.instance;
+	const port = listening.slice(listening.lastIndexOf(':') + 1);
+	return address.includes(':') ? `[${address}]:${port}` : `${address}:${port}`;
+};
+
 export const startDaemon = async (options: DaemonOptions): Promise<Daemon> => {
 	const {settings, clock = systemClock, random = Math.random} = options;
 	checkRetention(settings);
@@ -104,7 +113,7 @@
 		logger: environment.makeLogger('trace'),
 	});
 	const client = makePeerClient({
-		selfId: settings.instance.id, keys: settings.peers.keys, now: clock.now, signal: stopping.signal,
+		selfId: settings.instance.id, localAddress: settings.instance.address, keys: settings.peers.keys, now: clock.now, signal: stopping.signal,
 	});
 	if (platform.isEmbedded) {
 		logger.warn('embedded_platform', {meaning: 'the log is in this process; for trying out only'});
@@ -266,7 +275,7 @@
 	const isModelService = (serviceId: string): boolean => [...configuration.getInForce().teams.values()].some(({team, configuration: file}) =>
 		file.service.some(service => service.kind === 'model' && makeServiceId(team, service.name) === serviceId));
 
-	membership.start(peerServer.address);
+	membership.start(options.announcePeersAs ?? announceAddress(settings, peerServer.address));
 	void runLoadReports({
 		environment,
 		registry,
--- a/packages/peers/src/peer-client.ts
+++ b/packages/peers/src/peer-client.ts
@@ -16,6 +16,7 @@
 
 type PeerClientOptions = {
 	readonly selfId: string;
+	readonly localAddress: string;
 	readonly keys: readonly string[];
 	readonly now: () => number;
 	readonly signal: AbortSignal;
@@ -24,13 +25,13 @@
 /** Part of the time left that the first try may use; the rest is for a new connection. */
 const firstTryShare = 0.5;
 
-export const makePeerClient = ({selfId, keys, now, signal}: PeerClientOptions): PeerClient => {
+export const makePeerClient = ({selfId, localAddress, keys, now, signal}: PeerClientOptions): PeerClient => {
 	const connections = new Map<string, Promise<PeerConnection>>();
 	const bytes: ByteCount = {sent: 0, received: 0};
 
 	const open = async (address: string, deadline: Deadline): Promise<PeerConnection> => {
 		const opening = connectPeer({
-			address, selfId, keys, deadline, bytes, now, signal,
+			address, selfId, localAddress, keys, deadline, bytes, now, signal,
 		});
 		connections.set(address, opening);
 		try {
--- a/packages/peers/src/peer-connection.ts
+++ b/packages/peers/src/peer-connection.ts
@@ -21,6 +21,8 @@
 export type ConnectOptions = {
 	readonly address: string;
 	readonly selfId: string;
+	/** Own IP address, which the connection is made from. */
+	readonly localAddress: string;
 	readonly keys: readonly string[];
 	readonly deadline: Deadline;
 	readonly bytes: ByteCount;
@@ -76,7 +78,7 @@
 
 /** Connects and proves the shared key; rejects when that is not done by the deadline. */
 export const connectPeer = async (options: ConnectOptions): Promise<PeerConnection> => new Promise((resolve, reject) => {
-	const socket = connect({...splitAddress(options.address), noDelay: true});
+	const socket = connect({...splitAddress(options.address), localAddress: options.localAddress, noDelay: true});
 	const handshake = makeClientHandshake(options.selfId, options.keys);
 	let receive: ((line: string) => void) | undefined;
 
--- a/packages/peers/src/peer-link.test.ts
+++ b/packages/peers/src/peer-link.test.ts
@@ -32,7 +32,7 @@
 		stopping.abort();
 	});
 	return makePeerClient({
-		selfId: 'client', keys, now: Date.now, signal: stopping.signal,
+		selfId: 'client', localAddress: '127.0.0.1', keys, now: Date.now, signal: stopping.signal,
 	});
 };
 
--- /dev/null
+++ b/packages/stand-ins/src/relay.ts
@@ -0,0 +1,116 @@
+/** What lies between two ends of the network: it passes bytes, loses track of connections, or is cut. */
+import {
+	connect, createServer, type AddressInfo, type Socket,
+} from 'node:net';
+
+export type RelayMode =
+	| 'open'
+	/** New connections are refused and open ones closed. */
+	| 'cut'
+	/** Open connections stay and carry nothing any more; new ones work. */
+	| 'forgetful'
+	/** Nothing gets through and nobody is told. */
+	| 'silent';
+
+export type Relay = {
+	readonly address: string;
+	readonly url: string;
+	readonly setMode: (mode: RelayMode) => void;
+	/** Cuts off whoever connects from one of these addresses, and nobody else. */
+	readonly block: (remoteAddresses: readonly string[]) => void;
+	readonly setDelay: (milliseconds: number) => void;
+	readonly close: () => Promise<void>;
+};
+
+export const startRelay = async (target: string): Promise<Relay> => {
+	const [host, port] = target.split(':');
+	const sockets = new Set<Socket>();
+	const forgotten = new WeakSet<Socket>();
+	let mode: RelayMode = 'open';
+	let blocked = new Set<string>();
+	let delayMs = 0;
+
+	const isMute = (socket: Socket): boolean => mode === 'silent' || forgotten.has(socket);
+
+	const pass = (from: Socket, to: Socket): void => {
+		from.on('data', chunk => {
+			if (isMute(from)) {
+				return;
+			}
+
+			if (delayMs === 0) {
+				to.write(chunk);
+				return;
+			}
+
+			setTimeout(() => {
+				to.write(chunk);
+			}, delayMs);
+		});
+		from.on('error', () => {/* close follows */});
+		from.on('close', () => {
+			sockets.delete(from);
+			if (!isMute(from)) {
+				to.destroy();
+			}
+		});
+	};
+
+	const server = createServer(near => {
+		if (mode === 'cut' || blocked.has(near.remoteAddress ?? '')) {
+			near.destroy();
+			return;
+		}
+
+		sockets.add(near);
+		if (mode === 'silent') {
+			near.on('error', () => {/* nobody listens */});
+			return;
+		}
+
+		const far = connect(Number(port), host);
+		sockets.add(far);
+		pass(near, far);
+		pass(far, near);
+	});
+	await new Promise<void>(resolve => {
+		server.listen(0, '127.0.0.1', resolve);
+	});
+	const address = `127.0.0.1:${(server.address() as AddressInfo).port}`;
+	return {
+		address,
+		url: `http://${address}`,
+		setMode(next) {
+			mode = next === 'forgetful' ? 'open' : next;
+			for (const socket of sockets) {
+				if (next === 'cut') {
+					socket.destroy();
+				} else if (next === 'forgetful') {
+					forgotten.add(socket);
+				}
+			}
+		},
+		block(remoteAddresses) {
+			blocked = new Set(remoteAddresses);
+			for (const socket of sockets) {
+				if (blocked.has(socket.remoteAddress ?? '')) {
+					socket.destroy();
+				}
+			}
+		},
+		setDelay(milliseconds) {
+			delayMs = milliseconds;
+		},
+		async close() {
+			for (const socket of sockets) {
+				socket.destroy();
+			}
+
+			await new Promise<void>(resolve => {
+				server.close(() => {
+					resolve();
+				});
+			});
+		},
+	};
+};
--- a/packages/tasks/src/claim-shard.ts
+++ b/packages/tasks/src/claim-shard.ts
@@ -153,33 +153,47 @@
 		return verdict.kind !== 'absent' && verdict.kind !== 'unsafe';
 	};
 
-	/** Appends, then reads past the append. A failed append may have taken effect; only the reading tells. */
-	const flushOnce = async (): Promise<void> => {
-		const claimBatch = claims.splice(0, mostClaimsInAppend);
-		const outcomeBatch = outcomes.splice(0, mostClaimsInAppend);
-		const record = {
-			kind: 'claims',
-			outcomes: outcomeBatch.map(({item}) => item),
-			claims: claimBatch.map(({item}) => item),
-		};
+	/**
+	 * Appends and brings the fold past the append. When the record lies right behind
+	 * what was read, nobody else has written and there is nothing to read. A failed
+	 * append may have taken effect; only reading tells.
+	 */
+	const appendAndRead = async (record: unknown): Promise<boolean> => {
 		try {
-			await log.append({stream, record, signal});
+			const offset = await log.append({stream, record, signal});
 			metrics.logAppends.inc({stream, result: 'done'});
+			if (offset === state.foldedTo) {
+				state = foldClaimRecord(state, {offset, appendedAt: clock.now(), record});
+			}
+
+			if (offset < state.foldedTo) {
+				forgetOldKeys(state, clock.now(), keyMemoryMs);
+				return true;
+			}
 		} catch (error) {
 			metrics.logAppends.inc({stream, result: 'failed'});
-			logger.warn('append_unclear', {
-				stream, claims: claimBatch.length, outcomes: outcomeBatch.length, error,
-			});
+			logger.warn('append_unclear', {stream, error});
 		}
 
-		let isRead = true;
 		try {
 			await catchUp();
+			return true;
 		} catch (error) {
-			isRead = false;
 			logger.warn('log_unreachable', {stream, error});
+			return false;
 		}
+	};
 
+	/** Appends what has gathered and tells each who waits what came of it. */
+	const flushOnce = async (): Promise<void> => {
+		const claimBatch = claims.splice(0, mostClaimsInAppend);
+		const outcomeBatch = outcomes.splice(0, mostClaimsInAppend);
+		const record = {
+			kind: 'claims',
+			outcomes: outcomeBatch.map(({item}) => item),
+			claims: claimBatch.map(({item}) => item),
+		};
+		const isRead = await appendAndRead(record);
 		for (const {item, resolve} of outcomeBatch) {
 			resolve(isRead && isKnown(item));
 		}
--- /dev/null
+++ b/scripts/measure/src/claims-experiment.ts
@@ -0,0 +1,246 @@
+/** Calls that must not repeat, each sent twice through different daemons, with faults: rate, latency and executions. */
+import {Agent} from 'undici';
+import {z} from 'zod';
+import {makeRandom} from '@shallotpass/core/testing/make-random.js';
+import {reserve, type CallResult} from './caller-client.js';
+import {
+	applyThrough,
+	countMembers,
+	makeConfigurationText,
+	makeSettings,
+	waitFor,
+} from './local-fleet.js';
+import {getQuantiles, makeLatencies, round} from './latencies.js';
+import {startWorker, type HostedWorker} from './worker-host.js';
+import {type Experiment, type Report} from './run-experiment.js';
+
+const schema = z.strictObject({
+	experiment: z.literal('claims'),
+	seed: z.int(),
+	daemons: z.int().positive(),
+	/** Batch windows to compare, in milliseconds. */
+	windowsMs: z.array(z.int().nonnegative()),
+	calls: z.int().positive(),
+	concurrency: z.int().positive(),
+	/** Calls with faults, after the comparison. */
+	faultyCalls: z.int().nonnegative(),
+	/** Share of log requests that are struck. */
+	logFaults: z.number().min(0).max(1),
+	/** Share of calls at the backend server that are struck. */
+	serviceFaults: z.number().min(0).max(1),
+});
+
+type Options = z.output<typeof schema>;
+
+type Fleet = {
+	readonly platform: HostedWorker;
+	readonly daemons: readonly HostedWorker[];
+	readonly close: () => Promise<void>;
+};
+
+/** Each daemon, and the platform with the service, in a thread of its own. */
+const startFleet = async (count: number, claimWindowMs: number): Promise<Fleet> => {
+	const platform = await startWorker({kind: 'platform'});
+	const daemons: HostedWorker[] = [];
+	for (let index = 0; index < count; index++) {
+		const settings = makeSettings({
+			id: `entry-${index}`,
+			availabilityZone: `zone-${(index % 3) + 1}`,
+			platform: undefined,
+			platformUrls: {log: platform.addresses.log!, instances: platform.addresses.list!, cloud: platform.addresses.cloud!},
+			seeds: daemons.slice(0, 1).map(other => other.peers!),
+			limits: {claimWindowMs},
+		});
+		daemons.push(await startWorker({kind: 'daemon', settings, configurationText: undefined})); // eslint-disable-line no-await-in-loop -- each seeds the next
+	}
+
+	await waitFor('the daemons know each other', async () => {
+		const counts = await Promise.all(daemons.map(async daemon => countMembers(daemon.admin!)));
+		return counts.every(known => known === count);
+	});
+	await applyThrough({admin: daemons[0]!.admin!}, makeConfigurationText());
+	await waitFor('reservations are served', async () => {
+		const results = await Promise.all(daemons.map(async (daemon, index) => reserve({address: daemon.address, key: `ready-${index}-${Math.random()}`, body: '{}'})));
+		return results.every(result => result.status === 200);
+	});
+	return {
+		platform,
+		daemons,
+		async close() {
+			await Promise.all([platform, ...daemons].map(async worker => worker.close()));
+		},
+	};
+};
+
+const countExecutions = async (fleet: Fleet): Promise<Map<string, number>> =>
+	await fleet.platform.control({kind: 'count_executions'}) as Map<string, number>;
+
+const countAppends = async (fleet: Fleet): Promise<number> =>
+	await fleet.platform.control({kind: 'count_appends'}) as number;
+
+type Tally = {
+	answered: number;
+	replayed: number;
+	refusedNotRun: number;
+	unknown: number;
+	other: number;
+	falselyNotRun: number;
+};
+
+const countOutcome = (tally: Tally, result: CallResult): void => {
+	if (result.status === 200) {
+		tally.answered++;
+		tally.replayed += result.isReplayed ? 1 : 0;
+	} else if (result.body.executed === 'no') {
+		tally.refusedNotRun++;
+	} else if (result.body.executed === 'unknown') {
+		tally.unknown++;
+	} else {
+		tally.other++;
+	}
+};
+
+type LoadOptions = {
+	readonly fleet: Fleet;
+	readonly calls: number;
+	readonly concurrency: number;
+	readonly label: string;
+	readonly copies: number;
+	readonly random: () => number;
+	readonly beforeCall?: () => void;
+};
+
+const runLoad = async ({fleet, calls, concurrency, label, copies, random, beforeCall}: LoadOptions) => {
+	const latencies = makeLatencies();
+	const tally: Tally = {
+		answered: 0, replayed: 0, refusedNotRun: 0, unknown: 0, other: 0, falselyNotRun: 0,
+	};
+	const dispatcher = new Agent({connections: concurrency * copies, pipelining: 1});
+	const appendsBefore = await countAppends(fleet);
+	const startedAt = performance.now();
+	let next = 0;
+	const refusedKeys = new Map<string, number>();
+
+	const callOnce = async (name: string): Promise<void> => {
+		beforeCall?.();
+		const daemon = fleet.daemons[Math.floor(random() * fleet.daemons.length)]!;
+		const calledAt = performance.now();
+		const result = await reserve({
+			address: daemon.address, key: name, body: JSON.stringify({name}), dispatcher,
+		});
+		latencies.record(performance.now() - calledAt);
+		countOutcome(tally, result);
+		if (result.body.executed === 'no') {
+			refusedKeys.set(name, (refusedKeys.get(name) ?? 0) + 1);
+		}
+	};
+
+	const work = async (): Promise<void> => {
+		while (next < calls) {
+			const name = `${label}-${next}`;
+			next += copies;
+			await Promise.all(Array.from({length: copies}, async () => callOnce(name))); // eslint-disable-line no-await-in-loop -- a caller waits for its answers
+		}
+	};
+
+	await Promise.all(Array.from({length: concurrency}, async () => work()));
+	const milliseconds = performance.now() - startedAt;
+	const appends = await countAppends(fleet) - appendsBefore;
+	const counts = await countExecutions(fleet);
+	for (const [name, refusals] of refusedKeys) {
+		// Every copy of the call was told that it was not run, and yet it was.
+		tally.falselyNotRun += refusals === copies && counts.has(JSON.stringify({name})) ? 1 : 0;
+	}
+
+	await dispatcher.close();
+	return {
+		calls: latencies.count(),
+		callsPerSecond: Math.round(latencies.count() / milliseconds * 1000),
+		appendsPerSecond: Math.round(appends / milliseconds * 1000),
+		latencyMs: getQuantiles(latencies),
+		...tally,
+	};
+};
+
+/** The same service called without claims: what a claim adds is the difference. */
+const measureRepeatable = async (fleet: Fleet, options: Options) => {
+	const latencies = makeLatencies();
+	const dispatcher = new Agent({connections: options.concurrency, pipelining: 1});
+	await Promise.all(Array.from({length: options.concurrency}, async (_value, index) => {
+		for (let count = 0; count < options.calls / options.concurrency; count++) {
+			const startedAt = performance.now();
+			// eslint-disable-next-line no-await-in-loop -- a caller waits for its answer
+			await reserve({
+				address: fleet.daemons[index % fleet.daemons.length]!.address, key: undefined, body: '{}', path: '/services/catalogue/x', dispatcher,
+			});
+			latencies.record(performance.now() - startedAt);
+		}
+	}));
+	await dispatcher.close();
+	return getQuantiles(latencies);
+};
+
+const measureWindow = async (options: Options, windowMs: number) => {
+	const fleet = await startFleet(options.daemons, windowMs);
+	try {
+		const shared = {
+			fleet, concurrency: options.concurrency, random: makeRandom(options.seed), copies: 1,
+		};
+		await runLoad({...shared, calls: options.calls / 4, label: 'warm'});
+		const repeatable = await measureRepeatable(fleet, options);
+		const claimed = await runLoad({...shared, calls: options.calls, label: 'w'});
+		return {
+			windowMs, ...claimed, repeatableMs: repeatable, addedP95Ms: round(claimed.latencyMs.p95 - repeatable.p95),
+		};
+	} finally {
+		await fleet.close();
+	}
+};
+
+const runFaults = async (options: Options) => {
+	const fleet = await startFleet(options.daemons, 5);
+	const random = makeRandom(options.seed);
+	const strike = (): void => {
+		if (random() < options.logFaults) {
+			void fleet.platform.control({kind: 'fault', target: 'log', fault: {on: 'append', kind: random() < 0.5 ? 'lose_reply' : 'refuse', times: 1}});
+		}
+
+		if (random() < options.logFaults) {
+			void fleet.platform.control({kind: 'fault', target: 'log', fault: {on: 'read', kind: 'refuse', times: 1}});
+		}
+
+		if (random() < options.serviceFaults) {
+			void fleet.platform.control({kind: 'fault', target: 'service', fault: {on: 'call', kind: random() < 0.5 ? 'lose_reply' : 'mismatch', times: 1}});
+		}
+	};
+
+	try {
+		const result = await runLoad({
+			fleet, calls: options.faultyCalls, concurrency: options.concurrency, label: 'f', copies: 2, random, beforeCall: strike,
+		});
+		const counts = [...await countExecutions(fleet)].filter(([body]) => body !== '{}');
+		return {...result, keys: counts.length, executionsMoreThanOnce: counts.filter(([, count]) => count > 1).length};
+	} finally {
+		await fleet.close();
+	}
+};
+
+const run = async (options: Options, tell: (line: string) => void): Promise<Report> => {
+	const windows = [];
+	for (const windowMs of options.windowsMs) {
+		const result = await measureWindow(options, windowMs); // eslint-disable-line no-await-in-loop -- one after the other
+		windows.push(result);
+		tell(`window ${windowMs} ms: ${result.callsPerSecond} calls/s, ${result.appendsPerSecond} appends/s, p95 ${result.latencyMs.p95} ms, added ${result.addedP95Ms} ms`);
+	}
+
+	const faulty = options.faultyCalls === 0 ? undefined : await runFaults(options);
+	return {
+		experiment: 'claims',
+		seed: options.seed,
+		windows,
+		faulty,
+		executionsMoreThanOnce: faulty?.executionsMoreThanOnce ?? 0,
+	};
+};
+
+export const claimsExperiment: Experiment<typeof schema> = {name: 'claims', schema, run};
--- a/scripts/measure/src/local-fleet.ts
+++ b/scripts/measure/src/local-fleet.ts
@@ -43,12 +43,22 @@
 	readonly peers?: Partial<NonNullable<SettingsInput['peers']>>;
 	readonly logUrl?: string;
 	readonly instancesUrl?: string;
+	/** Platform that runs elsewhere. */
+	readonly platformUrls?: NonNullable<SettingsInput['platform']>;
+	readonly listenPeers?: string;
+	/** IP address of the instance; each zone of a loopback fleet has its own. */
+	readonly address?: string;
+	/** Address of a relay before the peers' listener. */
+	readonly announcePeersAs?: string;
 };
 
 export const makeSettings = (options: MemberOptions): Settings => settingsSchema.parse({
-	instance: {id: options.id, availabilityZone: options.availabilityZone, region: 'region-1'},
+	instance: {
+		id: options.id, address: options.address ?? '127.0.0.1', availabilityZone: options.availabilityZone, region: 'region-1',
+	},
+	listen: options.listenPeers === undefined ? undefined : {peers: options.listenPeers},
 	platform: options.platform === undefined
-		? undefined
+		? options.platformUrls
 		: {
 			log: options.logUrl ?? options.platform.log.url,
 			instances: options.instancesUrl ?? options.platform.list.url,
@@ -61,7 +71,8 @@
 	limits: options.limits,
 });
 
-export const startMember = async (options: MemberOptions): Promise<Daemon> => startDaemon({settings: makeSettings(options)});
+export const startMember = async (options: MemberOptions): Promise<Daemon> =>
+	startDaemon({settings: makeSettings(options), announcePeersAs: options.announcePeersAs});
 
 /** Waits until the condition holds; throws when it has not by then. */
 export const waitFor = async (what: string, condition: () => boolean | Promise<boolean>, withinMs = 15_000): Promise<void> => {
@@ -117,7 +128,7 @@
 export type ApplyOutcome = {readonly status: number; readonly body: {readonly version?: number; readonly id?: string; readonly kind?: string}};
 
 /** Applies a configuration through a daemon's admin interface. */
-export const applyThrough = async (daemon: Daemon, text: string, base?: number, team = 'default'): Promise<ApplyOutcome> => {
+export const applyThrough = async (daemon: Pick<Daemon, 'admin'>, text: string, base?: number, team = 'default'): Promise<ApplyOutcome> => {
 	const response = await fetch(`http://${daemon.admin}/admin/v1/teams/${team}/configuration`, {
 		method: 'PUT',
 		headers: {authorization: `Bearer ${operatorKey}`, ...(base === undefined ? {} : {'if-match': String(base)})},
@@ -125,3 +136,10 @@
 	});
 	return {status: response.status, body: await response.json() as ApplyOutcome['body']};
 };
+
+/** Members that a daemon knows, itself included. */
+export const countMembers = async (admin: string): Promise<number> => {
+	const response = await fetch(`http://${admin}/admin/v1/members`, {headers: {authorization: `Bearer ${operatorKey}`}});
+	const {members} = await response.json() as {members: readonly unknown[]};
+	return members.length;
+};
--- a/scripts/measure/src/run-experiment.ts
+++ b/scripts/measure/src/run-experiment.ts
@@ -3,6 +3,9 @@
 import {fileURLToPath} from 'node:url';
 import {formatMistake, readToml} from '@shallotpass/common/toml-file.js';
 import {type z} from 'zod';
+import {claimsExperiment} from './claims-experiment.js';
+import {configurationExperiment} from './configuration-experiment.js';
+import {membershipExperiment} from './membership-experiment.js';
 import {pathExperiment} from './path-experiment.js';
 
 export type Report = Readonly<Record<string, unknown>>;
@@ -14,7 +17,7 @@
 	readonly run: (options: z.output<Schema>, tell: (line: string) => void) => Promise<Report>;
 };
 
-const experiments: ReadonlyArray<Experiment<any>> = [pathExperiment];
+const experiments: ReadonlyArray<Experiment<any>> = [pathExperiment, claimsExperiment, configurationExperiment, membershipExperiment];
 
 const getFolder = (): string => fileURLToPath(new URL('../experiments/', import.meta.url));
 
--- a/scripts/measure/src/worker-host.ts
+++ b/scripts/measure/src/worker-host.ts
@@ -8,21 +8,30 @@
 import {pipeline} from 'node:stream/promises';
 import {parentPort, Worker, workerData} from 'node:worker_threads';
 import {fileURLToPath} from 'node:url';
+import {type Fault} from '@shallotpass/stand-ins/faults.js';
+import {startPlainServiceStandIn} from '@shallotpass/stand-ins/plain-service-stand-in.js';
 import {startEngineStandIn} from '@shallotpass/stand-ins/engine-stand-in.js';
 import {startDaemon} from '@shallotpass/daemon/start-daemon.js';
 import {type Settings} from '@shallotpass/common/settings-schema.js';
 import {type EngineParameters} from '@shallotpass/stand-ins/engine-core.js';
 import {Agent, type Dispatcher, request} from 'undici';
+import {startPlatform} from './local-fleet.js';
 
 type WorkerJob =
 	| {readonly kind: 'engine'; readonly parameters: Partial<EngineParameters>; readonly models: readonly string[]}
+	| {readonly kind: 'platform'}
 	| {readonly kind: 'bare'; readonly target: string}
-	| {readonly kind: 'daemon'; readonly settings: Settings; readonly configurationText: string};
+	| {readonly kind: 'daemon'; readonly settings: Settings; readonly configurationText: string | undefined};
 
 export type HostedWorker = {
 	/** Address of the engine, or of the daemon's callers' listener. */
 	readonly address: string;
 	readonly admin: string | undefined;
+	readonly peers: string | undefined;
+	/** Addresses of hosted platform stand-ins, by name. */
+	readonly addresses: Readonly<Record<string, string>>;
+	/** Passes a request to what the worker hosts and gives its answer. */
+	readonly control: (request: ControlRequest) => Promise<unknown>;
 	/** Processor seconds of the thread's event loop that were busy, and its heap. */
 	readonly readUsage: () => Promise<WorkerUsage>;
 	readonly close: () => Promise<void>;
@@ -33,7 +42,21 @@
 	readonly heapMb: number;
 };
 
-type Ready = {readonly address: string; readonly admin?: string};
+type Ready = {
+	readonly address: string;
+	readonly admin?: string;
+	readonly peers?: string;
+	readonly addresses?: Readonly<Record<string, string>>;
+};
+
+export type ControlRequest =
+	| {readonly kind: 'usage'}
+	| {readonly kind: 'fault'; readonly target: 'log' | 'service'; readonly fault: Fault}
+	| {readonly kind: 'count_appends'}
+	/** How often each body was executed by the hosted service. */
+	| {readonly kind: 'count_executions'};
+
+type Control = (request: ControlRequest) => unknown;
 
 export const startWorker = async (job: WorkerJob): Promise<HostedWorker> => {
 	const worker = new Worker(fileURLToPath(import.meta.url), {workerData: job});
@@ -41,15 +64,28 @@
 		worker.once('message', resolve);
 		worker.once('error', reject);
 	});
+	// One request at a time, so that answers cannot be mixed up.
+	let last: Promise<unknown> = Promise.resolve();
+	const control = async (request: ControlRequest): Promise<unknown> => {
+		const before = last;
+		const answer = (async () => {
+			await before;
+			return new Promise<unknown>(resolve => {
+				worker.once('message', resolve);
+				worker.postMessage(request);
+			});
+		})();
+		last = answer;
+		return answer;
+	};
+
 	return {
 		address: ready.address,
 		admin: ready.admin,
-		async readUsage() {
-			return new Promise(resolve => {
-				worker.once('message', resolve);
-				worker.postMessage('usage');
-			});
-		},
+		peers: ready.peers,
+		addresses: ready.addresses ?? {},
+		control,
+		readUsage: async () => await control({kind: 'usage'}) as WorkerUsage,
 		async close() {
 			await worker.terminate();
 		},
@@ -86,29 +122,92 @@
 
 const bytesInMb = 1_048_576;
 
-const runJob = async (job: WorkerJob): Promise<Ready> => {
-	if (job.kind === 'engine') {
-		const engine = await startEngineStandIn({parameters: job.parameters, models: job.models});
-		return {address: engine.address};
-	}
+type Hosted = {readonly ready: Ready; readonly control?: Control};
 
-	if (job.kind === 'bare') {
-		return startBare(job.target);
-	}
+const startPlatformHost = async (): Promise<Hosted> => {
+	const platform = await startPlatform();
+	const service = await startPlainServiceStandIn();
+	platform.list.put({
+		id: 'reservations-1',
+		address: service.address,
+		availabilityZone: 'zone-1',
+		role: 'backend',
+		state: 'live',
+		services: ['reservations', 'catalogue'],
+	});
+	const countExecutions = (): Map<string, number> => {
+		const counts = new Map<string, number>();
+		for (const {body} of service.executions) {
+			counts.set(body, (counts.get(body) ?? 0) + 1);
+		}
+
+		return counts;
+	};
 
+	return {
+		ready: {
+			address: service.address,
+			addresses: {log: platform.log.url, list: platform.list.url, cloud: platform.cloud.url},
+		},
+		control(request) {
+			switch (request.kind) {
+				case 'fault': {
+					(request.target === 'log' ? platform.log : service).faults.add(request.fault);
+					return true;
+				}
+
+				case 'count_appends': {
+					return platform.log.log.countAppends();
+				}
+
+				case 'count_executions': {
+					return countExecutions();
+				}
+
+				case 'usage': {
+					return readUsage();
+				}
+			}
+		},
+	};
+};
+
+const startDaemonHost = async (job: WorkerJob & {kind: 'daemon'}): Promise<Hosted> => {
 	const daemon = await startDaemon({settings: job.settings, configurationText: job.configurationText});
-	return {address: daemon.callers, admin: daemon.admin};
+	return {ready: {address: daemon.callers, admin: daemon.admin, peers: daemon.peers}};
+};
+
+const runJob = async (job: WorkerJob): Promise<Hosted> => {
+	switch (job.kind) {
+		case 'engine': {
+			const engine = await startEngineStandIn({parameters: job.parameters, models: job.models});
+			return {ready: {address: engine.address}};
+		}
+
+		case 'bare': {
+			return {ready: await startBare(job.target)};
+		}
+
+		case 'platform': {
+			return startPlatformHost();
+		}
+
+		case 'daemon': {
+			return startDaemonHost(job);
+		}
+	}
 };
 
+const readUsage = (): WorkerUsage => ({
+	activeMs: performance.eventLoopUtilization().active,
+	heapMb: process.memoryUsage().heapUsed / bytesInMb,
+});
+
 if (parentPort !== null && (workerData as WorkerJob | undefined)?.kind !== undefined) {
 	const port = parentPort;
-	const ready = await runJob(workerData as WorkerJob);
-	port.on('message', () => {
-		const usage: WorkerUsage = {
-			activeMs: performance.eventLoopUtilization().active,
-			heapMb: process.memoryUsage().heapUsed / bytesInMb,
-		};
-		port.postMessage(usage);
+	const {ready, control} = await runJob(workerData as WorkerJob);
+	port.on('message', (request: ControlRequest) => {
+		port.postMessage(request.kind === 'usage' || control === undefined ? readUsage() : control(request));
 	});
 	port.postMessage(ready);
 }
