--- a/packages/core/src/claims/claims.test.ts
+++ b/packages/core/src/claims/claims.test.ts
@@ -80,6 +80,9 @@
 	{
 		name: 'an outcome that contradicts the first', records: [makeRecord(0, [first]), makeRecord(1, [], [makeOutcome('unknown', first)]), makeRecord(2, [second], [makeOutcome('not_sent', first)])], first: 'unknown', second: 'unknown',
 	},
+	{
+		name: 'given up before its append took effect', records: [makeRecord(0, [], [makeOutcome('not_sent', first)]), makeRecord(1, [first]), makeRecord(2, [second])], first: 'running', second: 'won',
+	},
 	{
 		name: 'the claim stands twice, as after a lost reply', records: [makeRecord(0, [first]), makeRecord(1, [first]), makeRecord(2, [second])], first: 'won', second: 'running',
 	},
--- a/packages/core/src/claims/fold-claims.ts
+++ b/packages/core/src/claims/fold-claims.ts
@@ -11,6 +11,7 @@
 	foldedTo: 0 as LogOffset,
 	keys: new Map(),
 	order: [],
+	voided: new Map(),
 	unsafeUntil: 0,
 });
 
@@ -19,6 +20,10 @@
 	JSON.stringify([claim.account, claim.service, claim.key]);
 
 const takeClaim = (state: ClaimState, claim: Claim, source: LogRecord): void => {
+	if (state.voided.has(claim.id)) {
+		return;
+	}
+
 	const name = makeKeyName(claim);
 	const known = state.keys.get(name);
 	if (known !== undefined && known.outcome?.kind !== 'not_sent') {
@@ -34,6 +39,11 @@
 
 const takeOutcome = (state: ClaimState, outcome: Outcome, source: LogRecord): void => {
 	const known = state.keys.get(outcome.key);
+	if (outcome.kind === 'not_sent' && known?.claim.id !== outcome.claimId) {
+		state.voided.set(outcome.claimId, source.appendedAt);
+		return;
+	}
+
 	// An outcome of a claim that did not win, or a second one, tells nothing.
 	if (known?.claim.id !== outcome.claimId || known.outcome !== undefined) {
 		return;
@@ -90,4 +100,11 @@
 	}
 
 	state.order.splice(0, count);
+	for (const [claimId, voidedAt] of state.voided) {
+		if (now - voidedAt < keyMemoryMs) {
+			break;
+		}
+
+		state.voided.delete(claimId);
+	}
 };
--- a/packages/core/src/claims/types.ts
+++ b/packages/core/src/claims/types.ts
@@ -16,6 +16,11 @@
 	readonly keys: Map<string, KeyRecord>;
 	/** Keys in the order in which they were claimed, for forgetting. */
 	readonly order: string[];
+	/**
+	 * Claims that were declared unsent before they stood in the log, and when: an append
+	 * whose owner gave it up can still take effect, and must not hold the key then.
+	 */
+	readonly voided: Map<string, number>;
 	/**
 	 * Records younger than the key memory were trimmed before they were read:
 	 * until then a key may have been used without this daemon knowing.
