Follow the log by short polls, from three daemons a zone

Cause: a long poll of 10 s with 5 s of grace notices a connection that has gone silent after 15 s, beyond the 8 s in which a change must hold everywhere; found by relays that forget all open connections at once. Excluded: peers (their links were replaced within a question) and the list. Change: polls of 2 s with 1 s of grace, appends given up after 1 s; three daemons of each zone follow the log and spread what they read, the others look every 5 s on average. Tests of zones cut off, partly and wholly, of a start during an outage, and of two teams pass. Conclusion: kept; the log is asked by 3 daemons a zone instead of by all.

--- a/apps/daemon/src/start-daemon.ts
+++ b/apps/daemon/src/start-daemon.ts
@@ -11,6 +11,7 @@
 import {makeAdmissionGate} from '@shallotpass/callers/admission-gate.js';
 import {startCallerListener} from '@shallotpass/callers/listener.js';
 import {type AcceptedConfiguration} from '@shallotpass/core/configuration/types.js';
+import {rankByRendezvous} from '@shallotpass/core/routing/rank-by-rendezvous.js';
 import {type Suspect} from '@shallotpass/core/retries/suspects.js';
 import {makePeerClient} from '@shallotpass/peers/peer-client.js';
 import {splitAddress} from '@shallotpass/peers/peer-connection.js';
@@ -67,6 +68,9 @@
 /** Peers that are told at once of a new version; they tell others. */
 const spreadCount = 3;
 
+/** Daemons of an availability zone that follow the log; more would only make the log busier. */
+const readersPerZone = 3;
+
 /** Peers asked by a daemon that cannot judge the configuration alone. */
 const mostAsked = 5;
 
@@ -145,6 +149,14 @@
 		}
 	};
 
+	const listZoneMembers = (): string[] => [
+		settings.instance.id,
+		...membership.listPeers()
+			.filter(member => member.availabilityZone === settings.instance.availabilityZone && member.status !== 'suspect')
+			.map(member => member.id),
+	];
+	const listZoneReaders = (): string[] => rankByRendezvous('configuration readers', listZoneMembers()).slice(0, readersPerZone);
+
 	const configuration = startConfigurationTask({
 		environment,
 		log: platform.log,
@@ -153,6 +165,7 @@
 			return {...offer, accepted: offer.accepted as unknown as AcceptedConfiguration[], foldedTo: offer.foldedTo as LogOffset};
 		},
 		listPeerAddresses: () => [...settings.peers.seeds, ...pickPeers(mostAsked).map(member => member.address)],
+		isZoneReader: () => listZoneReaders().includes(settings.instance.id),
 		getPlace: () => membership.listReachable().indexOf(settings.instance.id),
 		spread() {
 			for (const member of pickPeers(spreadCount)) {
@@ -281,7 +294,7 @@
 		registry,
 		dispatcher: connections.shared,
 		isEngine: serviceIds => serviceIds.some(serviceId => isModelService(serviceId)),
-		listZoneMembers: () => [settings.instance.id, ...membership.listPeers().filter(member => member.availabilityZone === settings.instance.availabilityZone).map(member => member.id)],
+		listZoneMembers,
 	});
 
 	if (platform.instancesUrl !== undefined) {
--- a/packages/platform/src/follow-log.ts
+++ b/packages/platform/src/follow-log.ts
@@ -1,7 +1,7 @@
 /** Reads a stream to its end and goes on as it grows. */
 import {type Clock, waitQuietly} from '@shallotpass/common/clock.js';
 import {type LogRecord, type LogService} from '@shallotpass/common/log-service.js';
-import {addMilliseconds, type LogOffset} from '@shallotpass/common/types.js';
+import {addMilliseconds, type Deadline, type LogOffset} from '@shallotpass/common/types.js';
 
 export type LogEvent =
 	| {readonly kind: 'record'; readonly record: LogRecord}
@@ -17,12 +17,18 @@
 	readonly random: () => number;
 	readonly signal: AbortSignal;
 	readonly send: (event: LogEvent) => void;
+	/** When the next reading may start once the end was reached; at once when absent. */
+	readonly getNextReading?: () => Deadline;
 };
 
 /** Records asked for at once. */
 export const readLimit = 500;
 
-const longPollMs = 10_000;
+/**
+ * A connection that something in between has lost track of shows only by its
+ * silence, so a poll must be short against the time a change may take.
+ */
+const longPollMs = 2000;
 const firstRetryMs = 100;
 const longestRetryMs = 2000;
 
@@ -57,6 +63,10 @@
 
 	while (!signal.aborted) {
 		try {
+			if (isAtEnd && options.getNextReading !== undefined) {
+				await waitQuietly(clock, options.getNextReading(), signal); // eslint-disable-line no-await-in-loop -- between readings
+			}
+
 			await readOnce(); // eslint-disable-line no-await-in-loop -- each reading starts where the last ended
 		} catch (error) {
 			if (signal.aborted) {
--- a/packages/platform/src/http-log.ts
+++ b/packages/platform/src/http-log.ts
@@ -14,8 +14,8 @@
 
 const trimmedReplySchema = z.object({earliest: z.int().nonnegative()});
 
-const appendTimeoutMs = 2000;
-const readTimeoutMs = 5000;
+const appendTimeoutMs = 1000;
+const readTimeoutMs = 1000;
 
 type HttpLogOptions = {
 	readonly baseUrl: string;
--- a/packages/tasks/src/configuration-task.ts
+++ b/packages/tasks/src/configuration-task.ts
@@ -58,10 +58,15 @@
 	readonly listPeerAddresses: () => readonly string[];
 	/** Place of this daemon among the members, from 0. */
 	readonly getPlace: () => number;
+	/** Whether this daemon follows the log for its availability zone; the others hear of changes from it. */
+	readonly isZoneReader: () => boolean;
 	/** Tells some peers at once that a newer version is accepted. */
 	readonly spread: () => void;
 };
 
+/** Daemons that do not follow the log look at it this often all the same, in case all who do are wrong. */
+const otherReadersMs = 5000;
+
 const restateEveryMs = 10_000;
 
 /** How long a reader with a gap waits for a peer before it settles alone. */
@@ -240,6 +245,7 @@
 		clock,
 		random: environment.random,
 		signal,
+		getNextReading: () => addMilliseconds(clock.now(), options.isZoneReader() ? 0 : otherReadersMs * (0.5 + environment.random())),
 		send(event) {
 			isReachable = event.kind !== 'outage';
 			task.send({kind: 'log', event});
--- a/scripts/measure/src/membership-experiment.ts
+++ b/scripts/measure/src/membership-experiment.ts
@@ -1,4 +1,5 @@
 /** Bytes and processor time of membership by number of members, time to notice a death, false suspicions under delay. */
+import {setMaxListeners} from 'node:events';
 import process from 'node:process';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {z} from 'zod';
@@ -114,6 +115,7 @@
 const startNode = async ({index, options, network, seeds, hasSockets}: NodeOptions): Promise<Node> => {
 	const id = `entry-${index}`;
 	const stopping = new AbortController();
+	setMaxListeners(0, stopping.signal);
 	const environment = makeEnvironment(id, seeds, options, stopping.signal);
 	const socketClient = hasSockets
 		? makePeerClient({
