--- a/packages/common/src/configuration-schema.ts
+++ b/packages/common/src/configuration-schema.ts
@@ -9,7 +9,7 @@
 const moment = z.preprocess(
 	value => value instanceof Date ? value.getTime() : value,
 	z.number({error: 'a date and time such as 2027-03-01T00:00:00Z'}),
-);
+).meta({title: 'date and time'});
 const hostAndPort = z.string().regex(/^(?:\[[\da-f:]+\]|[\d.]+):\d{1,5}$/v, 'an IP address and a port such as 127.0.0.1:9001');
 
 const latencyClass = z.strictObject({
--- a/packages/core/src/membership/fold-membership.ts
+++ b/packages/core/src/membership/fold-membership.ts
@@ -163,6 +163,12 @@
 		.map(id => state.members.get(id)!);
 };
 
+/** Takes what a newcomer is told of everybody; it is news to nobody else and is not passed on. */
+export const takeIntroduction = (state: MembershipState, updates: readonly MemberUpdate[], now: number, options: MembershipOptions): MembershipState => ({
+	...applyUpdates(state, updates, now, options),
+	rumors: state.rumors,
+});
+
 export type RumorChoice = {
 	readonly state: MembershipState;
 	readonly updates: readonly MemberUpdate[];
@@ -172,9 +178,12 @@
 	id, address, availabilityZone, region, epoch, incarnation, status,
 });
 
+/** Times that a piece of news is sent by each member, for each decimal digit of their number. */
+const sendsPerDigit = 4;
+
 /** The news to send with the next message; each piece is sent a number of times that grows with the logarithm of the members. */
 export const takeRumors = (state: MembershipState, options: MembershipOptions): RumorChoice => {
-	const mostTimes = 3 * Math.ceil(Math.log2(state.members.size + 2));
+	const mostTimes = sendsPerDigit * Math.ceil(Math.log10(state.members.size + 2));
 	const chosen = state.rumors.slice(0, options.mostUpdates);
 	const sent = chosen
 		.map(rumor => ({...rumor, sentTimes: rumor.sentTimes + 1}))
@@ -184,7 +193,8 @@
 		return update === undefined ? [] : [toUpdate(update)];
 	});
 	return {
-		state: {...state, rumors: [...state.rumors.slice(options.mostUpdates), ...sent]},
+		// What was sent least goes first; else old news would hold up a death for a whole round of it.
+		state: {...state, rumors: [...state.rumors.slice(options.mostUpdates), ...sent].toSorted((left, right) => left.sentTimes - right.sentTimes)},
 		updates,
 	};
 };
--- a/packages/peers/src/peer-methods.ts
+++ b/packages/peers/src/peer-methods.ts
@@ -37,7 +37,12 @@
 export const peerMethods = {
 	probe: {
 		parameters: z.object({updates: z.array(memberUpdateSchema), versions: versionsSchema}),
-		result: z.object({updates: z.array(memberUpdateSchema), versions: versionsSchema}),
+		result: z.object({
+			updates: z.array(memberUpdateSchema),
+			/** All members, for one that was not known. */
+			introduction: z.array(memberUpdateSchema),
+			versions: versionsSchema,
+		}),
 	},
 	probeFor: {
 		parameters: z.object({id: z.string()}),
--- a/packages/stand-ins/src/relay.ts
+++ b/packages/stand-ins/src/relay.ts
@@ -19,6 +19,8 @@
 	/** Cuts off whoever connects from one of these addresses, and nobody else. */
 	readonly block: (remoteAddresses: readonly string[]) => void;
 	readonly setDelay: (milliseconds: number) => void;
+	/** Bytes passed in both directions. */
+	readonly countBytes: () => number;
 	readonly close: () => Promise<void>;
 };
 
@@ -29,11 +31,13 @@
 	let mode: RelayMode = 'open';
 	let blocked = new Set<string>();
 	let delayMs = 0;
+	let bytes = 0;
 
 	const isMute = (socket: Socket): boolean => mode === 'silent' || forgotten.has(socket);
 
 	const pass = (from: Socket, to: Socket): void => {
 		from.on('data', chunk => {
+			bytes += chunk.length;
 			if (isMute(from)) {
 				return;
 			}
@@ -101,6 +105,7 @@
 		setDelay(milliseconds) {
 			delayMs = milliseconds;
 		},
+		countBytes: () => bytes,
 		async close() {
 			for (const socket of sockets) {
 				socket.destroy();
--- a/packages/tasks/src/membership-task.ts
+++ b/packages/tasks/src/membership-task.ts
@@ -12,6 +12,7 @@
 	listReachable,
 	makeMembershipState,
 	suspectMember,
+	takeIntroduction,
 	takeRumors,
 } from '@shallotpass/core/membership/fold-membership.js';
 import {
@@ -136,6 +137,7 @@
 				{updates: takeUpdates(receiver), versions: options.makeVersionDigest()},
 				addMilliseconds(clock.now(), milliseconds),
 			);
+			task.send({kind: 'replace', change: state => takeIntroduction(state, reply.introduction, clock.now(), membershipOptions)});
 			task.send({kind: 'updates', updates: reply.updates});
 			options.takeVersions(address, reply.versions);
 			return true;
@@ -223,8 +225,8 @@
 				options.takeVersions(address, versions);
 			}
 
-			const introduced = sender === undefined ? [...task.getState().members.values()].slice(0, mostIntroduced) : [];
-			return {updates: [...takeUpdates(sender), ...introduced], versions: options.makeVersionDigest()};
+			const introduction = sender === undefined ? [...task.getState().members.values()].slice(0, mostIntroduced) : [];
+			return {updates: takeUpdates(sender), introduction, versions: options.makeVersionDigest()};
 		},
 		async answerProbeFor(id) {
 			const target = task.getState().members.get(id);
--- a/scripts/measure/src/membership-experiment.ts
+++ b/scripts/measure/src/membership-experiment.ts
@@ -147,7 +147,7 @@
 		});
 	}
 
-	const address = server?.address ?? `memory-${index}`;
+	const address = server?.address ?? `127.0.0.1:${index + 1}`;
 	network.answer.set(address, membership);
 	membership.start(address);
 	return {
@@ -219,6 +219,8 @@
 	}
 
 	await waitFor('all know all', () => nodes.every(node => countKnown(node) === count), 180_000);
+	// The start of the fleet is news that must have been passed on before the steady state is seen.
+	await waitFor('old news is told', () => nodes.every(node => node.membership.getState().rumors.length === 0), 400_000);
 	await sleep(options.settleMs);
 	const bytesBefore = nodes.map(node => node.countBytes());
 	const cpuBefore = process.cpuUsage();
--- /dev/null
+++ b/scripts/measure/src/reference-pages.ts
@@ -0,0 +1,121 @@
+/** Reference pages, made from what the code checks against. */
+import {adminRoutes} from '@shallotpass/admin/routes.js';
+import {configurationTables} from '@shallotpass/common/configuration-schema.js';
+import {errorAnswers} from '@shallotpass/common/error-kinds.js';
+import {settingsSchema} from '@shallotpass/common/settings-schema.js';
+import {toFileKey} from '@shallotpass/common/toml-file.js';
+import {metricDescriptions} from '@shallotpass/telemetry/metrics.js';
+import {z} from 'zod';
+
+export type ReferencePage = {readonly path: string; readonly text: string};
+
+type JsonSchema = {
+	readonly title?: string;
+	readonly type?: string;
+	readonly description?: string;
+	readonly default?: unknown;
+	readonly enum?: readonly unknown[];
+	readonly properties?: Readonly<Record<string, JsonSchema>>;
+	readonly required?: readonly string[];
+	readonly items?: JsonSchema;
+};
+
+type Row = {readonly key: string; readonly kind: string; readonly fallback: string; readonly meaning: string};
+
+const describeKind = (schema: JsonSchema): string => {
+	if (schema.enum !== undefined) {
+		return schema.enum.map(value => `\`${String(value)}\``).join(', ');
+	}
+
+	if (schema.type === 'array') {
+		return `list of ${describeKind(schema.items ?? {})}`;
+	}
+
+	return schema.title ?? schema.type ?? 'any';
+};
+
+const listRows = (schema: JsonSchema, place: string): Row[] => Object.entries(schema.properties ?? {}).flatMap(([name, property]) => {
+	const key = `${place}${toFileKey(name)}`;
+	if (property.properties !== undefined) {
+		return listRows(property, `${key}.`);
+	}
+
+	if (property.items?.properties !== undefined) {
+		return listRows(property.items, `${key}[].`);
+	}
+
+	const isRequired = schema.required?.includes(name) ?? false;
+	const fallback = property.default === undefined ? (isRequired ? 'required' : 'none') : `\`${JSON.stringify(property.default)}\``;
+	return [{
+		key, kind: describeKind(property), fallback, meaning: property.description ?? '',
+	}];
+});
+
+/** Every key of a schema as it is written in files. */
+export const listKeys = (schema: z.ZodType): string[] => listRows(toJsonSchema(schema), '').map(row => row.key);
+
+const toJsonSchema = (schema: z.ZodType): JsonSchema => z.toJSONSchema(schema, {io: 'input', unrepresentable: 'any'}) as JsonSchema;
+
+const formatKeys = (schema: z.ZodType): string => [
+	'| key | kind | default | meaning |',
+	'| --- | --- | --- | --- |',
+	...listRows(toJsonSchema(schema), '').map(row => `| \`${row.key}\` | ${row.kind} | ${row.fallback} | ${row.meaning} |`),
+].join('\n');
+
+const generated = 'This page is written from the code by `npm run docs`.';
+
+const makeSettingsPage = (): string => `# Settings of the daemon
+
+${generated} \`[]\` marks a table that may stand several times, as \`[[admin_key]]\`.
+A mistake is told with file, key, expectation and finding, and the daemon does not start.
+
+${formatKeys(settingsSchema)}
+`;
+
+const makeConfigurationPage = (): string => `# Configuration file
+
+${generated} \`[]\` marks a table that may stand several times, as \`[[service]]\`.
+The file is applied as a whole with \`shallotpass apply FILE\`; \`shallotpass check FILE\` looks
+for mistakes without a daemon.
+
+${formatKeys(configurationTables)}
+`;
+
+const makeErrorsPage = (): string => `# Error kinds
+
+${generated} Every refusal is \`application/problem+json\` (RFC 9457) with \`kind\` and
+\`executed\`. \`no\`: no backend server has seen the request. \`unknown\`: it may have run.
+\`yes\`: it ran. A kind may be told with more certainty than here, never with less.
+
+| kind | status | executed | meaning | what a caller may do |
+| --- | --- | --- | --- | --- |
+${Object.entries(errorAnswers).map(([kind, answer]) => `| \`${kind}\` | ${answer.status} | ${answer.executed} | ${answer.title} | ${answer.advice} |`).join('\n')}
+`;
+
+const makeMetricsPage = (): string => `# Metrics
+
+${generated} They are served at \`/metrics\` of the operators' listener, beside those of the
+process itself. Names end in their unit.
+
+| metric | kind | labels | meaning |
+| --- | --- | --- | --- |
+${Object.values(metricDescriptions).map(metric => `| \`${metric.name}\` | ${metric.kind} | ${metric.labels.join(', ')} | ${metric.help} |`).join('\n')}
+`;
+
+const makeRoutesPage = (): string => `# Operators' interface
+
+${generated} A key is sent as \`Authorization: Bearer KEY\`. \`/healthz\`, \`/readyz\` and
+\`/metrics\` need none.
+
+| method | path | least role |
+| --- | --- | --- |
+${adminRoutes.map(route => `| ${route.method} | \`${route.path}\` | ${route.role} |`).join('\n')}
+`;
+
+export const makeReferencePages = (): ReferencePage[] => [
+	{path: 'docs/operators/settings.md', text: makeSettingsPage()},
+	{path: 'docs/operators/configuration.md', text: makeConfigurationPage()},
+	{path: 'docs/operators/errors.md', text: makeErrorsPage()},
+	{path: 'docs/operators/metrics.md', text: makeMetricsPage()},
+	{path: 'docs/operators/interface.md', text: makeRoutesPage()},
+];
--- a/scripts/measure/src/run-experiment.ts
+++ b/scripts/measure/src/run-experiment.ts
@@ -6,6 +6,7 @@
 import {claimsExperiment} from './claims-experiment.js';
 import {configurationExperiment} from './configuration-experiment.js';
 import {membershipExperiment} from './membership-experiment.js';
+import {slopesExperiment} from './slopes-experiment.js';
 import {reclaimExperiment} from './reclaim-experiment.js';
 import {pathExperiment} from './path-experiment.js';
 
@@ -18,7 +19,7 @@
 	readonly run: (options: z.output<Schema>, tell: (line: string) => void) => Promise<Report>;
 };
 
-const experiments: ReadonlyArray<Experiment<any>> = [pathExperiment, claimsExperiment, configurationExperiment, membershipExperiment, reclaimExperiment];
+const experiments: ReadonlyArray<Experiment<any>> = [pathExperiment, claimsExperiment, configurationExperiment, membershipExperiment, reclaimExperiment, slopesExperiment];
 
 const getFolder = (): string => fileURLToPath(new URL('../experiments/', import.meta.url));
 
--- /dev/null
+++ b/scripts/measure/src/write-reference.ts
@@ -0,0 +1,10 @@
+/** Writes the reference pages from the schemas and tables of the code; a test compares what is committed. */
+import {mkdirSync, writeFileSync} from 'node:fs';
+import {fileURLToPath} from 'node:url';
+import {makeReferencePages} from './reference-pages.js';
+
+const root = fileURLToPath(new URL('../../../', import.meta.url));
+mkdirSync(`${root}docs/operators`, {recursive: true});
+for (const page of makeReferencePages()) {
+	writeFileSync(`${root}${page.path}`, page.text);
+}
