Replace all connections to the log when one is silent; start from a peer; compare views

And with 100 daemons started at once not all knew all after 180 s: joins passed on while few were known died out.

--- a/apps/daemon/src/make-peer-handlers.ts
+++ b/apps/daemon/src/make-peer-handlers.ts
@@ -19,7 +19,7 @@
 	probeFor: async ({id}) => membership.answerProbeFor(id),
 	offer() {
 		const offer = configuration.makeOffer();
-		return {...offer, accepted: [...offer.accepted]};
+		return {...offer, accepted: [...offer.accepted], history: [...offer.history]};
 	},
 	status: () => ({
 		availabilityZone: environment.settings.instance.availabilityZone,
--- a/apps/daemon/src/open-platform.ts
+++ b/apps/daemon/src/open-platform.ts
@@ -20,17 +20,20 @@
 /** Long polls of the log, the list and the notices each hold a connection. */
 const mostConnections = 64;
 
+const makeDispatcher = (): Agent => new Agent({connect: {timeout: connectTimeoutMs}, connections: mostConnections, pipelining: 1});
+
 export const openPlatform = (settings: Settings, clock: Clock): Platform => {
-	const dispatcher = new Agent({connect: {timeout: connectTimeoutMs}, connections: mostConnections, pipelining: 1});
+	const dispatcher = makeDispatcher();
 	const {platform} = settings;
+	const httpLog = platform === undefined ? undefined : makeHttpLog({baseUrl: platform.log, makeDispatcher, now: clock.now});
 	return {
-		log: platform === undefined ? makeMemoryLog(clock) : makeHttpLog({baseUrl: platform.log, dispatcher, now: clock.now}),
+		log: httpLog ?? makeMemoryLog(clock),
 		isEmbedded: platform === undefined,
 		instancesUrl: platform?.instances,
 		cloudUrl: platform?.cloud,
 		dispatcher,
 		async close() {
-			await dispatcher.destroy();
+			await Promise.all([dispatcher.destroy(), httpLog?.close()]);
 		},
 	};
 };
--- a/apps/daemon/src/start-daemon.ts
+++ b/apps/daemon/src/start-daemon.ts
@@ -4,13 +4,13 @@
 import {configurationStream, keyMemoryMs} from '@shallotpass/common/constants.js';
 import {type ConfigurationRecord} from '@shallotpass/common/log-records.js';
 import {type Settings} from '@shallotpass/common/settings-schema.js';
-import {addMilliseconds, noConfigurationVersion, type LogOffset} from '@shallotpass/common/types.js';
+import {addMilliseconds, noConfigurationVersion} from '@shallotpass/common/types.js';
 import {startAdminListener} from '@shallotpass/admin/listener.js';
 import {type PeerStatus} from '@shallotpass/admin/admin-services.js';
 import {makeBackendConnections} from '@shallotpass/backends/backend-connections.js';
 import {makeAdmissionGate} from '@shallotpass/callers/admission-gate.js';
 import {startCallerListener} from '@shallotpass/callers/listener.js';
-import {type AcceptedConfiguration} from '@shallotpass/core/configuration/types.js';
+import {type ConfigurationOffer} from '@shallotpass/core/configuration/types.js';
 import {rankByRendezvous} from '@shallotpass/core/routing/rank-by-rendezvous.js';
 import {type Suspect} from '@shallotpass/core/retries/suspects.js';
 import {makePeerClient} from '@shallotpass/peers/peer-client.js';
@@ -142,7 +142,9 @@
 
 	const tellVersions = async (address: string): Promise<void> => {
 		try {
-			const {versions} = await client.ask(address, 'probe', {updates: [membership.getSelf()], versions: configuration.makeVersionDigest()}, addMilliseconds(clock.now(), peerTimeoutMs));
+			const {versions} = await client.ask(address, 'probe', {
+				updates: [membership.getSelf()], versions: configuration.makeVersionDigest(), wantsIntroduction: false,
+			}, addMilliseconds(clock.now(), peerTimeoutMs));
 			configuration.takeVersions(address, versions);
 		} catch {
 			// The next probes carry the versions too.
@@ -162,7 +164,8 @@
 		log: platform.log,
 		async fetchOffer(address) {
 			const offer = await client.ask(address, 'offer', {}, addMilliseconds(clock.now(), peerTimeoutMs));
-			return {...offer, accepted: offer.accepted as unknown as AcceptedConfiguration[], foldedTo: offer.foldedTo as LogOffset};
+			// Numbers of the wire become offsets and versions again.
+			return offer as unknown as ConfigurationOffer;
 		},
 		listPeerAddresses: () => [...settings.peers.seeds, ...pickPeers(mostAsked).map(member => member.address)],
 		isZoneReader: () => listZoneReaders().includes(settings.instance.id),
--- a/packages/admin/src/apply-configuration.ts
+++ b/packages/admin/src/apply-configuration.ts
@@ -32,7 +32,12 @@
 };
 
 const judgedWithinMs = 3000;
+
+/** Time for a record whose append failed to show all the same. */
+const seenWithinMs = 500;
+const mostAppends = 3;
 const lookEveryMs = 10;
+const readEveryMs = 200;
 const retryMs = 2000;
 
 const readConfiguration = (toml: string): Configuration => {
@@ -55,16 +60,25 @@
 const findEntry = (services: AdminServices, id: string): HistoryEntry | undefined =>
 	services.configuration.getState().history.find(entry => entry.id === id);
 
-const waitForEntry = async (services: AdminServices, id: string): Promise<HistoryEntry | undefined> => {
+const waitForEntry = async (services: AdminServices, id: string, withinMs: number): Promise<HistoryEntry | undefined> => {
 	const {clock, signal} = services.environment;
-	const giveUpAt = clock.now() + judgedWithinMs;
+	const giveUpAt = clock.now() + withinMs;
+	// The poll that follows the log usually brings the record first.
+	let readAt = clock.now() + readEveryMs;
 	while (clock.now() < giveUpAt) {
 		const entry = findEntry(services, id);
 		if (entry !== undefined) {
 			return entry;
 		}
 
-		await clock.waitUntil(addMilliseconds(clock.now(), lookEveryMs), signal); // eslint-disable-line no-await-in-loop -- looks at the fold until it has judged
+		/* eslint-disable no-await-in-loop -- looks at the fold until it has judged */
+		if (clock.now() >= readAt) {
+			await services.configuration.catchUp();
+			readAt = clock.now() + readEveryMs;
+		}
+
+		await clock.waitUntil(addMilliseconds(clock.now(), lookEveryMs), signal);
+		/* eslint-enable no-await-in-loop */
 	}
 
 	return findEntry(services, id);
@@ -78,8 +92,37 @@
 	return {id: entry.id, version: entry.offset};
 };
 
+type Seen = {readonly entry: HistoryEntry | undefined; readonly cause: unknown};
+
+/**
+ * Appends, and again when the append failed and the record has not been seen. The
+ * first may still take effect then: the later of the two is judged a conflict, since
+ * its base is no longer accepted, and the id's first verdict stands.
+ */
+const appendUntilSeen = async (services: AdminServices, record: ConfigurationRecord): Promise<Seen> => {
+	let cause: unknown;
+	for (let tries = 0; tries < mostAppends; tries++) {
+		let isAppended = true;
+		/* eslint-disable no-await-in-loop -- the next only when this one is not seen */
+		try {
+			await services.log.append({stream: configurationStream, record});
+		} catch (error) {
+			isAppended = false;
+			cause = error;
+		}
+
+		const entry = await waitForEntry(services, record.id, isAppended ? judgedWithinMs : seenWithinMs);
+		/* eslint-enable no-await-in-loop */
+		if (entry !== undefined || isAppended) {
+			return {entry, cause};
+		}
+	}
+
+	return {entry: findEntry(services, record.id), cause};
+};
+
 export const applyConfiguration = async (services: AdminServices, request: ApplyRequest): Promise<ApplyResult> => {
-	const {environment, configuration, log} = services;
+	const {environment, configuration} = services;
 	const id = request.id ?? randomUUID();
 	const earlier = findEntry(services, id);
 	if (earlier !== undefined) {
@@ -96,15 +139,7 @@
 	const record: ConfigurationRecord = {
 		kind: 'configuration', id, team: request.team, base, toml: request.toml, by: request.by, at: environment.clock.now(),
 	};
-	let cause: unknown;
-	try {
-		await log.append({stream: configurationStream, record});
-	} catch (error) {
-		// The reply may have been lost after the effect; the fold tells, by the id.
-		cause = error;
-	}
-
-	const entry = await waitForEntry(services, id);
+	const {entry, cause} = await appendUntilSeen(services, record);
 	if (entry === undefined) {
 		throw new ServingError(`apply ${id} has not been seen in the log yet; ask for it again with the same id`, {
 			kind: 'configuration_unconfirmed',
--- a/packages/core/src/configuration/configuration.test.ts
+++ b/packages/core/src/configuration/configuration.test.ts
@@ -7,7 +7,7 @@
 	emptyConfigurationState, foldConfigurationRecord, getAcceptedVersion, noteTrim, settleGap,
 } from './fold-configuration.js';
 import {planRestatements} from './plan-restatement.js';
-import {makeOffer, takeOffer} from './take-offer.js';
+import {makeOffer, startFromOffer, takeOffer} from './take-offer.js';
 import {type ConfigurationState} from './types.js';
 
 const teams = ['default', 'other'];
@@ -161,3 +161,19 @@
 		assert.deepEqual({foldedTo: state.foldedTo, accepted: state.accepted.size}, {foldedTo: 1, accepted: 0});
 	}), {seed: 7});
 });
+
+test('a reader that starts from one peer\'s offer after hearing from another agrees with one that read everything', () => {
+	// A new instance hears of the newest version by a probe before the peer that it asked for a
+	// start answers with what that one knew a moment ago. It must not go back.
+	fc.assert(fc.property(logs, fc.nat(30), fc.nat(30), (records, heardCut, toldCut) => {
+		const heard = takeOffer(emptyConfigurationState, makeOffer(foldAll(emptyConfigurationState, records.slice(0, heardCut))), 0);
+		const told = makeOffer(foldAll(emptyConfigurationState, records.slice(0, toldCut)));
+		const started = startFromOffer(heard, told, 0);
+		for (const team of teams) {
+			assert.ok(getAcceptedVersion(started, team) >= getAcceptedVersion(heard, team));
+		}
+
+		const truth = foldAll(emptyConfigurationState, records);
+		assert.deepEqual(listVersions(foldAll(started, records.slice(started.foldedTo))), listVersions(truth));
+	}), {seed: 7, numRuns: 500});
+});
--- a/packages/core/src/configuration/take-offer.ts
+++ b/packages/core/src/configuration/take-offer.ts
@@ -5,6 +5,7 @@
 export const makeOffer = (state: ConfigurationState): ConfigurationOffer => ({
 	accepted: [...state.accepted.values()],
 	foldedTo: state.foldedTo,
+	history: state.history,
 	isComplete: state.gap === undefined,
 });
 
@@ -46,3 +47,22 @@
 
 	return {...next, gap: undefined};
 };
+
+/**
+ * What a daemon that has read nothing of the log takes over from a peer, so that it
+ * reads on from there instead of from the log's beginning. What it has heard from
+ * another peer meanwhile stays if it is newer.
+ */
+export const startFromOffer = (state: ConfigurationState, offer: ConfigurationOffer, now: number): ConfigurationState => {
+	if (state.foldedTo !== 0 || !offer.isComplete) {
+		return takeOffer(state, offer, now);
+	}
+
+	const started: ConfigurationState = {
+		foldedTo: offer.foldedTo,
+		accepted: new Map(offer.accepted.map(accepted => [accepted.team, accepted])),
+		history: offer.history,
+		statedAt: new Map(offer.accepted.map(accepted => [accepted.team, now])),
+	};
+	return takeOffer(started, makeOffer(state), now);
+};
--- a/packages/core/src/configuration/types.ts
+++ b/packages/core/src/configuration/types.ts
@@ -58,6 +58,8 @@
 export type ConfigurationOffer = {
 	readonly accepted: readonly AcceptedConfiguration[];
 	readonly foldedTo: LogOffset;
+	/** Verdicts of late, for a daemon that has read nothing itself. */
+	readonly history: readonly HistoryEntry[];
 	/** Whether every team is told; not so while the author has a gap of its own. */
 	readonly isComplete: boolean;
 };
--- a/packages/core/src/membership/fold-membership.ts
+++ b/packages/core/src/membership/fold-membership.ts
@@ -2,6 +2,7 @@
  * Membership by probes, in the manner of SWIM: one probe a period and news that
  * rides on it, so that the bytes of one daemon do not grow with their number.
  */
+import {hashText} from '../routing/rank-by-rendezvous.js';
 import {
 	isReachable, memberStatuses, type Member, type MembershipOptions, type MembershipState, type MemberUpdate,
 } from './types.js';
@@ -211,6 +212,19 @@
 	...[...state.members.values()].filter(member => isReachable(member) && member.status !== 'suspect').map(member => member.id),
 ].toSorted();
 
+/** Ids of those that may be given duties: reachable and not about to stop. Never empty: alone, this daemon does all itself. */
+export const listSteady = (state: MembershipState): string[] => {
+	const others = [...state.members.values()].filter(member => member.status === 'alive').map(member => member.id);
+	const isSelfSteady = state.self.status === 'alive' || others.length === 0;
+	return (isSelfSteady ? [state.self.id, ...others] : others).toSorted();
+};
+
+/** Digest of who is a member; two daemons with the same one need not compare their lists. */
+export const digestView = (state: MembershipState): number => {
+	const living = [state.self, ...state.members.values()].filter(member => isReachable(member));
+	return hashText(living.map(member => `${member.id} ${member.epoch}`).toSorted().join('\n'));
+};
+
 /** Whether the process with this id and start is known to be gone. */
 export const isProcessGone = (state: MembershipState, id: string, epoch: number): boolean => {
 	if (id === state.self.id) {
--- a/packages/core/src/membership/membership.test.ts
+++ b/packages/core/src/membership/membership.test.ts
@@ -10,6 +10,7 @@
 	expireMembers,
 	isProcessGone,
 	listReachable,
+	listSteady,
 	makeMembershipState,
 	suspectMember,
 	takeIntroduction,
@@ -70,6 +71,8 @@
 	const state = applyUpdate(makeState('a'), leaving.self, 0, options);
 	assert.equal(state.members.get('a')?.status, 'leaving');
 	assert.deepEqual(listReachable(state), ['a', 'self']);
+	assert.deepEqual(listSteady(state), ['self']);
+	assert.deepEqual(listSteady(leaving), ['a']);
 });
 
 test('in whatever order news arrives, members come to the same view', () => {
--- a/packages/peers/src/peer-methods.ts
+++ b/packages/peers/src/peer-methods.ts
@@ -14,6 +14,17 @@
 	at: z.number(),
 });
 
+const historyEntrySchema = z.object({
+	id: z.string(),
+	team: z.string(),
+	offset: z.int().nonnegative(),
+	base: z.int(),
+	by: z.string(),
+	at: z.number(),
+	verdict: z.enum(['accepted', 'conflict']),
+	current: z.int(),
+});
+
 export const suspectSchema = z.object({
 	fingerprint: z.string(),
 	deaths: z.array(z.string()),
@@ -36,12 +47,14 @@
 
 export const peerMethods = {
 	probe: {
-		parameters: z.object({updates: z.array(memberUpdateSchema), versions: versionsSchema}),
+		parameters: z.object({updates: z.array(memberUpdateSchema), versions: versionsSchema, wantsIntroduction: z.boolean()}),
 		result: z.object({
 			updates: z.array(memberUpdateSchema),
 			/** All members, for one that was not known. */
 			introduction: z.array(memberUpdateSchema),
 			versions: versionsSchema,
+			/** Digest of the answering daemon's view of the members. */
+			view: z.number(),
 		}),
 	},
 	probeFor: {
@@ -50,7 +63,9 @@
 	},
 	offer: {
 		parameters: z.object({}),
-		result: z.object({accepted: z.array(acceptedSchema), foldedTo: z.number(), isComplete: z.boolean()}),
+		result: z.object({
+			accepted: z.array(acceptedSchema), history: z.array(historyEntrySchema), foldedTo: z.number(), isComplete: z.boolean(),
+		}),
 	},
 	status: {
 		parameters: z.object({}),
--- a/packages/platform/src/http-log.ts
+++ b/packages/platform/src/http-log.ts
@@ -19,7 +19,8 @@
 
 type HttpLogOptions = {
 	readonly baseUrl: string;
-	readonly dispatcher: Dispatcher;
+	/** Makes a pool of connections of its own. */
+	readonly makeDispatcher: () => Dispatcher;
 	readonly now: () => number;
 };
 
@@ -31,16 +32,46 @@
 	return signal === undefined ? timeout : AbortSignal.any([signal, timeout]);
 };
 
-export const makeHttpLog = ({baseUrl, dispatcher, now}: HttpLogOptions): LogService => {
+const closeQuietly = async (dispatcher: Dispatcher): Promise<void> => {
+	try {
+		await dispatcher.close();
+	} catch {
+		// It was destroyed meanwhile, which closes it too.
+	}
+};
+
+export type HttpLog = LogService & {readonly close: () => Promise<void>};
+
+export const makeHttpLog = ({baseUrl, makeDispatcher, now}: HttpLogOptions): HttpLog => {
+	let dispatcher = makeDispatcher();
+
+	/**
+	 * Something between the ends may have lost track of every kept connection at once.
+	 * Were the pool kept, each of them would cost a time-out of its own; new connections
+	 * decide whether the log answers.
+	 */
+	const replaceConnections = (failed: Dispatcher): void => {
+		if (failed === dispatcher) {
+			dispatcher = makeDispatcher();
+			void closeQuietly(failed);
+		}
+	};
+
 	const makeUrl = (stream: string): URL => new URL(`streams/${encodeURIComponent(stream)}`, baseUrl.endsWith('/') ? baseUrl : `${baseUrl}/`);
 
 	const send = async (url: URL, options: Parameters<typeof request>[1]): Promise<{status: number; body: unknown}> => {
+		const used = dispatcher;
 		try {
-			const response = await request(url, {...options, dispatcher});
+			const response = await request(url, {...options, dispatcher: used});
 			const text = await response.body.text();
 			const isJson = response.statusCode < 500 && response.statusCode !== 429;
 			return {status: response.statusCode, body: isJson ? JSON.parse(text) : undefined};
 		} catch (error) {
+			// A reader that was told to stop says nothing about the connection.
+			if (!(error instanceof Error && error.name === 'AbortError')) {
+				replaceConnections(used);
+			}
+
 			throw unavailable('does not answer', error);
 		}
 	};
@@ -85,5 +116,8 @@
 				next: parsed.data.next as LogOffset,
 			};
 		},
+		async close() {
+			await dispatcher.destroy();
+		},
 	};
 };
--- a/packages/tasks/src/claim-service.ts
+++ b/packages/tasks/src/claim-service.ts
@@ -79,7 +79,8 @@
 	const listRoutes = (stream: string): string[] => {
 		const self = membership.getSelf().id;
 		const reachable = membership.listReachable();
-		const writer = pickClaimWriter(stream, reachable) ?? self;
+		// A writer that is about to stop would be asked in vain a moment later.
+		const writer = pickClaimWriter(stream, membership.listSteady()) ?? self;
 		const others = reachable
 			.filter(id => id !== writer && id !== self)
 			.map(id => ({id, order: random()}))
--- a/packages/tasks/src/configuration-task.ts
+++ b/packages/tasks/src/configuration-task.ts
@@ -9,10 +9,14 @@
 } from '@shallotpass/core/configuration/fold-configuration.js';
 import {planRestatements} from '@shallotpass/core/configuration/plan-restatement.js';
 import {
-	hasNewerVersion, makeOffer, makeVersionDigest, takeOffer,
+	hasNewerVersion,
+	makeOffer,
+	makeVersionDigest,
+	startFromOffer,
+	takeOffer,
 } from '@shallotpass/core/configuration/take-offer.js';
 import {type AcceptedConfiguration, type ConfigurationOffer, type ConfigurationState} from '@shallotpass/core/configuration/types.js';
-import {followLog, type LogEvent} from '@shallotpass/platform/follow-log.js';
+import {followLog, readLimit, type LogEvent} from '@shallotpass/platform/follow-log.js';
 import {type Environment} from './environment.js';
 import {nothingInForce, putInForce, type InForce} from './in-force.js';
 
@@ -20,6 +24,7 @@
 	| {readonly kind: 'log'; readonly event: LogEvent}
 	| {readonly kind: 'offer'; readonly offer: ConfigurationOffer}
 	| {readonly kind: 'versions'; readonly address: string; readonly versions: Readonly<Record<string, number>>}
+	| {readonly kind: 'start'; readonly offer: ConfigurationOffer}
 	| {readonly kind: 'settle'}
 	| {readonly kind: 'restate'; readonly place: number};
 
@@ -45,6 +50,8 @@
 	readonly takeOffer: (offer: ConfigurationOffer) => void;
 	readonly makeOffer: () => ConfigurationOffer;
 	readonly makeVersionDigest: () => Record<string, number>;
+	/** Reads what the log has beyond the fold, beside the poll that may hang on a silent connection. */
+	readonly catchUp: () => Promise<void>;
 	/** Runs the function each time that something else comes into force. */
 	readonly onInForce: (listener: (inForce: InForce) => void) => void;
 };
@@ -112,6 +119,10 @@
 			return withFold(state, takeOffer(state.fold, message.offer, now()));
 		}
 
+		case 'start': {
+			return withFold(state, startFromOffer(state.fold, message.offer, now()));
+		}
+
 		case 'versions': {
 			return {state, effects: hasNewerVersion(state.fold, message.versions) ? [{kind: 'fetch', address: message.address}] : []};
 		}
@@ -238,10 +249,27 @@
 	};
 
 	void restateRegularly();
-	void followLog({
+	/** Hundreds of daemons are replaced each day; each would read the whole stream if no peer told it where to start. */
+	const askFirstOffer = async (): Promise<ConfigurationOffer | undefined> => {
+		const offers = options.listPeerAddresses().map(async address => {
+			const offer = await options.fetchOffer(address);
+			if (!offer.isComplete || offer.accepted.length === 0) {
+				throw new Error('the peer knows nothing yet');
+			}
+
+			return offer;
+		});
+		try {
+			return await Promise.any(offers);
+		} catch {
+			return undefined;
+		}
+	};
+
+	const followFrom = async (from: LogOffset): Promise<void> => followLog({
 		log,
 		stream: configurationStream,
-		from: 0 as LogOffset,
+		from,
 		clock,
 		random: environment.random,
 		signal,
@@ -252,6 +280,17 @@
 		},
 	});
 
+	const follow = async (): Promise<void> => {
+		const offer = await askFirstOffer();
+		if (offer !== undefined) {
+			task.send({kind: 'start', offer});
+		}
+
+		await followFrom(offer?.foldedTo ?? 0 as LogOffset);
+	};
+
+	void follow();
+
 	return {
 		getInForce: () => inForce,
 		getState: () => task.getState().fold,
@@ -265,6 +304,19 @@
 		},
 		makeOffer: () => makeOffer(task.getState().fold),
 		makeVersionDigest: () => makeVersionDigest(task.getState().fold),
+		async catchUp() {
+			try {
+				const {foldedTo} = task.getState().fold;
+				const reading = await log.read({
+					stream: configurationStream, from: foldedTo, limit: readLimit, signal,
+				});
+				for (const record of reading.kind === 'records' ? reading.records : []) {
+					task.send({kind: 'log', event: {kind: 'record', record}});
+				}
+			} catch (error) {
+				logger.debug('log_unreachable', {error});
+			}
+		},
 		onInForce(listener) {
 			listeners.push(listener);
 		},
--- a/packages/tasks/src/membership-task.ts
+++ b/packages/tasks/src/membership-task.ts
@@ -7,9 +7,11 @@
 	applyUpdates,
 	chooseHelpers,
 	chooseProbe,
+	digestView,
 	expireMembers,
 	isProcessGone,
 	listReachable,
+	listSteady,
 	makeMembershipState,
 	suspectMember,
 	takeIntroduction,
@@ -39,6 +41,8 @@
 	readonly getSelf: () => MemberUpdate;
 	/** Ids of this daemon and of the members that can be asked, sorted. */
 	readonly listReachable: () => string[];
+	/** Ids of those that may be given duties, sorted. */
+	readonly listSteady: () => string[];
 	readonly findAddress: (id: string) => string | undefined;
 	readonly listPeers: () => Member[];
 	readonly isProcessGone: (id: string, epoch: number) => boolean;
@@ -67,6 +71,10 @@
 /** Most members told to one that is new. */
 const mostIntroduced = 512;
 
+/** After so many probes in a row with another view the whole list is asked for, at most once in so many periods. */
+const differingProbes = 3;
+const introductionTurn = 10;
+
 /** A probe gets this part of the period; the rest is for helpers. */
 const probeShare = 0.5;
 
@@ -77,6 +85,8 @@
 	const membershipOptions: MembershipOptions = {...defaultMembershipOptions, suspectForMs: settings.peers.suspectForMs};
 	const {probeEveryMs} = settings.peers;
 	const strangers = new Set(settings.peers.seeds);
+	let differing = 0;
+	let nextIntroductionAt = 0;
 
 	const fold = (state: MembershipState, message: Message): Step<MembershipState, never> => {
 		switch (message.kind) {
@@ -129,16 +139,36 @@
 		return [self, ...(isDoubted ? [receiver] : []), ...choice.updates.filter(update => update.id !== self.id)];
 	};
 
+	/**
+	 * News that was passed on while few members were known dies out before it has
+	 * reached all, as when many daemons start at once. A view that keeps differing from
+	 * those of others shows it, and the whole list is asked for.
+	 */
+	const compareView = (view: number): void => {
+		differing = view === digestView(task.getState()) ? 0 : differing + 1;
+	};
+
+	const wantsIntroduction = (): boolean => {
+		const now = clock.now();
+		if (differing < differingProbes || now < nextIntroductionAt) {
+			return false;
+		}
+
+		nextIntroductionAt = now + (probeEveryMs * introductionTurn * (0.5 + random()));
+		return true;
+	};
+
 	const probe = async (address: string, receiver: Member | undefined, milliseconds: number): Promise<boolean> => {
 		try {
 			const reply = await client.ask(
 				address,
 				'probe',
-				{updates: takeUpdates(receiver), versions: options.makeVersionDigest()},
+				{updates: takeUpdates(receiver), versions: options.makeVersionDigest(), wantsIntroduction: wantsIntroduction()},
 				addMilliseconds(clock.now(), milliseconds),
 			);
 			task.send({kind: 'replace', change: state => takeIntroduction(state, reply.introduction, clock.now(), membershipOptions)});
 			task.send({kind: 'updates', updates: reply.updates});
+			compareView(reply.view);
 			options.takeVersions(address, reply.versions);
 			return true;
 		} catch (error) {
@@ -214,10 +244,11 @@
 		getState: task.getState,
 		getSelf: () => task.getState().self,
 		listReachable: () => listReachable(task.getState()),
+		listSteady: () => listSteady(task.getState()),
 		findAddress: id => task.getState().members.get(id)?.address,
 		listPeers: () => [...task.getState().members.values()].filter(member => member.status !== 'dead'),
 		isProcessGone: (id, epoch) => isProcessGone(task.getState(), id, epoch),
-		answerProbe({updates, versions}, from) {
+		answerProbe({updates, versions, wantsIntroduction: isWanted}, from) {
 			const sender = task.getState().members.get(from);
 			task.send({kind: 'updates', updates});
 			const address = updates.find(update => update.id === from)?.address ?? sender?.address;
@@ -225,8 +256,13 @@
 				options.takeVersions(address, versions);
 			}
 
-			const introduction = sender === undefined ? [...task.getState().members.values()].slice(0, mostIntroduced) : [];
-			return {updates: takeUpdates(sender), introduction, versions: options.makeVersionDigest()};
+			const introduction = sender === undefined || isWanted ? [...task.getState().members.values()].slice(0, mostIntroduced) : [];
+			return {
+				updates: takeUpdates(sender),
+				introduction,
+				versions: options.makeVersionDigest(),
+				view: digestView(task.getState()),
+			};
 		},
 		async answerProbeFor(id) {
 			const target = task.getState().members.get(id);
--- a/scripts/measure/src/slopes/socket-slopes.ts
+++ b/scripts/measure/src/slopes/socket-slopes.ts
@@ -1,4 +1,5 @@
 /** Slopes of a daemon with sockets: what a request, a chunk, an open stream, a report and a poll cost. */
+import {setMaxListeners} from 'node:events';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {Agent} from 'undici';
 import {type Daemon} from '@shallotpass/daemon/start-daemon.js';
@@ -60,6 +61,7 @@
 /** Heap in MB while so many streams are open. */
 const measureOpenStreams = async (daemon: HostedWorker, streams: number): Promise<number> => {
 	const stopping = new AbortController();
+	setMaxListeners(0, stopping.signal);
 	const asking = Array.from({length: streams}, async (_value, stream) => {
 		try {
 			await askStream({
@@ -119,8 +121,7 @@
 const measurePollBytes = async (polls: number): Promise<number> => {
 	const server = await startLogStandIn();
 	const relay = await startRelay(server.address);
-	const dispatcher = new Agent({pipelining: 1});
-	const log = makeHttpLog({baseUrl: relay.url, dispatcher, now: Date.now});
+	const log = makeHttpLog({baseUrl: relay.url, makeDispatcher: () => new Agent({pipelining: 1}), now: Date.now});
 	for (let index = 0; index < polls; index++) {
 		// eslint-disable-next-line no-await-in-loop -- one after the other
 		await log.read({
@@ -129,7 +130,7 @@
 	}
 
 	const bytes = relay.countBytes();
-	await dispatcher.close();
+	await log.close();
 	await Promise.all([relay.close(), server.close()]);
 	return bytes;
 };
--- a/tests/src/claim-history.test.ts
+++ b/tests/src/claim-history.test.ts
@@ -105,6 +105,7 @@
 		} as unknown as PeerClient;
 		const membership = {
 			getSelf: () => ({id}),
+			listSteady: () => ids.filter((_member, index) => alive[index]),
 			listReachable: () => ids.filter((_member, index) => alive[index]),
 			findAddress: (member: string) => member,
 			isProcessGone: (owner: string) => !alive[ids.indexOf(owner)],
