--- a/packages/callers/src/serve-chat.ts
+++ b/packages/callers/src/serve-chat.ts
@@ -367,7 +367,13 @@
 	return failure;
 };
 
-/** Whether another try makes sense and is allowed. A move away from a leaving engine is no retry of the system's making. */
+/**
+ * Whether another try makes sense and is allowed. Moving off a leaving engine and
+ * going on with an answer that the caller has a part of spend no budget: the work was
+ * accepted, each stream goes on at most a few times, and ending it would bring the
+ * whole request back. A request that has not begun to be answered is retried within
+ * the budget, so that an outage does not multiply the load.
+ */
 const mayTryAgain = (work: ChatWork, progress: Progress, engine: BackendView): boolean => {
 	if (progress.tries >= mostTries) {
 		return false;
@@ -377,7 +383,8 @@
 		return false;
 	}
 
-	return work.services.registry.isLeaving(engine.id) || work.budgets.trySpend(work.budgetName);
+	const isGoingOn = progress.position.tokens > 0 || work.services.registry.isLeaving(engine.id);
+	return isGoingOn || work.budgets.trySpend(work.budgetName);
 };
 
 /** Runs a suspect apart from others, once in all daemons. */
--- a/packages/tasks/src/load-reports.ts
+++ b/packages/tasks/src/load-reports.ts
@@ -19,6 +19,9 @@
 
 const readEveryMs = 1000;
 
+/** Above so many engines each is read half as often, or the reports alone fill the daemon's budget of control. */
+const fewEngines = 8;
+
 /** Up to so many engines a daemon reads them all; above, it reads those it is one of the reporters of. */
 const mostReadByAll = 16;
 
@@ -56,7 +59,9 @@
 	};
 
 	while (!signal.aborted) {
-		await Promise.all(listOwn().map(async id => readOne(id))); // eslint-disable-line no-await-in-loop
-		await waitQuietly(clock, addMilliseconds(clock.now(), readEveryMs), signal); // eslint-disable-line no-await-in-loop
+		const own = listOwn();
+		const pauseMs = own.length > fewEngines ? readEveryMs * 2 : readEveryMs;
+		await Promise.all(own.map(async id => readOne(id))); // eslint-disable-line no-await-in-loop
+		await waitQuietly(clock, addMilliseconds(clock.now(), pauseMs), signal); // eslint-disable-line no-await-in-loop
 	}
 };
--- a/tests/src/crashing-requests.test.ts
+++ b/tests/src/crashing-requests.test.ts
@@ -79,3 +79,17 @@
 	const listed = await fetch(`http://${daemon!.admin}/admin/v1/quarantine`, {headers: {authorization: `Bearer ${operatorKey}`}});
 	assert.deepEqual(await listed.json(), {suspects: []});
 });
+
+test('an engine that dies with more streams than retries are saved loses none of them', async t => {
+	// An engine with many open answers dies without notice. Retries are kept few, so that an
+	// outage does not multiply the load; but an answer that a farmer is reading must go on.
+	const fleet = await startFleet(t, {daemons: 1, engines: Array.from({length: 3}, () => ({parameters: {stepMs: 10}}))});
+	const streams = Array.from({length: 180}, async (_value, index) => askStream({address: fleet.daemons[0]!.callers, marker: `d${index}`, tokens: 150}));
+	await waitFor('all engines work', () => fleet.engines.every(engine => engine.countRunning() > 30));
+	await new Promise(resolve => {
+		setTimeout(resolve, 300);
+	});
+	await fleet.engines[0]!.close();
+	const answers = await Promise.all(streams);
+	assert.deepEqual(answers.filter(answer => !answer.isWhole || answer.strayTokens > 0).map(answer => answer.problem?.kind), []);
+});
