Choose among engines without ranking them all

Change: names are hashed once and weighed with the prompt's hash as numbers, in one pass and without sorting; the holders of a block are kept the other way round; candidates are filtered in one pass. Routing gets tests of its own: homes that daemons agree on and that stay when an engine goes.

--- a/packages/core/src/routing/policies.ts
+++ b/packages/core/src/routing/policies.ts
@@ -1,7 +1,7 @@
 /** Ways of choosing a backend server. The simple ones are kept as baselines for measurements. */
 import {listCandidates} from './list-candidates.js';
 import {estimateLoad, predictAnswer} from './predict-wait.js';
-import {rankByRendezvous} from './rank-by-rendezvous.js';
+import {rankByRendezvous, weighMember} from './rank-by-rendezvous.js';
 import {type BackendView, type RoutingContext, type RoutingPolicy} from './types.js';
 
 const pickLowest = (backends: readonly BackendView[], computeCost: (backend: BackendView) => number): BackendView | undefined => {
@@ -64,11 +64,24 @@
 		return undefined;
 	}
 
-	const mean = candidates.reduce((sum, backend) => sum + estimateLoad(backend), 0) / candidates.length;
-	const byId = new Map(candidates.map(backend => [backend.id, backend]));
-	const ranked = rankByRendezvous(String(first), [...byId.keys()]);
-	const home = ranked.find(id => estimateLoad(byId.get(id)!) <= (mean * loadBound) + 1);
-	return byId.get(home ?? ranked[0]!);
+	let total = 0;
+	for (const backend of candidates) {
+		total += estimateLoad(backend);
+	}
+
+	const bound = ((total / candidates.length) * loadBound) + 1;
+	const keyHash = Number(BigInt.asUintN(32, first));
+	let home: BackendView | undefined;
+	let highest = Number.NEGATIVE_INFINITY;
+	for (const backend of candidates) {
+		const weight = weighMember(keyHash, backend.id);
+		if (weight > highest && estimateLoad(backend) <= bound) {
+			home = backend;
+			highest = weight;
+		}
+	}
+
+	return home;
 };
 
 const sampledCandidates = 4;
@@ -93,9 +106,12 @@
 		considered.add(home);
 	}
 
-	for (const backend of candidates) {
-		if (call.chain.length > 0 && countCachedBlocks(backend.id, call.chain.slice(0, 1)) > 0) {
-			considered.add(backend);
+	const holders = call.chain[0] === undefined ? undefined : context.listHolders(call.chain[0]);
+	if (holders !== undefined) {
+		for (const backend of candidates) {
+			if (holders.has(backend.id)) {
+				considered.add(backend);
+			}
 		}
 	}
 
--- /dev/null
+++ b/packages/core/src/routing/routing.test.ts
@@ -0,0 +1,126 @@
+import assert from 'node:assert/strict';
+import test from 'node:test';
+import fc from 'fast-check';
+import {makeRandom} from '../testing/make-random.js';
+import {hashPrompt} from './hash-prompt.js';
+import {
+	countCachedBlocks, dropPrefix, forgetBackend, listHolders, makeKnownPrefixes, notePrefix,
+} from './known-prefixes.js';
+import {learnSpeed, unknownSpeed} from './learn-speed.js';
+import {
+	chooseLeastRequests, chooseLowestCost, choosePrefixAffinity, chooseTwoChoices, findHome, makeRoundRobin,
+} from './policies.js';
+import {type BackendView, type RoutedCall, type RoutingContext} from './types.js';
+
+const makeBackend = (id: string, change: Partial<BackendView> = {}): BackendView => ({
+	id, address: '', availabilityZone: 'z', machineClass: 'a', services: ['s'], checksFencing: false, isLeaving: false, avoidUntil: 0, running: 0, sentSinceReport: 0, speed: unknownSpeed, price: 0, ...change,
+});
+
+const makeCall = (change: Partial<RoutedCall> = {}): RoutedCall => ({
+	service: 's', promptTokens: 1000, chain: [], expectedTokens: 10, now: 100, availabilityZone: 'z', excluded: new Set(), ...change,
+});
+
+const makeContext = (call: RoutedCall, backends: readonly BackendView[], known = makeKnownPrefixes(100)): RoutingContext => ({
+	call,
+	backends,
+	countCachedBlocks: (id, chain) => countCachedBlocks(known, id, chain),
+	listHolders: hash => listHolders(known, hash),
+	random: makeRandom(1),
+});
+
+const backendsOf = (count: number): BackendView[] => Array.from({length: count}, (_value, index) => makeBackend(`b${index}`));
+
+test('no policy chooses a backend server that leaves, was tried, or does not serve', () => {
+	const backends = [makeBackend('leaving', {isLeaving: true}), makeBackend('tried'), makeBackend('other', {services: ['else']}), makeBackend('right')];
+	for (const policy of [chooseLowestCost, chooseLeastRequests, chooseTwoChoices, choosePrefixAffinity, makeRoundRobin()]) {
+		const call = makeCall({excluded: new Set(['tried']), chain: [5n]});
+		assert.equal(policy(makeContext(call, backends))?.id, 'right');
+		assert.equal(policy(makeContext(call, backends.slice(0, 3))), undefined);
+	}
+});
+
+test('one that failed of late is chosen only when there is no other', () => {
+	const failed = makeBackend('failed', {avoidUntil: 200});
+	assert.equal(chooseLowestCost(makeContext(makeCall(), [failed, makeBackend('healthy', {running: 50})]))?.id, 'healthy');
+	assert.equal(chooseLowestCost(makeContext(makeCall(), [failed]))?.id, 'failed');
+});
+
+test('the engine that holds the prompt is chosen unless its wait is longer than reading anew', () => {
+	const known = makeKnownPrefixes(100);
+	const chain = [1n, 2n, 3n, 4n, 5n, 6n, 7n, 8n, 9n, 10n, 11n, 12n];
+	notePrefix(known, 'b3', chain);
+	const call = makeCall({chain, promptTokens: 770});
+	assert.equal(chooseLowestCost(makeContext(call, backendsOf(20), known))?.id, 'b3');
+	const busy = backendsOf(20).map(backend => backend.id === 'b3' ? {...backend, report: {running: 64, queued: 40, at: 0}} : backend);
+	assert.notEqual(chooseLowestCost(makeContext(call, busy, known))?.id, 'b3');
+});
+
+test('daemons agree on a prompt\'s home without a message, and few homes change when an engine goes', () => {
+	const backends = backendsOf(20);
+	let moved = 0;
+	const homes = new Map<string, number>();
+	for (let prompt = 0; prompt < 2000; prompt++) {
+		const call = makeCall({chain: hashPrompt(`${prompt} `.repeat(300))});
+		const home = findHome(makeContext(call, backends), backends)!;
+		assert.equal(findHome(makeContext(call, backends), backends.toReversed())?.id, home.id);
+		const left = backends.filter(backend => backend.id !== 'b7');
+		moved += home.id !== 'b7' && findHome(makeContext(call, left), left)?.id !== home.id ? 1 : 0;
+		homes.set(home.id, (homes.get(home.id) ?? 0) + 1);
+	}
+
+	assert.equal(moved, 0);
+	assert.equal(homes.size, 20);
+	assert.ok(Math.max(...homes.values()) < 200, JSON.stringify([...homes]));
+});
+
+test('a home that carries more than its bound of load gives way', () => {
+	const call = makeCall({chain: [77n]});
+	const home = findHome(makeContext(call, backendsOf(5)), backendsOf(5))!;
+	const loaded = backendsOf(5).map(backend => ({...backend, running: backend.id === home.id ? 50 : 10}));
+	assert.notEqual(findHome(makeContext(call, loaded), loaded)?.id, home.id);
+});
+
+test('prompts share a chain exactly as far as their beginnings agree', () => {
+	const block = fc.constantFrom('a'.repeat(256), 'b'.repeat(256));
+	fc.assert(fc.property(fc.array(block, {maxLength: 6}), fc.array(block, {maxLength: 6}), (left, right) => {
+		const [one, other] = [hashPrompt(left.join('')), hashPrompt(right.join(''))];
+		const same = left.findIndex((item, index) => item !== right[index]);
+		const expected = same === -1 ? left.length : same;
+		const shared = one.findIndex((hash, index) => hash !== other[index]);
+		assert.equal(shared === -1 ? one.length : shared, expected);
+	}), {seed: 7});
+});
+
+test('holders and counts of blocks never disagree, and the bound is kept', () => {
+	const step = fc.record({kind: fc.constantFrom('note', 'drop', 'forget'), id: fc.constantFrom('a', 'b'), blocks: fc.array(fc.bigInt({min: 0n, max: 8n}), {maxLength: 5})});
+	fc.assert(fc.property(fc.array(step, {maxLength: 30}), steps => {
+		const known = makeKnownPrefixes(4);
+		for (const {kind, id, blocks} of steps) {
+			if (kind === 'note') {
+				notePrefix(known, id, blocks);
+			} else if (kind === 'drop') {
+				dropPrefix(known, id, blocks);
+			} else {
+				forgetBackend(known, id);
+			}
+
+			for (const backend of ['a', 'b']) {
+				assert.ok((known.byBackend.get(backend)?.size ?? 0) <= 4);
+				for (let hash = 0n; hash <= 8n; hash++) {
+					assert.equal(listHolders(known, hash)?.has(backend) ?? false, countCachedBlocks(known, backend, [hash]) === 1);
+				}
+			}
+		}
+	}), {seed: 7});
+});
+
+test('speeds that differ widely are learned from answers', () => {
+	let [slow, fast] = [unknownSpeed, unknownSpeed];
+	for (let index = 0; index < 20; index++) {
+		slow = learnSpeed(slow, {firstTokenMs: 200, tokenMs: 60, uncachedTokens: 10});
+		fast = learnSpeed(fast, {firstTokenMs: 20, tokenMs: 8, uncachedTokens: 10});
+	}
+
+	const backends = [makeBackend('slow', {speed: slow}), makeBackend('fast', {speed: fast, running: 5})];
+	assert.equal(chooseLowestCost(makeContext(makeCall(), backends))?.id, 'fast');
+});
--- a/packages/core/src/routing/types.ts
+++ b/packages/core/src/routing/types.ts
@@ -57,6 +57,8 @@
 	readonly call: RoutedCall;
 	readonly backends: readonly BackendView[];
 	readonly countCachedBlocks: CountCachedBlocks;
+	/** Backend servers that hold the block, as far as known. */
+	readonly listHolders: (hash: bigint) => ReadonlySet<string> | undefined;
 	readonly random: () => number;
 };
 
--- a/packages/tasks/src/backend-registry.ts
+++ b/packages/tasks/src/backend-registry.ts
@@ -3,7 +3,11 @@
 import {leavingGraceMs} from '@shallotpass/common/constants.js';
 import {type InstanceList} from '@shallotpass/common/instance-list.js';
 import {
-	countCachedBlocks, forgetBackend, makeKnownPrefixes, notePrefix,
+	countCachedBlocks,
+	forgetBackend,
+	listHolders,
+	makeKnownPrefixes,
+	notePrefix,
 } from '@shallotpass/core/routing/known-prefixes.js';
 import {learnSpeed, unknownSpeed, type SpeedSample} from '@shallotpass/core/routing/learn-speed.js';
 import {chooseLowestCost} from '@shallotpass/core/routing/policies.js';
@@ -227,6 +231,7 @@
 				call,
 				backends: [...entries.values()].map(entry => entry.view),
 				countCachedBlocks: (id, chain) => countCachedBlocks(prefixes, id, chain),
+				listHolders: hash => listHolders(prefixes, hash),
 				random,
 			});
 		},
--- a/scripts/measure/src/slopes/core-slopes.ts
+++ b/scripts/measure/src/slopes/core-slopes.ts
@@ -12,7 +12,12 @@
 	applyUpdates, chooseProbe, makeMembershipState, takeRumors,
 } from '@shallotpass/core/membership/fold-membership.js';
 import {defaultMembershipOptions, type MembershipState, type MemberUpdate} from '@shallotpass/core/membership/types.js';
-import {countCachedBlocks, makeKnownPrefixes, notePrefix} from '@shallotpass/core/routing/known-prefixes.js';
+import {
+	countCachedBlocks,
+	listHolders,
+	makeKnownPrefixes,
+	notePrefix,
+} from '@shallotpass/core/routing/known-prefixes.js';
 import {unknownSpeed} from '@shallotpass/core/routing/learn-speed.js';
 import {chooseLowestCost} from '@shallotpass/core/routing/policies.js';
 import {type BackendView} from '@shallotpass/core/routing/types.js';
@@ -65,6 +70,7 @@
 			},
 			backends,
 			countCachedBlocks: (id, chain) => countCachedBlocks(known, id, chain),
+			listHolders: hash => listHolders(known, hash),
 			random,
 		});
 	});
