--- a/packages/admin/src/listener.ts
+++ b/packages/admin/src/listener.ts
@@ -2,7 +2,7 @@
 import {Buffer} from 'node:buffer';
 import {randomUUID} from 'node:crypto';
 import {createServer, type IncomingMessage, type ServerResponse} from 'node:http';
-import {type AddressInfo} from 'node:net';
+import {listenAt} from '@shallotpass/common/listen.js';
 import {computeRetryAfterSeconds, makeProblem} from '@shallotpass/common/problem.js';
 import {ServingError, toServingError} from '@shallotpass/common/serving-error.js';
 import {authenticateOperator, requireRole} from './authorize.js';
@@ -159,13 +159,9 @@
 		response.on('error', () => {/* the operator has gone */});
 		void serve(request, response);
 	});
-	await new Promise<void>((resolve, reject) => {
-		server.once('error', reject);
-		server.listen(listen, resolve);
-	});
-	const {address, port} = server.address() as AddressInfo;
+	const address = await listenAt(server, listen);
 	return {
-		address: address.includes(':') ? `[${address}]:${port}` : `${address}:${port}`,
+		address,
 		async close() {
 			server.closeAllConnections();
 			await new Promise<void>(resolve => {
--- a/packages/callers/src/admission-gate.ts
+++ b/packages/callers/src/admission-gate.ts
@@ -49,11 +49,16 @@
 	readonly queue: WaitingQueue;
 	readonly waiters: Map<string, Waiter>;
 	running: number;
+	/** Since when no backend server has served it; undefined while one does. */
+	emptySince: number | undefined;
 };
 
 const retryFullMs = 1000;
 const checkEveryMs = 20;
 
+/** Time for a replacement to show before those who wait are refused. */
+const emptyGraceMs = 1000;
+
 /** What may be used at once of a limit: so many seconds' worth. */
 const burstSeconds = 2;
 
@@ -72,7 +77,9 @@
 			return known;
 		}
 
-		const line: Line = {queue: makeWaitingQueue(), waiters: new Map(), running: 0};
+		const line: Line = {
+			queue: makeWaitingQueue(), waiters: new Map(), running: 0, emptySince: undefined,
+		};
 		lines.set(serviceId, line);
 		return line;
 	};
@@ -118,12 +125,30 @@
 		}
 	};
 
+	/** Nothing is left to wait for: who waits is told now rather than at its deadline. */
+	const refuseWhenEmpty = (serviceId: string, line: Line): void => {
+		if (getCapacity(serviceId) > 0) {
+			line.emptySince = undefined;
+			return;
+		}
+
+		line.emptySince ??= clock.now();
+		if (clock.now() - line.emptySince < emptyGraceMs) {
+			return;
+		}
+
+		for (const {id} of line.queue.entries.splice(0)) {
+			refuse(line, id, new ServingError('no backend server serves this any more', {kind: 'no_backend', retryAt: addMilliseconds(clock.now(), retryFullMs)}));
+		}
+	};
+
 	const check = (): void => {
 		for (const [serviceId, line] of lines) {
 			for (const expired of expireRequests(line.queue, clock.now())) {
 				refuse(line, expired.id, new ServingError('the deadline passed while the request waited', {kind: 'deadline_unreachable', retryAt: addMilliseconds(clock.now(), retryFullMs)}));
 			}
 
+			refuseWhenEmpty(serviceId, line);
 			letIn(serviceId, line);
 		}
 
--- a/packages/callers/src/listener.ts
+++ b/packages/callers/src/listener.ts
@@ -2,7 +2,8 @@
 import {
 	createServer, type IncomingMessage, type Server, type ServerResponse,
 } from 'node:http';
-import {type AddressInfo, type Socket} from 'node:net';
+import {type Socket} from 'node:net';
+import {listenAt} from '@shallotpass/common/listen.js';
 import {isRepeatable} from '@shallotpass/common/configuration-schema.js';
 import {type ErrorKind} from '@shallotpass/common/error-kinds.js';
 import {ServingError, toServingError} from '@shallotpass/common/serving-error.js';
@@ -208,13 +209,9 @@
 	server.on('connect', (_request, socket) => {
 		sendRawProblem(socket, 'method_not_allowed', 'CONNECT is not served', makeRequestId());
 	});
-	await new Promise<void>((resolve, reject) => {
-		server.once('error', reject);
-		server.listen(listen, resolve);
-	});
-	const {address, port} = server.address() as AddressInfo;
+	const address = await listenAt(server, listen);
 	return {
-		address: address.includes(':') ? `[${address}]:${port}` : `${address}:${port}`,
+		address,
 		countInFlight: () => inFlight,
 		startDraining() {
 			isDraining = true;
--- a/packages/peers/src/peer-server.ts
+++ b/packages/peers/src/peer-server.ts
@@ -1,5 +1,6 @@
 /** Answers peers. A peer that does not prove a shared key is cut off before it can ask anything. */
-import {createServer, type AddressInfo, type Socket} from 'node:net';
+import {createServer, type Socket} from 'node:net';
+import {listenAt} from '@shallotpass/common/listen.js';
 import {JSONRPCServer} from 'json-rpc-2.0';
 import {makeServerHandshake, type SecureSession} from './handshake.js';
 import {makeLineReader} from './line-reader.js';
@@ -123,13 +124,9 @@
 	};
 
 	const server = createServer(serve);
-	await new Promise<void>((resolve, reject) => {
-		server.once('error', reject);
-		server.listen(splitAddress(options.listen), resolve);
-	});
-	const {address, port} = server.address() as AddressInfo;
+	const address = await listenAt(server, splitAddress(options.listen));
 	return {
-		address: address.includes(':') ? `[${address}]:${port}` : `${address}:${port}`,
+		address,
 		bytes,
 		countRefusals: () => refusals,
 		async close() {
--- a/packages/stand-ins/src/http-stand-in.ts
+++ b/packages/stand-ins/src/http-stand-in.ts
@@ -1,8 +1,8 @@
 /** What the HTTP stand-ins share: a server on a free port, JSON in and out, and faults. */
 import {Buffer} from 'node:buffer';
 import {createServer, type IncomingMessage, type ServerResponse} from 'node:http';
-import {type AddressInfo} from 'node:net';
 import {setTimeout as sleep} from 'node:timers/promises';
+import {listenAt} from '@shallotpass/common/listen.js';
 import {type FaultTable} from './faults.js';
 
 export type StandInServer = {
@@ -32,11 +32,7 @@
 			}
 		})();
 	});
-	await new Promise<void>((resolve, reject) => {
-		server.once('error', reject);
-		server.listen(port, '127.0.0.1', resolve);
-	});
-	const address = `127.0.0.1:${(server.address() as AddressInfo).port}`;
+	const address = await listenAt(server, {host: '127.0.0.1', port});
 	return {
 		address,
 		url: `http://${address}`,
--- a/packages/stand-ins/src/relay.ts
+++ b/packages/stand-ins/src/relay.ts
@@ -1,7 +1,6 @@
 /** What lies between two ends of the network: it passes bytes, loses track of connections, or is cut. */
-import {
-	connect, createServer, type AddressInfo, type Socket,
-} from 'node:net';
+import {connect, createServer, type Socket} from 'node:net';
+import {listenAt} from '@shallotpass/common/listen.js';
 
 export type RelayMode =
 	| 'open'
@@ -77,10 +76,7 @@
 		pass(near, far);
 		pass(far, near);
 	});
-	await new Promise<void>(resolve => {
-		server.listen(0, '127.0.0.1', resolve);
-	});
-	const address = `127.0.0.1:${(server.address() as AddressInfo).port}`;
+	const address = await listenAt(server, {host: '127.0.0.1', port: 0});
 	return {
 		address,
 		url: `http://${address}`,
--- a/tests/src/refusals.test.ts
+++ b/tests/src/refusals.test.ts
@@ -123,3 +123,20 @@
 	assert.ok(order.lastIndexOf('counter') < 8, order.join(' '));
 	assert.equal(order.filter(name => name === 'draft').length, 12);
 });
+
+test('who waits when the last engine goes is told at once, not at its deadline', async t => {
+	// A request waits behind another and has ten minutes. The only engine is taken away. There
+	// is nothing left to wait for; the caller should hear so and when to come back.
+	const fleet = await startFleet(t, {daemons: 1, engines: [{parameters: {stepMs: 20}}], limits: {maxRunningPerBackend: 1}});
+	const running = askStream({address: fleet.daemons[0]!.callers, marker: 'first', tokens: 150});
+	await waitFor('it runs', () => fleet.engines[0]!.countRunning() === 1);
+	const waiting = askStream({address: fleet.daemons[0]!.callers, marker: 'second', tokens: 5});
+	await waitFor('it waits', async () => {
+		const text = await fleet.daemons[0]!.environment.metrics.registry.getSingleMetricAsString('shallotpass_waiting_requests');
+		return text.trimEnd().endsWith(' 1');
+	});
+	fleet.platform.cloud.giveNotice('engine-0', Date.now() + 60_000);
+	const refused = await waiting;
+	assert.deepEqual([refused.problem?.kind, refused.problem?.executed], ['no_backend', 'no']);
+	assert.equal((await running).isWhole, true); // eslint-disable-line unicorn/no-await-expression-member -- one look
+});
