Let an engine end a stream before the same id comes back to it

Two causes: the stand-in kept its work by the id of the chunks, so the resumed stream got the old one's tokens; and the daemon told an engine to cancel only when it had left the stream itself, and did not wait for it. Excluded: the daemon's collector (a batch with a foreign chunk is never written).

--- a/packages/callers/src/try-engine.ts
+++ b/packages/callers/src/try-engine.ts
@@ -72,6 +72,10 @@
 	}
 };
 
+/** Whether the engine may go on with a stream that was left; when it broke off itself, it does not. */
+const isStillRunning = (error: unknown, guard: AttemptSignal): boolean =>
+	guard.getEnd() !== undefined || error instanceof ServingError;
+
 /** One try at one engine. Returns the error that another try may mend, or undefined when the answer is whole. */
 export const tryEngine = async (work: ChatWork, progress: Progress, engine: BackendView, onTokens: (tokens: number) => void): Promise<unknown> => {
 	const {services, call} = work;
@@ -110,11 +114,13 @@
 		return undefined;
 	}
 
-	if (progress.position.id !== undefined && guard.getEnd() !== undefined) {
-		void cancelRequest(engine.address, progress.position.id, connections.shared);
+	const final = findFinalError(work, failure, guard);
+	if (progress.position.id !== undefined && isStillRunning(failure, guard)) {
+		const cancelling = cancelRequest(engine.address, progress.position.id, connections.shared);
+		// The next try may come back to this engine under the same id, and must not be cancelled in place of this one.
+		await (final === undefined ? cancelling : undefined);
 	}
 
-	const final = findFinalError(work, failure, guard);
 	if (final !== undefined) {
 		throw final;
 	}
--- a/packages/stand-ins/src/engine-stand-in.ts
+++ b/packages/stand-ins/src/engine-stand-in.ts
@@ -41,7 +41,10 @@
 type ChatBody = z.output<typeof chatSchema>;
 
 type OpenStream = {
+	/** Id of its chunks; a resumed stream has that of the one before it. */
 	readonly id: string;
+	/** Its own name within the engine. */
+	readonly jobId: string;
 	readonly body: ChatBody;
 	readonly marker: string;
 	readonly response: ServerResponse;
@@ -109,7 +112,7 @@
 	let isClosed = false;
 
 	const endStream = (stream: OpenStream): void => {
-		streams.delete(stream.id);
+		streams.delete(stream.jobId);
 		if (stream.body.stream) {
 			stream.response.end(`${makeChunk(stream, {}, 'stop')}data: [DONE]\n\n`);
 			return;
@@ -127,8 +130,8 @@
 		switch (fault.kind) {
 			case 'cut':
 			case 'lose_reply': {
-				core.cancel(stream.id);
-				streams.delete(stream.id);
+				core.cancel(stream.jobId);
+				streams.delete(stream.jobId);
 				stream.response.destroy();
 				return true;
 			}
@@ -210,14 +213,15 @@
 
 	const openStream = (body: ChatBody, response: ServerResponse, requestId: string, fault: Fault | undefined): void => {
 		const id = body.resume?.id ?? `chatcmpl-${randomUUID()}`;
+		const jobId = randomUUID();
 		const stream: OpenStream = {
+			jobId,
 			id, body, marker: getMarker(body.messages), response, fault, pieces: [], sent: 0, isSilent: false,
 		};
-		streams.set(id, stream);
+		streams.set(jobId, stream);
 		response.once('close', () => {
-			if (streams.get(id) === stream) {
-				streams.delete(id);
-				core.cancel(id);
+			if (streams.delete(jobId)) {
+				core.cancel(jobId);
 				cancelled++;
 			}
 		});
@@ -227,7 +231,7 @@
 		}
 
 		core.submit({
-			id,
+			id: jobId,
 			prompt: body.messages.map(message => `${message.role}\n${message.content}\n`).join(''),
 			priority: body.priority,
 			maxTokens: body.max_tokens,
@@ -314,9 +318,13 @@
 		if (request.method === 'DELETE' && url.pathname.startsWith('/v1/requests/')) {
 			const id = decodeURIComponent(url.pathname.slice('/v1/requests/'.length));
 			await answerWithFaults(response, faults, 'cancel', () => {
-				const isKnown = core.cancel(id);
-				streams.get(id)?.response.destroy();
-				return {status: isKnown ? 200 : 404};
+				const known = [...streams.values()].filter(stream => stream.id === id);
+				for (const stream of known) {
+					core.cancel(stream.jobId);
+					stream.response.destroy();
+				}
+
+				return {status: known.length > 0 ? 200 : 404};
 			});
 			return;
 		}
