Forget used keys by running time, not by the time of day

Cause: found on reading the change again: a writer forgot keys by its own clock, so one set ahead by more than six hours forgot keys used a minute ago, and the next sending of such a call won its claim and ran a second time. The history check had no jump that long. Change: keys are stamped with the process's monotonic time when they are read and forgotten by it; a reader that starts late keeps them longer, which costs memory only. The pause after a trim that came too early still goes by the time of day.

--- a/packages/tasks/src/claim-shard.ts
+++ b/packages/tasks/src/claim-shard.ts
@@ -7,7 +7,7 @@
 import {
 	type Claim, type Outcome, type RecordedAnswer, claimStreamRecordSchema,
 } from '@shallotpass/common/log-records.js';
-import {type LogService} from '@shallotpass/common/log-service.js';
+import {type LogRecord, type LogService} from '@shallotpass/common/log-service.js';
 import {addMilliseconds, type LogOffset} from '@shallotpass/common/types.js';
 import {
 	foldClaimRecord, forgetOldKeys, makeClaimState, makeKeyName, noteClaimTrim,
@@ -44,6 +44,15 @@
 /** Most claims in one append; a record stays well under a megabyte. */
 const mostClaimsInAppend = 500;
 
+/**
+ * Keys are forgotten by the time that has run since they were read, not by the time
+ * of day: a clock that is set ahead would forget keys that were just used, and the
+ * next sending of such a call would run it again. A reader that starts late keeps
+ * them longer than promised, which costs memory only.
+ */
+const foldNow = (state: ClaimState, record: Pick<LogRecord, 'offset' | 'record'>): ClaimState =>
+	foldClaimRecord(state, {...record, appendedAt: performance.now()});
+
 const unavailable = (detail: string): ClaimAnswer => ({kind: 'unavailable', detail});
 
 export const makeClaimShard = ({environment, log, stream, isOwnerGone}: ClaimShardOptions): ClaimShard => {
@@ -77,11 +86,11 @@
 
 			/* eslint-enable no-await-in-loop */
 			for (const record of result.records) {
-				state = foldClaimRecord(state, record);
+				state = foldNow(state, record);
 			}
 
 			if (result.records.length === 0) {
-				forgetOldKeys(state, clock.now(), keyMemoryMs);
+				forgetOldKeys(state, performance.now(), keyMemoryMs);
 				return;
 			}
 		}
@@ -163,11 +172,11 @@
 			const offset = await log.append({stream, record, signal});
 			metrics.logAppends.inc({stream, result: 'done'});
 			if (offset === state.foldedTo) {
-				state = foldClaimRecord(state, {offset, appendedAt: clock.now(), record});
+				state = foldNow(state, {offset, record});
 			}
 
 			if (offset < state.foldedTo) {
-				forgetOldKeys(state, clock.now(), keyMemoryMs);
+				forgetOldKeys(state, performance.now(), keyMemoryMs);
 				return true;
 			}
 		} catch (error) {
