Hand an engine's chunks over as they come, and trace a claim through the peer that answers it

Cause: each chunk went through a body stream, its async iterator and a generator, three promises for a few hundred bytes. A trace of a reservation ended at the daemon that asked a peer, and plain calls had no routing span. Change: engine-stream follows the request at undici's dispatcher and hands batches to a sink within the event that brought them, pausing the connection when the caller has no room; what it makes of events is collect-chunks.ts.

--- a/apps/daemon/src/make-peer-handlers.ts
+++ b/apps/daemon/src/make-peer-handlers.ts
@@ -5,6 +5,7 @@
 import {type Environment} from '@shallotpass/tasks/environment.js';
 import {type MembershipTask} from '@shallotpass/tasks/membership-task.js';
 import {type SuspectBook} from '@shallotpass/tasks/suspect-book.js';
+import {type Tracing} from '@shallotpass/telemetry/tracing.js';
 
 type HandlerTasks = {
 	readonly environment: Environment;
@@ -12,9 +13,10 @@
 	readonly membership: MembershipTask;
 	readonly claims: ClaimService;
 	readonly suspects: SuspectBook;
+	readonly tracing: Tracing;
 };
 
-export const makePeerHandlers = ({environment, configuration, membership, claims, suspects}: HandlerTasks): PeerHandlers => ({
+export const makePeerHandlers = ({environment, configuration, membership, claims, suspects, tracing}: HandlerTasks): PeerHandlers => ({
 	probe: (parameters, from) => membership.answerProbe(parameters, from),
 	probeFor: async ({id}) => membership.answerProbeFor(id),
 	offer() {
@@ -25,7 +27,14 @@
 		availabilityZone: environment.settings.instance.availabilityZone,
 		versions: Object.fromEntries([...configuration.getInForce().teams.values()].map(({team, version}) => [team, version as number])),
 	}),
-	claim: async ({claim, isNew}) => claims.answerPeer(claim, isNew),
+	async claim({claim, isNew, traceparent}, from) {
+		const hop = tracing.startHop('claim', traceparent, {from});
+		try {
+			return await claims.answerPeer(claim, isNew);
+		} finally {
+			hop.end();
+		}
+	},
 	recordOutcome: async ({keyName, outcome}) => ({isRecorded: await claims.recordForPeer(keyName, outcome)}),
 	suspects(parameters) {
 		suspects.merge(parameters.suspects, parameters.lifted);
--- a/apps/daemon/src/start-daemon.ts
+++ b/apps/daemon/src/start-daemon.ts
@@ -6,18 +6,14 @@
 import {type Settings} from '@shallotpass/common/settings-schema.js';
 import {addMilliseconds, noConfigurationVersion} from '@shallotpass/common/types.js';
 import {startAdminListener} from '@shallotpass/admin/listener.js';
-import {type PeerStatus} from '@shallotpass/admin/admin-services.js';
 import {makeBackendConnections} from '@shallotpass/backends/backend-connections.js';
 import {makeAdmissionGate} from '@shallotpass/callers/admission-gate.js';
 import {startCallerListener} from '@shallotpass/callers/listener.js';
 import {type ConfigurationOffer} from '@shallotpass/core/configuration/types.js';
 import {rankByRendezvous} from '@shallotpass/core/routing/rank-by-rendezvous.js';
-import {type Suspect} from '@shallotpass/core/retries/suspects.js';
 import {makePeerClient} from '@shallotpass/peers/peer-client.js';
 import {splitAddress} from '@shallotpass/peers/peer-connection.js';
 import {startPeerServer} from '@shallotpass/peers/peer-server.js';
-import {followNotices} from '@shallotpass/platform/cloud-notices.js';
-import {followInstanceList} from '@shallotpass/platform/instance-list-client.js';
 import {makeBackendRegistry} from '@shallotpass/tasks/backend-registry.js';
 import {makeClaimService} from '@shallotpass/tasks/claim-service.js';
 import {startConfigurationTask} from '@shallotpass/tasks/configuration-task.js';
@@ -29,7 +25,9 @@
 import {makeLogger} from '@shallotpass/telemetry/logger.js';
 import {makeMetrics} from '@shallotpass/telemetry/metrics.js';
 import {startTracing} from '@shallotpass/telemetry/tracing.js';
+import {followPlatform} from './follow-platform.js';
 import {makePeerHandlers} from './make-peer-handlers.js';
+import {makePeerNews, peerTimeoutMs} from './peer-news.js';
 import {openPlatform} from './open-platform.js';
 
 export type Daemon = {
@@ -63,11 +61,6 @@
 /** After a drain begins, requests are still taken for so long: the balancer needs it to notice. */
 const drainNoticeMs = 1000;
 
-const peerTimeoutMs = 1500;
-
-/** Peers that are told at once of a new version; they tell others. */
-const spreadCount = 3;
-
 /** Daemons of an availability zone that follow the log; more would only make the log busier. */
 const readersPerZone = 3;
 
@@ -134,22 +127,9 @@
 		},
 	});
 
-	const pickPeers = (count: number) => membership.listPeers()
-		.map(member => ({member, order: random()}))
-		.toSorted((left, right) => left.order - right.order)
-		.slice(0, count)
-		.map(entry => entry.member);
-
-	const tellVersions = async (address: string): Promise<void> => {
-		try {
-			const {versions} = await client.ask(address, 'probe', {
-				updates: [membership.getSelf()], versions: configuration.makeVersionDigest(), wantsIntroduction: false,
-			}, addMilliseconds(clock.now(), peerTimeoutMs));
-			configuration.takeVersions(address, versions);
-		} catch {
-			// The next probes carry the versions too.
-		}
-	};
+	const peerNews = makePeerNews({
+		environment, client, membership, getVersions: () => configuration.makeVersionDigest(),
+	});
 
 	const listZoneMembers = (): string[] => [
 		settings.instance.id,
@@ -167,13 +147,13 @@
 			// Numbers of the wire become offsets and versions again.
 			return offer as unknown as ConfigurationOffer;
 		},
-		listPeerAddresses: () => [...settings.peers.seeds, ...pickPeers(mostAsked).map(member => member.address)],
+		listPeerAddresses: () => [...settings.peers.seeds, ...peerNews.pickPeers(mostAsked).map(member => member.address)],
 		isZoneReader: () => listZoneReaders().includes(settings.instance.id),
 		getPlace: () => membership.listReachable().indexOf(settings.instance.id),
 		spread() {
-			for (const member of pickPeers(spreadCount)) {
-				void tellVersions(member.address);
-			}
+			void peerNews.spreadVersions(versions => {
+				configuration.takeVersions(versions.address, versions.versions);
+			});
 		},
 	});
 	configuration.onInForce(inForce => {
@@ -183,22 +163,11 @@
 	const claims = makeClaimService({
 		environment, log: platform.log, client, membership,
 	});
-	const tellSuspects = async (address: string, suspects: readonly Suspect[], lifted: readonly string[]): Promise<void> => {
-		try {
-			const parameters = {suspects: suspects.map(suspect => ({...suspect, deaths: [...suspect.deaths]})), lifted: [...lifted]};
-			await client.ask(address, 'suspects', parameters, addMilliseconds(clock.now(), peerTimeoutMs));
-		} catch (error) {
-			logger.debug('suspects_not_told', {address, error});
-		}
-	};
-
 	const suspects = makeSuspectBook({
 		environment,
 		registry,
 		spread(news, lifted) {
-			for (const member of membership.listPeers()) {
-				void tellSuspects(member.address, news, lifted);
-			}
+			void peerNews.tellSuspects(news, lifted);
 		},
 	});
 	const gate = makeAdmissionGate({
@@ -212,7 +181,7 @@
 		selfId: settings.instance.id,
 		keys: settings.peers.keys,
 		handlers: makePeerHandlers({
-			environment, configuration, membership, claims, suspects,
+			environment, configuration, membership, claims, suspects, tracing,
 		}),
 		onRefused(reason, remote) {
 			metrics.peerRefusals.inc();
@@ -230,16 +199,6 @@
 	let draining: Promise<void> | undefined;
 	const isReady = (): boolean => !isDraining && (configuration.hasReadLog() || configuration.getInForce().teams.size > 0);
 
-	const askPeerStatuses = async (): Promise<PeerStatus[]> => Promise.all(membership.listPeers().map(async member => {
-		const {id, availabilityZone} = member;
-		try {
-			const {versions} = await client.ask(member.address, 'status', {}, addMilliseconds(clock.now(), peerTimeoutMs));
-			return {id, availabilityZone, versions};
-		} catch {
-			return {id, availabilityZone, versions: undefined};
-		}
-	}));
-
 	const adminListener = await startAdminListener({
 		listen: splitAddress(settings.listen.admin),
 		isReady,
@@ -259,7 +218,7 @@
 					options.onDrainAsked();
 				}
 			},
-			askPeerStatuses,
+			askPeerStatuses: peerNews.askStatuses,
 			countInFlight: callerListener.countInFlight,
 			countWaiting: gate.countWaiting,
 		},
@@ -300,45 +259,16 @@
 		listZoneMembers,
 	});
 
-	if (platform.instancesUrl !== undefined) {
-		void followInstanceList({
-			baseUrl: platform.instancesUrl,
-			dispatcher: platform.dispatcher,
-			clock,
-			signal: stopping.signal,
-			send(event) {
-				if (event.kind === 'outage') {
-					logger.debug('instance_list_unreachable', {error: event.error});
-					return;
-				}
-
-				registry.takeList(event.list);
-				membership.noteAddresses(event.list.instances.filter(instance => instance.role === 'entry' && instance.state === 'live').map(instance => instance.address));
-			},
-		});
-	}
-
-	if (platform.cloudUrl !== undefined) {
-		void followNotices({
-			baseUrl: platform.cloudUrl,
-			dispatcher: platform.dispatcher,
-			clock,
-			signal: stopping.signal,
-			onNotice({instanceId, leavesAt}) {
-				if (instanceId === settings.instance.id) {
-					logger.warn('own_instance_reclaimed', {leavesAt});
-					options.onDrainAsked?.();
-					void drain();
-					return;
-				}
-
-				registry.noteLeaving(instanceId, leavesAt);
-			},
-			onOutage(error) {
-				logger.debug('cloud_unreachable', {error});
-			},
-		});
-	}
+	followPlatform({
+		environment,
+		platform,
+		registry,
+		membership,
+		onOwnReclaim() {
+			options.onDrainAsked?.();
+			void drain();
+		},
+	});
 
 	if (options.configurationText !== undefined) {
 		const record: ConfigurationRecord = {
--- a/packages/backends/src/engine-stream.ts
+++ b/packages/backends/src/engine-stream.ts
@@ -1,37 +1,17 @@
 /**
- * One stream of a model engine. It gives the text to pass on, batch by batch as
- * it comes off the connection, and keeps what is needed to go on elsewhere.
+ * One stream of a model engine. It hands over the text to pass on, batch by
+ * batch as it comes off the connection, within the event that brought it: a
+ * promise for each chunk would cost more than all else that is done with it.
  */
 import {StringDecoder} from 'node:string_decoder';
 import {ServingError} from '@shallotpass/common/serving-error.js';
-import {createParser, type EventSourceMessage} from 'eventsource-parser';
+import {createParser} from 'eventsource-parser';
 import {type Dispatcher} from 'undici';
 import {BackendCallError} from './call-plain.js';
 import {type BackendConnections, isConnectFailure} from './backend-connections.js';
-import {isChatChunk, isFinishChunk, isTokenChunk} from './openai-format.js';
-
-/** Where a stream stands; enough to resume it at any engine of the model. */
-export type StreamPosition = {
-	/** Id that the engine gave its chunks; undefined before the first. */
-	readonly id: string | undefined;
-	/** Token chunks passed on. */
-	readonly tokens: number;
-	/** Whether anything at all was passed on. */
-	readonly hasStarted: boolean;
-	readonly isFinished: boolean;
-};
-
-export const startOfStream: StreamPosition = {
-	id: undefined, tokens: 0, hasStarted: false, isFinished: false,
-};
-
-export type StreamBatch = {
-	/** SSE text for the caller. */
-	readonly text: string;
-	readonly tokens: number;
-	readonly position: StreamPosition;
-	readonly isDone: boolean;
-};
+import {
+	makeChunkCollector, makeInvalidAnswer, type StreamBatch, type StreamPosition,
+} from './collect-chunks.js';
 
 type EngineCall = {
 	readonly address: string;
@@ -44,10 +24,24 @@
 	readonly signal: AbortSignal;
 };
 
+/** Who gets the stream. */
+export type StreamSink = {
+	/** False when there is no room for more. */
+	readonly take: (batch: StreamBatch) => boolean;
+	/** Resolves when there is room again, or nobody left to need it. */
+	readonly waitForRoom: () => Promise<void>;
+};
+
 /** An engine that sends so much without an event is not speaking SSE. */
 const longestEventCharacters = 4 * 1024 * 1024;
 
-const invalid = (detail: string): ServingError => new ServingError(detail, {kind: 'invalid_backend_answer'});
+/** Of the text of a refusal so much is kept. */
+const keptRefusalCharacters = 200;
+
+/** After its end mark a body may stay open for so long before its connection is closed. */
+const endWithinMs = 1000;
+
+const okStatus = 200;
 
 const makeBody = (call: EngineCall): string => {
 	const {position} = call;
@@ -59,14 +53,12 @@
 	});
 };
 
-const readProblem = async (response: Dispatcher.ResponseData): Promise<string> => {
-	try {
-		const text = await response.body.text();
-		return text.slice(0, 200);
-	} catch {
-		return '';
-	}
-};
+const makeHeaders = (call: EngineCall): Record<string, string> => ({
+	'content-type': 'application/json',
+	accept: 'text/event-stream',
+	'x-request-id': call.requestId,
+	...(call.traceparent === undefined ? {} : {traceparent: call.traceparent}),
+});
 
 /** Status of a refusal that a different engine may not share. */
 export class EngineRefusal extends Error {
@@ -81,200 +73,184 @@
 	}
 }
 
-const openStream = async (call: EngineCall, connections: BackendConnections): Promise<Dispatcher.ResponseData> => {
-	const headers: Record<string, string> = {
-		'content-type': 'application/json',
-		accept: 'text/event-stream',
-		'x-request-id': call.requestId,
-	};
-	if (call.traceparent !== undefined) {
-		headers.traceparent = call.traceparent;
-	}
+type ChunkReader = {
+	/** Gives what the bytes complete; throws ServingError when they are no stream of this answer. */
+	readonly read: (bytes: Uint8Array) => StreamBatch;
+};
 
-	const response = await connections.shared.request({
-		origin: `http://${call.address}`,
-		method: 'POST',
-		path: '/v1/chat/completions',
-		headers,
-		body: makeBody(call),
-		signal: call.signal,
+const makeChunkReader = (start: StreamPosition): ChunkReader => {
+	const collector = makeChunkCollector(start);
+	const decoder = new StringDecoder('utf8');
+	let sinceEvent = 0;
+	const parser = createParser({
+		onEvent(event) {
+			sinceEvent = 0;
+			collector.push(event);
+		},
+		onError(error) {
+			// Fields that SSE does not know are passed over, as its specification says.
+			if (error.type !== 'unknown-field') {
+				throw makeInvalidAnswer(`the engine sent broken SSE: ${error.message}`);
+			}
+		},
 	});
-	const echoed = response.headers['x-request-id'];
-	if (echoed !== undefined && echoed !== call.requestId) {
-		response.body.on('error', () => {/* it is left unread */});
-		response.body.destroy();
-		throw new ServingError('the engine answered with the id of a different request', {kind: 'mismatched_answer'});
-	}
-
-	if (response.statusCode !== 200) {
-		throw new EngineRefusal(response.statusCode, await readProblem(response));
-	}
+	return {
+		read(bytes) {
+			sinceEvent += bytes.length;
+			parser.feed(decoder.write(bytes));
+			if (sinceEvent > longestEventCharacters) {
+				throw makeInvalidAnswer('the engine sent an event that does not end');
+			}
 
-	return response;
+			return collector.take();
+		},
+	};
 };
 
-type Collector = {
-	readonly push: (event: EventSourceMessage) => void;
-	readonly take: () => StreamBatch;
+type Settle = {
+	readonly resolve: () => void;
+	readonly reject: (error: Error) => void;
 };
 
-/** Collects the events of one network chunk, so that the caller gets them in one write. */
-const makeCollector = (start: StreamPosition): Collector => {
-	let position = start;
-	const callerId = start.id;
-	let engineId: string | undefined;
-	let text = '';
-	let tokens = 0;
-	let isDone = false;
-
-	const checkId = (id: string): void => {
-		engineId ??= id;
-		if (id !== engineId) {
-			throw new ServingError('the engine mixed the chunks of another stream into this one', {kind: 'mismatched_answer'});
+/** Follows one request at the connection, from its first byte until its answer is whole or given up. */
+const makeStreamHandler = (call: EngineCall, sink: StreamSink, settle: Settle): Dispatcher.DispatchHandler => {
+	const reader = makeChunkReader(call.position);
+	let controller: Dispatcher.DispatchController | undefined;
+	let refusedWith: number | undefined;
+	let refusal = '';
+	let isSettled = false;
+	let endTimer: NodeJS.Timeout | undefined;
+
+	const settleOnce = (act: () => void): void => {
+		if (isSettled) {
+			return;
 		}
+
+		isSettled = true;
+		call.signal.removeEventListener('abort', onAbort);
+		act();
 	};
 
-	const push = ({data}: EventSourceMessage): void => {
-		if (data === '[DONE]') {
-			isDone = true;
-			text += 'data: [DONE]\n\n';
-			return;
+	const fail = (error: Error): void => {
+		settleOnce(() => {
+			settle.reject(error);
+			controller?.abort(error);
+		});
+	};
+
+	const onAbort = (): void => {
+		fail(new BackendCallError('the call was aborted', {cause: call.signal.reason, wasSent: true}));
+	};
+
+	/** The answer is whole; its body has a while to end, so that the connection can be kept. */
+	const finish = (): void => {
+		settleOnce(settle.resolve);
+		endTimer = setTimeout(() => {
+			controller?.abort(new Error('the stream did not end after its end mark'));
+		}, endWithinMs).unref();
+	};
+
+	const waitForRoom = async (): Promise<void> => {
+		controller?.pause();
+		await sink.waitForRoom();
+		controller?.resume();
+	};
+
+	const pass = (batch: StreamBatch): void => {
+		if (batch.text !== '' && !sink.take(batch) && !batch.isDone) {
+			void waitForRoom();
 		}
 
-		let chunk: unknown;
-		try {
-			chunk = JSON.parse(data);
-		} catch {
-			throw invalid('the engine sent an event that is not JSON');
+		if (batch.isDone) {
+			finish();
 		}
+	};
 
-		if (!isChatChunk(chunk)) {
-			throw invalid('the engine sent an event that is no chunk of a chat completion');
+	const readRefusal = (status: number, bytes: Uint8Array): void => {
+		refusal += new TextDecoder().decode(bytes);
+		if (refusal.length >= keptRefusalCharacters) {
+			fail(new EngineRefusal(status, refusal.slice(0, keptRefusalCharacters)));
 		}
+	};
 
-		checkId(chunk.id);
-		const isToken = isTokenChunk(chunk);
-		// A resumed stream opens like a new one; what the caller has seen of that is left out.
-		if (start.hasStarted && tokens === 0 && !isToken && !isFinishChunk(chunk) && position.tokens === start.tokens) {
+	/** The body has ended, which is a fault unless the answer is whole; most are, and an error with its stack is dear. */
+	const noteEnd = (detail: string, cause?: Error): void => {
+		clearTimeout(endTimer);
+		if (isSettled) {
 			return;
 		}
 
-		tokens += isToken ? 1 : 0;
-		const isRenamed = callerId !== undefined && callerId !== chunk.id;
-		text += `data: ${isRenamed ? JSON.stringify({...chunk, id: callerId}) : data}\n\n`;
-		position = {
-			id: callerId ?? chunk.id,
-			tokens: position.tokens + (isToken ? 1 : 0),
-			hasStarted: true,
-			isFinished: position.isFinished || isFinishChunk(chunk),
-		};
+		fail(refusedWith === undefined
+			? new BackendCallError(detail, {cause, wasSent: !isConnectFailure(cause)})
+			: new EngineRefusal(refusedWith, refusal));
 	};
 
+	call.signal.addEventListener('abort', onAbort, {once: true});
 	return {
-		push,
-		take() {
-			const batch = {
-				text, tokens, position, isDone,
-			};
-			text = '';
-			tokens = 0;
-			return batch;
+		onRequestStart(started) {
+			controller = started;
+			if (isSettled) {
+				started.abort(new Error('given up before it was sent'));
+			}
 		},
-	};
-};
+		onResponseStart(_controller, status, headers) {
+			if (status < okStatus) {
+				return;
+			}
 
-const endWithinMs = 1000;
+			const echoed = headers['x-request-id'];
+			if (echoed !== undefined && echoed !== call.requestId) {
+				fail(new ServingError('the engine answered with the id of a different request', {kind: 'mismatched_answer'}));
+				return;
+			}
 
-/** Reads the end of a body after its end mark, so that the connection can be kept; one that does not end is closed. */
-const readRest = async (response: Dispatcher.ResponseData, iterator: AsyncIterator<Uint8Array>): Promise<void> => {
-	const timer = setTimeout(() => {
-		response.body.destroy();
-	}, endWithinMs);
-	try {
-		const next = await iterator.next();
-		if (!next.done) {
-			response.body.destroy();
-		}
-	} catch {
-		response.body.destroy();
-	} finally {
-		clearTimeout(timer);
-	}
+			refusedWith = status === okStatus ? undefined : status;
+		},
+		onResponseData(_controller, bytes) {
+			if (isSettled) {
+				// Nothing comes after the end mark; what does is not of this answer.
+				controller?.abort(new Error('data after the end mark'));
+				return;
+			}
+
+			if (refusedWith !== undefined) {
+				readRefusal(refusedWith, bytes);
+				return;
+			}
+
+			try {
+				pass(reader.read(bytes));
+			} catch (error) {
+				fail(error instanceof Error ? error : makeInvalidAnswer('the stream cannot be read'));
+			}
+		},
+		onResponseEnd() {
+			noteEnd('the stream ended before its end mark');
+		},
+		onResponseError(_controller, error) {
+			noteEnd(error.message, error);
+		},
+	};
 };
 
 /**
- * Streams one answer from one engine, from `position` on.
+ * Streams one answer from one engine into the sink, from `position` on.
  *
  * Throws BackendCallError when the engine cannot be reached or breaks off,
  * EngineRefusal when it refuses, and ServingError when what it sends is broken
  * or belongs to another request; the connection is then closed.
  */
-export async function * streamEngine(call: EngineCall, connections: BackendConnections): AsyncGenerator<StreamBatch, void, void> {
-	let response: Dispatcher.ResponseData;
-	try {
-		response = await openStream(call, connections);
-	} catch (error) {
-		if (error instanceof ServingError || error instanceof EngineRefusal) {
-			throw error;
-		}
-
-		throw new BackendCallError(error instanceof Error ? error.message : 'the call failed', {cause: error, wasSent: !isConnectFailure(error)});
+export const streamEngine = async (call: EngineCall, connections: BackendConnections, sink: StreamSink): Promise<void> => new Promise((resolve, reject) => {
+	if (call.signal.aborted) {
+		reject(new BackendCallError('the call was aborted', {cause: call.signal.reason, wasSent: true}));
+		return;
 	}
 
-	const collector = makeCollector(call.position);
-	const decoder = new StringDecoder('utf8');
-	let sinceEvent = 0;
-	const parser = createParser({
-		onEvent(event) {
-			sinceEvent = 0;
-			collector.push(event);
-		},
-		onError(error) {
-			// Fields that SSE does not know are passed over, as its specification says.
-			if (error.type !== 'unknown-field') {
-				throw invalid(`the engine sent broken SSE: ${error.message}`);
-			}
-		},
-	});
-
-	let isDone = false;
-	const iterator = (response.body as AsyncIterable<Uint8Array>)[Symbol.asyncIterator]();
-	try {
-		while (!isDone) {
-			const next = await iterator.next(); // eslint-disable-line no-await-in-loop -- chunks come one after the other
-			if (next.done) {
-				break;
-			}
-
-			sinceEvent += next.value.length;
-			parser.feed(decoder.write(next.value));
-			if (sinceEvent > longestEventCharacters) {
-				throw invalid('the engine sent an event that does not end');
-			}
-
-			const batch = collector.take();
-			isDone = batch.isDone;
-			if (batch.text !== '') {
-				yield batch;
-			}
-		}
-	} catch (error) {
-		response.body.destroy();
-		if (error instanceof ServingError) {
-			throw error;
-		}
-
-		throw new BackendCallError(error instanceof Error ? error.message : 'the stream broke off', {cause: error, wasSent: true});
-	} finally {
-		response.body.on('error', () => {/* nobody reads it any more */});
-		if (isDone) {
-			void readRest(response, iterator);
-		} else {
-			response.body.destroy();
-		}
-	}
-
-	if (!isDone) {
-		throw new BackendCallError('the stream ended before its end mark', {wasSent: true});
-	}
-}
+	connections.shared.dispatch({
+		origin: `http://${call.address}`,
+		method: 'POST',
+		path: '/v1/chat/completions',
+		headers: makeHeaders(call),
+		body: makeBody(call),
+	}, makeStreamHandler(call, sink, {resolve, reject}));
+});
--- a/packages/callers/src/chat-work.ts
+++ b/packages/callers/src/chat-work.ts
@@ -1,7 +1,7 @@
 /** One chat request: what stays the same over its tries, and what they have come to. */
 import {type Service} from '@shallotpass/common/configuration-schema.js';
 import {type Deadline} from '@shallotpass/common/types.js';
-import {type StreamPosition} from '@shallotpass/backends/engine-stream.js';
+import {type StreamPosition} from '@shallotpass/backends/collect-chunks.js';
 import {type ChatRequest} from '@shallotpass/backends/openai-format.js';
 import {type CallClass, type CallerCall} from './caller-call.js';
 import {type RetryBudgets} from './retry-budgets.js';
--- a/packages/callers/src/pass-answer.ts
+++ b/packages/callers/src/pass-answer.ts
@@ -1,5 +1,6 @@
 /** Passes an engine's answer on to the caller, streamed or whole. */
-import {streamEngine, type StreamBatch} from '@shallotpass/backends/engine-stream.js';
+import {type StreamBatch} from '@shallotpass/backends/collect-chunks.js';
+import {streamEngine} from '@shallotpass/backends/engine-stream.js';
 import {fetchWhole} from '@shallotpass/backends/fetch-whole.js';
 import {getExpectedTokens} from '@shallotpass/backends/openai-format.js';
 import {blockCharacters, estimateTokens} from '@shallotpass/core/routing/hash-prompt.js';
@@ -73,12 +74,12 @@
 };
 
 export const passStream = async (work: ChatWork, progress: Progress, {engine, guard, traceparent, onTokens}: Attempt): Promise<void> => {
-	const {environment, connections, registry} = work.services;
+	const {environment, connections} = work.services;
 	const {clock, metrics} = environment;
 	const startedAt = clock.now();
 	const tokensBefore = progress.position.tokens;
 	progress.firstTokenAt = undefined;
-	const stream = streamEngine({
+	const engineCall = {
 		address: engine.address,
 		body: work.chat,
 		priority: work.callClass.rank,
@@ -86,22 +87,24 @@
 		traceparent,
 		position: progress.position,
 		signal: guard.signal,
-	}, connections);
-	for await (const batch of stream) {
-		guard.refresh();
-		progress.position = batch.position;
-		if (batch.tokens > 0) {
-			noteFirstToken(work, progress, clock.now());
-			metrics.tokens.inc({service: work.serviceId}, batch.tokens);
-			onTokens(progress.position.tokens - tokensBefore);
-		}
+	};
+	await streamEngine(engineCall, connections, {
+		take(batch) {
+			guard.refresh();
+			progress.position = batch.position;
+			if (batch.tokens > 0) {
+				noteFirstToken(work, progress, clock.now());
+				metrics.tokens.inc({service: work.serviceId}, batch.tokens);
+				onTokens(progress.position.tokens - tokensBefore);
+			}
 
-		if (!writeBatch(work, batch)) {
+			return writeBatch(work, batch);
+		},
+		async waitForRoom() {
 			await waitForDrain(work, guard.signal);
 			guard.refresh();
-		}
-	}
-
+		},
+	});
 	learnFrom(work, progress, {engine, startedAt, tokensBefore});
 	work.call.response.end();
 };
--- a/packages/callers/src/plain-call.ts
+++ b/packages/callers/src/plain-call.ts
@@ -83,7 +83,8 @@
 
 export const choosePlainBackend = (work: PlainWork, excluded: ReadonlySet<string>): BackendView | undefined => {
 	const {registry, environment} = work.services;
-	return registry.choose({
+	const hop = work.call.hop.makeChild('routing');
+	const chosen = registry.choose({
 		service: work.serviceId,
 		promptTokens: 0,
 		chain: [],
@@ -92,6 +93,8 @@
 		availabilityZone: environment.settings.instance.availabilityZone,
 		excluded,
 	});
+	hop.end();
+	return chosen;
 };
 
 export const makeNoBackendError = (work: PlainWork, wasTried: boolean): ServingError => new ServingError(
--- a/packages/callers/src/serve-chat.ts
+++ b/packages/callers/src/serve-chat.ts
@@ -3,7 +3,7 @@
 import {type Service} from '@shallotpass/common/configuration-schema.js';
 import {defaultStreamMs} from '@shallotpass/common/constants.js';
 import {addMilliseconds, type Deadline} from '@shallotpass/common/types.js';
-import {startOfStream} from '@shallotpass/backends/engine-stream.js';
+import {startOfStream} from '@shallotpass/backends/collect-chunks.js';
 import {
 	chatRequestSchema,
 	getExpectedTokens,
--- a/packages/callers/src/serve-claimed.ts
+++ b/packages/callers/src/serve-claimed.ts
@@ -214,7 +214,7 @@
 		const delay = Math.min(longestAskAgainMs, firstAskAgainMs * (2 ** tries));
 		/* eslint-disable no-await-in-loop -- asked again until the outcome is there */
 		await waitQuietly(clock, Math.min(work.deadline, clock.now() + delay) as Deadline, work.call.goneSignal);
-		const answer = await claims.lookUp(claim, work.deadline);
+		const answer = await claims.lookUp(claim, work.deadline, work.call.hop);
 		/* eslint-enable no-await-in-loop */
 		if (answer.kind !== 'running' && answer.kind !== 'unavailable') {
 			return answer;
@@ -262,7 +262,7 @@
 const runClaimed = async (work: PlainWork, claim: Claim, body: Uint8Array): Promise<void> => {
 	const hop = work.call.hop.makeChild('claim');
 	const claimBy = Math.min(work.deadline, claim.dispatchBy - dispatchMarginMs) as Deadline;
-	const answer = await work.services.claims.claim(claim, claimBy);
+	const answer = await work.services.claims.claim(claim, claimBy, hop);
 	hop.end();
 	if (answer.kind === 'won') {
 		await runWon(work, claim, answer.fencing, body);
--- a/packages/peers/src/peer-methods.ts
+++ b/packages/peers/src/peer-methods.ts
@@ -72,7 +72,12 @@
 		result: z.object({availabilityZone: z.string(), versions: versionsSchema}),
 	},
 	claim: {
-		parameters: z.object({claim: claimSchema, isNew: z.boolean()}),
+		parameters: z.object({
+			claim: claimSchema,
+			isNew: z.boolean(),
+			/** The asking daemon's span, so that a trace goes on in the peer. */
+			traceparent: z.string().optional(),
+		}),
 		result: verdictSchema,
 	},
 	recordOutcome: {
--- a/packages/tasks/src/claim-service.ts
+++ b/packages/tasks/src/claim-service.ts
@@ -5,6 +5,7 @@
 import {addMilliseconds, type Deadline} from '@shallotpass/common/types.js';
 import {makeKeyName} from '@shallotpass/core/claims/fold-claims.js';
 import {pickClaimStream, pickClaimWriter} from '@shallotpass/core/claims/pick-claim-shard.js';
+import {type Hop} from '@shallotpass/telemetry/tracing.js';
 import {type PeerClient} from '@shallotpass/peers/peer-client.js';
 import {type ClaimAnswer} from '@shallotpass/peers/peer-methods.js';
 import {makeClaimShard, type ClaimShard} from './claim-shard.js';
@@ -13,9 +14,9 @@
 
 export type ClaimService = {
 	/** Claims through whoever can reach the log; `unavailable` proves nothing about the log. */
-	readonly claim: (claim: Claim, deadline: Deadline) => Promise<ClaimAnswer>;
+	readonly claim: (claim: Claim, deadline: Deadline, hop?: Hop) => Promise<ClaimAnswer>;
 	/** Where the key of a claim stands, without claiming. */
-	readonly lookUp: (claim: Claim, deadline: Deadline) => Promise<ClaimAnswer>;
+	readonly lookUp: (claim: Claim, deadline: Deadline, hop?: Hop) => Promise<ClaimAnswer>;
 	/** Records the outcome; tries again until it is in the log or the claim is long over. */
 	readonly recordOutcome: (claim: Claim, outcome: Outcome) => Promise<boolean>;
 	/** Resolves when nothing is left to record. */
@@ -39,6 +40,8 @@
 	/** Whether the key is claimed, or only looked up. */
 	readonly isNew: boolean;
 	readonly deadline: Deadline;
+	/** The hop that a peer's is a part of. */
+	readonly hop: Hop | undefined;
 };
 
 /** Time for the writer to answer before this daemon goes to the log itself. */
@@ -90,7 +93,7 @@
 		return [...new Set([writer, self, ...others])];
 	};
 
-	const askOne = async (id: string, {stream, claim, isNew, deadline}: Question): Promise<ClaimAnswer> => {
+	const askOne = async (id: string, {stream, claim, isNew, deadline, hop}: Question): Promise<ClaimAnswer> => {
 		if (id === membership.getSelf().id) {
 			const shard = getShard(stream);
 			return isNew ? shard.claim(claim) : shard.lookUp(claim);
@@ -101,11 +104,16 @@
 			return {kind: 'unavailable', detail: `${id} has no address`};
 		}
 
+		const peerHop = hop?.makeChild('peer', {peer: id});
+		let failure: unknown;
 		try {
 			const within = Math.min(deadline, clock.now() + writerWithinMs) as Deadline;
-			return await client.ask(address, 'claim', {claim, isNew}, within);
+			return await client.ask(address, 'claim', {claim, isNew, traceparent: peerHop?.getTraceparent()}, within);
 		} catch (error) {
+			failure = error;
 			return {kind: 'unavailable', detail: error instanceof Error ? error.message : `${id} does not answer`};
+		} finally {
+			peerHop?.end(failure);
 		}
 	};
 
@@ -168,14 +176,18 @@
 	};
 
 	return {
-		async claim(claim, deadline) {
+		async claim(claim, deadline, hop) {
 			const startedAt = clock.now();
-			const answer = await ask({claim, isNew: true, deadline});
+			const answer = await ask({
+				claim, isNew: true, deadline, hop,
+			});
 			metrics.claims.inc({verdict: answer.kind});
 			metrics.claimSeconds.observe((clock.now() - startedAt) / 1000);
 			return answer;
 		},
-		lookUp: async (claim, deadline) => ask({claim, isNew: false, deadline}),
+		lookUp: async (claim, deadline, hop) => ask({
+			claim, isNew: false, deadline, hop,
+		}),
 		async recordOutcome(claim, outcome) {
 			const running = record(claim, outcome);
 			recording.add(running);
--- a/scripts/measure/src/local-fleet.ts
+++ b/scripts/measure/src/local-fleet.ts
@@ -50,6 +50,7 @@
 	readonly address?: string;
 	/** Address of a relay before the peers' listener. */
 	readonly announcePeersAs?: string;
+	readonly tracing?: SettingsInput['tracing'];
 };
 
 export const makeSettings = (options: MemberOptions): Settings => settingsSchema.parse({
@@ -69,6 +70,7 @@
 	},
 	adminKey: [{name: 'operator', sha256: hashKey(operatorKey), role: 'administrator'}],
 	limits: options.limits,
+	tracing: options.tracing,
 });
 
 export const startMember = async (options: MemberOptions): Promise<Daemon> =>
