Choose without hashing ids and looking through all engines for a few holders

Change: a view carries the hash of its id; a member whose bound is below the best score is passed over without the logarithm; holders are looked up by id.

--- a/packages/core/src/routing/find-home.ts
+++ b/packages/core/src/routing/find-home.ts
@@ -28,11 +28,10 @@
 	return hash === undefined ? undefined : Number(BigInt.asUintN(32, hash));
 };
 
+const getUniform = (keyHash: number, idHash: number): number => (weighMember(keyHash, idHash) + halfRange + 0.5) / hashRange;
+
 /** Weighted rendezvous hashing: a member owns keys in proportion to its weight. */
-export const scoreMember = (keyHash: number, id: string, weight: number): number => {
-	const uniform = (weighMember(keyHash, id) + halfRange + 0.5) / hashRange;
-	return -weight / Math.log(uniform);
-};
+export const scoreMember = (keyHash: number, idHash: number, weight: number): number => -weight / Math.log(getUniform(keyHash, idHash));
 
 /** Engines own prompts in proportion to their cache, or those with a small one would read theirs again and again. */
 const getWeight = (backend: BackendView): number => Math.max(1, backend.cacheTokens);
@@ -55,8 +54,14 @@
 	let highest = Number.NEGATIVE_INFINITY;
 	for (const backend of candidates) {
 		const weight = getWeight(backend);
+		const uniform = getUniform(key, backend.idHash);
+		// No score is above this, since -ln(u) >= 1 - u; most members are passed over without a logarithm.
+		if (weight / (1 - uniform) <= highest) {
+			continue;
+		}
+
 		const bound = (totalLoad * loadBound * (weight / totalWeight)) + 1;
-		const score = scoreMember(key, backend.id, weight);
+		const score = -weight / Math.log(uniform);
 		if (score > highest && estimateLoad(backend) <= bound) {
 			home = backend;
 			highest = score;
--- a/packages/core/src/routing/policies.ts
+++ b/packages/core/src/routing/policies.ts
@@ -1,5 +1,5 @@
 /** Ways of choosing a backend server. The simple ones are kept as baselines for measurements. */
-import {listCandidates} from './list-candidates.js';
+import {isCandidate, listCandidates} from './list-candidates.js';
 import {
 	findHome, getHomeBlock, getHomeKey, scoreMember,
 } from './find-home.js';
@@ -51,7 +51,7 @@
 	const key = getHomeKey(call.chain);
 	return key === undefined
 		? pickRandom(candidates, random)
-		: pickLowest(candidates, backend => -scoreMember(key, backend.id, 1));
+		: pickLowest(candidates, backend => -scoreMember(key, backend.idHash, 1));
 };
 
 const sampledCandidates = 4;
@@ -73,9 +73,11 @@
 	const homeBlock = getHomeBlock(call.chain);
 	const holders = homeBlock === undefined ? undefined : context.listHolders(homeBlock);
 	if (holders !== undefined) {
-		for (const backend of candidates) {
-			if (holders.has(backend.id)) {
-				considered.add(backend);
+		const isHealthy = (candidates[0]?.avoidUntil ?? 0) <= call.now;
+		for (const id of holders) {
+			const holder = context.findBackend(id);
+			if (holder !== undefined && isCandidate(call, holder) && (holder.avoidUntil <= call.now) === isHealthy) {
+				considered.add(holder);
 			}
 		}
 	}
--- a/packages/core/src/routing/rank-by-rendezvous.ts
+++ b/packages/core/src/routing/rank-by-rendezvous.ts
@@ -15,33 +15,13 @@
 	.toSorted((left, right) => right.weight - left.weight || (left.member < right.member ? -1 : 1))
 	.map(ranked => ranked.member);
 
-const idHashes = new Map<string, number>();
-
-/** Ids whose hash is kept; more than the engines of a region. */
-const mostIdHashes = 20_000;
-
-const getIdHash = (id: string): number => {
-	const known = idHashes.get(id);
-	if (known !== undefined) {
-		return known;
-	}
-
-	if (idHashes.size >= mostIdHashes) {
-		idHashes.clear();
-	}
-
-	const hash = h32(id);
-	idHashes.set(id, hash);
-	return hash;
-};
-
 /** Odd constants of multiplicative hashing. */
 const firstMultiplier = 0x9E_37_79_B1;
 const secondMultiplier = 0x85_EB_CA_77;
 
-/** Weight of a member for a key that is a number already; hashes no text, for choices made at each request. */
-export const weighMember = (keyHash: number, id: string): number => {
-	const mixed = Math.imul(getIdHash(id) + keyHash, firstMultiplier);
+/** Weight of a member for a key, both hashed already, for choices made at each request; a signed 32-bit number. */
+export const weighMember = (keyHash: number, idHash: number): number => {
+	const mixed = Math.imul(idHash + keyHash, firstMultiplier);
 	return Math.imul(mixed, mixed + secondMultiplier);
 };
 
--- a/packages/core/src/routing/routing.test.ts
+++ b/packages/core/src/routing/routing.test.ts
@@ -11,10 +11,11 @@
 import {
 	chooseLeastRequests, chooseLowestCost, choosePrefixAffinity, chooseTwoChoices, makeRoundRobin,
 } from './policies.js';
+import {hashText} from './rank-by-rendezvous.js';
 import {type BackendView, type RoutedCall, type RoutingContext} from './types.js';
 
 const makeBackend = (id: string, change: Partial<BackendView> = {}): BackendView => ({
-	id, address: '', availabilityZone: 'z', machineClass: 'a', services: ['s'], checksFencing: false, isLeaving: false, avoidUntil: 0, running: 0, sentSinceReport: 0, speed: unknownSpeed, pendingTokens: 0, urgent: 0, cacheTokens: 0, limit: 64, price: 0, ...change,
+	id, idHash: hashText(id), address: '', availabilityZone: 'z', machineClass: 'a', services: ['s'], checksFencing: false, isLeaving: false, avoidUntil: 0, running: 0, sentSinceReport: 0, speed: unknownSpeed, pendingTokens: 0, urgent: 0, cacheTokens: 0, limit: 64, price: 0, ...change,
 });
 
 const makeCall = (change: Partial<RoutedCall> = {}): RoutedCall => ({
@@ -24,6 +25,7 @@
 const makeContext = (call: RoutedCall, backends: readonly BackendView[], known = makeKnownPrefixes(100)): RoutingContext => ({
 	call,
 	backends,
+	findBackend: id => backends.find(backend => backend.id === id),
 	countCachedBlocks: (id, chain) => countCachedBlocks(known, id, chain),
 	listHolders: hash => listHolders(known, hash),
 	random: makeRandom(1),
--- a/packages/core/src/routing/types.ts
+++ b/packages/core/src/routing/types.ts
@@ -21,6 +21,8 @@
 
 export type BackendView = {
 	readonly id: string;
+	/** 32-bit hash of the id; made once, because every choice needs it. */
+	readonly idHash: number;
 	readonly address: string;
 	readonly availabilityZone: string;
 	readonly machineClass: string;
@@ -74,6 +76,7 @@
 export type RoutingContext = {
 	readonly call: RoutedCall;
 	readonly backends: readonly BackendView[];
+	readonly findBackend: (id: string) => BackendView | undefined;
 	readonly countCachedBlocks: CountCachedBlocks;
 	/** Backend servers that hold the block, as far as known. */
 	readonly listHolders: (hash: bigint) => ReadonlySet<string> | undefined;
--- a/packages/tasks/src/backend-registry.ts
+++ b/packages/tasks/src/backend-registry.ts
@@ -12,6 +12,7 @@
 } from '@shallotpass/core/routing/known-prefixes.js';
 import {learnSpeed, unknownSpeed, type SpeedSample} from '@shallotpass/core/routing/learn-speed.js';
 import {chooseLowestCost} from '@shallotpass/core/routing/policies.js';
+import {hashText} from '@shallotpass/core/routing/rank-by-rendezvous.js';
 import {
 	type BackendView, type LoadReport, type RoutedCall, type RoutingPolicy,
 } from '@shallotpass/core/routing/types.js';
@@ -142,7 +143,7 @@
 		forgetBackend(prefixes, described.id);
 		const entry: Entry = {
 			view: {
-				...described, price, isLeaving: false, avoidUntil: 0, running: 0, sentSinceReport: 0, speed: unknownSpeed, pendingTokens: 0, urgent: 0, cacheTokens: 0, limit: mostRunning,
+				...described, idHash: hashText(described.id), price, isLeaving: false, avoidUntil: 0, running: 0, sentSinceReport: 0, speed: unknownSpeed, pendingTokens: 0, urgent: 0, cacheTokens: 0, limit: mostRunning,
 			},
 			origin,
 			leavesAt: undefined,
@@ -251,6 +252,7 @@
 			return policy({
 				call,
 				backends: [...entries.values()].map(entry => entry.view),
+				findBackend: id => entries.get(id)?.view,
 				countCachedBlocks: (id, chain) => countCachedBlocks(prefixes, id, chain),
 				listHolders: hash => listHolders(prefixes, hash),
 				random,
--- a/scripts/measure/src/slopes/core-slopes.ts
+++ b/scripts/measure/src/slopes/core-slopes.ts
@@ -19,6 +19,7 @@
 	notePrefix,
 } from '@shallotpass/core/routing/known-prefixes.js';
 import {unknownSpeed} from '@shallotpass/core/routing/learn-speed.js';
+import {hashText} from '@shallotpass/core/routing/rank-by-rendezvous.js';
 import {chooseLowestCost} from '@shallotpass/core/routing/policies.js';
 import {type BackendView} from '@shallotpass/core/routing/types.js';
 import {makeRandom} from '@shallotpass/core/testing/make-random.js';
@@ -29,6 +30,7 @@
 
 const makeBackends = (count: number): BackendView[] => Array.from({length: count}, (_value, index) => ({
 	id: `engine-${index}`,
+	idHash: hashText(`engine-${index}`),
 	address: `10.0.${Math.floor(index / 250)}.${index % 250}:9000`,
 	availabilityZone: `zone-${index % 3}`,
 	machineClass: 'a',
@@ -52,6 +54,7 @@
 /** One routing decision with so many engines, and the prefixes that a daemon knows. */
 const measureRouting = (engines: number, prefixes: number): number => {
 	const backends = makeBackends(engines);
+	const byId = new Map(backends.map(backend => [backend.id, backend]));
 	const random = makeRandom(1);
 	const known = makeKnownPrefixes(20_000);
 	const chains = Array.from({length: prefixes}, (_value, prefix) =>
@@ -74,6 +77,7 @@
 				excluded: new Set(),
 			},
 			backends,
+			findBackend: id => byId.get(id),
 			countCachedBlocks: (id, chain) => countCachedBlocks(known, id, chain),
 			listHolders: hash => listHolders(known, hash),
 			random,
