--- a/packages/tasks/src/claim-shard.ts
+++ b/packages/tasks/src/claim-shard.ts
@@ -152,9 +152,18 @@
 		}
 	};
 
+	/**
+	 * Whether nothing is left to record. The outcome of a claim that did not win its key
+	 * tells nothing; taken for missing, it was recorded again for ten minutes, and a
+	 * daemon that was told to stop waited for that.
+	 */
 	const isKnown = (outcome: Outcome): boolean => {
 		const known = state.keys.get(outcome.key);
-		return known?.claim.id === outcome.claimId && known.outcome !== undefined;
+		if (known?.claim.id === outcome.claimId) {
+			return known.outcome !== undefined;
+		}
+
+		return outcome.kind !== 'not_sent' || state.voided.has(outcome.claimId);
 	};
 
 	const isClaimInLog = (claim: Claim): boolean => {
--- /dev/null
+++ b/tests/src/shard-fixture.ts
@@ -0,0 +1,40 @@
+/** One claim shard on a log in memory and a clock that the test moves. */
+import {type Claim} from '@shallotpass/common/log-records.js';
+import {makeSettings} from '@shallotpass/measure/local-fleet.js';
+import {makeMemoryLog} from '@shallotpass/platform/memory-log.js';
+import {makeClaimShard, type ClaimShard} from '@shallotpass/tasks/claim-shard.js';
+import {makeLogger} from '@shallotpass/telemetry/logger.js';
+import {makeMetrics} from '@shallotpass/telemetry/metrics.js';
+
+export type TestShard = {
+	readonly shard: ClaimShard;
+	readonly advance: (milliseconds: number) => void;
+	readonly makeClaim: (id: string, key: string) => Claim;
+};
+
+export const makeTestShard = (): TestShard => {
+	let now = 1000;
+	const clock = {now: () => now, async waitUntil() {/* no time passes by itself */}};
+	const shard = makeClaimShard({
+		environment: {
+			settings: makeSettings({id: 'entry-1', availabilityZone: 'zone-1', platform: undefined}),
+			clock,
+			random: () => 0.5,
+			metrics: makeMetrics(),
+			makeLogger: task => makeLogger(task, 'entry-1'),
+			signal: new AbortController().signal,
+		},
+		log: makeMemoryLog(clock),
+		stream: 'claims-0',
+		isOwnerGone: () => false,
+	});
+	return {
+		shard,
+		advance(milliseconds) {
+			now += milliseconds;
+		},
+		makeClaim: (id, key) => ({
+			id, account: 'a', service: 's', key, digest: 'd', owner: 'entry-1', ownerEpoch: '1', dispatchBy: now + 2000, answerBy: now + 30_000,
+		}),
+	};
+};
