--- a/packages/callers/src/plain-call.ts
+++ b/packages/callers/src/plain-call.ts
@@ -3,13 +3,13 @@
 import {defaultCallMs} from '@shallotpass/common/constants.js';
 import {ServingError} from '@shallotpass/common/serving-error.js';
 import {addMilliseconds, type Deadline} from '@shallotpass/common/types.js';
-import {type PlainAnswer} from '@shallotpass/backends/call-plain.js';
+import {BackendCallError, type PlainAnswer} from '@shallotpass/backends/call-plain.js';
 import {filterRequestFields, readRawFields, type HttpField} from '@shallotpass/backends/http-fields.js';
 import {type BackendView} from '@shallotpass/core/routing/types.js';
 import {findService, makeServiceId, type AccountInForce} from '@shallotpass/tasks/in-force.js';
+import {type AttemptSignal} from './attempt-signal.js';
 import {
-	isPatient,
-	authenticate, checkService, readClass, readDeadline, type CallClass, type CallerCall,
+	authenticate, checkService, isPatient, readClass, readDeadline, type CallClass, type CallerCall,
 } from './caller-call.js';
 import {type CallerServices} from './services.js';
 
@@ -101,6 +101,37 @@
 	return chosen;
 };
 
+type BackendRun<Result> = {
+	readonly work: PlainWork;
+	readonly backend: BackendView;
+	readonly guard: AttemptSignal;
+	/** Calls the backend server; is given what the next process continues the trace with. */
+	readonly act: (traceparent: string | undefined) => Promise<Result>;
+};
+
+/** One call to one backend server, with all that is kept of it whether it succeeds or not. Throws what `act` throws. */
+export const runAtBackend = async <Result>({work, backend, guard, act}: BackendRun<Result>): Promise<Result> => {
+	const {registry, environment} = work.services;
+	const hop = work.call.hop.makeChild('backend', {backend: backend.id});
+	registry.begin(backend.id);
+	let failure: unknown;
+	try {
+		return await act(hop.getTraceparent());
+	} catch (error) {
+		failure = error;
+		if (error instanceof BackendCallError && guard.getEnd() === undefined) {
+			registry.avoid(backend.id);
+		}
+
+		throw error;
+	} finally {
+		guard.dispose();
+		registry.end(backend.id);
+		hop.end(failure);
+		environment.metrics.attempts.inc({service: work.serviceId, result: failure === undefined ? 'ok' : guard.getEnd() ?? 'failed'});
+	}
+};
+
 export const makeNoBackendError = (work: PlainWork, wasTried: boolean): ServingError => new ServingError(
 	wasTried ? `no backend server of ${work.service.name} could be reached` : `no backend server serves ${work.service.name} now`,
 	{
--- a/packages/callers/src/serve-claimed.ts
+++ b/packages/callers/src/serve-claimed.ts
@@ -18,7 +18,7 @@
 import {makeAttemptSignal} from './attempt-signal.js';
 import {getField} from './caller-call.js';
 import {
-	choosePlainBackend, enterGate, makeAnswerHeaders, makeNoBackendError, type PlainWork,
+	choosePlainBackend, enterGate, makeAnswerHeaders, makeNoBackendError, runAtBackend, type PlainWork,
 } from './plain-call.js';
 import {readCallerBody} from './read-body.js';
 
@@ -99,6 +99,21 @@
 		: {kind: 'answered', answer, ...base};
 };
 
+const readWhole = async (body: AsyncIterable<Uint8Array>) => {
+	const chunks: Uint8Array[] = [];
+	let length = 0;
+	for await (const chunk of body) {
+		length += chunk.length;
+		if (length > longestAnswerBytes) {
+			throw new ServingError('the answer is too large to pass on', {kind: 'invalid_backend_answer', executed: 'yes'});
+		}
+
+		chunks.push(chunk);
+	}
+
+	return Buffer.concat(chunks);
+};
+
 type SendOptions = {
 	readonly work: PlainWork;
 	readonly claim: Claim;
@@ -119,10 +134,7 @@
 	const guard = makeAttemptSignal({
 		goneSignal: undefined, leavingSignal: undefined, deadline: claim.answerBy as Deadline, now: startedAt,
 	});
-	const hop = call.hop.makeChild('backend', {backend: backend.id});
-	registry.begin(backend.id);
-	let failure: unknown;
-	try {
+	const act = async (traceparent: string | undefined): Promise<RecordedAnswer> => {
 		const answer = await callPlain({
 			address: backend.address,
 			method: work.method,
@@ -130,37 +142,19 @@
 			fields: work.fields,
 			body: body.length === 0 ? undefined : body,
 			requestId: call.requestId,
-			traceparent: hop.getTraceparent(),
+			traceparent,
 			fencing,
 			isRepeatable: false,
 			signal: guard.signal,
 		}, connections);
-		const chunks: Uint8Array[] = [];
-		let length = 0;
-		for await (const chunk of answer.body as AsyncIterable<Uint8Array>) {
-			length += chunk.length;
-			if (length > longestAnswerBytes) {
-				throw new ServingError('the answer is too large to pass on', {kind: 'invalid_backend_answer', executed: 'yes'});
-			}
-
-			chunks.push(chunk);
-		}
-
+		const content = await readWhole(answer.body);
 		registry.learn(backend.id, {firstTokenMs: environment.clock.now() - startedAt, uncachedTokens: 0}, []);
-		return {status: answer.status, headers: [...answer.fields], bodyBase64: Buffer.concat(chunks).toString('base64')};
-	} catch (error) {
-		failure = error;
-		if (error instanceof BackendCallError) {
-			registry.avoid(backend.id);
-		}
+		return {status: answer.status, headers: [...answer.fields], bodyBase64: content.toString('base64')};
+	};
 
-		throw error;
-	} finally {
-		guard.dispose();
-		registry.end(backend.id);
-		hop.end(failure);
-		environment.metrics.attempts.inc({service: work.serviceId, result: failure === undefined ? 'ok' : guard.getEnd() ?? 'failed'});
-	}
+	return runAtBackend({
+		work, backend, guard, act,
+	});
 };
 
 /** A failure to connect proves that nothing was sent; anything else may have run. */
--- a/packages/callers/src/serve-repeatable.ts
+++ b/packages/callers/src/serve-repeatable.ts
@@ -6,7 +6,7 @@
 import {type BackendView} from '@shallotpass/core/routing/types.js';
 import {makeAttemptSignal, type AttemptSignal} from './attempt-signal.js';
 import {
-	choosePlainBackend, enterGate, makeNoBackendError, writeAnswerHead, type PlainWork,
+	choosePlainBackend, enterGate, makeNoBackendError, runAtBackend, writeAnswerHead, type PlainWork,
 } from './plain-call.js';
 import {checkBodyLength, readCallerBody} from './read-body.js';
 import {type RetryBudgets} from './retry-budgets.js';
@@ -84,10 +84,7 @@
 	const guard = makeAttemptSignal({
 		goneSignal: call.goneSignal, leavingSignal: undefined, deadline: work.deadline, now: startedAt,
 	});
-	const hop = call.hop.makeChild('backend', {backend: backend.id});
-	registry.begin(backend.id);
-	let failure: unknown;
-	try {
+	const act = async (traceparent: string | undefined): Promise<void> => {
 		const answer = await callPlain({
 			address: backend.address,
 			method: work.method,
@@ -95,24 +92,23 @@
 			fields: work.fields,
 			body: body.content,
 			requestId: call.requestId,
-			traceparent: hop.getTraceparent(),
+			traceparent,
 			isRepeatable: true,
 			signal: guard.signal,
 		}, connections);
 		registry.learn(backend.id, {firstTokenMs: environment.clock.now() - startedAt, uncachedTokens: 0}, []);
 		await passAnswer(work, answer);
+	};
+
+	let failure: unknown;
+	try {
+		await runAtBackend({
+			work, backend, guard, act,
+		});
 	} catch (error) {
 		failure = error;
-		if (error instanceof BackendCallError && guard.getEnd() === undefined) {
-			registry.avoid(backend.id);
-		}
-	} finally {
-		guard.dispose();
-		registry.end(backend.id);
-		hop.end(failure);
 	}
 
-	environment.metrics.attempts.inc({service: work.serviceId, result: failure === undefined ? 'ok' : guard.getEnd() ?? 'failed'});
 	const final = failure === undefined ? undefined : describeFailure(failure, guard);
 	if (final !== undefined) {
 		throw final;
