--- a/packages/callers/src/respond.ts
+++ b/packages/callers/src/respond.ts
@@ -40,6 +40,11 @@
 /** Refusals after which the rest of the request would be read in vain. */
 const mustClose = (kind: ErrorKind): boolean => kind === 'payload_too_large' || kind === 'draining' || kind === 'request_timeout';
 
+const unavailableStatus = 503;
+
+/** A caller that could not even connect tries again after so many seconds; another connection has ended by then, as a rule. */
+const rawRetryAfterSeconds = 1;
+
 /** Refuses on a socket whose request could not be parsed. */
 export const sendRawProblem = (socket: Duplex, kind: ErrorKind, detail: string, requestId: string): void => {
 	if (!socket.writable) {
@@ -55,6 +60,7 @@
 		`Content-Length: ${Buffer.byteLength(text)}`,
 		`X-Request-Id: ${requestId}`,
 		'Connection: close',
+		...(errorAnswers[kind].status === unavailableStatus ? [`Retry-After: ${rawRetryAfterSeconds}`] : []),
 		'',
 		text,
 	].join('\r\n'));
--- a/scripts/measure/src/history/types.ts
+++ b/scripts/measure/src/history/types.ts
@@ -53,6 +53,8 @@
 /** Harm that is no announced reclaim and no planned stop, and may leave an outcome unknown. */
 export type HarmEvent = {
 	readonly what: string;
+	/** The one daemon that it struck, streams included; absent when it was the platform or a network. */
+	readonly daemon?: string;
 	readonly from: number;
 	readonly to: number;
 };
--- a/scripts/measure/src/local-fleet.ts
+++ b/scripts/measure/src/local-fleet.ts
@@ -1,5 +1,6 @@
 /** Stand-ins and daemons together in one process, on free ports of the loopback. */
 import {createHash} from 'node:crypto';
+import {type Clock} from '@shallotpass/common/clock.js';
 import {settingsSchema, type Settings} from '@shallotpass/common/settings-schema.js';
 import {startDaemon, type Daemon} from '@shallotpass/daemon/start-daemon.js';
 import {startCloudStandIn, type CloudStandIn} from '@shallotpass/stand-ins/cloud-stand-in.js';
@@ -51,6 +52,7 @@
 	/** Address of a relay before the peers' listener. */
 	readonly announcePeersAs?: string;
 	readonly tracing?: SettingsInput['tracing'];
+	readonly clock?: Clock;
 };
 
 export const makeSettings = (options: MemberOptions): Settings => settingsSchema.parse({
@@ -74,7 +76,7 @@
 });
 
 export const startMember = async (options: MemberOptions): Promise<Daemon> =>
-	startDaemon({settings: makeSettings(options), announcePeersAs: options.announcePeersAs});
+	startDaemon({settings: makeSettings(options), clock: options.clock, announcePeersAs: options.announcePeersAs});
 
 /** Waits until the condition holds; throws when it has not by then. */
 export const waitFor = async (what: string, condition: () => boolean | Promise<boolean>, withinMs = 15_000): Promise<void> => {
--- a/scripts/measure/src/zoned-fleet.ts
+++ b/scripts/measure/src/zoned-fleet.ts
@@ -1,5 +1,6 @@
 /** Daemons of three availability zones, each zone behind relays that can cut it from the platform and from the others. */
 import {createServer, type AddressInfo} from 'node:net';
+import {type Clock} from '@shallotpass/common/clock.js';
 import {type Daemon} from '@shallotpass/daemon/start-daemon.js';
 import {startRelay, type Relay, type RelayMode} from '@shallotpass/stand-ins/relay.js';
 import {
@@ -31,6 +32,8 @@
 	readonly zones: number;
 	readonly daemonsPerZone: number;
 	readonly limits?: Parameters<typeof startMember>[0]['limits'];
+	/** The clock of a daemon; the system's when left out. */
+	readonly makeClock?: (daemonId: string) => Clock;
 };
 
 /** A port that was free a moment ago; relays must know their target before it listens. */
@@ -78,6 +81,7 @@
 			instancesUrl: toList.url,
 			listenPeers,
 			announcePeersAs: relay.address,
+			clock: options.makeClock?.(`${name}-${index}`),
 		}));
 		/* eslint-enable no-await-in-loop */
 	}
--- a/tests/src/refusals.test.ts
+++ b/tests/src/refusals.test.ts
@@ -2,7 +2,7 @@
 import test from 'node:test';
 import {Agent} from 'undici';
 import {reserve, askStream} from '@shallotpass/measure/caller-client.js';
-import {makeConfigurationText, waitFor} from '@shallotpass/measure/local-fleet.js';
+import {makeConfigurationText, startMember, waitFor} from '@shallotpass/measure/local-fleet.js';
 import {startFleet, type Fleet, type FleetOptions} from './fleet-fixture.js';
 
 type Refusal = {readonly status: number; readonly body: Readonly<Record<string, unknown>>; readonly retryAfter: string | undefined};
@@ -65,6 +65,35 @@
 			return reserveOnce(fleet, 'k');
 		},
 	},
+	{
+		kind: 'connection_limit',
+		limits: {maxConnections: 1},
+		async provoke(fleet) {
+			// One caller's connection is all that the instance takes.
+			const dispatcher = new Agent({connections: 1, pipelining: 1});
+			const {callers} = fleet.daemons[0]!;
+			await reserve({
+				address: callers, key: 'first', body: '{}', dispatcher,
+			});
+			const other = new Agent({connections: 1, pipelining: 1});
+			const refused = await reserve({
+				address: callers, key: 'second', body: '{"refused": true}', dispatcher: other,
+			});
+			await Promise.all([dispatcher.close(), other.close()]);
+			return refused;
+		},
+	},
+	{
+		kind: 'no_configuration',
+		async provoke(fleet) {
+			// An instance starts while the log is away and knows no peer.
+			fleet.platform.log.faults.add({on: 'read', kind: 'refuse'});
+			const lonely = await startMember({id: 'lonely', availabilityZone: 'zone-1', platform: fleet.platform});
+			const refused = await reserve({address: lonely.callers, key: 'k', body: '{"refused": true}'});
+			await lonely.stop();
+			return refused;
+		},
+	},
 	{
 		kind: 'draining',
 		async provoke(fleet) {
