Let each zone start and end its instances under a lease in the log

Cause: instances were listed, priced and drained, but nothing decided how many run; credits were spent on whatever operators had started.

Change: fleet duty of a zone. Leases with fencing numbers and orders are a fold of the stream `fleet`, judged by the log's own time; orders are written first and carried out only when the log shows that they count; starts go by token, ends are closed orders, refusals are shared through the log and backed off. The plan is a pure function of offers, instances, open orders and demand, passed as an argument. A price with `places` turns it on. The cloud has a client and the stand-in lists what runs, and starts one instance for a token also when that has ended. Three daemons of a zone at most look at the stream.

Conclusion: what it costs against fixed fleets is not measured yet; engine orders, the weight store and rollouts are missing.

--- a/apps/daemon/src/open-platform.ts
+++ b/apps/daemon/src/open-platform.ts
@@ -1,7 +1,9 @@
 /** The platform that the settings name, or one in this process's memory. */
+import {type CloudService} from '@shallotpass/common/cloud-service.js';
 import {type Clock} from '@shallotpass/common/clock.js';
 import {type LogService} from '@shallotpass/common/log-service.js';
 import {type Settings} from '@shallotpass/common/settings-schema.js';
+import {makeHttpCloud} from '@shallotpass/platform/http-cloud.js';
 import {makeHttpLog} from '@shallotpass/platform/http-log.js';
 import {makeMemoryLog} from '@shallotpass/platform/memory-log.js';
 import {Agent} from 'undici';
@@ -11,6 +13,7 @@
 	readonly isEmbedded: boolean;
 	readonly instancesUrl: string | undefined;
 	readonly cloudUrl: string | undefined;
+	readonly cloud: CloudService | undefined;
 	readonly dispatcher: Agent;
 	readonly close: () => Promise<void>;
 };
@@ -31,6 +34,7 @@
 		isEmbedded: platform === undefined,
 		instancesUrl: platform?.instances,
 		cloudUrl: platform?.cloud,
+		cloud: platform?.cloud === undefined ? undefined : makeHttpCloud({baseUrl: platform.cloud, dispatcher}),
 		dispatcher,
 		async close() {
 			await Promise.all([dispatcher.destroy(), httpLog?.close()]);
--- a/apps/daemon/src/start-daemon.ts
+++ b/apps/daemon/src/start-daemon.ts
@@ -10,6 +10,7 @@
 import {makeAdmissionGate} from '@shallotpass/callers/admission-gate.js';
 import {startCallerListener} from '@shallotpass/callers/listener.js';
 import {type ConfigurationOffer} from '@shallotpass/core/configuration/types.js';
+import {makePlanFleet} from '@shallotpass/core/fleet/plan-fleet.js';
 import {rankByRendezvous} from '@shallotpass/core/routing/rank-by-rendezvous.js';
 import {makePeerClient} from '@shallotpass/peers/peer-client.js';
 import {splitAddress} from '@shallotpass/peers/peer-connection.js';
@@ -25,9 +26,11 @@
 import {makeLogger} from '@shallotpass/telemetry/logger.js';
 import {makeMetrics} from '@shallotpass/telemetry/metrics.js';
 import {startTracing} from '@shallotpass/telemetry/tracing.js';
+import {defaultFleetTiming, runFleetDuty} from '@shallotpass/tasks/fleet-duty.js';
 import {followPlatform} from './follow-platform.js';
 import {makePeerHandlers} from './make-peer-handlers.js';
 import {makePeerNews, peerTimeoutMs} from './peer-news.js';
+import {listOffers, makeObserveFleet} from './observe-fleet.js';
 import {openPlatform} from './open-platform.js';
 
 export type Daemon = {
@@ -84,6 +87,12 @@
 	return address.includes(':') ? `[${address}]:${port}` : `${address}:${port}`;
 };
 
+/** Places kept over the places that the work needs; a zone that goes takes a third of three. */
+const fleetHeadroom = 1.3;
+
+/** An instance was paid for to start; it stays so long, even when the work goes at once. */
+const leastStayMs = 300_000;
+
 export const startDaemon = async (options: DaemonOptions): Promise<Daemon> => {
 	const {settings, clock = systemClock, random = Math.random} = options;
 	checkRetention(settings);
@@ -265,6 +274,25 @@
 		listZoneMembers,
 	});
 
+	const fleetOptions = {
+		environment,
+		log: platform.log,
+		plan: makePlanFleet({headroom: fleetHeadroom, leastPlaces: 1, leastStayMs}),
+		availabilityZone: settings.instance.availabilityZone,
+		holder: `${settings.instance.id} ${epoch}`,
+		timing: defaultFleetTiming,
+		observe: makeObserveFleet({
+			clock,
+			getInForce: configuration.getInForce,
+			listEngines: () => registry.list().filter(view => view.services.some(serviceId => isModelService(serviceId))),
+			countWaiting: () => gate.countWaiting() * membership.listReachable().length,
+		}),
+	};
+	if (platform.cloud !== undefined) {
+		const hasOffers = (): boolean => listOffers(configuration.getInForce()).length > 0;
+		void runFleetDuty({...fleetOptions, cloud: platform.cloud}, () => !isDraining && hasOffers() && listZoneReaders().includes(settings.instance.id));
+	}
+
 	followPlatform({
 		environment,
 		platform,
--- a/packages/common/src/configuration-schema.ts
+++ b/packages/common/src/configuration-schema.ts
@@ -52,6 +52,7 @@
 	machineClass: z.string().describe('Class of machine'),
 	reclaimable: z.number().nonnegative().describe('Credits an hour'),
 	onDemand: z.number().nonnegative().describe('Credits an hour'),
+	places: z.int().positive().optional().describe('Answers that an instance of the class runs at once within their targets; where it is given, the system starts and ends instances of the class itself'),
 });
 
 const configurationShape = z.strictObject({
--- a/packages/common/src/constants.ts
+++ b/packages/common/src/constants.ts
@@ -3,6 +3,9 @@
 /** Name of the log stream that carries configuration records. */
 export const configurationStream = 'configuration';
 
+/** Name of the log stream that carries the leases of fleet duty and its orders. */
+export const fleetStream = 'fleet';
+
 /**
  * Number of claim streams. A key must map to the same stream on every daemon,
  * else two claims for one key would never meet; so this is no setting.
--- a/packages/common/src/log-records.ts
+++ b/packages/common/src/log-records.ts
@@ -63,6 +63,33 @@
 	claims: z.array(claimSchema),
 });
 
+/** A holder takes or keeps the duty of a zone. */
+export const fleetLeaseRecordSchema = z.object({
+	kind: z.literal('lease'),
+	id: z.string().min(1),
+	availabilityZone: z.string(),
+	holder: z.string(),
+	until: z.number(),
+	/** Of the lease that is kept; absent when it is taken. */
+	fencing: z.int().nonnegative().optional(),
+});
+
+/** What a holder orders and closes; counts only under the lease in force. */
+export const fleetOrderRecordSchema = z.object({
+	kind: z.literal('orders'),
+	id: z.string().min(1),
+	availabilityZone: z.string(),
+	fencing: z.int().nonnegative(),
+	orders: z.array(z.object({token: z.string().min(1), machineClass: z.string(), isReclaimable: z.boolean()})),
+	/** Tokens of orders whose instances are not wanted any more. */
+	closed: z.array(z.string()),
+	/** Offers that the cloud refused, for the holders of other zones to choose without them. */
+	refusals: z.array(z.object({offer: z.string(), times: z.int().positive(), until: z.number()})).default([]),
+});
+
+export const fleetRecordSchema = z.discriminatedUnion('kind', [fleetLeaseRecordSchema, fleetOrderRecordSchema]);
+
+export type FleetRecord = z.output<typeof fleetRecordSchema>;
 export type ConfigurationRecord = z.output<typeof configurationRecordSchema>;
 export type RestatementRecord = z.output<typeof restatementRecordSchema>;
 export type Claim = z.output<typeof claimSchema>;
--- /dev/null
+++ b/packages/core/src/fleet/fleet.test.ts
@@ -0,0 +1,147 @@
+import assert from 'node:assert/strict';
+import test from 'node:test';
+import {type FleetRecord} from '@shallotpass/common/log-records.js';
+import {type LogRecord} from '@shallotpass/common/log-service.js';
+import {type LogOffset} from '@shallotpass/common/types.js';
+import fc from 'fast-check';
+import {foldFleetRecord, longestLeaseMs, makeFleetState} from './fold-fleet.js';
+import {noteRefusal} from './note-refusal.js';
+import {makePlanFleet} from './plan-fleet.js';
+import {foreseeDemand, smoothDemand} from './smooth-demand.js';
+import {type FleetState, type FleetView, type Offer} from './types.js';
+
+const zone = 'zone-1';
+
+const makeLease = (holder: string, until: number, fencing?: number): FleetRecord => ({
+	kind: 'lease', id: 'l', availabilityZone: zone, holder, until, fencing,
+});
+
+const makeOrders = (fencing: number, token: string): FleetRecord => ({
+	kind: 'orders', id: 'o', availabilityZone: zone, fencing, orders: [{token, machineClass: 'a', isReclaimable: true}], closed: [], refusals: [],
+});
+
+const fold = (records: ReadonlyArray<{readonly at: number; readonly record: unknown}>): FleetState => {
+	let state = makeFleetState();
+	for (const [offset, {at, record}] of records.entries()) {
+		const entry: LogRecord = {offset: offset as LogOffset, appendedAt: at, record};
+		state = foldFleetRecord(state, entry);
+		// A record that is read again changes nothing.
+		assert.equal(foldFleetRecord(state, entry), state);
+	}
+
+	return state;
+};
+
+test('a lease is kept by its holder, taken over only past its time by the log, and old orders do not count', () => {
+	const state = fold([
+		{at: 0, record: makeLease('left', 1000)},
+		{at: 500, record: makeLease('right', 2000)},
+		{at: 600, record: makeOrders(0, 'of-left')},
+		{at: 700, record: makeOrders(1, 'of-right')},
+		{at: 800, record: makeLease('left', 1500, 0)},
+		{at: 1600, record: makeLease('right', 3000)},
+		{at: 1700, record: makeOrders(0, 'late-of-left')},
+		{at: 1800, record: 'nothing of ours'},
+	]);
+	assert.deepEqual(state.leases.get(zone), {holder: 'right', until: 3000, fencing: 5});
+	assert.deepEqual([...state.orders.keys()], ['of-left']);
+});
+
+test('a holder whose clock is years ahead has the duty for a minute at most', () => {
+	const state = fold([{at: 0, record: makeLease('left', Number.MAX_SAFE_INTEGER)}]);
+	assert.equal(state.leases.get(zone)!.until, longestLeaseMs);
+});
+
+test('in any order of records no two holders have one fencing number, and it only rises', () => {
+	const record = fc.oneof(
+		fc.record({holder: fc.constantFrom('left', 'right'), until: fc.nat(5000), fencing: fc.option(fc.nat(10), {nil: undefined})}).map(({holder, until, fencing}) => makeLease(holder, until, fencing)),
+		fc.record({fencing: fc.nat(10), token: fc.constantFrom('a', 'b', 'c')}).map(({fencing, token}) => makeOrders(fencing, token)),
+	);
+	fc.assert(fc.property(fc.array(fc.record({passed: fc.nat(1000), record}), {maxLength: 20}), steps => {
+		let state = makeFleetState();
+		let at = 0;
+		const holders = new Map<number, string>();
+		let highest = -1;
+		for (const [offset, step] of steps.entries()) {
+			at += step.passed;
+			state = foldFleetRecord(state, {offset: offset as LogOffset, appendedAt: at, record: step.record});
+			const lease = state.leases.get(zone);
+			if (lease !== undefined) {
+				assert.equal(holders.get(lease.fencing) ?? lease.holder, lease.holder);
+				assert.ok(lease.fencing >= highest);
+				holders.set(lease.fencing, lease.holder);
+				highest = lease.fencing;
+			}
+		}
+	}), {seed: 7});
+});
+
+const offers: readonly Offer[] = [
+	{
+		availabilityZone: 'zone-1', machineClass: 'big', isReclaimable: true, creditsPerHour: 4, places: 40,
+	},
+	{
+		availabilityZone: 'zone-1', machineClass: 'small', isReclaimable: true, creditsPerHour: 1.5, places: 10,
+	},
+	{
+		availabilityZone: 'zone-1', machineClass: 'small', isReclaimable: false, creditsPerHour: 4, places: 10,
+	},
+];
+
+const makeView = (changes: Partial<FleetView>): FleetView => ({
+	now: 0, offers, instances: [], openOrders: [], fixedPlaces: 0, demandPlaces: 0, refusals: [], ...changes,
+});
+
+const plan = makePlanFleet({headroom: 1, leastPlaces: 0, leastStayMs: 0});
+const listClasses = (changes: Partial<FleetView>): string[] => plan(makeView(changes)).starts.map(offer => `${offer.machineClass}${offer.isReclaimable ? '' : ' on demand'}`);
+
+test('many places come from the class that has them cheapest, the last few from one that is not mostly empty', () => {
+	assert.deepEqual(listClasses({demandPlaces: 48}), ['big', 'small']);
+	assert.deepEqual(listClasses({demandPlaces: 5}), ['small']);
+	assert.deepEqual(listClasses({demandPlaces: 48, fixedPlaces: 50}), []);
+});
+
+test('what is refused is left out until its time, and on demand is the last resort', () => {
+	const refusals = ['zone-1 big reclaimable', 'zone-1 small reclaimable'].map(offer => ({offer, times: 1, until: 100}));
+	assert.deepEqual(listClasses({demandPlaces: 5, refusals}), ['small on demand']);
+	assert.deepEqual(listClasses({demandPlaces: 5, refusals, now: 100}), ['small']);
+});
+
+test('however it stands, a plan starts or ends, never both, and leaves the places that are needed', () => {
+	const instance = fc.record({index: fc.nat(2), isLeaving: fc.boolean()});
+	fc.assert(fc.property(fc.array(instance, {maxLength: 12}), fc.nat(200), (items, demandPlaces) => {
+		const instances = items.map(({index, isLeaving}, number) => ({
+			...offers[index]!, id: String(number), token: String(number), startedAt: -1, isLeaving,
+		}));
+		const {starts, ends} = plan(makeView({instances, demandPlaces}));
+		assert.ok(starts.length === 0 || ends.length === 0);
+		const count = (list: ReadonlyArray<{readonly places?: number}>): number => list.reduce((sum, item) => sum + (item.places ?? 0), 0);
+		const left = count(instances.filter(item => !item.isLeaving && !ends.some(end => end.id === item.id))) + count(starts);
+		assert.ok(left >= demandPlaces, `${left} of ${demandPlaces}`);
+	}), {seed: 7});
+});
+
+test('refusals are asked for again later and later, and forgotten after a long quiet time', () => {
+	const offer = offers[0]!;
+	const first = noteRefusal({
+		known: undefined, offer, now: 0, firstWaitMs: 100, random: () => 0.5,
+	});
+	const second = noteRefusal({
+		known: first, offer, now: 100, firstWaitMs: 100, random: () => 0.5,
+	});
+	const later = noteRefusal({
+		known: second, offer, now: 100_000, firstWaitMs: 100, random: () => 0.5,
+	});
+	assert.deepEqual([first.until, second.until, later.times], [100, 300, 1]);
+});
+
+test('the demand rises at once, falls slowly, and is foreseen when it rises', () => {
+	const options = {fallMs: 1000, slopeMs: 100};
+	const low = smoothDemand(undefined, 10, 0, options);
+	const high = smoothDemand(low, 50, 100, options);
+	const falling = smoothDemand(high, 10, 200, options);
+	assert.equal(high.level, 50);
+	assert.ok(falling.level > 40 && falling.level < 50);
+	assert.ok(foreseeDemand(high, 100) > 50);
+	assert.equal(foreseeDemand(smoothDemand(falling, 10, 5000, options), 1000) <= 12, true);
+});
--- a/packages/stand-ins/src/cloud-stand-in.ts
+++ b/packages/stand-ins/src/cloud-stand-in.ts
@@ -16,23 +16,31 @@
 	reclaimable: z.boolean(),
 });
 
-export type StartedInstance = z.output<typeof startSchema> & {readonly id: string};
+export type StartedInstance = z.output<typeof startSchema> & {
+	readonly id: string;
+	readonly startedAt: number;
+	readonly leavesAt?: number;
+};
 
 export type CloudStandIn = StandInServer & {
 	readonly faults: FaultTable;
 	/** Gives notice that an instance is taken away at `leavesAt`. */
 	readonly giveNotice: (instanceId: string, leavesAt: number) => void;
 	readonly listStarted: () => StartedInstance[];
+	/** Every instance that was ever started, also those that have ended. */
+	readonly countEverStarted: () => number;
 };
 
 const pollEveryMs = 20;
 const longestWaitMs = 30_000;
 
-/** Operations for faults: `start`, `end`, `offers`, `notices`. */
+/** Operations for faults: `start`, `end`, `list`, `offers`, `notices`. */
 export const startCloudStandIn = async (port = 0): Promise<CloudStandIn> => {
 	const faults = makeFaultTable();
 	const notices: Array<{instanceId: string; leavesAt: number}> = [];
 	const started = new Map<string, StartedInstance>();
+	/** A token starts one instance, also when that has ended. */
+	const everStarted = new Map<string, StartedInstance>();
 
 	const start = (body: unknown): JsonReply => {
 		const parsed = startSchema.safeParse(body);
@@ -40,10 +48,15 @@
 			return {status: 400, body: {error: 'token, availabilityZone, machineClass and reclaimable are needed'}};
 		}
 
-		const known = started.get(parsed.data.token);
-		const instance = known ?? {...parsed.data, id: `started-${started.size + 1}`};
-		started.set(parsed.data.token, instance);
-		return {status: known === undefined ? 201 : 200, body: instance};
+		const known = everStarted.get(parsed.data.token);
+		if (known !== undefined) {
+			return {status: 200, body: {...known, endedAt: started.has(known.token) ? undefined : known.startedAt}};
+		}
+
+		const instance = {...parsed.data, id: `started-${everStarted.size + 1}`, startedAt: Date.now()};
+		started.set(instance.token, instance);
+		everStarted.set(instance.token, instance);
+		return {status: 201, body: instance};
 	};
 
 	const end = (id: string): JsonReply => {
@@ -87,6 +100,14 @@
 			return;
 		}
 
+		if (url.pathname === '/instances') {
+			await answerWithFaults(response, faults, 'list', () => ({
+				status: 200,
+				body: {instances: [...started.values()].map(instance => ({...instance, leavesAt: notices.find(notice => notice.instanceId === instance.id)?.leavesAt}))},
+			}));
+			return;
+		}
+
 		await answerWithFaults(response, faults, 'offers', () => ({status: url.pathname === '/offers' ? 200 : 404, body: {offers: []}}));
 	}, port);
 	return {
@@ -96,5 +117,6 @@
 			notices.push({instanceId, leavesAt});
 		},
 		listStarted: () => [...started.values()],
+		countEverStarted: () => everStarted.size,
 	};
 };
--- a/packages/telemetry/src/metrics.ts
+++ b/packages/telemetry/src/metrics.ts
@@ -45,6 +45,9 @@
 	peerRefusals: counter('peer_refusals_total', 'Peer connections refused'),
 	backends: gauge('backends', 'Backend servers by state', ['state']),
 	suspects: gauge('suspect_requests', 'Requests suspected of ending backend servers'),
+	fleetHolder: gauge('fleet_holder', 'Whether this daemon has the fleet duty of its availability zone, 0 or 1'),
+	fleetStarts: counter('fleet_starts_total', 'Starts asked of the cloud by what it said', ['reply']),
+	fleetPlaces: gauge('fleet_places', 'Places that the work needs and that run, as the holder of the duty sees them', ['what']),
 } as const satisfies Record<string, MetricDescription>;
 
 /** Buckets in seconds, from half a millisecond to five minutes. */
@@ -72,6 +75,9 @@
 	readonly peerRefusals: Counter;
 	readonly backends: Gauge;
 	readonly suspects: Gauge;
+	readonly fleetHolder: Gauge;
+	readonly fleetStarts: Counter;
+	readonly fleetPlaces: Gauge;
 };
 
 const makeMetric = (description: MetricDescription, registry: Registry): Counter | Gauge | Histogram => {
