--- a/apps/daemon/src/make-peer-handlers.ts
+++ b/apps/daemon/src/make-peer-handlers.ts
@@ -1,5 +1,6 @@
 /** What this daemon answers its peers, each method passed to the task that owns the matter. */
 import {type PeerHandlers} from '@shallotpass/peers/peer-methods.js';
+import {type BackendRegistry} from '@shallotpass/tasks/backend-registry.js';
 import {type ClaimService} from '@shallotpass/tasks/claim-service.js';
 import {type ConfigurationTask} from '@shallotpass/tasks/configuration-task.js';
 import {type Environment} from '@shallotpass/tasks/environment.js';
@@ -13,10 +14,11 @@
 	readonly membership: MembershipTask;
 	readonly claims: ClaimService;
 	readonly suspects: SuspectBook;
+	readonly registry: BackendRegistry;
 	readonly tracing: Tracing;
 };
 
-export const makePeerHandlers = ({environment, configuration, membership, claims, suspects, tracing}: HandlerTasks): PeerHandlers => ({
+export const makePeerHandlers = ({environment, configuration, membership, claims, suspects, registry, tracing}: HandlerTasks): PeerHandlers => ({
 	probe: (parameters, from) => membership.answerProbe(parameters, from),
 	probeFor: async ({id}) => membership.answerProbeFor(id),
 	offer() {
@@ -36,6 +38,10 @@
 		}
 	},
 	recordOutcome: async ({keyName, outcome}) => ({isRecorded: await claims.recordForPeer(keyName, outcome)}),
+	leaving({backendId, leavesAt}) {
+		registry.noteLeaving(backendId, leavesAt);
+		return {};
+	},
 	suspects(parameters) {
 		suspects.merge(parameters.suspects, parameters.lifted);
 		return {};
--- a/apps/daemon/src/observe-fleet.ts
+++ b/apps/daemon/src/observe-fleet.ts
@@ -15,10 +15,10 @@
 	readonly countWaiting: () => number;
 };
 
-const smoothing = {fallMs: 300_000, slopeMs: 60_000};
+const smoothing = {fallMs: 3_600_000, slopeMs: 240_000};
 
 /** From an order to an engine that has its model loaded; a start that takes longer finds the rise not covered for the difference. */
-const startMs = 90_000;
+const startMs = 240_000;
 
 export const listOffers = (inForce: InForce): Offer[] => [...inForce.teams.values()]
 	.flatMap(({configuration}) => configuration.price)
--- a/apps/daemon/src/peer-news.ts
+++ b/apps/daemon/src/peer-news.ts
@@ -4,6 +4,7 @@
 import {type Member} from '@shallotpass/core/membership/types.js';
 import {type Suspect} from '@shallotpass/core/retries/suspects.js';
 import {type PeerClient} from '@shallotpass/peers/peer-client.js';
+import {type PeerParameters} from '@shallotpass/peers/peer-methods.js';
 import {type Environment} from '@shallotpass/tasks/environment.js';
 import {type MembershipTask} from '@shallotpass/tasks/membership-task.js';
 
@@ -24,6 +25,7 @@
 	/** Tells a few peers which versions are in force here; what they have is handed to `takeVersions`. */
 	readonly spreadVersions: (takeVersions: (versions: PeerVersions) => void) => Promise<void>;
 	readonly tellSuspects: (suspects: readonly Suspect[], lifted: readonly string[]) => Promise<void>;
+	readonly tellLeaving: (backendId: string, leavesAt: number) => Promise<void>;
 	/** What each peer has in force; `versions` is missing where one does not answer. */
 	readonly askStatuses: () => Promise<PeerStatus[]>;
 };
@@ -57,13 +59,15 @@
 		}
 	};
 
-	const tellSuspectsTo = async (address: string, suspects: readonly Suspect[], lifted: readonly string[]): Promise<void> => {
-		try {
-			const parameters = {suspects: suspects.map(suspect => ({...suspect, deaths: [...suspect.deaths]})), lifted: [...lifted]};
-			await client.ask(address, 'suspects', parameters, getDeadline());
-		} catch (error) {
-			logger.debug('suspects_not_told', {address, error});
-		}
+	/** Tells each peer once; one that does not answer learns it in another way, or later. */
+	const tellAll = async <Method extends 'suspects' | 'leaving'>(method: Method, parameters: PeerParameters<Method>): Promise<void> => {
+		await Promise.all(membership.listPeers().map(async ({address}) => {
+			try {
+				await client.ask(address, method, parameters, getDeadline());
+			} catch (error) {
+				logger.debug('peer_not_told', {method, address, error});
+			}
+		}));
 	};
 
 	const askStatus = async ({id, availabilityZone, address}: Member): Promise<PeerStatus> => {
@@ -80,9 +84,8 @@
 		async spreadVersions(takeVersions) {
 			await Promise.all(pickPeers(spreadCount).map(async member => tellVersions(member.address, takeVersions)));
 		},
-		async tellSuspects(suspects, lifted) {
-			await Promise.all(membership.listPeers().map(async member => tellSuspectsTo(member.address, suspects, lifted)));
-		},
+		tellSuspects: async (suspects, lifted) => tellAll('suspects', {suspects: suspects.map(suspect => ({...suspect, deaths: [...suspect.deaths]})), lifted: [...lifted]}),
+		tellLeaving: async (backendId, leavesAt) => tellAll('leaving', {backendId, leavesAt}),
 		askStatuses: async () => Promise.all(membership.listPeers().map(async member => askStatus(member))),
 	};
 };
--- a/apps/daemon/src/start-daemon.ts
+++ b/apps/daemon/src/start-daemon.ts
@@ -4,7 +4,7 @@
 import {configurationStream, keyMemoryMs} from '@shallotpass/common/constants.js';
 import {type ConfigurationRecord} from '@shallotpass/common/log-records.js';
 import {type Settings} from '@shallotpass/common/settings-schema.js';
-import {addMilliseconds, noConfigurationVersion} from '@shallotpass/common/types.js';
+import {addMilliseconds, type Deadline, noConfigurationVersion} from '@shallotpass/common/types.js';
 import {startAdminListener} from '@shallotpass/admin/listener.js';
 import {makeBackendConnections} from '@shallotpass/backends/backend-connections.js';
 import {makeAdmissionGate} from '@shallotpass/callers/admission-gate.js';
@@ -87,11 +87,10 @@
 	return address.includes(':') ? `[${address}]:${port}` : `${address}:${port}`;
 };
 
-/** Places kept over the places that the work needs; a zone that goes takes a third of three. */
-const fleetHeadroom = 1.3;
-
-/** An instance was paid for to start; it stays so long, even when the work goes at once. */
-const leastStayMs = 300_000;
+/** As measured on two deployments (docs/design/fleet.md); an instance stays an hour at least, for its cache is worth more than a short rest. */
+const fleetPlan = {
+	headroom: 1.3, chance: 6, leastPlaces: 1, leastStayMs: 3_600_000,
+};
 
 export const startDaemon = async (options: DaemonOptions): Promise<Daemon> => {
 	const {settings, clock = systemClock, random = Math.random} = options;
@@ -190,7 +189,7 @@
 		selfId: settings.instance.id,
 		keys: settings.peers.keys,
 		handlers: makePeerHandlers({
-			environment, configuration, membership, claims, suspects, tracing,
+			environment, configuration, membership, claims, suspects, registry, tracing,
 		}),
 		onRefused(reason, remote) {
 			metrics.peerRefusals.inc();
@@ -277,10 +276,14 @@
 	const fleetOptions = {
 		environment,
 		log: platform.log,
-		plan: makePlanFleet({headroom: fleetHeadroom, leastPlaces: 1, leastStayMs}),
+		plan: makePlanFleet(fleetPlan),
 		availabilityZone: settings.instance.availabilityZone,
 		holder: `${settings.instance.id} ${epoch}`,
 		timing: defaultFleetTiming,
+		announceEnd(instanceId: string, leavesAt: Deadline) {
+			registry.noteLeaving(instanceId, leavesAt);
+			void peerNews.tellLeaving(instanceId, leavesAt);
+		},
 		observe: makeObserveFleet({
 			clock,
 			getInForce: configuration.getInForce,
--- a/packages/core/src/fleet/fleet.test.ts
+++ b/packages/core/src/fleet/fleet.test.ts
@@ -92,7 +92,9 @@
 	now: 0, offers, instances: [], openOrders: [], fixedPlaces: 0, demandPlaces: 0, refusals: [], ...changes,
 });
 
-const plan = makePlanFleet({headroom: 1, leastPlaces: 0, leastStayMs: 0});
+const plan = makePlanFleet({
+	headroom: 1, chance: 0, leastPlaces: 0, leastStayMs: 0,
+});
 const listClasses = (changes: Partial<FleetView>): string[] => plan(makeView(changes)).starts.map(offer => `${offer.machineClass}${offer.isReclaimable ? '' : ' on demand'}`);
 
 test('many places come from the class that has them cheapest, the last few from one that is not mostly empty', () => {
--- a/packages/core/src/fleet/plan-fleet.ts
+++ b/packages/core/src/fleet/plan-fleet.ts
@@ -6,6 +6,8 @@
 export type PlanOptions = {
 	/** Places kept over the places needed, as a factor. */
 	readonly headroom: number;
+	/** Places kept for chance, times the square root of the places needed: a small fleet needs a larger part to spare than a large one. */
+	readonly chance: number;
 	/** Places that stay whatever the demand. */
 	readonly leastPlaces: number;
 	/** Ends nothing that was started later than this long ago, in milliseconds: its start was paid for. */
@@ -116,7 +118,7 @@
 };
 
 export const makePlanFleet = (options: PlanOptions): PlanFleet => (view): FleetPlan => {
-	const goal = Math.max(options.leastPlaces, view.demandPlaces * options.headroom);
+	const goal = Math.max(options.leastPlaces, (view.demandPlaces * options.headroom) + (options.chance * Math.sqrt(view.demandPlaces)));
 	const standing = [...view.instances.filter(instance => !instance.isLeaving), ...view.openOrders].map(item => makeStanding(view.offers, item));
 	const have = view.fixedPlaces + sumPlaces(standing);
 	const refused = new Set(view.refusals.filter(refusal => refusal.until > view.now).map(refusal => refusal.offer));
--- a/packages/peers/src/peer-methods.ts
+++ b/packages/peers/src/peer-methods.ts
@@ -85,6 +85,11 @@
 		parameters: z.object({keyName: z.string(), outcome: outcomeSchema}),
 		result: z.object({isRecorded: z.boolean()}),
 	},
+	/** A backend server is about to be ended by the holder of its zone's fleet duty. */
+	leaving: {
+		parameters: z.object({backendId: z.string(), leavesAt: z.number()}),
+		result: z.object({}),
+	},
 	suspects: {
 		parameters: z.object({suspects: z.array(suspectSchema), lifted: z.array(z.string()).default([])}),
 		result: z.object({}),
--- a/packages/tasks/src/fleet-duty.ts
+++ b/packages/tasks/src/fleet-duty.ts
@@ -11,7 +11,7 @@
 import {fleetStream} from '@shallotpass/common/constants.js';
 import {type FleetRecord} from '@shallotpass/common/log-records.js';
 import {type LogService} from '@shallotpass/common/log-service.js';
-import {addMilliseconds, type LogOffset} from '@shallotpass/common/types.js';
+import {addMilliseconds, type Deadline, type LogOffset} from '@shallotpass/common/types.js';
 import {foldFleetRecord, isLeaseFree, makeFleetState} from '@shallotpass/core/fleet/fold-fleet.js';
 import {noteRefusal} from '@shallotpass/core/fleet/note-refusal.js';
 import {
@@ -32,6 +32,8 @@
 	/** An instance that was started and has not shown on the cloud's list for so long is gone. */
 	readonly shownWithinMs: number;
 	readonly firstRefusalWaitMs: number;
+	/** From the announcement of an end to the end. */
+	readonly drainMs: number;
 };
 
 export type FleetDutyOptions = {
@@ -45,6 +47,8 @@
 	/** Is given what the cloud says runs, to tell it from backend servers of other origin. */
 	readonly observe: (instances: readonly CloudInstance[]) => FleetDemand;
 	readonly timing: FleetTiming;
+	/** Tells all daemons that nothing new may go to a backend server, and when it ends; what it runs is finished or moved by then. */
+	readonly announceEnd: (instanceId: string, leavesAt: Deadline) => void;
 };
 
 export type FleetDuty = {
@@ -58,17 +62,19 @@
 const readLimit = 500;
 
 export const defaultFleetTiming: FleetTiming = {
-	roundEveryMs: 2000, leaseMs: 15_000, shownWithinMs: 60_000, firstRefusalWaitMs: 10_000,
+	roundEveryMs: 2000, leaseMs: 15_000, shownWithinMs: 60_000, firstRefusalWaitMs: 10_000, drainMs: 30_000,
 };
 
 export const makeFleetDuty = (options: FleetDutyOptions): FleetDuty => {
-	const {environment, log, cloud, plan, availabilityZone, holder, observe, timing} = options;
+	const {environment, log, cloud, plan, availabilityZone, holder, observe, timing, announceEnd} = options;
 	const {clock, signal, random} = environment;
 	const logger = environment.makeLogger('fleet');
 	/** When the cloud said that it started the instance of a token. */
 	const startedAt = new Map<string, number>();
 	/** Tokens whose instance was on the cloud's list. */
 	const shown = new Set<string>();
+	/** When instances that were announced to end do so. A holder that takes over announces them again. */
+	const endsAt = new Map<string, Deadline>();
 	let state = makeFleetState();
 
 	const readToEnd = async (): Promise<void> => {
@@ -192,6 +198,18 @@
 	const carryOutEnds = async (instances: readonly CloudInstance[]): Promise<void> => {
 		const unwanted = instances.filter(instance => instance.availabilityZone === availabilityZone && state.orders.get(instance.token)?.isClosed === true);
 		await Promise.all(unwanted.map(async ({id}) => {
+			const known = endsAt.get(id);
+			if (known === undefined) {
+				const at = addMilliseconds(clock.now(), timing.drainMs);
+				endsAt.set(id, at);
+				announceEnd(id, at);
+				return;
+			}
+
+			if (clock.now() < known) {
+				return;
+			}
+
 			try {
 				await cloud.end(id, signal);
 			} catch (error) {
--- /dev/null
+++ b/scripts/measure/src/fleet-experiment.ts
@@ -0,0 +1,61 @@
+/** What a day of demand costs with ways of sizing the fleet, on the same requests and the same reclaims. */
+import {z} from 'zod';
+import {runDays} from './fleet/day-thread.js';
+import {fleetPolicies} from './fleet/fleet-policies.js';
+import {type DayPlan, type DaySummary} from './fleet/run-day.js';
+import {round} from './latencies.js';
+import {type Experiment, type Report} from './experiment.js';
+import {readDeployment} from './routing/read-deployment.js';
+
+const schema = z.strictObject({
+	experiment: z.literal('fleet'),
+	seed: z.int(),
+	peakLoad: z.number().positive(),
+	waves: z.array(z.number().nonnegative()),
+	day: z.array(z.strictObject({deployment: z.string(), shape: z.array(z.number().min(0).max(1)).min(2)})).min(1),
+});
+
+type Options = z.output<typeof schema>;
+
+const describe = (name: string, days: readonly DaySummary[]): string => [
+	name,
+	...days.map(day => `  ${day.policy.padEnd(18)} credits ${day.credits}, per 1000 within target ${day.creditsPerThousand}, within ${day.withinTarget} (${day.classes.map(item => `${item.class} ${item.withinTarget}`).join(', ')}), asked ${day.asked}, refused ${day.refused}, instances ${day.instances}, never used ${day.neverUsed}, start calls ${day.startCalls}`),
+].join('\n');
+
+/** The part of a class's answers that its latency target asks for. */
+const shareAsked = 0.95;
+
+const keepsTargets = (day: DaySummary): boolean => day.classes.every(item => item.withinTarget >= shareAsked);
+
+/** The own way's price of a thousand answers over that of the cheapest baseline among those given. */
+const compare = (own: DaySummary, baselines: readonly DaySummary[]): number | undefined =>
+	baselines.length === 0 ? undefined : round(own.creditsPerThousand / Math.min(...baselines.map(day => day.creditsPerThousand)), 3);
+
+const isBaseline = (day: DaySummary): boolean => fleetPolicies.find(policy => policy.name === day.policy)!.isBaseline;
+
+const run = async (options: Options, tell: (line: string) => void): Promise<Report> => {
+	const plans = options.day.flatMap(({deployment, shape}) => fleetPolicies.map(({name}): DayPlan => ({
+		deployment: readDeployment(deployment), policy: name, seed: options.seed, peakLoad: options.peakLoad, shape, waves: options.waves,
+	})));
+	const summaries = await runDays(plans);
+	const ratios = options.day.map(({deployment}, index) => {
+		const days = summaries.slice(index * fleetPolicies.length, (index + 1) * fleetPolicies.length);
+		tell(describe(deployment, days));
+		const own = days.find(day => !isBaseline(day))!;
+		const baselines = days.filter(day => isBaseline(day));
+		return {
+			deployment,
+			keepsTargets: keepsTargets(own),
+			withinTarget: own.withinTarget,
+			neverUsed: own.neverUsed,
+			creditsToKeepingTargets: compare(own, baselines.filter(day => keepsTargets(day))),
+			creditsToEqualShare: compare(own, baselines.filter(day => day.withinTarget >= own.withinTarget)),
+			creditsToCheapest: compare(own, baselines),
+		};
+	});
+	return {
+		experiment: 'fleet', seed: options.seed, ratios, unanswered: summaries.reduce((sum, day) => sum + day.unanswered, 0), days: summaries,
+	};
+};
+
+export const fleetExperiment: Experiment<typeof schema> = {name: 'fleet', schema, run};
--- a/scripts/measure/src/routing-experiment.ts
+++ b/scripts/measure/src/routing-experiment.ts
@@ -1,11 +1,9 @@
 /** Compares ways of choosing an engine on the users' deployments, in the same run and on the same requests. */
-import {readFileSync} from 'node:fs';
-import {fileURLToPath} from 'node:url';
-import {formatMistake, readToml} from '@shallotpass/common/toml-file.js';
 import {z} from 'zod';
 import {round} from './latencies.js';
-import {computeCapacity, deploymentSchema, type Deployment} from './routing/deployment.js';
+import {computeCapacity} from './routing/deployment.js';
 import {comparedPolicies} from './routing/policy-table.js';
+import {readDeployment} from './routing/read-deployment.js';
 import {runInThreads, type ThreadJob} from './routing/run-in-threads.js';
 import {type RunSummary} from './routing/summarize-run.js';
 import {type Experiment, type Report} from './experiment.js';
@@ -25,16 +23,6 @@
 
 type Options = z.output<typeof schema>;
 
-const readDeployment = (name: string): Deployment => {
-	const file = fileURLToPath(new URL(`../experiments/deployments/${name}.toml`, import.meta.url));
-	const reading = readToml(readFileSync(file, 'utf8'), deploymentSchema);
-	if (reading.kind === 'mistakes') {
-		throw new Error(reading.mistakes.map(mistake => formatMistake(file, mistake)).join('\n'));
-	}
-
-	return reading.value;
-};
-
 type Point = {
 	readonly deployment: string;
 	readonly load: number;
--- a/scripts/measure/src/routing/deployment.ts
+++ b/scripts/measure/src/routing/deployment.ts
@@ -93,30 +93,40 @@
 	return {readTokens: readTokens / parts, answerTokens: answerTokens / parts};
 };
 
+type BestBatch = {readonly perSecond: number; readonly running: number};
+
 /**
  * Requests a second that one engine carries while its tokens keep their interval.
  * With n sequences a step takes s(n); the part of the time left for reading is
  * 1 - s(n) / interval, and n tokens come in each interval. The best n counts.
  */
-const computeEngineRate = ({stepMs, sequenceMs, prefillTokenMs, mostRunning}: Machine, {readTokens, answerTokens}: MeanRequest, intervalMs: number): number => {
-	let best = 0;
+const findBestBatch = ({stepMs, sequenceMs, prefillTokenMs, mostRunning}: Machine, {readTokens, answerTokens}: MeanRequest, intervalMs: number): BestBatch => {
+	let best: BestBatch = {perSecond: 0, running: 1};
 	for (let running = 1; running <= mostRunning; running++) {
 		const readingPart = 1 - ((stepMs + (running * sequenceMs)) / intervalMs);
 		const byReading = readingPart * 1000 / (readTokens * prefillTokenMs);
 		const byAnswering = running * 1000 / intervalMs / answerTokens;
-		best = Math.max(best, Math.min(byReading, byAnswering));
+		const perSecond = Math.min(byReading, byAnswering);
+		best = perSecond > best.perSecond ? {perSecond, running} : best;
 	}
 
 	return best;
 };
 
+const getStrictestInterval = (deployment: Deployment): number =>
+	Math.min(...deployment.class.map(item => item.betweenTokensMs ?? Number.POSITIVE_INFINITY));
+
+/** Answers that a machine runs at once when it carries most within the strictest interval: what operators would put down as its places. */
+export const computePlaces = (deployment: Deployment, machine: Machine): number =>
+	findBestBatch(machine, computeMeanRequest(deployment), getStrictestInterval(deployment)).running;
+
 /** Chat requests a second that the engines carry together within the strictest interval between tokens: a load of 1. */
 export const computeCapacity = (deployment: Deployment): number => {
-	const intervalMs = Math.min(...deployment.class.map(item => item.betweenTokensMs ?? Number.POSITIVE_INFINITY));
 	const request = computeMeanRequest(deployment);
+	const intervalMs = getStrictestInterval(deployment);
 	let capacity = 0;
 	for (const {machine: engine} of listEngines(deployment)) {
-		capacity += computeEngineRate(engine, request, intervalMs);
+		capacity += findBestBatch(engine, request, intervalMs).perSecond;
 	}
 
 	return capacity;
--- a/scripts/measure/src/routing/summarize-run.ts
+++ b/scripts/measure/src/routing/summarize-run.ts
@@ -42,7 +42,7 @@
 
 const millisecondsPerHour = 3_600_000;
 
-const isWithin = ({arrival, firstTokenAt, endedAt, tokens, refusedAs}: ChatResult, target: ClassTarget): boolean => {
+export const isWithin = ({arrival, firstTokenAt, endedAt, tokens, refusedAs}: ChatResult, target: ClassTarget): boolean => {
 	if (refusedAs !== undefined || firstTokenAt === undefined) {
 		return false;
 	}
--- a/scripts/measure/src/run-experiment.ts
+++ b/scripts/measure/src/run-experiment.ts
@@ -3,6 +3,7 @@
 import {fileURLToPath} from 'node:url';
 import {formatMistake, readToml} from '@shallotpass/common/toml-file.js';
 import {type Experiment, type Report} from './experiment.js';
+import {fleetExperiment} from './fleet-experiment.js';
 import {historyExperiment} from './history-experiment.js';
 import {claimsExperiment} from './claims-experiment.js';
 import {configurationExperiment} from './configuration-experiment.js';
@@ -12,7 +13,7 @@
 import {pathExperiment} from './path-experiment.js';
 import {routingExperiment} from './routing-experiment.js';
 
-const experiments: ReadonlyArray<Experiment<any>> = [pathExperiment, claimsExperiment, configurationExperiment, historyExperiment, membershipExperiment, reclaimExperiment, routingExperiment, slopesExperiment];
+const experiments: ReadonlyArray<Experiment<any>> = [pathExperiment, claimsExperiment, configurationExperiment, fleetExperiment, historyExperiment, membershipExperiment, reclaimExperiment, routingExperiment, slopesExperiment];
 
 const getFolder = (): string => fileURLToPath(new URL('../experiments/', import.meta.url));
 
--- a/tests/src/fleet-duty.test.ts
+++ b/tests/src/fleet-duty.test.ts
@@ -31,6 +31,8 @@
 	/** Rounds of all holders that are not left out. */
 	readonly run: (rounds: number, without?: readonly string[]) => Promise<void>;
 	readonly countServing: () => number;
+	/** Instances that daemons were told of before their end. */
+	readonly announced: string[];
 	demandPlaces: number;
 	isLogDown: boolean;
 };
@@ -69,12 +71,17 @@
 			},
 			log,
 			cloud,
-			plan: makePlanFleet({headroom: 1.25, leastPlaces: 5, leastStayMs: 0}),
+			plan: makePlanFleet({
+				headroom: 1.25, chance: 0, leastPlaces: 5, leastStayMs: 0,
+			}),
 			availabilityZone,
 			holder,
+			announceEnd(instanceId) {
+				rig.announced.push(instanceId);
+			},
 			observe: () => ({offers, fixedPlaces: 0, demandPlaces: rig.demandPlaces}),
 			timing: {
-				roundEveryMs: roundMs, leaseMs, shownWithinMs: 60_000, firstRefusalWaitMs: 10_000,
+				roundEveryMs: roundMs, leaseMs, shownWithinMs: 60_000, firstRefusalWaitMs: 10_000, drainMs: roundMs,
 			},
 		});
 		duties.set(holder, duty);
@@ -100,6 +107,7 @@
 			}
 		},
 		countServing: () => cloud.listRunning().filter(instance => !instance.isLeaving).length,
+		announced: [],
 		demandPlaces: 64,
 		isLogDown: false,
 	};
@@ -123,6 +131,7 @@
 	rig.demandPlaces = 6;
 	await rig.run(8);
 	assert.equal(rig.countServing(), 1);
+	assert.deepEqual(new Set(rig.announced), new Set(rig.cloud.instances.filter(instance => instance.endedAt !== undefined).map(instance => instance.id)));
 });
 
 type FaultCase = {
@@ -261,6 +270,6 @@
 	(rig.cloud.instances as Array<(typeof rig.cloud.instances)[number]>).push({
 		...rig.cloud.instances[0]!, id: 'late', token: closed!.token, availabilityZone: 'zone-1', endedAt: undefined, isLeaving: false,
 	});
-	await rig.run(2);
+	await rig.run(3);
 	assert.equal(rig.countServing(), before);
 });
