--- a/packages/callers/src/admission-gate.ts
+++ b/packages/callers/src/admission-gate.ts
@@ -147,7 +147,7 @@
 			return;
 		}
 
-		for (const {id} of line.queue.entries.splice(0)) {
+		for (const {request: {id}} of line.queue.entries.splice(0)) {
 			refuse(line, id, new ServingError('no backend server serves this any more', {kind: 'no_backend', retryAt: addMilliseconds(clock.now(), retryFullMs)}));
 		}
 	};
--- a/packages/callers/src/probation.test.ts
+++ b/packages/callers/src/probation.test.ts
@@ -51,7 +51,7 @@
 
 					append([claim], []);
 					return judgeClaim({
-						state, claim, now: fake.now, isOwnerGone: owner => fake.gone.has(owner),
+						state, claim, now: fake.now, logTime: fake.now, isOwnerGone: owner => fake.gone.has(owner),
 					});
 				},
 				async recordOutcome(_claim: Claim, outcome: Outcome) {
--- a/packages/core/src/admission/waiting-queue.ts
+++ b/packages/core/src/admission/waiting-queue.ts
@@ -16,7 +16,15 @@
 	readonly isPatient: boolean;
 };
 
-type Entry = WaitingRequest & {readonly finishTag: number};
+type Entry = {
+	readonly request: WaitingRequest;
+	readonly rank: number;
+	/** Infinity without a target. A field that some entries lack costs half a microsecond at each look. */
+	readonly startBy: number;
+	readonly waitingSince: number;
+	readonly isPatient: boolean;
+	readonly finishTag: number;
+};
 
 export type WaitingQueue = {
 	readonly entries: Entry[];
@@ -36,22 +44,23 @@
 	takenSinceOldest: 0,
 });
 
-/** Late for its target already: one that can still keep its own goes first, or in an overload all would be late. */
-const isLate = ({startBy}: Entry, now: number): boolean => startBy !== undefined && startBy < now;
-
+/** One that is late for its target already gives way to one that can still keep its own, or in an overload all would be late. */
 const isBefore = (left: Entry, right: Entry, now: number): boolean => {
 	if (left.rank !== right.rank) {
 		return left.rank < right.rank;
 	}
 
-	const isRightLate = isLate(right, now);
-	return isLate(left, now) === isRightLate ? left.finishTag < right.finishTag : isRightLate;
+	const isRightLate = right.startBy < now;
+	return (left.startBy < now) === isRightLate ? left.finishTag < right.finishTag : isRightLate;
 };
 
 /** Adds a request. Returns the request that had to give way when the queue is full, which may be the new one. */
 export const enqueueRequest = (queue: WaitingQueue, request: WaitingRequest, capacity: number): WaitingRequest | undefined => {
 	const start = Math.max(queue.virtualTime, queue.accountTags.get(request.account) ?? 0);
-	const entry = {...request, finishTag: start + (request.work / request.share)};
+	const {rank, startBy = Number.POSITIVE_INFINITY, waitingSince, isPatient} = request;
+	const entry: Entry = {
+		request, rank, startBy, waitingSince, isPatient, finishTag: start + (request.work / request.share),
+	};
 	queue.accountTags.set(request.account, entry.finishTag);
 	queue.entries.push(entry);
 	if (queue.entries.length <= capacity) {
@@ -66,7 +75,7 @@
 	}
 
 	queue.entries.splice(queue.entries.indexOf(last), 1);
-	return last;
+	return last.request;
 };
 
 /** What may start now. */
@@ -106,27 +115,27 @@
 
 	queue.entries.splice(queue.entries.indexOf(entry), 1);
 	queue.takenSinceOldest = queue.takenSinceOldest >= oldestTurn - 1 ? 0 : queue.takenSinceOldest + 1;
-	queue.virtualTime = Math.max(queue.virtualTime, entry.finishTag - (entry.work / entry.share));
+	queue.virtualTime = Math.max(queue.virtualTime, entry.finishTag - (entry.request.work / entry.request.share));
 	if (queue.entries.length === 0) {
 		queue.accountTags.clear();
 		queue.virtualTime = 0;
 	}
 
-	return entry;
+	return entry.request;
 };
 
 /** Takes out the requests whose deadline has passed. */
 export const expireRequests = (queue: WaitingQueue, now: number): WaitingRequest[] => {
-	const expired = queue.entries.filter(entry => entry.deadline <= now);
+	const expired = queue.entries.filter(entry => entry.request.deadline <= now);
 	for (const entry of expired) {
 		queue.entries.splice(queue.entries.indexOf(entry), 1);
 	}
 
-	return expired;
+	return expired.map(entry => entry.request);
 };
 
 export const removeRequest = (queue: WaitingQueue, id: string): boolean => {
-	const index = queue.entries.findIndex(entry => entry.id === id);
+	const index = queue.entries.findIndex(entry => entry.request.id === id);
 	if (index === -1) {
 		return false;
 	}
--- a/packages/core/src/claims/claims.test.ts
+++ b/packages/core/src/claims/claims.test.ts
@@ -32,7 +32,7 @@
 
 const judge = (state: ClaimState, claim: Claim, now = 0, gone: readonly string[] = []): ClaimVerdict['kind'] =>
 	judgeClaim({
-		state, claim, now, isOwnerGone: owner => gone.includes(owner),
+		state, claim, now, logTime: now, isOwnerGone: owner => gone.includes(owner),
 	}).kind;
 
 const first = makeClaim('1');
--- a/packages/core/src/claims/judge-claim.ts
+++ b/packages/core/src/claims/judge-claim.ts
@@ -8,6 +8,8 @@
 	/** The claim as it was appended, or as it would be. */
 	readonly claim: Claim;
 	readonly now: number;
+	/** The log's own time, which the end of an unsafe time is told in. */
+	readonly logTime: number;
 	/** Whether a process with this id and start is known to be gone for good. */
 	readonly isOwnerGone: (owner: string, ownerEpoch: string) => boolean;
 };
@@ -22,10 +24,10 @@
  * because the first may have run before the second number was seen.
  */
 export const judgeClaim = (options: JudgeOptions): ClaimVerdict => {
-	const {state, claim, now, isOwnerGone} = options;
+	const {state, claim, now, logTime, isOwnerGone} = options;
 	const known = state.keys.get(makeKeyName(claim));
 	if (known === undefined || (known.outcome?.kind === 'not_sent' && known.claim.id !== claim.id)) {
-		return now < state.unsafeUntil ? {kind: 'unsafe', until: state.unsafeUntil} : {kind: 'absent'};
+		return logTime < state.unsafeUntil ? {kind: 'unsafe', until: state.unsafeUntil} : {kind: 'absent'};
 	}
 
 	if (known.claim.digest !== claim.digest) {
--- a/packages/tasks/src/claim-shard.ts
+++ b/packages/tasks/src/claim-shard.ts
@@ -63,12 +63,31 @@
 	const outcomes: Array<Waiting<Outcome>> = [];
 	let isFlushing = false;
 	let reading: Promise<void> = Promise.resolve();
+	/** The log's time as its newest record told it, and when that was read by a clock that nobody sets. */
+	let logTime = {at: clock.now(), seenAt: performance.now(), isTold: false};
+
+	/**
+	 * The log's time now, late rather than early. How long keys are unsafe after a trim goes by
+	 * it: by this instance's time of day, a clock set ahead would end that time at once.
+	 */
+	const getLogTime = (): number => logTime.at + (performance.now() - logTime.seenAt);
+
+	const noteLogTime = (appendedAt: number): void => {
+		if (!logTime.isTold || appendedAt > getLogTime()) {
+			logTime = {at: appendedAt, seenAt: performance.now(), isTold: true};
+		}
+	};
 
 	const noteTrim = async (earliest: LogOffset): Promise<void> => {
 		const first = await log.read({
 			stream, from: earliest, limit: 1, signal,
 		});
-		const oldestLeftAt = first.kind === 'records' ? first.records[0]?.appendedAt ?? clock.now() : clock.now();
+		const oldest = first.kind === 'records' ? first.records[0] : undefined;
+		if (oldest !== undefined) {
+			noteLogTime(oldest.appendedAt);
+		}
+
+		const oldestLeftAt = oldest?.appendedAt ?? getLogTime();
 		state = noteClaimTrim(state, earliest, oldestLeftAt, keyMemoryMs);
 		logger.warn('claims_trimmed_before_reading', {stream, earliest, unsafeUntil: state.unsafeUntil});
 	};
@@ -86,6 +105,7 @@
 
 			/* eslint-enable no-await-in-loop */
 			for (const record of result.records) {
+				noteLogTime(record.appendedAt);
 				state = foldNow(state, record);
 			}
 
@@ -114,7 +134,7 @@
 	};
 
 	const judge = (claim: Claim): ClaimVerdict => judgeClaim({
-		state, claim, now: clock.now(), isOwnerGone,
+		state, claim, now: clock.now(), logTime: getLogTime(), isOwnerGone,
 	});
 
 	const readAnswer = async (offset: LogOffset, claim: Claim): Promise<RecordedAnswer | undefined> => {
@@ -242,7 +262,7 @@
 		void flush();
 	});
 
-	const isUnsafe = (): boolean => clock.now() < state.unsafeUntil;
+	const isUnsafe = (): boolean => getLogTime() < state.unsafeUntil;
 
 	return {
 		async claim(claim) {
--- a/tests/src/shard-fixture.ts
+++ b/tests/src/shard-fixture.ts
@@ -1,20 +1,26 @@
 /** One claim shard on a log in memory and a clock that the test moves. */
 import {type Claim} from '@shallotpass/common/log-records.js';
 import {makeSettings} from '@shallotpass/measure/local-fleet.js';
-import {makeMemoryLog} from '@shallotpass/platform/memory-log.js';
+import {makeMemoryLog, type MemoryLog} from '@shallotpass/platform/memory-log.js';
 import {makeClaimShard, type ClaimShard} from '@shallotpass/tasks/claim-shard.js';
 import {makeLogger} from '@shallotpass/telemetry/logger.js';
 import {makeMetrics} from '@shallotpass/telemetry/metrics.js';
 
 export type TestShard = {
 	readonly shard: ClaimShard;
+	/** Time passes, for the log as for the instance. */
 	readonly advance: (milliseconds: number) => void;
+	/** The instance's clock is set; the log's is not. */
+	readonly jump: (milliseconds: number) => void;
+	readonly log: MemoryLog;
 	readonly makeClaim: (id: string, key: string) => Claim;
 };
 
 export const makeTestShard = (): TestShard => {
 	let now = 1000;
-	const clock = {now: () => now, async waitUntil() {/* no time passes by itself */}};
+	let offset = 0;
+	const clock = {now: () => now + offset, async waitUntil() {/* no time passes by itself */}};
+	const log = makeMemoryLog({...clock, now: () => now});
 	const shard = makeClaimShard({
 		environment: {
 			settings: makeSettings({id: 'entry-1', availabilityZone: 'zone-1', platform: undefined}),
@@ -24,7 +30,7 @@
 			makeLogger: task => makeLogger(task, 'entry-1'),
 			signal: new AbortController().signal,
 		},
-		log: makeMemoryLog(clock),
+		log,
 		stream: 'claims-0',
 		isOwnerGone: () => false,
 	});
@@ -33,6 +39,10 @@
 		advance(milliseconds) {
 			now += milliseconds;
 		},
+		jump(milliseconds) {
+			offset += milliseconds;
+		},
+		log,
 		makeClaim: (id, key) => ({
 			id, account: 'a', service: 's', key, digest: 'd', owner: 'entry-1', ownerEpoch: '1', dispatchBy: now + 2000, answerBy: now + 30_000,
 		}),
