--- a/scripts/measure/src/soak.ts
+++ b/scripts/measure/src/soak.ts
@@ -24,7 +24,12 @@
 /** The report; undefined when the run did not come to its end, which is told with its seed so that it can be repeated. */
 const runQuietly = async (name: string, seed: number): Promise<Report | undefined> => {
 	try {
-		return await runExperiment(name, seed, () => {/* only the verdict is of interest */});
+		return await runExperiment(name, seed, line => {
+			// Of what an experiment tells on its way, only what was broken is of interest.
+			if (line.startsWith('BROKEN')) {
+				tell(line);
+			}
+		});
 	} catch (error) {
 		tell(`seed ${seed} ${name}: NOT RUN TO ITS END, ${error instanceof Error ? error.stack ?? error.message : String(error)}`);
 		return undefined;
