--- a/apps/daemon/src/follow-platform.ts
+++ b/apps/daemon/src/follow-platform.ts
@@ -1,6 +1,6 @@
 /** Passes what the platform tells of instances on to the tasks that own the matter. */
-import {followNotices} from '@shallotpass/platform/cloud-notices.js';
-import {followInstanceList} from '@shallotpass/platform/instance-list-client.js';
+import {followNotices} from '@shallotpass/provider/cloud-notices.js';
+import {followInstanceList} from '@shallotpass/provider/instance-list-client.js';
 import {type BackendRegistry} from '@shallotpass/tasks/backend-registry.js';
 import {type Environment} from '@shallotpass/tasks/environment.js';
 import {type MembershipTask} from '@shallotpass/tasks/membership-task.js';
--- a/apps/daemon/src/open-platform.ts
+++ b/apps/daemon/src/open-platform.ts
@@ -3,9 +3,9 @@
 import {type Clock} from '@shallotpass/common/clock.js';
 import {type LogService} from '@shallotpass/common/log-service.js';
 import {type Settings} from '@shallotpass/common/settings-schema.js';
-import {makeHttpCloud} from '@shallotpass/platform/http-cloud.js';
-import {makeHttpLog} from '@shallotpass/platform/http-log.js';
-import {makeMemoryLog} from '@shallotpass/platform/memory-log.js';
+import {makeHttpCloud} from '@shallotpass/provider/http-cloud.js';
+import {makeHttpLog} from '@shallotpass/provider/http-log.js';
+import {makeMemoryLog} from '@shallotpass/provider/memory-log.js';
 import {Agent} from 'undici';
 
 export type Platform = {
--- /dev/null
+++ b/apps/daemon/src/platform-main.ts
@@ -0,0 +1,46 @@
+/** The daemon on the users' platform. */
+import {readFileSync} from 'node:fs';
+import process from 'node:process';
+import {formatMistake} from '@shallotpass/common/toml-file.js';
+import {openEventLog} from '@shallotpass/gateway/event-log.js';
+import {startGateway} from '@shallotpass/gateway/start-gateway.js';
+import {openPlatform} from '@shallotpass/platform/open-platform.js';
+import {readGatewaySettings, settingsPathVariable} from '@shallotpass/platform/settings.js';
+
+const usageExit = 2;
+
+const path = process.env[settingsPathVariable];
+if (path === undefined) {
+	process.stderr.write(`${settingsPathVariable} must name the settings file\n`);
+	process.exit(usageExit);
+}
+
+const reading = readGatewaySettings(readFileSync(path, 'utf8'));
+if (reading.kind === 'mistakes') {
+	for (const mistake of reading.mistakes) {
+		process.stderr.write(`${formatMistake(path, mistake)}\n`);
+	}
+
+	process.exit(usageExit);
+}
+
+const settings = reading.value;
+const log = openEventLog(settings.instance.id);
+const gateway = await startGateway({
+	settings,
+	log,
+	openPlatform: onStoreCall => openPlatform({storeAddress: settings.store.address, cloudAddress: settings.cloud.address, onStoreCall}),
+});
+
+const stop = async (): Promise<void> => {
+	await gateway.drain();
+	log.flush();
+	process.exit(0);
+};
+
+process.once('SIGTERM', () => {
+	void stop();
+});
+process.on('SIGHUP', () => {
+	log.write('belief', 'reload_asked', {path});
+});
--- a/packages/common/src/error-kinds.ts
+++ b/packages/common/src/error-kinds.ts
@@ -44,6 +44,7 @@
 	invalid_backend_answer: answer(502, 'The backend server sent an answer that cannot be read', 'unknown', 'Ask again; for a call that must not repeat, with the same key.'),
 	mismatched_answer: answer(502, 'The backend server answered a different request', 'unknown', 'Ask again; for a call that must not repeat, with the same key.'),
 	request_quarantined: answer(422, 'This request has ended backend servers and is not run again', 'no', 'Change the request, or ask an operator to lift the quarantine.'),
+	request_suspended: answer(503, 'This request has ended backend servers and is not run for now', 'no', 'Change the request; the same one is refused until it is forgotten.'),
 	claims_unavailable: answer(503, 'Calls that must not repeat cannot be recorded now', 'no', 'Wait until Retry-After, then send with the same key.'),
 	call_in_progress: answer(409, 'The call with this key is still running', 'unknown', 'Wait until Retry-After, then send with the same key.'),
 	outcome_unknown: answer(409, 'The call may have run and its outcome was lost', 'unknown', 'Look at the service itself before using a new key.'),
--- /dev/null
+++ b/packages/core/src/placement/types.ts
@@ -0,0 +1,29 @@
+/** What a daemon believes of a backend server when it places a call. */
+
+export type Load = {
+	/** Calls that run or wait there. */
+	readonly running: number;
+	/** Prompt tokens that were sent there and not answered by a first event yet, by rank of urgency. */
+	readonly pendingTokens: readonly number[];
+};
+
+export type BackendView = {
+	readonly id: string;
+	readonly availabilityZone: string;
+	readonly places: number;
+	readonly isReclaimable: boolean;
+	/** Prompt tokens read a millisecond, learned from answers. */
+	readonly tokensPerMs: number;
+	/** Milliseconds that a plain call takes there, learned from answers. */
+	readonly plainMs: number;
+	/** Load by this daemon, exact. */
+	readonly own: Load;
+	/** Load by the other daemons as they last told. */
+	readonly others: Load;
+	/** Share of recent calls that the backend server failed, 0 to 1. */
+	readonly failureShare: number;
+	/** Whether this daemon holds as many connections there as it may. */
+	readonly isFull: boolean;
+	/** Tokens of the call's prompt that are believed to be cached there. */
+	readonly cachedTokens: number;
+};
--- /dev/null
+++ b/packages/gateway/src/backend-book.ts
@@ -0,0 +1,139 @@
+/** What this daemon knows of each backend server: its entry, connections, load, speed and failures. */
+import {type BackendEntry, type Directory} from '@shallotpass/core/directory/types.js';
+import {type BackendView, type Load} from '@shallotpass/core/placement/types.js';
+import {type PrefixMemory} from '@shallotpass/core/placement/prefix-memory.js';
+import {BackendAgent} from './backend-agent.js';
+
+/** Ranks that are told apart when prompt tokens are counted; less urgent ones count with the last. */
+export const countedRanks = 3;
+
+/** Prompt tokens a model engine reads a millisecond before its own answers say so; the operators' sheet gives 57 for one that waits for nothing. */
+const firstTokensPerMs = 45;
+
+/** Milliseconds of a plain call before answers say so; the operators' sheets give 21 to 43. */
+const firstPlainMs = 30;
+
+export type BackendState = {
+	entry: BackendEntry;
+	/** `id` and start; another incarnation under the same id has another key. */
+	readonly incarnation: string;
+	readonly agent: BackendAgent;
+	running: number;
+	readonly pendingTokens: number[];
+	othersRunning: number;
+	othersPendingTokens: number[];
+	tokensPerMs: number;
+	plainMs: number;
+	failureShare: number;
+	/** No call is sent there before; on the steady clock. */
+	suspendedUntil: number;
+	/** Failed connection attempts in a row. */
+	failedConnects: number;
+	/** When something was last read from it, on the steady clock. */
+	heardAt: number;
+	isGone: boolean;
+	readonly prefixes: PrefixMemory;
+	/** Digests of the calls that run there, for the case that it ends. */
+	readonly digests: Set<string>;
+};
+
+export const toIncarnation = (entry: BackendEntry): string => `${entry.id}/${entry.startedAt ?? 0}/${entry.address}`;
+
+export type BackendBook = {
+	readonly byId: Map<string, BackendState>;
+	/** Ready backend servers by service. */
+	readonly byService: Map<string, BackendState[]>;
+};
+
+export const openBackendBook = (): BackendBook => ({byId: new Map(), byService: new Map()});
+
+const openState = (entry: BackendEntry, now: number): BackendState => ({
+	entry,
+	incarnation: toIncarnation(entry),
+	agent: new BackendAgent(),
+	running: 0,
+	pendingTokens: Array.from<number>({length: countedRanks}).fill(0),
+	othersRunning: 0,
+	othersPendingTokens: Array.from<number>({length: countedRanks}).fill(0),
+	tokensPerMs: firstTokensPerMs,
+	plainMs: firstPlainMs,
+	failureShare: 0,
+	suspendedUntil: 0,
+	failedConnects: 0,
+	heardAt: now,
+	isGone: false,
+	prefixes: new Map(),
+	digests: new Set(),
+});
+
+/** An address may belong to another backend server by now, so connections that nothing uses are closed. */
+const closeIdle = (state: BackendState): void => {
+	for (const sockets of Object.values(state.agent.freeSockets)) {
+		for (const socket of sockets ?? []) {
+			socket.destroy();
+		}
+	}
+};
+
+export type BookChange = {
+	readonly kind: 'joined' | 'restarted' | 'leaving' | 'gone';
+	readonly entry: BackendEntry;
+};
+
+/** Brings the book up to the directory; running calls keep the state they began with. */
+export const takeDirectory = (book: BackendBook, directory: Directory, now: number): BookChange[] => {
+	const changes: BookChange[] = [];
+	for (const [id, state] of book.byId) {
+		const known = directory.backends.get(id);
+		if (known === undefined || toIncarnation(known.entry) !== state.incarnation) {
+			state.isGone = true;
+			closeIdle(state);
+			book.byId.delete(id);
+			changes.push({kind: known === undefined ? 'gone' : 'restarted', entry: state.entry});
+		}
+	}
+
+	for (const [id, {entry}] of directory.backends) {
+		const state = book.byId.get(id);
+		if (state === undefined) {
+			book.byId.set(id, openState(entry, now));
+			changes.push({kind: 'joined', entry});
+			continue;
+		}
+
+		if (entry.isLeaving && !state.entry.isLeaving) {
+			changes.push({kind: 'leaving', entry});
+		}
+
+		state.entry = entry;
+	}
+
+	book.byService.clear();
+	for (const state of book.byId.values()) {
+		if (state.entry.isLeaving) {
+			continue;
+		}
+
+		const group = book.byService.get(state.entry.service) ?? [];
+		group.push(state);
+		book.byService.set(state.entry.service, group);
+	}
+
+	return changes;
+};
+
+const toLoad = (running: number, pendingTokens: readonly number[]): Load => ({running, pendingTokens});
+
+export const toView = (state: BackendState, cachedTokens: number, mostOwn: number): BackendView => ({
+	id: state.entry.id,
+	availabilityZone: state.entry.availabilityZone,
+	places: state.entry.places,
+	isReclaimable: state.entry.isReclaimable,
+	tokensPerMs: state.tokensPerMs,
+	plainMs: state.plainMs,
+	own: toLoad(state.running, state.pendingTokens),
+	others: toLoad(state.othersRunning, state.othersPendingTokens),
+	failureShare: state.failureShare,
+	isFull: state.running >= mostOwn,
+	cachedTokens,
+});
--- /dev/null
+++ b/packages/gateway/src/callers-listener.ts
@@ -0,0 +1,103 @@
+/** The listener for callers and the one for the balancer's question. */
+import http from 'node:http';
+import type net from 'node:net';
+import {type GatewayState} from './gateway-state.js';
+import {parseHostAndPort} from './host-and-port.js';
+import {serveCall} from './serve-call.js';
+
+/** Until a configuration says otherwise. */
+const firstHeaderBytes = 16_384;
+const firstHeadersMs = 3000;
+const firstIdleMs = 15_000;
+
+/** How often the time limits of requests are looked at, in milliseconds. */
+const limitCheckMs = 500;
+
+/** Milliseconds added to the idle time, so that a caller that uses all of it is still read. */
+const idleMarginMs = 500;
+
+export type CallersListener = {
+	/** Brings the limits up to the configuration in force. */
+	readonly applyLimits: () => void;
+	/** Closes connections that have no call. */
+	readonly closeIdle: () => void;
+	readonly close: () => void;
+};
+
+const listenOn = async (server: http.Server, address: string): Promise<void> => new Promise((resolve, reject) => {
+	const {host, port} = parseHostAndPort(address);
+	server.once('error', reject);
+	server.listen({host, port, backlog: 1024}, () => {
+		server.off('error', reject);
+		resolve();
+	});
+});
+
+export const listenForCallers = async (gateway: GatewayState): Promise<CallersListener> => {
+	const server = http.createServer({
+		maxHeaderSize: firstHeaderBytes,
+		headersTimeout: firstHeadersMs,
+		keepAliveTimeout: firstIdleMs + idleMarginMs,
+		connectionsCheckingInterval: limitCheckMs,
+		noDelay: true,
+		keepAlive: true,
+		keepAliveInitialDelay: 2000,
+	}, (request, response) => {
+		void serveCall(gateway, request, response);
+	});
+	// A caller may send its body for as long as it likes within its own deadline.
+	server.requestTimeout = 60_000;
+	server.on('checkContinue', (request: http.IncomingMessage, response: http.ServerResponse) => {
+		response.writeContinue();
+		void serveCall(gateway, request, response);
+	});
+	server.on('clientError', (error: NodeJS.ErrnoException, socket: net.Socket) => {
+		const status = error.code === 'HPE_HEADER_OVERFLOW' ? '431 Request Header Fields Too Large' : (error.code === 'ERR_HTTP_REQUEST_TIMEOUT' ? '408 Request Timeout' : '400 Bad Request');
+		gateway.log.write('failure', 'request_unreadable', {reason: error.code ?? error.message});
+		if (error.code === 'ECONNRESET' || !socket.writable) {
+			socket.destroy();
+			return;
+		}
+
+		socket.end(`HTTP/1.1 ${status}\r\nContent-Length: 0\r\nConnection: close\r\n\r\n`);
+	});
+	await listenOn(server, gateway.settings.listen.callers);
+	return {
+		applyLimits() {
+			const limits = gateway.configuration?.configuration.limits;
+			if (limits) {
+				server.headersTimeout = limits.headersWithinMs;
+				server.keepAliveTimeout = limits.idleMs + idleMarginMs;
+			}
+		},
+		closeIdle() {
+			server.closeIdleConnections();
+		},
+		close() {
+			server.close();
+		},
+	};
+};
+
+const isReady = (gateway: GatewayState): boolean => gateway.configuration !== undefined && gateway.hasDirectory && gateway.drainingSince === undefined;
+
+/** Answers whether this daemon takes calls, and serves the metrics. */
+export const listenForReady = async (gateway: GatewayState): Promise<http.Server> => {
+	const server = http.createServer({keepAliveTimeout: 15_000}, (request, response) => {
+		void answerProbe(gateway, request, response);
+	});
+	await listenOn(server, gateway.settings.listen.ready);
+	return server;
+};
+
+const answerProbe = async (gateway: GatewayState, request: http.IncomingMessage, response: http.ServerResponse): Promise<void> => {
+	if (request.url === '/metrics') {
+		response.setHeader('Content-Type', gateway.metrics.registry.contentType);
+		response.end(await gateway.metrics.registry.metrics());
+		return;
+	}
+
+	response.statusCode = isReady(gateway) ? 200 : 503;
+	response.setHeader('Content-Length', '0');
+	response.end();
+};
--- /dev/null
+++ b/packages/gateway/src/duty-task.ts
@@ -0,0 +1,272 @@
+/**
+ * Holds the lease of the duties, and does them while it holds it: usage reports and orders of
+ * backend servers. All that is said to the cloud is written into the lease's record first, so
+ * that a successor says the very same.
+ */
+import {setTimeout as sleep} from 'node:timers/promises';
+import {
+	type BackendOrder, getFence, type Lease, leaseSchema, type LeaseWatch, listDueWindows, mayActOnLease, mayTakeLease, type StoredLease, withReport,
+} from '@shallotpass/core/duties/fold-lease.js';
+import {getWindow, sumCounts, type UsageCounts} from '@shallotpass/core/usage/count-starts.js';
+import {type GatewayState, peerSilentMs} from './gateway-state.js';
+import {type CloudReply, type Platform} from './ports.js';
+
+const tickMs = 250;
+
+/** Between two renewals; three of them fit into the lease. */
+const renewEveryMs = 900;
+
+/** The store answers an append in 4 ms; a later answer counts as lost and the record is read again. */
+const storeTimeoutMs = 500;
+
+const cloudTimeoutMs = 600;
+
+/** A window is reported this long after its end, when the news of all daemons have come. */
+const reportAfterMs = 1100;
+
+/** Orders are said again after this time while the backend servers have not come. */
+const repeatOrderMs = 6500;
+
+const leaseKey = 'lease';
+
+type Held = {
+	stored: StoredLease;
+	/** When the record that stands was sent, on the clock that counts suspension. */
+	renewedAt: number;
+};
+
+export type DutyOptions = {
+	readonly gateway: GatewayState;
+	readonly platform: Platform;
+	/** The orders that are wanted now. */
+	readonly planOrders: () => readonly BackendOrder[];
+	readonly onRefusedOrder: (order: BackendOrder) => void;
+	/** Whether what was ordered has come. */
+	readonly isFulfilled: (order: BackendOrder) => boolean;
+	readonly signal: AbortSignal;
+};
+
+export type DutyTask = {
+	/** Offset of the lease's record that this daemon holds, or -1. */
+	readonly getLeaseOffset: () => number;
+};
+
+const toKey = (order: BackendOrder): string => `${order.service}/${order.availabilityZone}/${order.isReclaimable}`;
+
+const hasSameOrders = (left: readonly BackendOrder[], right: readonly BackendOrder[]): boolean => {
+	const counts = new Map(left.map(order => [toKey(order), order.count]));
+	return left.length === right.length && right.every(order => counts.get(toKey(order)) === order.count);
+};
+
+export const startDutyTask = (options: DutyOptions): DutyTask => {
+	const {gateway, platform, signal} = options;
+	const {bounds} = gateway.settings;
+	let held: Held | undefined;
+	let watch: LeaseWatch | undefined;
+	let end = 0;
+	/** Orders that were said under the present lease, and when. */
+	const said = new Map<string, {count: number; at: number}>();
+
+	const elapsed = gateway.clocks.elapsed;
+
+	const lose = (reason: string): void => {
+		if (held) {
+			gateway.log.write('belief', 'lease_lost', {reason, fence: getFence(held.stored), offset: held.stored.offset});
+		}
+
+		held = undefined;
+		said.clear();
+	};
+
+	/** Reads the record that stands; undefined when the store does not answer. */
+	const readLease = async (): Promise<StoredLease | 'none' | undefined> => {
+		const listing = await platform.store.readNewest('lease', {timeoutMs: storeTimeoutMs, signal});
+		if (listing.kind === 'failed') {
+			return undefined;
+		}
+
+		({end} = listing);
+		const record = listing.records.find(known => known.key === leaseKey);
+		if (record?.value === undefined) {
+			return 'none';
+		}
+
+		const lease = leaseSchema.safeParse(JSON.parse(Buffer.from(record.value).toString('utf8')));
+		return lease.success ? {lease: lease.data, offset: record.offset} : 'none';
+	};
+
+	/** Appends the lease's record if nobody has appended since; true when it stands. */
+	const write = async (lease: Lease): Promise<boolean> => {
+		const sentAt = elapsed();
+		const reply = await platform.store.append('lease', {key: leaseKey, value: Buffer.from(JSON.stringify(lease))}, {expectedEnd: end, timeoutMs: storeTimeoutMs, signal});
+		if (reply.kind === 'appended') {
+			end = reply.offset + 1;
+			held = {stored: {lease, offset: reply.offset}, renewedAt: sentAt};
+			return true;
+		}
+
+		if (reply.kind === 'refused') {
+			return false;
+		}
+
+		// The reply was lost, or another record came first: only the store knows which record stands.
+		const standing = await readLease();
+		if (standing === undefined) {
+			return false;
+		}
+
+		const isOwn = standing !== 'none' && standing.lease.incarnation === gateway.incarnation;
+		if (isOwn && JSON.stringify(standing.lease) === JSON.stringify(lease)) {
+			held = {stored: standing, renewedAt: sentAt};
+			return true;
+		}
+
+		if (!isOwn) {
+			lose('another daemon holds it');
+			watch = standing === 'none' ? undefined : {offset: standing.offset, seenAt: elapsed()};
+		}
+
+		return false;
+	};
+
+	const countUsage = (window: number): UsageCounts => sumCounts([
+		gateway.usage.get(window),
+		...[...gateway.peers.values()].map(peer => peer.usage[String(window)]),
+	]);
+
+	const planLease = (lease: Lease): Lease => {
+		const now = gateway.clocks.trueTime();
+		const current = getWindow(now - reportAfterMs, bounds.usageWindowMs);
+		const oldest = getWindow(now - bounds.usageLateMs - bounds.usageWindowMs, bounds.usageWindowMs);
+		let next = lease;
+		for (const window of listDueWindows(lease, current, oldest)) {
+			next = withReport(next, {window, counts: countUsage(window), isDelivered: false});
+		}
+
+		const orders = [...options.planOrders()];
+		return hasSameOrders(next.orders, orders) ? next : {...next, orders};
+	};
+
+	const canAct = (): boolean => held !== undefined && mayActOnLease(held.renewedAt, bounds.leaseMs, elapsed());
+
+	const noteCloud = (duty: string, reply: CloudReply, fields: Record<string, unknown>): void => {
+		const outcome = reply.kind === 'failed' ? reply.reason : reply.kind;
+		gateway.metrics.duties.inc({duty, outcome: reply.kind});
+		gateway.log.write(reply.kind === 'done' ? 'belief' : 'failure', duty, {...fields, outcome});
+	};
+
+	const deliverReports = async (): Promise<void> => {
+		for (const report of held?.stored.lease.reports ?? []) {
+			if (report.isDelivered || held === undefined || !canAct()) {
+				continue;
+			}
+
+			const fence = getFence(held.stored);
+			// eslint-disable-next-line no-await-in-loop -- one call after the other, each under a lease that still stands
+			const reply = await platform.cloud.reportUsage({holder: gateway.settings.instance.id, fence}, report.window, report.counts, {timeoutMs: cloudTimeoutMs, signal});
+			noteCloud('usage_report', reply, {window: report.window, counts: report.counts, fence});
+			if (reply.kind === 'done' && held) {
+				const lease = withReport(held.stored.lease, {...report, isDelivered: true});
+				held = {...held, stored: {...held.stored, lease}};
+			}
+		}
+	};
+
+	const deliverOrders = async (): Promise<void> => {
+		for (const order of held?.stored.lease.orders ?? []) {
+			const before = said.get(toKey(order));
+			const isSaid = before?.count === order.count && (options.isFulfilled(order) || elapsed() < before.at + repeatOrderMs);
+			if (isSaid || held === undefined || !canAct()) {
+				continue;
+			}
+
+			const fence = getFence(held.stored);
+			// eslint-disable-next-line no-await-in-loop -- one call after the other, each under a lease that still stands
+			const reply = await platform.cloud.orderBackends({holder: gateway.settings.instance.id, fence}, order, {timeoutMs: cloudTimeoutMs, signal});
+			noteCloud('backend_order', reply, {...order, fence});
+			if (reply.kind === 'none_offered') {
+				options.onRefusedOrder(order);
+			}
+
+			if (reply.kind !== 'failed') {
+				said.set(toKey(order), {count: order.count, at: elapsed()});
+			}
+		}
+	};
+
+	const hold = async (): Promise<void> => {
+		if (held === undefined) {
+			return;
+		}
+
+		const planned = planLease(held.stored.lease);
+		const {incarnation} = gateway;
+		const isChanged = planned !== held.stored.lease;
+		if (isChanged || elapsed() >= held.renewedAt + renewEveryMs) {
+			const fence = getFence(held.stored);
+			const isStanding = await write({...planned, holder: gateway.settings.instance.id, incarnation, fence});
+			if (!isStanding) {
+				if (held && !canAct()) {
+					lose('not renewed in time');
+				}
+
+				return;
+			}
+		}
+
+		await deliverReports();
+		await deliverOrders();
+	};
+
+	const isHolderHeard = (): boolean => {
+		const now = gateway.clocks.steady();
+		return [...gateway.peers.values()].some(peer => peer.leaseOffset >= 0 && peer.heardAt >= now - peerSilentMs);
+	};
+
+	const seek = async (): Promise<void> => {
+		if (isHolderHeard() || gateway.drainingSince !== undefined || gateway.configuration === undefined) {
+			watch = undefined;
+			return;
+		}
+
+		const standing = await readLease();
+		if (standing === undefined) {
+			return;
+		}
+
+		if (standing !== 'none' && watch?.offset !== standing.offset) {
+			watch = {offset: standing.offset, seenAt: elapsed()};
+		}
+
+		const mayTake = standing === 'none' || (watch !== undefined && mayTakeLease(watch, bounds.leaseMs, elapsed()));
+		if (!mayTake) {
+			return;
+		}
+
+		const before = standing === 'none' ? {reports: [], orders: []} : standing.lease;
+		const isTaken = await write({
+			holder: gateway.settings.instance.id, incarnation: gateway.incarnation, fence: -1, reports: before.reports, orders: before.orders,
+		});
+		if (isTaken && held) {
+			gateway.log.write('belief', 'lease_taken', {fence: getFence(held.stored), before: standing === 'none' ? undefined : standing.lease.holder});
+		}
+	};
+
+	const run = async (): Promise<void> => {
+		while (!signal.aborted) {
+			const nextAt = gateway.clocks.steady() + (held || watch ? tickMs : tickMs * (1 + gateway.random()));
+			try {
+				// eslint-disable-next-line no-await-in-loop -- one tick after the other
+				await (held ? hold() : seek());
+			} catch (error) {
+				gateway.log.write('failure', 'duty_failed', {error: error instanceof Error ? error.stack : String(error)});
+			}
+
+			// eslint-disable-next-line no-await-in-loop -- one tick after the other
+			await sleep(Math.max(10, nextAt - gateway.clocks.steady()), undefined, {signal}).catch(() => undefined);
+		}
+	};
+
+	void run();
+	return {getLeaseOffset: () => held?.stored.offset ?? -1};
+};
--- /dev/null
+++ b/packages/gateway/src/follow-configuration.ts
@@ -0,0 +1,77 @@
+/** Keeps the newest configuration in force; it never goes back to an older version in one life of the process. */
+import {toIndexedConfiguration} from '@shallotpass/core/calls/index-configuration.js';
+import {type ServingConfiguration} from '@shallotpass/core/calls/serving-configuration.js';
+import {followTopic} from './follow-topic.js';
+import {type GatewayState} from './gateway-state.js';
+import {type KeyedRecord, type Platform} from './ports.js';
+
+export type ConfigurationSource = 'store' | 'peer';
+
+/** Puts a configuration in force unless a newer one is. */
+export const takeConfiguration = (gateway: GatewayState, configuration: ServingConfiguration, source: ConfigurationSource): boolean => {
+	const current = gateway.configuration?.configuration.version;
+	if (current !== undefined && configuration.version <= current) {
+		return false;
+	}
+
+	gateway.configuration = toIndexedConfiguration(configuration);
+	gateway.log.write('belief', 'configuration_taken', {
+		version: configuration.version, before: current, source, routes: configuration.routes.length, accounts: configuration.accounts.length,
+	});
+	return true;
+};
+
+/** Milliseconds that a poll waits; with the time in which silence is noticed it stays below the span in which bounds hold again after a disruption. */
+const pollPartOfStable = 0.75;
+
+export type ConfigurationOptions = {
+	readonly gateway: GatewayState;
+	readonly platform: Platform;
+	readonly onTaken: () => void;
+	readonly signal: AbortSignal;
+};
+
+export const followConfiguration = async ({gateway, platform, onTaken, signal}: ConfigurationOptions): Promise<void> => {
+	let isAway = false;
+	const takeRecords = (records: readonly KeyedRecord[]): void => {
+		const newest = records.findLast(record => record.key === platform.records.configurationKey && record.value !== undefined);
+		if (newest?.value === undefined) {
+			return;
+		}
+
+		const configuration = platform.records.toConfiguration(newest.value);
+		if (configuration === undefined) {
+			gateway.log.write('failure', 'configuration_unreadable', {offset: newest.offset, bytes: newest.value.length});
+			return;
+		}
+
+		if (takeConfiguration(gateway, configuration, 'store')) {
+			onTaken();
+		}
+	};
+
+	await followTopic({
+		store: platform.store,
+		topic: 'configuration',
+		waitMs: Math.floor(gateway.settings.bounds.stableMs * pollPartOfStable),
+		pauseMs: 0,
+		signal,
+		handlers: {
+			onListing: takeRecords,
+			onRecords: takeRecords,
+			onFresh() {
+				gateway.configurationCheckedAt = gateway.clocks.steady();
+				if (isAway) {
+					isAway = false;
+					gateway.log.write('belief', 'store_regained', {topic: 'configuration'});
+				}
+			},
+			onFailure(reason) {
+				if (!isAway && !signal.aborted) {
+					isAway = true;
+					gateway.log.write('belief', 'store_lost', {topic: 'configuration', reason});
+				}
+			},
+		},
+	});
+};
--- /dev/null
+++ b/packages/gateway/src/follow-topic.ts
@@ -0,0 +1,107 @@
+/**
+ * Follows one topic of the platform's store: the newest record of each key first, then all
+ * records in order. Polls; the store answers a poll as soon as there is a record.
+ */
+import {setTimeout as sleep} from 'node:timers/promises';
+import {type KeyedRecord, type Store, type Topic} from './ports.js';
+
+/** A reply later than this beyond the wait that was asked for means that the connection is silent; the store answers in 4 ms. */
+const silenceMs = 350;
+
+/** Time for a listing, in milliseconds. */
+const listingMs = 1500;
+
+/** Pause after a failure, in milliseconds: short, since a store that turned away one call may take the next. */
+const failurePauseMs = 250;
+
+export type TopicHandlers = {
+	readonly onListing: (records: readonly KeyedRecord[], end: number) => void;
+	readonly onRecords: (records: readonly KeyedRecord[], end: number) => void;
+	/** The store has answered: what is known is the newest as of now. */
+	readonly onFresh: () => void;
+	readonly onFailure: (reason: string) => void;
+};
+
+export type FollowOptions = {
+	readonly store: Store;
+	readonly topic: Topic;
+	/** Milliseconds that a poll waits at the store for a record. */
+	readonly waitMs: number;
+	/** Pause after a poll that brought records, in milliseconds; bounds the calls on a busy topic. */
+	readonly pauseMs: number;
+	readonly handlers: TopicHandlers;
+	readonly signal: AbortSignal;
+};
+
+const pause = async (ms: number, signal: AbortSignal): Promise<void> => {
+	try {
+		await sleep(ms, undefined, {signal});
+	} catch (error) {
+		if (!signal.aborted) {
+			throw error;
+		}
+	}
+};
+
+const list = async (options: FollowOptions): Promise<number | undefined> => {
+	const {store, topic, handlers, signal} = options;
+	const reply = await store.readNewest(topic, {timeoutMs: listingMs, signal});
+	if (reply.kind === 'failed') {
+		handlers.onFailure(reply.reason);
+		return undefined;
+	}
+
+	handlers.onListing(reply.records, reply.end);
+	handlers.onFresh();
+	return reply.end;
+};
+
+const poll = async (options: FollowOptions, from: number): Promise<{next: number | undefined; hasFailed: boolean; isEmpty: boolean}> => {
+	const {store, topic, waitMs, handlers, signal} = options;
+	const reply = await store.read(topic, from, {waitMs, timeoutMs: waitMs + silenceMs, signal});
+	if (reply.kind === 'failed') {
+		handlers.onFailure(reply.reason);
+		return {next: from, hasFailed: true, isEmpty: true};
+	}
+
+	if (reply.kind === 'trimmed') {
+		return {next: undefined, hasFailed: false, isEmpty: true};
+	}
+
+	const last = reply.records.at(-1);
+	if (reply.records.length > 0) {
+		handlers.onRecords(reply.records, reply.end);
+	}
+
+	handlers.onFresh();
+	return {next: last === undefined ? Math.max(from, reply.end) : last.offset + 1, hasFailed: false, isEmpty: reply.records.length === 0};
+};
+
+/** Runs until the signal is aborted. */
+export const followTopic = async (options: FollowOptions): Promise<void> => {
+	const {signal} = options;
+	let next: number | undefined;
+	while (!signal.aborted) {
+		if (next === undefined) {
+			// eslint-disable-next-line no-await-in-loop -- one poll after the other
+			next = await list(options);
+			if (next === undefined) {
+				// eslint-disable-next-line no-await-in-loop -- one poll after the other
+				await pause(failurePauseMs, signal);
+			}
+
+			continue;
+		}
+
+		// eslint-disable-next-line no-await-in-loop -- one poll after the other
+		const polled = await poll(options, next);
+		next = polled.next;
+		if (polled.hasFailed) {
+			// eslint-disable-next-line no-await-in-loop -- one poll after the other
+			await pause(failurePauseMs, signal);
+		} else if (!polled.isEmpty && options.pauseMs > 0) {
+			// eslint-disable-next-line no-await-in-loop -- one poll after the other
+			await pause(options.pauseMs, signal);
+		}
+	}
+};
--- /dev/null
+++ b/packages/gateway/src/gateway-metrics.ts
@@ -0,0 +1,59 @@
+/** Counters and histograms of the gateway, served on the metrics address. Label values are bounded: services, routes' kinds and closed lists. */
+import {
+	collectDefaultMetrics,
+	Counter,
+	Gauge,
+	Histogram,
+	Registry,
+} from 'prom-client';
+
+/** Bounds in seconds: from a plain answer of some milliseconds to the longest stream. */
+const secondsBuckets = [0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.6, 1, 1.5, 3, 6, 15, 30];
+
+export type GatewayMetrics = {
+	readonly registry: Registry;
+	readonly calls: Counter<'service' | 'kind' | 'outcome'>;
+	readonly callSeconds: Histogram<'service' | 'kind'>;
+	readonly firstByteSeconds: Histogram<'service' | 'kind'>;
+	readonly attempts: Counter<'service' | 'outcome'>;
+	readonly storeCalls: Counter<'topic' | 'outcome'>;
+	readonly dependencyAge: Gauge<'dependency'>;
+	readonly duties: Counter<'duty' | 'outcome'>;
+	readonly peers: Gauge;
+	readonly activeCalls: Gauge;
+};
+
+export const openGatewayMetrics = (): GatewayMetrics => {
+	const registry = new Registry();
+	const registers = [registry];
+	return {
+		registry,
+		calls: new Counter({
+			name: 'shallotpass_gateway_calls_total', help: 'Calls of callers by what became of them', labelNames: ['service', 'kind', 'outcome'], registers,
+		}),
+		callSeconds: new Histogram({
+			name: 'shallotpass_gateway_call_seconds', help: 'Seconds from a request\'s head to the end of its answer', labelNames: ['service', 'kind'], buckets: secondsBuckets, registers,
+		}),
+		firstByteSeconds: new Histogram({
+			name: 'shallotpass_gateway_first_byte_seconds', help: 'Seconds from a request\'s head to the head of its answer', labelNames: ['service', 'kind'], buckets: secondsBuckets, registers,
+		}),
+		attempts: new Counter({
+			name: 'shallotpass_gateway_attempts_total', help: 'Calls sent to backend servers by outcome', labelNames: ['service', 'outcome'], registers,
+		}),
+		storeCalls: new Counter({
+			name: 'shallotpass_gateway_store_calls_total', help: 'Calls to the platform\'s store by topic and outcome', labelNames: ['topic', 'outcome'], registers,
+		}),
+		dependencyAge: new Gauge({
+			name: 'shallotpass_gateway_dependency_age_seconds', help: 'Seconds since a dependency last answered', labelNames: ['dependency'], registers,
+		}),
+		duties: new Counter({
+			name: 'shallotpass_gateway_duties_total', help: 'Calls of the duties by outcome', labelNames: ['duty', 'outcome'], registers,
+		}),
+		peers: new Gauge({name: 'shallotpass_gateway_peers', help: 'Other daemons that were heard lately', registers}),
+		activeCalls: new Gauge({name: 'shallotpass_gateway_active_calls', help: 'Calls in flight', registers}),
+	};
+};
+
+export const collectProcessFigures = (metrics: GatewayMetrics): void => {
+	collectDefaultMetrics({register: metrics.registry});
+};
--- /dev/null
+++ b/packages/gateway/src/gateway-state.ts
@@ -0,0 +1,81 @@
+/** What the parts of one gateway daemon share. Each field has one writer, which its comment names. */
+import {type AccountBucket} from '@shallotpass/core/quotas/account-share.js';
+import {type CrashRegister} from '@shallotpass/core/retries/crash-register.js';
+import {type IndexedConfiguration} from '@shallotpass/core/calls/index-configuration.js';
+import {type RepeatAllowance} from '@shallotpass/core/retries/repeat-allowance.js';
+import {type UsageBook} from '@shallotpass/core/usage/count-starts.js';
+import {type BackendBook} from './backend-book.js';
+import {type Clocks} from './clocks.js';
+import {type EventLog} from './event-log.js';
+import {type GatewayMetrics} from './gateway-metrics.js';
+import {type GatewaySettings} from './gateway-settings.js';
+import {type WireFormat} from './ports.js';
+
+/** What another daemon told last. */
+export type PeerNews = {
+	readonly id: string;
+	readonly incarnation: string;
+	readonly address: string;
+	readonly availabilityZone: string;
+	/** On the steady clock. */
+	readonly heardAt: number;
+	readonly configurationVersion: number;
+	/** Cost units asked a second by client account. */
+	readonly demands: Readonly<Record<string, number>>;
+	/** Backend id → calls running and prompt tokens pending by rank. */
+	readonly loads: Readonly<Record<string, readonly number[]>>;
+	/** Window → counts. */
+	readonly usage: Readonly<Record<string, Readonly<Record<string, number>>>>;
+	/** Milliseconds of engine work begun a second, by service. */
+	readonly work: Readonly<Record<string, number>>;
+	readonly isDraining: boolean;
+	/** Offset of the lease's record that the daemon holds, or -1. */
+	readonly leaseOffset: number;
+};
+
+export type GatewayState = {
+	readonly settings: GatewaySettings;
+	/** Names one life of this process. */
+	readonly incarnation: string;
+	readonly clocks: Clocks;
+	readonly log: EventLog;
+	readonly metrics: GatewayMetrics;
+	readonly wire: WireFormat;
+	readonly random: () => number;
+	/** Written by the follower of the configuration. */
+	configuration: IndexedConfiguration | undefined;
+	/** When the configuration was last known to be the newest, on the steady clock; same writer. */
+	configurationCheckedAt: number;
+	/** Written by the follower of the directory and by the calls. */
+	readonly book: BackendBook;
+	/** Set once the directory was read; same writer. */
+	hasDirectory: boolean;
+	/** Written by the calls. */
+	readonly buckets: Map<string, AccountBucket>;
+	readonly allowances: Map<string, RepeatAllowance>;
+	readonly usage: UsageBook;
+	crashes: CrashRegister;
+	/** Engine work begun, in tokens by service, since the start; written by the calls. */
+	readonly workTokens: Map<string, number>;
+	/** Written by the peer news. */
+	readonly peers: Map<string, PeerNews>;
+	/** Set at SIGTERM; on the steady clock. */
+	drainingSince: number | undefined;
+	/** Calls in flight. */
+	activeCalls: number;
+};
+
+/** Peers that were silent for so long are not counted; news come three times a second. */
+export const peerSilentMs = 2500;
+
+export const countDaemons = (state: GatewayState): number => {
+	const since = state.clocks.steady() - peerSilentMs;
+	let daemons = 1;
+	for (const peer of state.peers.values()) {
+		if (peer.heardAt >= since) {
+			daemons++;
+		}
+	}
+
+	return daemons;
+};
--- /dev/null
+++ b/packages/gateway/src/refusal.ts
@@ -0,0 +1,29 @@
+/** Answers of the daemon's own: one table from reason to status. */
+import {type ServerResponse} from 'node:http';
+import {type ErrorKind, errorAnswers} from '@shallotpass/common/error-kinds.js';
+
+export type Refusal = {
+	readonly kind: ErrorKind;
+	readonly detail: string;
+	/** Seconds after which the caller may come again; only where the call has not run. */
+	readonly retryAfterS?: number;
+};
+
+/** Writes the answer and ends the response; does nothing when an answer has begun. */
+export const answerRefusal = (response: ServerResponse, refusal: Refusal, requestId: string | undefined, isLastOnConnection: boolean): void => {
+	if (response.headersSent || response.destroyed) {
+		response.destroy();
+		return;
+	}
+
+	const {status, title, executed} = errorAnswers[refusal.kind];
+	const body = JSON.stringify({kind: refusal.kind, title, detail: refusal.detail, executed});
+	response.writeHead(status, [
+		'Content-Type', 'application/problem+json',
+		'Content-Length', String(Buffer.byteLength(body)),
+		...(requestId === undefined ? [] : ['X-Request-Id', requestId]),
+		...(refusal.retryAfterS === undefined ? [] : ['Retry-After', refusal.retryAfterS.toFixed(2)]),
+		...(isLastOnConnection ? ['Connection', 'close'] : []),
+	]);
+	response.end(body);
+};
--- /dev/null
+++ b/packages/gateway/src/start-gateway.ts
@@ -0,0 +1,105 @@
+/** Wires the parts of one gateway daemon and stops them in order. */
+import {randomUUID} from 'node:crypto';
+import {setTimeout as sleep} from 'node:timers/promises';
+import {emptyCrashRegister} from '@shallotpass/core/retries/crash-register.js';
+import {openBackendBook} from './backend-book.js';
+import {type CallersListener, listenForCallers, listenForReady} from './callers-listener.js';
+import {openClocks} from './clocks.js';
+import {startDutyTask} from './duty-task.js';
+import {type EventLog} from './event-log.js';
+import {followConfiguration} from './follow-configuration.js';
+import {followDirectory} from './follow-directory.js';
+import {collectProcessFigures, openGatewayMetrics} from './gateway-metrics.js';
+import {type GatewaySettings} from './gateway-settings.js';
+import {type GatewayState} from './gateway-state.js';
+import {openOrderPlan} from './order-plan.js';
+import {startPeerNews} from './peer-news.js';
+import {type Platform, type Topic} from './ports.js';
+
+/** Calls in flight are looked at this often while the daemon leaves, in milliseconds. */
+const drainTickMs = 100;
+
+/** Before the platform kills the process, in milliseconds. */
+const killMarginMs = 300;
+
+/** Connections without a call are kept for this long after SIGTERM, so that callers learn of the end with an answer. */
+const keepIdleMs = 3200;
+
+export type GatewayOptions = {
+	readonly settings: GatewaySettings;
+	readonly log: EventLog;
+	readonly openPlatform: (onStoreCall: (topic: Topic, outcome: string) => void) => Platform;
+};
+
+export type Gateway = {
+	readonly state: GatewayState;
+	/** Finishes all calls, refuses new ones late, and resolves when the process may end. */
+	readonly drain: () => Promise<void>;
+};
+
+const openState = ({settings, log}: GatewayOptions, platform: Platform, metrics: GatewayState['metrics']): GatewayState => ({
+	settings,
+	incarnation: randomUUID(),
+	clocks: openClocks(),
+	log,
+	metrics,
+	wire: platform.wire,
+	random: Math.random,
+	configuration: undefined,
+	configurationCheckedAt: Number.NEGATIVE_INFINITY,
+	book: openBackendBook(),
+	hasDirectory: false,
+	buckets: new Map(),
+	allowances: new Map(),
+	usage: new Map(),
+	crashes: emptyCrashRegister,
+	workTokens: new Map(),
+	peers: new Map(),
+	drainingSince: undefined,
+	activeCalls: 0,
+});
+
+const drain = async (state: GatewayState, listener: CallersListener, controller: AbortController): Promise<void> => {
+	const now = (): number => state.clocks.steady();
+	const since = now();
+	state.drainingSince = since;
+	state.log.write('belief', 'draining', {activeCalls: state.activeCalls, graceMs: state.settings.bounds.graceMs});
+	const endAt = since + state.settings.bounds.graceMs - killMarginMs;
+	while (now() < endAt && (state.activeCalls > 0 || now() < since + keepIdleMs)) {
+		// eslint-disable-next-line no-await-in-loop -- a tick after the other
+		await sleep(drainTickMs);
+	}
+
+	listener.close();
+	listener.closeIdle();
+	controller.abort();
+	state.log.write('belief', 'stopped', {activeCalls: state.activeCalls, tookMs: Math.round(now() - since)});
+};
+
+export const startGateway = async (options: GatewayOptions): Promise<Gateway> => {
+	const metrics = openGatewayMetrics();
+	const platform = options.openPlatform((topic, outcome) => {
+		metrics.storeCalls.inc({topic, outcome});
+	});
+	const state = openState(options, platform, metrics);
+	const controller = new AbortController();
+	const {signal} = controller;
+	collectProcessFigures(metrics);
+	const listener = await listenForCallers(state);
+	await listenForReady(state);
+	const plan = openOrderPlan(state);
+	const duties = startDutyTask({
+		gateway: state, platform, planOrders: plan.planOrders, onRefusedOrder: plan.noteRefusal, isFulfilled: plan.isFulfilled, signal,
+	});
+	void followConfiguration({
+		gateway: state, platform, signal, onTaken: listener.applyLimits,
+	});
+	void followDirectory({
+		gateway: state, platform, signal, onChange() {/* the book is read where it is needed */},
+	});
+	void startPeerNews({
+		gateway: state, platform, signal, getLeaseOffset: duties.getLeaseOffset, getWork: () => ({}),
+	});
+	state.log.write('belief', 'started', {incarnation: state.incarnation, listen: state.settings.listen});
+	return {state, drain: async () => drain(state, listener, controller)};
+};
--- a/packages/stand-ins/src/log-stand-in.ts
+++ b/packages/stand-ins/src/log-stand-in.ts
@@ -1,7 +1,7 @@
 /** The platform's log service over HTTP, with faults and trimming. */
 import {systemClock} from '@shallotpass/common/clock.js';
 import {addMilliseconds, type LogOffset} from '@shallotpass/common/types.js';
-import {makeMemoryLog, type MemoryLog} from '@shallotpass/platform/memory-log.js';
+import {makeMemoryLog, type MemoryLog} from '@shallotpass/provider/memory-log.js';
 import {z} from 'zod';
 import {makeFaultTable, type FaultTable} from './faults.js';
 import {
--- a/packages/tasks/src/configuration-task.ts
+++ b/packages/tasks/src/configuration-task.ts
@@ -16,7 +16,7 @@
 	takeOffer,
 } from '@shallotpass/core/configuration/take-offer.js';
 import {type AcceptedConfiguration, type ConfigurationOffer, type ConfigurationState} from '@shallotpass/core/configuration/types.js';
-import {followLog, readLimit, type LogEvent} from '@shallotpass/platform/follow-log.js';
+import {followLog, readLimit, type LogEvent} from '@shallotpass/provider/follow-log.js';
 import {type Environment} from './environment.js';
 import {nothingInForce, putInForce, type InForce} from './in-force.js';
 
--- a/scripts/measure/src/fleet/run-day.ts
+++ b/scripts/measure/src/fleet/run-day.ts
@@ -11,7 +11,7 @@
 import {makeOfferKey, type Offer} from '@shallotpass/core/fleet/types.js';
 import {chooseLowestCost} from '@shallotpass/core/routing/policies.js';
 import {type ListedInstance} from '@shallotpass/common/instance-list.js';
-import {makeMemoryLog} from '@shallotpass/platform/memory-log.js';
+import {makeMemoryLog} from '@shallotpass/provider/memory-log.js';
 import {makeFleetDuty, type FleetDemand, type FleetDuty} from '@shallotpass/tasks/fleet-duty.js';
 import {makeLogger} from '@shallotpass/telemetry/logger.js';
 import {makeMetrics} from '@shallotpass/telemetry/metrics.js';
--- a/scripts/measure/src/slopes/socket-slopes.ts
+++ b/scripts/measure/src/slopes/socket-slopes.ts
@@ -7,7 +7,7 @@
 import {startEngineStandIn} from '@shallotpass/stand-ins/engine-stand-in.js';
 import {startLogStandIn} from '@shallotpass/stand-ins/log-stand-in.js';
 import {startRelay} from '@shallotpass/stand-ins/relay.js';
-import {makeHttpLog} from '@shallotpass/platform/http-log.js';
+import {makeHttpLog} from '@shallotpass/provider/http-log.js';
 import {type Deadline, type LogOffset} from '@shallotpass/common/types.js';
 import {askStream, reserve} from '../caller-client.js';
 import {
--- a/tests/src/claim-history.test.ts
+++ b/tests/src/claim-history.test.ts
@@ -10,7 +10,7 @@
 import {makeSettings} from '@shallotpass/measure/local-fleet.js';
 import {type PeerClient} from '@shallotpass/peers/peer-client.js';
 import {type ClaimAnswer} from '@shallotpass/peers/peer-methods.js';
-import {makeMemoryLog} from '@shallotpass/platform/memory-log.js';
+import {makeMemoryLog} from '@shallotpass/provider/memory-log.js';
 import {makeClaimService, type ClaimService} from '@shallotpass/tasks/claim-service.js';
 import {type MembershipTask} from '@shallotpass/tasks/membership-task.js';
 import {makeLogger} from '@shallotpass/telemetry/logger.js';
--- a/tests/src/fleet-daemons.test.ts
+++ b/tests/src/fleet-daemons.test.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict';
 import test from 'node:test';
 import {applyThrough, makeConfigurationText, waitFor} from '@shallotpass/measure/local-fleet.js';
-import {makeHttpCloud} from '@shallotpass/platform/http-cloud.js';
+import {makeHttpCloud} from '@shallotpass/provider/http-cloud.js';
 import {startCloudStandIn} from '@shallotpass/stand-ins/cloud-stand-in.js';
 import {Agent} from 'undici';
 import {startFleet} from './fleet-fixture.js';
--- a/tests/src/fleet-duty.test.ts
+++ b/tests/src/fleet-duty.test.ts
@@ -5,7 +5,7 @@
 import {makeOfferKey, type Offer} from '@shallotpass/core/fleet/types.js';
 import {makeMemoryCloud, type MemoryCloud} from '@shallotpass/measure/fleet/memory-cloud.js';
 import {makeSettings} from '@shallotpass/measure/local-fleet.js';
-import {makeMemoryLog} from '@shallotpass/platform/memory-log.js';
+import {makeMemoryLog} from '@shallotpass/provider/memory-log.js';
 import {makeFleetDuty, type FleetDuty} from '@shallotpass/tasks/fleet-duty.js';
 import {makeLogger} from '@shallotpass/telemetry/logger.js';
 import {makeMetrics} from '@shallotpass/telemetry/metrics.js';
--- a/tests/src/shard-fixture.ts
+++ b/tests/src/shard-fixture.ts
@@ -1,7 +1,7 @@
 /** One claim shard on a log in memory and a clock that the test moves. */
 import {type Claim} from '@shallotpass/common/log-records.js';
 import {makeSettings} from '@shallotpass/measure/local-fleet.js';
-import {makeMemoryLog, type MemoryLog} from '@shallotpass/platform/memory-log.js';
+import {makeMemoryLog, type MemoryLog} from '@shallotpass/provider/memory-log.js';
 import {makeClaimShard, type ClaimShard} from '@shallotpass/tasks/claim-shard.js';
 import {makeLogger} from '@shallotpass/telemetry/logger.js';
 import {makeMetrics} from '@shallotpass/telemetry/metrics.js';
--- a/xo.config.js
+++ b/xo.config.js
@@ -16,7 +16,7 @@
 	},
 	{
 		files: ['packages/common/**/*.ts'],
-		rules: forbidImports(['core', 'platform', 'backends', 'peers', 'stand-ins', 'daemon', 'cli', 'measure']),
+		rules: forbidImports(['core', 'provider', 'platform', 'gateway', 'backends', 'peers', 'stand-ins', 'daemon', 'cli', 'measure']),
 	},
 	{
 		files: ['packages/core/**/*.ts'],
@@ -24,7 +24,7 @@
 			'no-restricted-imports': ['error', {
 				paths: sockets.map(name => ({name, message: 'The core does no input or output.'})),
 				patterns: [{
-					group: ['platform', 'backends', 'peers', 'stand-ins', 'daemon', 'cli', 'measure'].map(name => `@shallotpass/${name}/**`),
+					group: ['provider', 'platform', 'gateway', 'backends', 'peers', 'stand-ins', 'daemon', 'cli', 'measure'].map(name => `@shallotpass/${name}/**`),
 					message: 'The core imports only common.',
 				}],
 			}],
@@ -32,7 +32,7 @@
 		},
 	},
 	{
-		files: ['packages/{platform,backends,peers}/**/*.ts'],
+		files: ['packages/{provider,backends,peers}/**/*.ts'],
 		rules: forbidImports(['stand-ins', 'daemon', 'cli', 'measure']),
 	},
 	{
