Tell an answer that was reset from one that ended with its connection

Ruled out: an error on the request (it is not raised in this case; tried, still broken), treating all such answers as broken (answers that are ready would be lost). One try ended processes, since a failed write found no listener.

--- a/packages/gateway/src/backend-agent.ts
+++ b/packages/gateway/src/backend-agent.ts
@@ -11,31 +11,62 @@
 /** Part of a stated idle time that is used: the rest covers the way there and a busy processor. */
 const usedPartOfIdle = 0.6;
 
-const readStatedIdle = (response: http.IncomingMessage | undefined): number | undefined => {
+const readStatedIdle = (response: http.IncomingMessage | null | undefined): number | undefined => {
 	const match = /timeout=(?<seconds>\d+)/v.exec(String(response?.headers['keep-alive'] ?? ''));
 	return match?.groups?.seconds === undefined ? undefined : Number(match.groups.seconds) * 1000;
 };
 
-type PooledSocket = net.Socket & {
+export type PooledSocket = net.Socket & {
 	// Node's client keeps the request that used a socket last here.
-	_httpMessage?: http.ClientRequest & {res?: http.IncomingMessage};
-	unusableAt?: number;
+	_httpMessage?: http.ClientRequest & {res?: http.IncomingMessage | null};
+	/** Set when the connection was reset or could not be written. */
+	hasFailed?: boolean;
 	onIdleData?: () => void;
 };
 
+/** Whether the answer ends with its connection: it states no length and has no chunks. */
+export const isUnframed = (response: http.IncomingMessage): boolean =>
+	response.headers['content-length'] === undefined && response.headers['transfer-encoding'] === undefined;
+
+/**
+ * The other end has closed. For an answer that ends with its connection this is either its end or
+ * a reset: when a reset comes with the last bytes, Node's event loop reports both as the same
+ * end of file, and a caller would get a part framed as the whole. A write tells them apart: it
+ * fails at once on a connection that was reset. The empty line is ignored by HTTP servers, and this
+ * one has closed.
+ */
+const endOrProbe = (socket: PooledSocket): void => {
+	const response = socket._httpMessage?.res;
+	if (response && isUnframed(response)) {
+		socket.write('\r\n', error => {
+			socket.hasFailed ||= Boolean(error);
+		});
+		return;
+	}
+
+	socket.end();
+};
+
 export class BackendAgent extends http.Agent {
 	/** Connections in use or idle. */
 	openConnections = 0;
 
 	constructor() {
 		super({
-			keepAlive: true, noDelay: true, scheduling: 'lifo', maxFreeSockets: 64,
-		});
+			keepAlive: true, noDelay: true, scheduling: 'lifo', maxFreeSockets: 64, allowHalfOpen: true,
+		} as http.AgentOptions);
 	}
 
 	override createConnection(...args: Parameters<http.Agent['createConnection']>): net.Socket {
-		const socket = super.createConnection(...args) as net.Socket;
+		const socket = super.createConnection(...args) as PooledSocket;
 		this.openConnections++;
+		socket.on('end', () => {
+			endOrProbe(socket);
+		});
+		// Node's client listens only while a call is under way.
+		socket.on('error', () => {
+			socket.hasFailed = true;
+		});
 		socket.once('close', () => {
 			this.openConnections--;
 		});
--- a/packages/gateway/src/backend-exchange.ts
+++ b/packages/gateway/src/backend-exchange.ts
@@ -1,7 +1,8 @@
 /** One call at one backend server: what was sent, and what is known of its fate. */
 import {type Buffer} from 'node:buffer';
 import http from 'node:http';
-import {type BackendAgent} from './backend-agent.js';
+import {setImmediate as nextTurn} from 'node:timers/promises';
+import {type BackendAgent, isUnframed, type PooledSocket} from './backend-agent.js';
 import {parseHostAndPort} from './host-and-port.js';
 
 /**
@@ -10,8 +11,11 @@
  */
 export type Fate = 'unsent' | 'unknown';
 
+/** Whether the answer has arrived whole; asked when it has ended. */
+export type IsWhole = () => Promise<boolean>;
+
 export type ExchangeResult =
-	| {readonly kind: 'answered'; readonly response: http.IncomingMessage}
+	| {readonly kind: 'answered'; readonly response: http.IncomingMessage; readonly isWhole: IsWhole}
 	| {readonly kind: 'failed'; readonly fate: Fate; readonly reason: string; readonly isConnectFailure: boolean};
 
 export type Exchange = {
@@ -45,6 +49,7 @@
 		setHost: false,
 	});
 	let isSent = false;
+	let hasFailed = false;
 	let connectTimer: NodeJS.Timeout | undefined;
 	let failReason: string | undefined;
 
@@ -75,15 +80,29 @@
 		});
 		request.on('response', response => {
 			clearTimeout(connectTimer);
+			const {socket} = request;
 			if (!request.writableFinished) {
 				// The answer came before the whole body was sent. What is still on its way would be
 				// read as the next call on this connection.
 				request.shouldKeepAlive = false;
 			}
 
-			resolve({kind: 'answered', response});
+			resolve({
+				kind: 'answered',
+				response,
+				async isWhole() {
+					if (isUnframed(response)) {
+						// The connection's end was probed by a write; its failure comes with the next turn.
+						await nextTurn();
+						await nextTurn();
+					}
+
+					return response.complete && !hasFailed && !(socket?.hasFailed ?? false);
+				},
+			});
 		});
 		request.on('error', error => {
+			hasFailed = true;
 			fail((error as NodeJS.ErrnoException).code ?? error.message);
 		});
 		request.on('close', () => {
--- a/packages/gateway/src/pass-plain.ts
+++ b/packages/gateway/src/pass-plain.ts
@@ -1,6 +1,7 @@
 /** Hands a plain answer on: whole where it is small, as it comes where it is large. */
 import {Buffer} from 'node:buffer';
 import type http from 'node:http';
+import {type IsWhole} from './backend-exchange.js';
 import {listEndToEndFields} from './hop-fields.js';
 
 /**
@@ -26,7 +27,16 @@
 	...(isLast ? ['Connection', 'close'] : []),
 ];
 
-export const passPlain = async (response: http.IncomingMessage, target: http.ServerResponse, method: string, isLast: () => boolean): Promise<PlainResult> => new Promise(resolve => {
+export type PlainOptions = {
+	readonly response: http.IncomingMessage;
+	readonly isWhole: IsWhole;
+	readonly target: http.ServerResponse;
+	readonly method: string;
+	/** Whether the connection ends with this answer. */
+	readonly isLast: () => boolean;
+};
+
+export const passPlain = async ({response, isWhole, target, method, isLast}: PlainOptions): Promise<PlainResult> => new Promise(resolve => {
 	const held: Buffer[] = [];
 	let bytes = 0;
 	let isStreaming = false;
@@ -60,8 +70,8 @@
 			});
 		}
 	});
-	response.once('close', () => {
-		if (!response.complete) {
+	const settle = (hasAll: boolean): void => {
+		if (!hasAll) {
 			if (isStreaming) {
 				target.destroy();
 			}
@@ -81,6 +91,10 @@
 		target.writeHead(response.statusCode ?? 502, response.statusMessage, toFields(response, length, isLast()));
 		target.end(body);
 		resolve('passed');
+	};
+
+	response.once('close', async () => {
+		settle(await isWhole());
 	});
 	response.on('error', () => {
 		// 'close' follows and tells what it means; without a listener the process would end.
--- a/packages/gateway/src/pass-stream.ts
+++ b/packages/gateway/src/pass-stream.ts
@@ -1,6 +1,7 @@
 /** Hands a stream of events on, each as it comes, whole events only. */
 import {type Buffer} from 'node:buffer';
 import type http from 'node:http';
+import {type IsWhole} from './backend-exchange.js';
 import {type EventSplitter} from './event-splitter.js';
 import {listEndToEndFields} from './hop-fields.js';
 
@@ -23,6 +24,7 @@
 
 export type StreamOptions = {
 	readonly response: http.IncomingMessage;
+	readonly isWhole: IsWhole;
 	readonly target: http.ServerResponse;
 	readonly splitter: EventSplitter;
 	readonly onEvents: () => void;
@@ -30,7 +32,7 @@
 
 /** Passes events until the stream ends. Does not end the target: a stream that broke may go on from elsewhere. */
 export const passEvents = async (options: StreamOptions): Promise<StreamResult> => new Promise(resolve => {
-	const {response, target, splitter, onEvents} = options;
+	const {response, isWhole, target, splitter, onEvents} = options;
 	const onTargetClose = (): void => {
 		resolve('caller_left');
 	};
@@ -53,8 +55,9 @@
 	response.on('error', () => {
 		// 'close' follows and tells what it means; without a listener the process would end.
 	});
-	response.once('close', () => {
+	response.once('close', async () => {
+		const hasAll = await isWhole();
 		target.off('close', onTargetClose);
-		resolve(response.complete && !splitter.hasRest() ? 'complete' : 'broken');
+		resolve(hasAll && !splitter.hasRest() ? 'complete' : 'broken');
 	});
 });
--- a/packages/gateway/src/run-at-backend.ts
+++ b/packages/gateway/src/run-at-backend.ts
@@ -6,7 +6,7 @@
 import {notePart} from '@shallotpass/core/placement/prefix-memory.js';
 import {getWindow, noteStart} from '@shallotpass/core/usage/count-starts.js';
 import {type BackendState, countedRanks} from './backend-book.js';
-import {type Exchange, sendToBackend} from './backend-exchange.js';
+import {type Exchange, type IsWhole, sendToBackend} from './backend-exchange.js';
 import {type GatewayState} from './gateway-state.js';
 import {type Placement} from './place-call.js';
 
@@ -37,6 +37,7 @@
 export type Attempt = {
 	readonly state: BackendState;
 	readonly exchange: Exchange;
+	readonly isWhole: IsWhole;
 	readonly sentAt: number;
 	/** Ends the bookkeeping; called once, when nothing more comes. */
 	readonly end: (isFailure: boolean) => void;
@@ -165,7 +166,7 @@
 		return {kind: 'may_have_run', reason: result.reason};
 	}
 
-	const {response} = result;
+	const {response, isWhole} = result;
 	state.failedConnects = 0;
 	state.heardAt = gateway.clocks.steady();
 	const head = gateway.wire.toBackendHead(response.statusCode ?? 0, response.headers);
@@ -197,7 +198,7 @@
 	gateway.metrics.attempts.inc({service: call.service, outcome: (response.statusCode ?? 0) < 500 ? 'answered' : 'failed'});
 	return {
 		kind: 'answered', response, attempt: {
-			state, exchange, sentAt: now, end,
+			state, exchange, isWhole, sentAt: now, end,
 		},
 	};
 };
--- a/packages/gateway/src/serve-call.ts
+++ b/packages/gateway/src/serve-call.ts
@@ -271,7 +271,9 @@
 			}
 
 			// eslint-disable-next-line no-await-in-loop -- one try after the other
-			const passed = await passPlain(response, target, sending.method, () => isDraining(gateway));
+			const passed = await passPlain({
+				response, isWhole: attempt.isWhole, target, method: sending.method, isLast: () => isDraining(gateway),
+			});
 			attempt.end(passed !== 'passed' || isServerFailure(response));
 			if (passed === 'passed') {
 				return {name: isServerFailure(response) ? 'backend_error' : 'served'};
@@ -319,7 +321,9 @@
 
 			if (isFailure && !hasBegun) {
 				// eslint-disable-next-line no-await-in-loop -- one try after the other
-				const passed = await passPlain(response, target, sending.method, () => isDraining(gateway));
+				const passed = await passPlain({
+					response, isWhole: attempt.isWhole, target, method: sending.method, isLast: () => isDraining(gateway),
+				});
 				attempt.end(true);
 				return passed === 'passed' ? {name: 'backend_error'} : describeEnd(progress);
 			}
@@ -337,7 +341,7 @@
 
 			// eslint-disable-next-line no-await-in-loop -- one try after the other
 			const passed = await passEvents({
-				response, target, splitter,
+				response, isWhole: attempt.isWhole, target, splitter,
 				onEvents() {
 					attempt.state.heardAt = gateway.clocks.steady();
 				},
