Pass the configuration and the list of backend servers on between peers

A daemon that the store turns away for 9 s kept old routes and keys; it now asks a peer when its own beliefs are older than a poll takes.

--- a/packages/gateway/src/backend-agent.ts
+++ b/packages/gateway/src/backend-agent.ts
@@ -19,11 +19,14 @@
 export type PooledSocket = net.Socket & {
 	// Node's client keeps the request that used a socket last here.
 	_httpMessage?: http.ClientRequest & {res?: http.IncomingMessage | null};
-	/** Set when the connection was reset or could not be written. */
-	hasFailed?: boolean;
 	onIdleData?: () => void;
 };
 
+/** Connections that were reset or could not be written. */
+const failedSockets = new WeakSet<net.Socket>();
+
+export const hasConnectionFailed = (socket: net.Socket | null): boolean => socket !== null && failedSockets.has(socket);
+
 /** Whether the answer ends with its connection: it states no length and has no chunks. */
 export const isUnframed = (response: http.IncomingMessage): boolean =>
 	response.headers['content-length'] === undefined && response.headers['transfer-encoding'] === undefined;
@@ -39,7 +42,9 @@
 	const response = socket._httpMessage?.res;
 	if (response && isUnframed(response)) {
 		socket.write('\r\n', error => {
-			socket.hasFailed ||= Boolean(error);
+			if (error) {
+				failedSockets.add(socket);
+			}
 		});
 		return;
 	}
@@ -65,7 +70,7 @@
 		});
 		// Node's client listens only while a call is under way.
 		socket.on('error', () => {
-			socket.hasFailed = true;
+			failedSockets.add(socket);
 		});
 		socket.once('close', () => {
 			this.openConnections--;
--- a/packages/gateway/src/backend-exchange.ts
+++ b/packages/gateway/src/backend-exchange.ts
@@ -2,7 +2,7 @@
 import {type Buffer} from 'node:buffer';
 import http from 'node:http';
 import {setImmediate as nextTurn} from 'node:timers/promises';
-import {type BackendAgent, isUnframed, type PooledSocket} from './backend-agent.js';
+import {type BackendAgent, hasConnectionFailed, isUnframed} from './backend-agent.js';
 import {parseHostAndPort} from './host-and-port.js';
 
 /**
@@ -97,7 +97,7 @@
 						await nextTurn();
 					}
 
-					return response.complete && !hasFailed && !(socket?.hasFailed ?? false);
+					return response.complete && !hasFailed && !hasConnectionFailed(socket);
 				},
 			});
 		});
--- a/packages/gateway/src/follow-directory.ts
+++ b/packages/gateway/src/follow-directory.ts
@@ -17,17 +17,28 @@
 /** A backend server that lives has written its entry again within this time after the store's return. */
 const lapseMs = 2200;
 
+/** How often entries that were missing for too long are looked for, in milliseconds. */
+const missingCheckMs = 500;
+
+export type DirectoryFollower = {
+	/** What this daemon believes, and how old it is. */
+	readonly read: () => {readonly directory: Directory; readonly ageMs: number};
+	/** Takes what a peer believes when that is newer. */
+	readonly takeFromPeer: (directory: Directory, ageMs: number) => void;
+};
+
 export type DirectoryOptions = {
 	readonly gateway: GatewayState;
 	readonly platform: Platform;
-	readonly onChange: (directory: Directory) => void;
 	readonly signal: AbortSignal;
 };
 
-export const followDirectory = async ({gateway, platform, onChange, signal}: DirectoryOptions): Promise<void> => {
+export const followDirectory = ({gateway, platform, signal}: DirectoryOptions): DirectoryFollower => {
 	let directory = emptyDirectory;
 	let isAway = false;
 	let lapsesUntil = 0;
+	let freshAt = Number.NEGATIVE_INFINITY;
+	const now = (): number => gateway.clocks.steady();
 
 	const toRecord = (record: KeyedRecord): DirectoryRecord => ({
 		offset: record.offset,
@@ -36,8 +47,8 @@
 	});
 
 	const take = (next: Directory): void => {
-		directory = dropMissing(next, gateway.clocks.steady());
-		for (const change of takeDirectory(gateway.book, directory, gateway.clocks.steady())) {
+		directory = dropMissing(next, now());
+		for (const change of takeDirectory(gateway.book, directory, now())) {
 			gateway.log.write('belief', `backend_${change.kind}`, {
 				backend: change.entry.id, address: change.entry.address, service: change.entry.service, zone: change.entry.availabilityZone,
 				reclaimable: change.entry.isReclaimable, leavesInMs: change.entry.leavesInMs, offset: directory.next,
@@ -45,21 +56,20 @@
 		}
 
 		gateway.hasDirectory = true;
-		onChange(directory);
 	};
 
-	const context = () => ({now: gateway.clocks.steady(), lapsesUntil});
+	const context = () => ({now: now(), lapsesUntil});
 	const timer = setInterval(() => {
-		const dropped = dropMissing(directory, gateway.clocks.steady());
+		const dropped = dropMissing(directory, now());
 		if (!isAway && dropped !== directory) {
 			take(dropped);
 		}
-	}, 500);
+	}, missingCheckMs);
 	signal.addEventListener('abort', () => {
 		clearInterval(timer);
 	}, {once: true});
 
-	await followTopic({
+	void followTopic({
 		store: platform.store,
 		topic: 'directory',
 		waitMs: Math.floor(gateway.settings.bounds.drainMs * pollPartOfDrain),
@@ -73,14 +83,15 @@
 				take(foldDirectory(directory, records.map(record => toRecord(record)), context()));
 			},
 			onFresh() {
+				freshAt = now();
 				if (isAway) {
 					isAway = false;
-					lapsesUntil = gateway.clocks.steady() + lapseMs;
+					lapsesUntil = now() + lapseMs;
 					gateway.log.write('belief', 'store_regained', {topic: 'directory'});
 				}
 			},
 			onFailure(reason) {
-				lapsesUntil = gateway.clocks.steady() + lapseMs;
+				lapsesUntil = now() + lapseMs;
 				if (!isAway && !signal.aborted) {
 					isAway = true;
 					gateway.log.write('belief', 'store_lost', {topic: 'directory', reason});
@@ -88,4 +99,19 @@
 			},
 		},
 	});
+
+	return {
+		read: () => ({directory, ageMs: now() - freshAt}),
+		takeFromPeer(theirs, ageMs) {
+			const theirFreshAt = now() - ageMs;
+			if (theirs.next > directory.next) {
+				gateway.log.write('belief', 'directory_from_peer', {next: theirs.next, before: directory.next, ageMs: Math.round(ageMs)});
+				take(theirs);
+			}
+
+			if (theirs.next >= directory.next) {
+				freshAt = Math.max(freshAt, theirFreshAt);
+			}
+		},
+	};
 };
--- a/packages/gateway/src/start-gateway.ts
+++ b/packages/gateway/src/start-gateway.ts
@@ -15,6 +15,7 @@
 import {type GatewayState} from './gateway-state.js';
 import {openOrderPlan} from './order-plan.js';
 import {startPeerNews} from './peer-news.js';
+import {askPeersWhileStale, listenForPeers, type RelayOptions} from './peer-relay.js';
 import {type Platform, type Topic} from './ports.js';
 
 /** Calls in flight are looked at this often while the daemon leaves, in milliseconds. */
@@ -98,9 +99,12 @@
 	void followConfiguration({
 		gateway: state, platform, signal, onTaken: listener.applyLimits,
 	});
-	void followDirectory({
-		gateway: state, platform, signal, onChange() {/* the book is read where it is needed */},
-	});
+	const directory = followDirectory({gateway: state, platform, signal});
+	const relay: RelayOptions = {
+		gateway: state, directory, onConfiguration: listener.applyLimits, signal,
+	};
+	await listenForPeers(relay);
+	void askPeersWhileStale(relay);
 	void startPeerNews({
 		gateway: state, platform, signal, getLeaseOffset: duties.getLeaseOffset, getWork: () => ({}),
 	});
