--- a/packages/core/src/placement/choose-backend.ts
+++ b/packages/core/src/placement/choose-backend.ts
@@ -32,6 +32,14 @@
  */
 const reclaimablePenaltyMs = 60;
 
+/**
+ * A backend server that went dark keeps its connections and answers nothing; its calls time out
+ * late, and until then nothing but its silence tells. Silence up to this many milliseconds is a
+ * long prompt being read; each one beyond counts twice as wait.
+ */
+const usualSilenceMs = 200;
+const silenceWeight = 2;
+
 const countWaitingTokens = (pendingTokens: readonly number[], rank: number): number => {
 	let tokens = 0;
 	for (const [pendingRank, pending] of pendingTokens.entries()) {
@@ -64,7 +72,8 @@
 
 export const computeCost = (view: BackendView, call: PlacedCall): number => {
 	const atRisk = call.isBoundToOne && call.isStream && view.isReclaimable ? reclaimablePenaltyMs : 0;
-	return predictWait(view, call) + (view.failureShare * failurePenaltyMs) + atRisk;
+	const silence = Math.max(0, view.silentMs - usualSilenceMs) * silenceWeight;
+	return predictWait(view, call) + (view.failureShare * failurePenaltyMs) + atRisk + silence;
 };
 
 export type Choice = {
--- a/packages/core/src/placement/types.ts
+++ b/packages/core/src/placement/types.ts
@@ -26,4 +26,6 @@
 	readonly isFull: boolean;
 	/** Tokens of the call's prompt that are believed to be cached there. */
 	readonly cachedTokens: number;
+	/** Milliseconds in which calls wait there and nothing at all was read from it. */
+	readonly silentMs: number;
 };
--- a/packages/gateway/src/backend-book.ts
+++ b/packages/gateway/src/backend-book.ts
@@ -31,6 +31,8 @@
 	failedConnects: number;
 	/** When something was last read from it, on the steady clock. */
 	heardAt: number;
+	/** When the calls were sent that have no answer yet, the oldest first. */
+	readonly unanswered: Map<symbol, number>;
 	isGone: boolean;
 	readonly prefixes: PrefixMemory;
 	/** Digests of the calls that run there, for the case that it ends. */
@@ -61,6 +63,7 @@
 	suspendedUntil: 0,
 	failedConnects: 0,
 	heardAt: now,
+	unanswered: new Map(),
 	isGone: false,
 	prefixes: new Map(),
 	digests: new Set(),
@@ -122,9 +125,15 @@
 	return changes;
 };
 
+/** Milliseconds in which calls wait there and nothing at all was read from it. */
+export const getSilence = (state: BackendState, now: number): number => {
+	const [oldest] = state.unanswered.values();
+	return oldest === undefined ? 0 : now - Math.max(oldest, state.heardAt);
+};
+
 const toLoad = (running: number, pendingTokens: readonly number[]): Load => ({running, pendingTokens});
 
-export const toView = (state: BackendState, cachedTokens: number, mostOwn: number): BackendView => ({
+export const toView = (state: BackendState, cachedTokens: number, mostOwn: number, now: number): BackendView => ({
 	id: state.entry.id,
 	availabilityZone: state.entry.availabilityZone,
 	places: state.entry.places,
@@ -136,4 +145,5 @@
 	failureShare: state.failureShare,
 	isFull: state.running >= mostOwn,
 	cachedTokens,
+	silentMs: getSilence(state, now),
 });
--- a/packages/gateway/src/pass-stream.ts
+++ b/packages/gateway/src/pass-stream.ts
@@ -27,18 +27,27 @@
 	readonly isWhole: IsWhole;
 	readonly target: http.ServerResponse;
 	readonly splitter: EventSplitter;
+	/** Milliseconds of silence after which the stream counts as broken; undefined where it cannot go on elsewhere. */
+	readonly stallMs: number | undefined;
 	readonly onEvents: () => void;
 };
 
 /** Passes events until the stream ends. Does not end the target: a stream that broke may go on from elsewhere. */
 export const passEvents = async (options: StreamOptions): Promise<StreamResult> => new Promise(resolve => {
-	const {response, isWhole, target, splitter, onEvents} = options;
+	const {response, isWhole, target, splitter, stallMs, onEvents} = options;
 	const onTargetClose = (): void => {
+		clearTimeout(stallTimer);
 		resolve('caller_left');
 	};
 
+	const stallTimer = stallMs === undefined
+		? undefined
+		: setTimeout(() => {
+			response.destroy();
+		}, stallMs);
 	target.once('close', onTargetClose);
 	response.on('data', (chunk: Buffer) => {
+		stallTimer?.refresh();
 		const events = splitter.take(chunk);
 		if (events === undefined) {
 			return;
@@ -56,6 +65,7 @@
 		// 'close' follows and tells what it means; without a listener the process would end.
 	});
 	response.once('close', async () => {
+		clearTimeout(stallTimer);
 		const hasAll = await isWhole();
 		target.off('close', onTargetClose);
 		resolve(hasAll && !splitter.hasRest() ? 'complete' : 'broken');
--- a/packages/gateway/src/peer-news.ts
+++ b/packages/gateway/src/peer-news.ts
@@ -8,6 +8,7 @@
 import dgram from 'node:dgram';
 import {createJSONRPCNotification} from 'json-rpc-2.0';
 import {readDemand} from '@shallotpass/core/quotas/account-share.js';
+import {noteCrash} from '@shallotpass/core/retries/crash-register.js';
 import {z} from 'zod';
 import {readSpent} from '@shallotpass/core/quotas/spending.js';
 import {type GatewayState, type PeerNews, peerSilentMs} from './gateway-state.js';
@@ -41,6 +42,8 @@
 	leaseOffset: z.number(),
 	trueTime: z.number(),
 	spent: z.record(z.string(), z.number()),
+	/** Digest of a request → incarnations of backend servers that ended while they ran it. */
+	crashes: z.record(z.string(), z.array(z.string())),
 });
 
 export type News = z.infer<typeof newsSchema>;
@@ -52,6 +55,9 @@
 /** Windows of usage that are told: the running one and those whose report may still be due. */
 const toldWindows = 3;
 
+/** Requests that ended backend servers lately that are told; one that ends them comes again within seconds. */
+const toldCrashes = 20;
+
 export type PeerNewsOptions = {
 	readonly gateway: GatewayState;
 	readonly platform: Platform;
@@ -82,6 +88,7 @@
 		work: getWork(),
 		isDraining: gateway.drainingSince !== undefined,
 		leaseOffset: getLeaseOffset(),
+		crashes: Object.fromEntries([...gateway.crashes.endedBy].slice(-toldCrashes).map(([digest, ended]) => [digest, [...ended]])),
 		trueTime: gateway.clocks.trueTime(),
 		spent: Object.fromEntries([...gateway.spending].map(([account, spending]) => [account, round(readSpent(spending, now))])),
 	};
@@ -135,6 +142,12 @@
 		const heardAt = gateway.clocks.steady();
 		const heard: PeerNews = {...news, heardAt, clockOffset: news.trueTime - heardAt};
 		gateway.peers.set(news.incarnation, heard);
+		for (const [digest, incarnations] of Object.entries(news.crashes)) {
+			for (const incarnation of incarnations) {
+				gateway.crashes = noteCrash(gateway.crashes, digest, incarnation, heardAt);
+			}
+		}
+
 		strangers.delete(news.address);
 		sumOtherLoads(gateway);
 	};
--- a/packages/gateway/src/place-call.ts
+++ b/packages/gateway/src/place-call.ts
@@ -76,7 +76,7 @@
 	const mostOwn = Math.max(2, Math.floor((service?.maxConnections ?? 64) * usedPartOfConnections / countDaemons(gateway)));
 	const homes = listHomes(call, states);
 	const cached = new Map(states.map(state => [state.entry.id, countCachedTokens(call, state, homes)]));
-	const views = states.map(state => toView(state, cached.get(state.entry.id) ?? 0, mostOwn));
+	const views = states.map(state => toView(state, cached.get(state.entry.id) ?? 0, mostOwn, now));
 	const placed = {
 		rank: call.rank,
 		promptTokens: call.promptTokens,
--- a/packages/gateway/src/run-at-backend.ts
+++ b/packages/gateway/src/run-at-backend.ts
@@ -1,12 +1,16 @@
 /** Runs a call at one backend server and learns from what comes of it. */
 import {type Buffer} from 'node:buffer';
 import type http from 'node:http';
+import net from 'node:net';
 import {type Call, isStream} from '@shallotpass/core/calls/types.js';
 import {learnFailure, learnRate} from '@shallotpass/core/placement/learn-rate.js';
 import {notePart} from '@shallotpass/core/placement/prefix-memory.js';
+import {noteCrash} from '@shallotpass/core/retries/crash-register.js';
+import {computePatience} from '@shallotpass/core/retries/patience.js';
 import {getWindow, noteStart} from '@shallotpass/core/usage/count-starts.js';
 import {type BackendState, countedRanks} from './backend-book.js';
 import {type Exchange, type IsWhole, sendToBackend} from './backend-exchange.js';
+import {parseHostAndPort} from './host-and-port.js';
 import {type GatewayState} from './gateway-state.js';
 import {type Placement} from './place-call.js';
 
@@ -52,8 +56,72 @@
 	});
 };
 
-const noteUsage = (gateway: GatewayState, call: Call): void => {
-	if (call.account !== undefined) {
+const checkConnectMs = 300;
+
+/** Whether a new connection to the backend server can be opened. */
+const canConnect = async (address: string): Promise<boolean> => new Promise(resolve => {
+	const socket = net.connect(parseHostAndPort(address));
+	const settle = (isOpen: boolean): void => {
+		socket.destroy();
+		resolve(isOpen);
+	};
+
+	socket.setTimeout(checkConnectMs, () => {
+		settle(false);
+	});
+	socket.once('connect', () => {
+		settle(true);
+	});
+	socket.once('error', () => {
+		settle(false);
+	});
+});
+
+/**
+ * A connection broke while the call was there. When no new one can be opened, the backend server
+ * has ended, and the call may be what ended it: it is remembered by its digest.
+ */
+export const noteBreak = async (gateway: GatewayState, state: BackendState, digest: string): Promise<void> => {
+	if (await canConnect(state.entry.address)) {
+		return;
+	}
+
+	noteConnectFailure(gateway, state, 'ended_during_a_call');
+	gateway.crashes = noteCrash(gateway.crashes, digest, state.incarnation, gateway.clocks.steady());
+	gateway.log.write('belief', 'call_suspected', {digest, backend: state.entry.id, ends: gateway.crashes.endedBy.get(digest)?.length});
+};
+
+/** Gives a call up when nothing is read from its backend server for too long; returns how to stop. */
+// eslint-disable-next-line max-params -- what is watched, since when, for how long, and what follows
+const watchSilence = (gateway: GatewayState, state: BackendState, sentAt: number, patienceMs: number | undefined, giveUp: () => void): (() => void) => {
+	if (patienceMs === undefined) {
+		return () => {/* nothing was begun */};
+	}
+
+	let timer: NodeJS.Timeout | undefined;
+	const check = (): void => {
+		const leftMs = patienceMs - (gateway.clocks.steady() - Math.max(sentAt, state.heardAt));
+		if (leftMs > 0) {
+			timer = setTimeout(check, leftMs + 1);
+			return;
+		}
+
+		noteConnectFailure(gateway, state, 'silent');
+		giveUp();
+	};
+
+	timer = setTimeout(check, patienceMs);
+	return () => {
+		clearTimeout(timer);
+	};
+};
+
+/**
+ * A stream begins to run with its first token, so one that fails before has not; a plain call runs
+ * when it arrives. Counting failed streams put a window with failing engines off by 71 of 298.
+ */
+const noteUsage = (gateway: GatewayState, call: Call, hasFirstToken: boolean): void => {
+	if (call.account !== undefined && (hasFirstToken || !isStream(call.repeatability))) {
 		noteStart(gateway.usage, call.account, getWindow(gateway.clocks.trueTime(), gateway.settings.bounds.usageWindowMs));
 	}
 };
@@ -92,8 +160,13 @@
 		}
 	};
 
+	const ticket = Symbol('call');
+	state.unanswered.set(ticket, gateway.clocks.steady());
 	return {
 		endPending,
+		noteAnswered(): void {
+			state.unanswered.delete(ticket);
+		},
 		end(isFailure: boolean): void {
 			if (!isRunning) {
 				return;
@@ -101,6 +174,7 @@
 
 			isRunning = false;
 			endPending();
+			state.unanswered.delete(ticket);
 			state.running--;
 			state.digests.delete(digest);
 			state.failureShare = learnFailure(state.failureShare, isFailure);
@@ -141,18 +215,24 @@
 		notePart(state.prefixes, part.id, now);
 	}
 
+	const stopWatching = watchSilence(gateway, state, now, computePatience(call.repeatability, placement.choice.predictedMs), abort);
 	const end = (isFailure: boolean): void => {
+		stopWatching();
 		signal.removeEventListener('abort', abort);
 		work.end(isFailure);
 	};
 
 	const result = await exchange.result;
+	stopWatching();
+	work.noteAnswered();
 	if (result.kind === 'failed') {
 		const isOurs = signal.aborted;
 		end(!isOurs);
 		gateway.metrics.attempts.inc({service: call.service, outcome: result.fate === 'unsent' ? 'unsent' : 'broken'});
 		if (result.isConnectFailure && !isOurs) {
 			noteConnectFailure(gateway, state, result.reason);
+		} else if (!isOurs) {
+			void noteBreak(gateway, state, sending.digest);
 		}
 
 		if (result.fate === 'unsent') {
@@ -160,7 +240,7 @@
 		}
 
 		if (!isOurs) {
-			noteUsage(gateway, call);
+			noteUsage(gateway, call, false);
 		}
 
 		return {kind: 'may_have_run', reason: result.reason};
@@ -177,7 +257,7 @@
 		exchange.abort();
 		end(true);
 		gateway.metrics.attempts.inc({service: call.service, outcome: 'mismatched'});
-		noteUsage(gateway, call);
+		noteUsage(gateway, call, false);
 		return {kind: 'may_have_run', reason: 'answer_of_another_call'};
 	}
 
@@ -194,7 +274,7 @@
 
 	work.endPending();
 	learnFromHead(gateway, call, {state, sentAt: now, workTokens});
-	noteUsage(gateway, call);
+	noteUsage(gateway, call, response.statusCode === 200);
 	gateway.metrics.attempts.inc({service: call.service, outcome: (response.statusCode ?? 0) < 500 ? 'answered' : 'failed'});
 	return {
 		kind: 'answered', response, attempt: {
--- a/packages/gateway/src/serve-call.ts
+++ b/packages/gateway/src/serve-call.ts
@@ -5,7 +5,8 @@
 import {findRoute, type IndexedConfiguration, pickService} from '@shallotpass/core/calls/index-configuration.js';
 import {type Account, type Route} from '@shallotpass/core/calls/serving-configuration.js';
 import {type Call, isStream, mayRunAgain} from '@shallotpass/core/calls/types.js';
-import {isRefusedForCrashes, noteCrash} from '@shallotpass/core/retries/crash-register.js';
+import {isRefusedForCrashes} from '@shallotpass/core/retries/crash-register.js';
+import {stalledStreamMs} from '@shallotpass/core/retries/patience.js';
 import {
 	emptyAllowance, noteCall, type RepeatLimit, takeRepeat,
 } from '@shallotpass/core/retries/repeat-allowance.js';
@@ -20,7 +21,7 @@
 import {type CallerHead} from './ports.js';
 import {answerRefusal, type Refusal} from './refusal.js';
 import {
-	type Attempt, type AttemptResult, runAtBackend, type Sending,
+	type Attempt, type AttemptResult, noteBreak, runAtBackend, type Sending,
 } from './run-at-backend.js';
 import {takeQuota} from './take-quota.js';
 
@@ -198,10 +199,6 @@
 	return !progress.hasArrived || takeRepeat(getAllowance(gateway, call.service), getRepeatLimit(gateway), gateway.clocks.steady());
 };
 
-const noteBreak = (gateway: GatewayState, sending: Sending, state: BackendState): void => {
-	gateway.crashes = noteCrash(gateway.crashes, sending.digest, state.incarnation, gateway.clocks.steady());
-};
-
 type TryResult = AttemptResult | {readonly kind: 'no_backend'};
 
 const tryOnce = async (context: CallContext, admitted: Admitted, progress: Progress, signal: AbortSignal): Promise<TryResult> => {
@@ -229,9 +226,6 @@
 
 	if (result.kind === 'may_have_run') {
 		progress.runs++;
-		if (!signal.aborted && sending.digest !== '') {
-			noteBreak(gateway, sending, state);
-		}
 	}
 
 	return result;
@@ -280,6 +274,7 @@
 			}
 
 			attempt.exchange.abort();
+			void noteBreak(gateway, attempt.state, sending.digest);
 			progress.lastReason = 'the answer broke off';
 			if (passed === 'broken_midway') {
 				return {name: 'broken_midway'};
@@ -342,6 +337,7 @@
 			// eslint-disable-next-line no-await-in-loop -- one try after the other
 			const passed = await passEvents({
 				response, isWhole: attempt.isWhole, target, splitter,
+				stallMs: call.repeatability === 'resumable_stream' ? stalledStreamMs : undefined,
 				onEvents() {
 					attempt.state.heardAt = gateway.clocks.steady();
 				},
@@ -353,6 +349,10 @@
 			}
 
 			attempt.exchange.abort();
+			if (passed === 'broken' && !signal.aborted) {
+				void noteBreak(gateway, attempt.state, sending.digest);
+			}
+
 			if (passed === 'caller_left' || signal.aborted) {
 				return {name: passed === 'caller_left' ? 'caller_left' : 'deadline'};
 			}
