--- /dev/null
+++ b/packages/core/src/engines/need-engines.ts
@@ -0,0 +1,27 @@
+/** How many model engines the load needs: the prompt tokens that callers send, against what an engine reads while it answers in time. */
+
+/** Prompt tokens that an engine of mean speed reads a second when it does nothing else; the operators' sheets give 57 a millisecond, of which the tokens of running answers take a fifth. */
+const tokensPerSecond = 45_000;
+
+/**
+ * Share of that speed that is planned for. Calls come in clumps, and the first event of a counter
+ * question must come within 0.5 s; above a half the waiting grows faster than the load.
+ */
+const plannedShare = 0.5;
+
+/** Time in which the memory of a peak of the load falls to a third, in milliseconds: a wave of the day lasts 40 s. */
+const peakMemoryMs = 20_000;
+
+export type Need = {
+	readonly engines: number;
+	readonly at: number;
+};
+
+export const emptyNeed: Need = {engines: 0, at: 0};
+
+/** Follows a rise at once and a fall slowly. */
+export const learnNeed = (need: Need, promptTokensPerSecond: number, now: number): Need => {
+	const wanted = promptTokensPerSecond / (tokensPerSecond * plannedShare);
+	const remembered = need.engines * Math.exp(-Math.max(0, now - need.at) / peakMemoryMs);
+	return {engines: Math.max(wanted, remembered), at: now};
+};
--- a/packages/core/src/engines/plan-engines.ts
+++ b/packages/core/src/engines/plan-engines.ts
@@ -1,19 +1,22 @@
 /**
  * How many backend servers of a service to order, by availability zone and kind.
  *
- * The load is the time that the model engines spend on it: prompts to read and answers to write.
  * Reclaimable ones cost a fifth or less of the full price, but a zone's are taken all at once at
- * 2 s of notice, and none may be had for many seconds afterwards; so each zone keeps at least one
- * at the full price, and the rest is spread over the zones where reclaimable ones are to be had.
+ * 2 s of notice, and none may be had for many seconds afterwards. So they are spread over the
+ * zones that offer them, more of them than the load needs; what they cannot cover is ordered at
+ * the full price, and let go only when reclaimable ones that run have taken its place.
  */
 import {type FleetBounds} from '../calls/serving-configuration.js';
 import {type BackendOrder} from '../duties/fold-lease.js';
 
 export type ZoneFleet = {
 	readonly availabilityZone: string;
-	/** Ready backend servers at the full price, and reclaimable ones. */
+	/** Backend servers at the full price that run and are not leaving. */
 	readonly full: number;
+	/** Reclaimable ones that run and are not leaving. */
 	readonly reclaimable: number;
+	/** Reclaimable ones that were ordered and may still be starting. */
+	readonly starting: number;
 	/** Until when the cloud is believed to have no reclaimable ones here, on the steady clock. */
 	readonly refusedUntil: number;
 };
@@ -27,17 +30,17 @@
 	readonly now: number;
 };
 
-/** Full-price backend servers that each zone keeps, for a zone that is cut off and for a wave that reclaims all others. */
+/** Full-price backend servers that each zone keeps for callers of a zone that is cut off just after its reclaimable ones were taken. */
 const fullPerZone = 1;
 
-const clamp = (value: number, least: number, most: number): number => Math.min(most, Math.max(least, value));
+/** Reclaimable ones that are ordered beyond what the load needs, as a share: a wave takes one zone's, a third of them. */
+const reclaimableCover = 1.3;
 
-const listCheapestFirst = (input: PlanInput): ZoneFleet[] => input.zones.toSorted((left, right) =>
-	(input.bounds.zonePrices[left.availabilityZone] ?? 1) - (input.bounds.zonePrices[right.availabilityZone] ?? 1));
+type Counts = Map<string, number>;
 
 /** Spreads `count` over the zones one by one, so that a wave takes as few as possible. */
-const spreadEvenly = (zones: readonly ZoneFleet[], count: number, most: (zone: ZoneFleet) => number): Map<string, number> => {
-	const given = new Map(zones.map(zone => [zone.availabilityZone, 0]));
+const spreadEvenly = (zones: readonly ZoneFleet[], count: number, most: (zone: ZoneFleet) => number): Counts => {
+	const given: Counts = new Map(zones.map(zone => [zone.availabilityZone, 0]));
 	let left = count;
 	let hasRoom = true;
 	while (left > 0 && hasRoom) {
@@ -55,26 +58,30 @@
 	return given;
 };
 
+const sum = (zones: readonly ZoneFleet[], count: (zone: ZoneFleet) => number): number => zones.reduce((total, zone) => total + count(zone), 0);
+
+const getPrice = (bounds: FleetBounds, zone: ZoneFleet): number => bounds.zonePrices[zone.availabilityZone] ?? 1;
+
 export const planEngines = (input: PlanInput): BackendOrder[] => {
-	const {bounds, zones, service} = input;
-	const base = Math.max(fullPerZone, Math.min(bounds.least, 1));
-	const cheapest = listCheapestFirst(input);
-	const offersReclaimable = bounds.reclaimablePrice !== undefined;
-	const open = offersReclaimable ? cheapest.filter(zone => input.now >= zone.refusedUntil) : [];
-	const beyondBase = Math.max(0, Math.ceil(input.needed) - (base * zones.length));
-	// One zone's reclaimable ones may go at once; what is left must still carry the load.
-	const cover = open.length > 1 ? Math.ceil(beyondBase * open.length / (open.length - 1)) : beyondBase;
-	const reclaimable = spreadEvenly(open, cover, () => bounds.most - base);
-	const had = zones.reduce((sum, zone) => sum + Math.min(zone.reclaimable, open.includes(zone) ? bounds.most : zone.reclaimable), 0);
-	const missing = Math.max(0, beyondBase - (open.length > 0 ? Math.max(had, open.length > 1 ? beyondBase : cover) : had));
-	const extra = spreadEvenly(cheapest, missing, zone => bounds.most - base - (reclaimable.get(zone.availabilityZone) ?? 0));
-	return zones.flatMap(({availabilityZone}): BackendOrder[] => {
-		const cheap = reclaimable.get(availabilityZone) ?? 0;
-		const full = clamp(base + (extra.get(availabilityZone) ?? 0), Math.max(0, bounds.least - cheap), bounds.most);
+	const {bounds, zones, service, now} = input;
+	const cheapest = zones.toSorted((left, right) => getPrice(bounds, left) - getPrice(bounds, right));
+	const base = Math.max(fullPerZone, Math.min(1, bounds.least));
+	const needed = Math.max(Math.ceil(input.needed), base * zones.length);
+	const beyondBase = needed - (base * zones.length);
+	const isOffered = bounds.reclaimablePrice !== undefined;
+	const open = isOffered ? cheapest.filter(zone => now >= zone.refusedUntil) : [];
+	const wanted = spreadEvenly(open, Math.ceil(beyondBase * reclaimableCover), () => bounds.most - base);
+	// Where none are to be had, those that run are kept: a smaller order would end them.
+	const getReclaimable = (zone: ZoneFleet): number => open.includes(zone) ? (wanted.get(zone.availabilityZone) ?? 0) : Math.min(zone.reclaimable, bounds.most - base);
+	const present = sum(zones, zone => Math.min(getReclaimable(zone), zone.reclaimable + zone.starting));
+	const extra = spreadEvenly(cheapest, Math.max(0, beyondBase - present), zone => bounds.most - base - getReclaimable(zone));
+	return zones.flatMap((zone): BackendOrder[] => {
+		const {availabilityZone} = zone;
+		const full = Math.min(bounds.most, base + (extra.get(availabilityZone) ?? 0));
 		const order = {service, availabilityZone};
 		return [
 			{...order, isReclaimable: false, count: full},
-			...(offersReclaimable ? [{...order, isReclaimable: true, count: Math.min(cheap, bounds.most - full)}] : []),
+			...(isOffered ? [{...order, isReclaimable: true, count: Math.min(getReclaimable(zone), bounds.most - full)}] : []),
 		];
 	});
 };
--- a/packages/gateway/src/duty-task.ts
+++ b/packages/gateway/src/duty-task.ts
@@ -31,6 +31,9 @@
 /** Orders are said again after this time while the backend servers have not come. */
 const repeatOrderMs = 6500;
 
+/** Pause after a call that the cloud did not take. */
+const cloudPauseMs = 800;
+
 const leaseKey = 'lease';
 
 /** In place of the holder's incarnation once it gave the lease up. */
@@ -53,6 +56,7 @@
 	readonly platform: Platform;
 	/** The orders that are wanted now. */
 	readonly planOrders: () => readonly BackendOrder[];
+	readonly onAcceptedOrder: (order: BackendOrder) => void;
 	readonly onRefusedOrder: (order: BackendOrder) => void;
 	/** Whether what was ordered has come. */
 	readonly isFulfilled: (order: BackendOrder) => boolean;
@@ -79,6 +83,7 @@
 	/** Disagreements of the clocks when the watch began. */
 	let watchedAt = 0;
 	let end = 0;
+	let cloudPausedUntil = 0;
 	/** Orders that were said under the present lease, and when. */
 	const said = new Map<string, {count: number; at: number}>();
 
@@ -234,6 +239,10 @@
 	};
 
 	const deliverOrders = async (): Promise<void> => {
+		if (elapsed() < cloudPausedUntil) {
+			return;
+		}
+
 		for (const order of held?.stored.lease.orders ?? []) {
 			const before = said.get(toKey(order));
 			const isSaid = before?.count === order.count && (options.isFulfilled(order) || elapsed() < before.at + repeatOrderMs);
@@ -245,12 +254,17 @@
 			// eslint-disable-next-line no-await-in-loop -- one call after the other, each under a lease that still stands
 			const reply = await platform.cloud.orderBackends({holder: gateway.settings.instance.id, fence}, order, {timeoutMs: cloudTimeoutMs, signal});
 			noteCloud('backend_order', reply, {...order, fence});
-			if (reply.kind === 'none_offered') {
-				options.onRefusedOrder(order);
+			if (reply.kind === 'failed') {
+				// The cloud is away or busy: what follows would fail as well, and each call is paid for.
+				cloudPausedUntil = elapsed() + cloudPauseMs;
+				return;
 			}
 
-			if (reply.kind !== 'failed') {
-				said.set(toKey(order), {count: order.count, at: elapsed()});
+			said.set(toKey(order), {count: order.count, at: elapsed()});
+			if (reply.kind === 'none_offered') {
+				options.onRefusedOrder(order);
+			} else {
+				options.onAcceptedOrder(order);
 			}
 		}
 	};
--- a/packages/gateway/src/gateway-state.ts
+++ b/packages/gateway/src/gateway-state.ts
@@ -3,6 +3,7 @@
 import {type CrashRegister} from '@shallotpass/core/retries/crash-register.js';
 import {type Spending} from '@shallotpass/core/quotas/spending.js';
 import {type IndexedConfiguration} from '@shallotpass/core/calls/index-configuration.js';
+import {type WorkRate} from '@shallotpass/core/engines/work-rate.js';
 import {type RepeatAllowance} from '@shallotpass/core/retries/repeat-allowance.js';
 import {type UsageBook} from '@shallotpass/core/usage/count-starts.js';
 import {type BackendBook} from './backend-book.js';
@@ -27,7 +28,7 @@
 	readonly loads: Readonly<Record<string, readonly number[]>>;
 	/** Window → counts. */
 	readonly usage: Readonly<Record<string, Readonly<Record<string, number>>>>;
-	/** Milliseconds of engine work begun a second, by service. */
+	/** Prompt tokens to read a second, by service. */
 	readonly work: Readonly<Record<string, number>>;
 	readonly isDraining: boolean;
 	/** Offset of the lease's record that the daemon holds, or -1. */
@@ -65,8 +66,8 @@
 	readonly allowances: Map<string, RepeatAllowance>;
 	readonly usage: UsageBook;
 	crashes: CrashRegister;
-	/** Engine work begun, in tokens by service, since the start; written by the calls. */
-	readonly workTokens: Map<string, number>;
+	/** Prompt tokens to read, by service; written by the calls. */
+	readonly workRates: Map<string, WorkRate>;
 	/** Written by the peer news. */
 	readonly peers: Map<string, PeerNews>;
 	/** Set at SIGTERM; on the steady clock. */
--- a/packages/gateway/src/order-plan.ts
+++ b/packages/gateway/src/order-plan.ts
@@ -1,30 +1,65 @@
 /** Works out the orders of backend servers from the directory and the load. */
 import {type BackendOrder} from '@shallotpass/core/duties/fold-lease.js';
+import {emptyNeed, learnNeed, type Need} from '@shallotpass/core/engines/need-engines.js';
 import {planEngines, type ZoneFleet} from '@shallotpass/core/engines/plan-engines.js';
-import {type GatewayState} from './gateway-state.js';
+import {readWorkRate} from '@shallotpass/core/engines/work-rate.js';
+import {type GatewayState, peerSilentMs} from './gateway-state.js';
 
-/** After a refusal reclaimable backend servers of a zone are asked for again after this time, in milliseconds. */
-const refusalMs = 7000;
+/** After a refusal reclaimable backend servers of a zone are asked for again after this time, in milliseconds: the cloud says no for 12 to 15 s after a wave. */
+const refusalMs = 3500;
+
+/** Time beyond the start of a backend server after which an accepted order counts as not fulfilled, in milliseconds. */
+const startMarginMs = 2500;
 
 export type OrderPlan = {
 	readonly planOrders: () => BackendOrder[];
+	readonly noteAccepted: (order: BackendOrder) => void;
 	readonly noteRefusal: (order: BackendOrder) => void;
 	readonly isFulfilled: (order: BackendOrder) => boolean;
 };
 
+type Accepted = {
+	readonly count: number;
+	/** On the steady clock. */
+	readonly startedBy: number;
+};
+
 export const openOrderPlan = (gateway: GatewayState): OrderPlan => {
-	/** `service/zone` → until when none are believed to be had, on the steady clock. */
+	/** `service/zone` → until when none are believed to be had. */
 	const refusedUntil = new Map<string, number>();
+	/** `service/zone` → the order of reclaimable ones that was accepted last. */
+	const accepted = new Map<string, Accepted>();
+	const needs = new Map<string, Need>();
+	const now = (): number => gateway.clocks.steady();
 
 	const countReady = (service: string, zone: string, isReclaimable: boolean): number => (gateway.book.byService.get(service) ?? [])
 		.filter(({entry}) => entry.availabilityZone === zone && entry.isReclaimable === isReclaimable).length;
 
-	const listZones = (service: string): ZoneFleet[] => gateway.settings.instance.zones.map(availabilityZone => ({
-		availabilityZone,
-		full: countReady(service, availabilityZone, false),
-		reclaimable: countReady(service, availabilityZone, true),
-		refusedUntil: refusedUntil.get(`${service}/${availabilityZone}`) ?? 0,
-	}));
+	const countStarting = (service: string, zone: string, ready: number): number => {
+		const order = accepted.get(`${service}/${zone}`);
+		return order === undefined || now() > order.startedBy ? 0 : Math.max(0, order.count - ready);
+	};
+
+	const listZones = (service: string): ZoneFleet[] => gateway.settings.instance.zones.map(availabilityZone => {
+		const reclaimable = countReady(service, availabilityZone, true);
+		return {
+			availabilityZone,
+			full: countReady(service, availabilityZone, false),
+			reclaimable,
+			starting: countStarting(service, availabilityZone, reclaimable),
+			refusedUntil: refusedUntil.get(`${service}/${availabilityZone}`) ?? 0,
+		};
+	});
+
+	const readNeed = (service: string): number => {
+		const since = now() - peerSilentMs;
+		const own = gateway.workRates.get(service);
+		const heard = [...gateway.peers.values()].filter(peer => peer.heardAt >= since).map(peer => peer.work[service] ?? 0);
+		const perSecond = heard.reduce((total, rate) => total + rate, own === undefined ? 0 : readWorkRate(own, now()));
+		const need = learnNeed(needs.get(service) ?? emptyNeed, perSecond, now());
+		needs.set(service, need);
+		return need.engines;
+	};
 
 	return {
 		planOrders() {
@@ -32,12 +67,18 @@
 			return services.flatMap(({name, fleet}) => fleet === undefined
 				? []
 				: planEngines({
-					service: name, bounds: fleet, zones: listZones(name), needed: 7, now: gateway.clocks.steady(),
+					service: name, bounds: fleet, zones: listZones(name), needed: readNeed(name), now: now(),
 				}));
 		},
+		noteAccepted(order) {
+			if (order.isReclaimable) {
+				const bootMs = gateway.configuration?.servicesByName.get(order.service)?.fleet?.bootMs ?? 0;
+				accepted.set(`${order.service}/${order.availabilityZone}`, {count: order.count, startedBy: now() + bootMs + startMarginMs});
+			}
+		},
 		noteRefusal(order) {
 			if (order.isReclaimable) {
-				refusedUntil.set(`${order.service}/${order.availabilityZone}`, gateway.clocks.steady() + refusalMs);
+				refusedUntil.set(`${order.service}/${order.availabilityZone}`, now() + refusalMs);
 			}
 		},
 		isFulfilled: order => countReady(order.service, order.availabilityZone, order.isReclaimable) >= order.count,
--- a/packages/gateway/src/peer-news.ts
+++ b/packages/gateway/src/peer-news.ts
@@ -8,6 +8,7 @@
 import dgram from 'node:dgram';
 import {createJSONRPCNotification} from 'json-rpc-2.0';
 import {readDemand} from '@shallotpass/core/quotas/account-share.js';
+import {readWorkRate} from '@shallotpass/core/engines/work-rate.js';
 import {noteCrash} from '@shallotpass/core/retries/crash-register.js';
 import {z} from 'zod';
 import {readSpent} from '@shallotpass/core/quotas/spending.js';
@@ -62,11 +63,10 @@
 	readonly gateway: GatewayState;
 	readonly platform: Platform;
 	readonly getLeaseOffset: () => number;
-	readonly getWork: () => Readonly<Record<string, number>>;
 	readonly signal: AbortSignal;
 };
 
-const makeNews = ({gateway, getLeaseOffset, getWork}: PeerNewsOptions): News => {
+const makeNews = ({gateway, getLeaseOffset}: PeerNewsOptions): News => {
 	const {settings, incarnation, configuration, book, buckets, usage} = gateway;
 	const now = gateway.clocks.steady();
 	const loads = [...book.byId.values()]
@@ -85,7 +85,7 @@
 		demands: Object.fromEntries(demands),
 		loads: Object.fromEntries(loads),
 		usage: Object.fromEntries(windows),
-		work: getWork(),
+		work: Object.fromEntries([...gateway.workRates].map(([service, rate]) => [service, round(readWorkRate(rate, now))])),
 		isDraining: gateway.drainingSince !== undefined,
 		leaseOffset: getLeaseOffset(),
 		crashes: Object.fromEntries([...gateway.crashes.endedBy].slice(-toldCrashes).map(([digest, ended]) => [digest, [...ended]])),
--- a/packages/gateway/src/run-at-backend.ts
+++ b/packages/gateway/src/run-at-backend.ts
@@ -3,8 +3,9 @@
 import type http from 'node:http';
 import net from 'node:net';
 import {type Call, isStream} from '@shallotpass/core/calls/types.js';
-import {learnFailure, learnRate} from '@shallotpass/core/placement/learn-rate.js';
+import {learnFailure, learnRate, learnReadingSpeed} from '@shallotpass/core/placement/learn-rate.js';
 import {notePart} from '@shallotpass/core/placement/prefix-memory.js';
+import {emptyWorkRate, noteWork} from '@shallotpass/core/engines/work-rate.js';
 import {noteCrash} from '@shallotpass/core/retries/crash-register.js';
 import {computePatience} from '@shallotpass/core/retries/patience.js';
 import {getWindow, noteStart} from '@shallotpass/core/usage/count-starts.js';
@@ -137,7 +138,7 @@
 	const tookMs = gateway.clocks.steady() - attempt.sentAt;
 	if (isStream(call.repeatability)) {
 		if (attempt.workTokens >= leastLearnedTokens) {
-			state.tokensPerMs = learnRate(state.tokensPerMs, attempt.workTokens / Math.max(1, tookMs - fixedFirstEventMs));
+			state.tokensPerMs = learnReadingSpeed(state.tokensPerMs, attempt.workTokens / Math.max(1, tookMs - fixedFirstEventMs));
 		}
 
 		return;
@@ -188,6 +189,7 @@
 	const now = gateway.clocks.steady();
 	const readingTokens = Math.max(0, call.promptTokens - placement.cachedTokens);
 	const workTokens = readingTokens + state.pendingTokens.reduce((sum, tokens) => sum + tokens, 0) + state.othersPendingTokens.reduce((sum, tokens) => sum + tokens, 0);
+	gateway.workRates.set(call.service, noteWork(gateway.workRates.get(call.service) ?? emptyWorkRate, readingTokens, now));
 	const fields = gateway.wire.toBackendFields(sending.callerFields, {
 		backendId: state.entry.id,
 		account: call.account,
--- a/packages/gateway/src/start-gateway.ts
+++ b/packages/gateway/src/start-gateway.ts
@@ -58,7 +58,7 @@
 	allowances: new Map(),
 	usage: new Map(),
 	crashes: emptyCrashRegister,
-	workTokens: new Map(),
+	workRates: new Map(),
 	peers: new Map(),
 	drainingSince: undefined,
 	activeCalls: 0,
@@ -94,7 +94,7 @@
 	await listenForReady(state);
 	const plan = openOrderPlan(state);
 	const duties = startDutyTask({
-		gateway: state, platform, planOrders: plan.planOrders, onRefusedOrder: plan.noteRefusal, isFulfilled: plan.isFulfilled, signal,
+		gateway: state, platform, planOrders: plan.planOrders, onAcceptedOrder: plan.noteAccepted, onRefusedOrder: plan.noteRefusal, isFulfilled: plan.isFulfilled, signal,
 	});
 	void followConfiguration({
 		gateway: state, platform, signal, onTaken: listener.applyLimits,
@@ -106,7 +106,7 @@
 	await listenForPeers(relay);
 	void askPeersWhileStale(relay);
 	void startPeerNews({
-		gateway: state, platform, signal, getLeaseOffset: duties.getLeaseOffset, getWork: () => ({}),
+		gateway: state, platform, signal, getLeaseOffset: duties.getLeaseOffset,
 	});
 	state.log.write('belief', 'started', {incarnation: state.incarnation, listen: state.settings.listen});
 	return {state, drain: async () => drain(state, listener, controller)};
