Judge only the relay that should speak, from when it was told, and list members again

Cause of daemons that read the store themselves though relays read it for them: the standby relay is silent by design and was passed over, and one that was passed over was judged by the time before.

--- a/packages/core/src/news/pick-relays.ts
+++ b/packages/core/src/news/pick-relays.ts
@@ -8,8 +8,8 @@
 	readonly availabilityZone: string;
 };
 
-/** Up to so many daemons tell everybody: at 16 a daemon hears 50 news a second, which takes 1% of a small core. */
-const mostDirectDaemons = 16;
+/** Up to so many daemons tell everybody and each reads the store; at 16 the calls to the store cost a seventh of a calm day's worth. */
+const mostDirectDaemons = 12;
 
 /** One that works, and one that takes over without a word when the first is silent. */
 const relaysPerZone = 2;
--- a/packages/gateway/src/follow-configuration.ts
+++ b/packages/gateway/src/follow-configuration.ts
@@ -2,6 +2,7 @@
 import {toIndexedConfiguration} from '@shallotpass/core/calls/index-configuration.js';
 import {type ServingConfiguration} from '@shallotpass/core/calls/serving-configuration.js';
 import {followTopic} from './follow-topic.js';
+import {type GatewaySettings} from './gateway-settings.js';
 import {type GatewayState} from './gateway-state.js';
 import {type KeyedRecord, type Platform} from './ports.js';
 
@@ -24,6 +25,8 @@
 /** Milliseconds that a poll waits; with the time in which silence is noticed it stays below the span in which bounds hold again after a disruption. */
 const pollPartOfStable = 0.75;
 
+export const getConfigurationPollMs = (bounds: GatewaySettings['bounds']): number => Math.floor(bounds.stableMs * pollPartOfStable);
+
 export type ConfigurationOptions = {
 	readonly gateway: GatewayState;
 	readonly platform: Platform;
@@ -54,7 +57,7 @@
 	await followTopic({
 		store: platform.store,
 		topic: 'configuration',
-		waitMs: Math.floor(gateway.settings.bounds.stableMs * pollPartOfStable),
+		waitMs: getConfigurationPollMs(gateway.settings.bounds),
 		pauseMs: 0,
 		isPaused,
 		signal,
--- a/packages/gateway/src/follow-directory.ts
+++ b/packages/gateway/src/follow-directory.ts
@@ -5,6 +5,7 @@
 import {type Directory, emptyDirectory} from '@shallotpass/core/directory/types.js';
 import {takeDirectory} from './backend-book.js';
 import {followTopic} from './follow-topic.js';
+import {type GatewaySettings} from './gateway-settings.js';
 import {type GatewayState} from './gateway-state.js';
 import {type KeyedRecord, type Platform} from './ports.js';
 
@@ -12,7 +13,9 @@
  * Backend servers write every 1.2 s, so a poll that waits returns at once; this pause bounds the
  * polls. With the way there it stays below the time in which a leaving one must get no more calls.
  */
-const pollPartOfDrain = 0.35;
+const pollPartOfDrain = 0.32;
+
+export const getDirectoryPollMs = (bounds: GatewaySettings['bounds']): number => Math.floor(bounds.drainMs * pollPartOfDrain);
 
 /** A backend server that lives has written its entry again within this time after the store's return. */
 const lapseMs = 2200;
@@ -73,8 +76,8 @@
 	void followTopic({
 		store: platform.store,
 		topic: 'directory',
-		waitMs: Math.floor(gateway.settings.bounds.drainMs * pollPartOfDrain),
-		pauseMs: Math.floor(gateway.settings.bounds.drainMs * pollPartOfDrain),
+		waitMs: getDirectoryPollMs(gateway.settings.bounds),
+		pauseMs: getDirectoryPollMs(gateway.settings.bounds),
 		isPaused,
 		signal,
 		handlers: {
--- a/packages/gateway/src/peer-news.ts
+++ b/packages/gateway/src/peer-news.ts
@@ -38,6 +38,11 @@
 const membersTimeoutMs = 1500;
 const membersPauseMs = 1000;
 
+/** The list of members is read again soon after the start, and then seldom: a daemon that joins later tells its relays, or everybody. */
+const earlyListings = 3;
+const earlyListingMs = 1800;
+const lateListingMs = 30_000;
+
 /** Windows of usage that are told: the running one and those whose report may still be due. */
 const toldWindows = 3;
 
@@ -128,7 +133,10 @@
 	const strangers = new Map<string, number>();
 	/** Daemons that told this one as their relay, by incarnation. */
 	const told = new Map<string, {readonly news: News; readonly heardAt: number}>();
-	/** When each relay was told first without an answer, and until when it is passed over. */
+	/** The relay that this daemon tells first, and since when. */
+	let firstRelay: string | undefined;
+	let firstRelaySince = 0;
+	/** When each relay was heard last, and until when it is passed over. */
 	const relayHeardAt = new Map<string, number>();
 	const avoidedUntil = new Map<string, number>();
 	let lastOwn = makeNews(options);
@@ -228,7 +236,6 @@
 		for (const [address, since] of strangers) {
 			if (since < now() - forgetMs) {
 				strangers.delete(address);
-				members.delete(address);
 			}
 		}
 	};
@@ -250,16 +257,24 @@
 		}
 	};
 
-	const passOverSilentRelays = (relays: readonly Member[]): void => {
-		for (const {address} of relays) {
-			const heardAt = relayHeardAt.get(address);
-			if (heardAt === undefined) {
-				relayHeardAt.set(address, now());
-			} else if (address !== self.address && heardAt < now() - relaySilentMs) {
-				relayHeardAt.delete(address);
-				avoidedUntil.set(address, now() + avoidRelayMs);
-				gateway.log.write('belief', 'relay_passed_over', {address, silentMs: Math.round(now() - heardAt)});
-			}
+	/**
+	 * The second relay is silent as long as it hears the first, so only the first is judged, and
+	 * only for the time in which it was told.
+	 */
+	const passOverSilentRelay = (first: Member | undefined): void => {
+		if (first?.address !== firstRelay) {
+			firstRelay = first?.address;
+			firstRelaySince = now();
+		}
+
+		if (first === undefined || first.address === self.address) {
+			return;
+		}
+
+		const silentMs = now() - Math.max(firstRelaySince, relayHeardAt.get(first.address) ?? 0);
+		if (silentMs > relaySilentMs) {
+			avoidedUntil.set(first.address, now() + avoidRelayMs);
+			gateway.log.write('belief', 'relay_passed_over', {address: first.address, silentMs: Math.round(silentMs)});
 		}
 	};
 
@@ -287,7 +302,7 @@
 
 	const tellRelays = (): void => {
 		const relays = pickRelays(members.values(), ownZone, isAvoided);
-		passOverSilentRelays(relays);
+		passOverSilentRelay(relays[0]);
 		for (const {address} of relays) {
 			if (address !== self.address) {
 				send(address, [lastOwn]);
@@ -326,8 +341,13 @@
 	}, {once: true});
 
 	const meet = (member: Member): void => {
-		if (member.address !== self.address) {
-			members.set(member.address, member);
+		if (member.address === self.address) {
+			return;
+		}
+
+		const isHeard = [...gateway.peers.values()].some(peer => peer.address === member.address);
+		members.set(member.address, member);
+		if (!isHeard && !strangers.has(member.address)) {
 			strangers.set(member.address, now());
 		}
 	};
@@ -349,10 +369,11 @@
 	};
 };
 
-/** Writes this daemon into the store and reads the others; tries until it is done. */
-const joinMembers = async ({platform, signal}: PeerNewsOptions, self: Member, meet: (member: Member) => void): Promise<void> => {
+/** Writes this daemon into the store, and reads the others now and then; many start at once, so the first readings miss some. */
+const joinMembers = async ({gateway, platform, signal}: PeerNewsOptions, self: Member, meet: (member: Member) => void): Promise<void> => {
 	const value = Buffer.from(JSON.stringify(self));
 	let isWritten = false;
+	let listings = 0;
 	while (!signal.aborted) {
 		if (!isWritten) {
 			// eslint-disable-next-line no-await-in-loop -- until it is done
@@ -363,17 +384,17 @@
 		// eslint-disable-next-line no-await-in-loop -- until it is done
 		const listing = await platform.store.readNewest('members', {timeoutMs: membersTimeoutMs, signal});
 		if (isWritten && listing.kind === 'listing') {
+			listings++;
 			for (const record of listing.records) {
 				const member = record.value && memberSchema.safeParse(JSON.parse(Buffer.from(record.value).toString('utf8')));
 				if (member?.success) {
 					meet(member.data);
 				}
 			}
-
-			return;
 		}
 
+		const pauseMs = listings === 0 ? membersPauseMs : (listings < earlyListings ? earlyListingMs : lateListingMs);
 		// eslint-disable-next-line no-await-in-loop -- until it is done
-		await pauseFor(membersPauseMs, signal);
+		await pauseFor(pauseMs * (0.75 + (0.5 * gateway.random())), signal);
 	}
 };
--- a/packages/gateway/src/peer-relay.ts
+++ b/packages/gateway/src/peer-relay.ts
@@ -8,17 +8,14 @@
 import {type ServingConfiguration} from '@shallotpass/core/calls/serving-configuration.js';
 import {type BackendEntry, type Directory} from '@shallotpass/core/directory/types.js';
 import {type Member} from '@shallotpass/core/news/pick-relays.js';
-import {takeConfiguration} from './follow-configuration.js';
-import {type DirectoryFollower} from './follow-directory.js';
+import {getConfigurationPollMs, takeConfiguration} from './follow-configuration.js';
+import {type DirectoryFollower, getDirectoryPollMs} from './follow-directory.js';
 import {type GatewayState, peerSilentMs} from './gateway-state.js';
 import {parseHostAndPort} from './host-and-port.js';
 import {pauseFor} from './pause.js';
 
-/** The store answers a poll that waits 2.2 s within 2.6 s; beliefs that are older are asked for at a peer. */
-const staleAfterMs = 2800;
-
-/** The list of backend servers is polled more often. */
-const staleDirectoryMs = 1400;
+/** Time beyond the polls of the store after which beliefs count as stale: for the answer, and for asking a relay. */
+const staleMarginMs = 900;
 
 const askEveryMs = 300;
 
@@ -168,8 +165,12 @@
 	return heard.length > 0 ? heard : seeds;
 };
 
-const isStale = ({gateway, directory}: RelayOptions): boolean =>
-	gateway.clocks.steady() - gateway.configurationCheckedAt >= staleAfterMs || directory.read().ageMs >= staleDirectoryMs;
+/** Whether the daemon's beliefs are older than following the store leaves them. */
+const isStale = ({gateway, directory}: RelayOptions): boolean => {
+	const {bounds} = gateway.settings;
+	const configurationAge = gateway.clocks.steady() - gateway.configurationCheckedAt;
+	return configurationAge >= getConfigurationPollMs(bounds) + staleMarginMs || directory.read().ageMs >= getDirectoryPollMs(bounds) + staleMarginMs;
+};
 
 /** Whether relays follow the store for this daemon, and do it well. */
 export const isServedByRelays = (options: RelayOptions): boolean => options.listRelays().length > 0 && !isStale(options);
--- a/packages/gateway/src/start-gateway.ts
+++ b/packages/gateway/src/start-gateway.ts
@@ -1,6 +1,7 @@
 /** Wires the parts of one gateway daemon and stops them in order. */
 import {randomUUID} from 'node:crypto';
 import {performance} from 'node:perf_hooks';
+import process from 'node:process';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {emptyCrashRegister} from '@shallotpass/core/retries/crash-register.js';
 import {openBackendBook} from './backend-book.js';
@@ -12,7 +13,7 @@
 import {followDirectory} from './follow-directory.js';
 import {collectProcessFigures, openGatewayMetrics} from './gateway-metrics.js';
 import {type GatewaySettings} from './gateway-settings.js';
-import {type GatewayState} from './gateway-state.js';
+import {countDaemons, type GatewayState} from './gateway-state.js';
 import {openOrderPlan} from './order-plan.js';
 import {startPeerNews} from './peer-news.js';
 import {
@@ -26,6 +27,9 @@
 /** Before the platform kills the process, in milliseconds. */
 const killMarginMs = 300;
 
+/** Between two lines of figures, in milliseconds. */
+const figuresEveryMs = 10_000;
+
 /** Connections without a call are kept for this long after SIGTERM, so that callers learn of the end with an answer. */
 const keepIdleMs = 3200;
 
@@ -83,10 +87,31 @@
 	state.log.write('belief', 'stopped', {activeCalls: state.activeCalls, tookMs: Math.round(now() - since)});
 };
 
+/** Now and then one line with what metrics would show, for those who only have logs. */
+const writeFigures = (state: GatewayState, storeCalls: ReadonlyMap<string, number>, signal: AbortSignal): void => {
+	const timer = setInterval(() => {
+		state.log.write('belief', 'figures', {
+			storeCalls: Object.fromEntries(storeCalls),
+			daemons: countDaemons(state),
+			activeCalls: state.activeCalls,
+			backends: state.book.byId.size,
+			configuration: state.configuration?.configuration.version,
+			configurationAgeMs: Math.round(state.clocks.steady() - state.configurationCheckedAt),
+			rssMb: Math.round(process.memoryUsage.rss() / 1_048_576),
+		});
+	}, figuresEveryMs);
+	timer.unref();
+	signal.addEventListener('abort', () => {
+		clearInterval(timer);
+	}, {once: true});
+};
+
 export const startGateway = async (options: GatewayOptions): Promise<Gateway> => {
 	const metrics = openGatewayMetrics();
+	const storeCalls = new Map<string, number>();
 	const platform = options.openPlatform((topic, outcome) => {
 		metrics.storeCalls.inc({topic, outcome});
+		storeCalls.set(topic, (storeCalls.get(topic) ?? 0) + 1);
 	});
 	const state = openState(options, platform, metrics);
 	const controller = new AbortController();
@@ -115,6 +140,7 @@
 	});
 	await listenForPeers(relay);
 	void askPeers(relay);
+	writeFigures(state, storeCalls, signal);
 	state.log.write('belief', 'started', {incarnation: state.incarnation, listen: state.settings.listen});
 	return {state, drain: async () => drain(state, listener, controller)};
 };
