--- a/packages/core/src/engines/need-engines.ts
+++ b/packages/core/src/engines/need-engines.ts
@@ -19,9 +19,23 @@
 
 export const emptyNeed: Need = {engines: 0, at: 0};
 
-/** Follows a rise at once and a fall slowly. */
-export const learnNeed = (need: Need, promptTokensPerSecond: number, now: number): Need => {
-	const wanted = promptTokensPerSecond / (tokensPerSecond * plannedShare);
+export type LoadSample = {
+	readonly promptTokensPerSecond: number;
+	/** Backend servers that run now. */
+	readonly present: number;
+};
+
+/**
+ * Follows a rise at once and a fall slowly. Before any load is known as many are needed as there
+ * are, since they were enough before: a daemon that took over with no load seen let nearly all go
+ * just before the callers came, and the first seconds of the day earned a quarter of their worth.
+ */
+export const learnNeed = (need: Need, sample: LoadSample, now: number): Need => {
+	if (sample.promptTokensPerSecond === 0) {
+		return {engines: Math.max(need.engines, sample.present), at: now};
+	}
+
+	const wanted = sample.promptTokensPerSecond / (tokensPerSecond * plannedShare);
 	const remembered = need.engines * Math.exp(-Math.max(0, now - need.at) / peakMemoryMs);
 	return {engines: Math.max(wanted, remembered), at: now};
 };
--- a/packages/gateway/src/order-plan.ts
+++ b/packages/gateway/src/order-plan.ts
@@ -56,13 +56,18 @@
 		const own = gateway.workRates.get(service);
 		const heard = [...gateway.peers.values()].filter(peer => peer.heardAt >= since).map(peer => peer.work[service] ?? 0);
 		const perSecond = heard.reduce((total, rate) => total + rate, own === undefined ? 0 : readWorkRate(own, now()));
-		const need = learnNeed(needs.get(service) ?? emptyNeed, perSecond, now());
+		const present = gateway.book.byService.get(service)?.length ?? 0;
+		const need = learnNeed(needs.get(service) ?? emptyNeed, {promptTokensPerSecond: perSecond, present}, now());
 		needs.set(service, need);
 		return need.engines;
 	};
 
 	return {
 		planOrders() {
+			if (!gateway.hasDirectory) {
+				return [];
+			}
+
 			const services = gateway.configuration?.configuration.services ?? [];
 			return services.flatMap(({name, fleet}) => fleet === undefined
 				? []
--- a/packages/gateway/src/run-at-backend.ts
+++ b/packages/gateway/src/run-at-backend.ts
@@ -28,7 +28,6 @@
 	readonly callerFields: readonly string[];
 	readonly body: Buffer;
 	readonly digest: string;
-	readonly rank: number | undefined;
 	readonly lastEventId: string | undefined;
 };
 
@@ -147,8 +146,8 @@
 	state.plainMs = learnRate(state.plainMs, Math.max(1, tookMs));
 };
 
-const occupy = (gateway: GatewayState, call: Call, state: BackendState, readingTokens: number, digest: string) => {
-	const rank = Math.min(countedRanks - 1, call.rank);
+// eslint-disable-next-line max-params -- the call, its place and what it adds there
+const occupy = (gateway: GatewayState, rank: number, state: BackendState, readingTokens: number, digest: string) => {
 	state.running++;
 	state.pendingTokens[rank]! += readingTokens;
 	state.digests.add(digest);
@@ -190,11 +189,12 @@
 	const readingTokens = Math.max(0, call.promptTokens - placement.cachedTokens);
 	const workTokens = readingTokens + state.pendingTokens.reduce((sum, tokens) => sum + tokens, 0) + state.othersPendingTokens.reduce((sum, tokens) => sum + tokens, 0);
 	gateway.workRates.set(call.service, noteWork(gateway.workRates.get(call.service) ?? emptyWorkRate, readingTokens, now));
+	const rank = Math.min(countedRanks - 1, call.rank);
 	const fields = gateway.wire.toBackendFields(sending.callerFields, {
 		backendId: state.entry.id,
 		account: call.account,
 		remainingMs: Math.max(1, Math.floor(call.deadline - now)),
-		rank: sending.rank,
+		rank: isStream(call.repeatability) ? rank : undefined,
 		lastEventId: sending.lastEventId,
 	});
 	const hasBody = sending.body.length > 0 || sending.method === 'POST' || sending.method === 'PUT';
@@ -207,7 +207,7 @@
 		body: hasBody ? sending.body : undefined,
 		connectMs,
 	});
-	const work = occupy(gateway, call, state, readingTokens, sending.digest);
+	const work = occupy(gateway, rank, state, readingTokens, sending.digest);
 	const abort = (): void => {
 		exchange.abort();
 	};
--- a/packages/gateway/src/serve-call.ts
+++ b/packages/gateway/src/serve-call.ts
@@ -161,7 +161,6 @@
 			callerFields: request.rawHeaders,
 			body: reading.body,
 			digest,
-			rank: isStream(route.repeatability) ? rank : undefined,
 			lastEventId: undefined,
 		},
 	};
