Wait for the whole list before ordering, and let wide links relay the news

Ruled out: late streams (demoting them gained nothing). At 90 daemons the relays of 10 Mbit/s links lost the news of their zones once callers came; daemons with the widest links are picked now.

--- a/packages/core/src/engines/need-engines.ts
+++ b/packages/core/src/engines/need-engines.ts
@@ -12,12 +12,17 @@
 /** Time in which the memory of a peak of the load falls to a third, in milliseconds: a wave of the day lasts 40 s. */
 const peakMemoryMs = 20_000;
 
+/** The same for what is assumed before any load is known: kept through the first seconds of a day, let go when its load shows. */
+const assumedMemoryMs = 7000;
+
 export type Need = {
 	readonly engines: number;
 	readonly at: number;
+	/** Whether no load explains it. */
+	readonly isAssumed: boolean;
 };
 
-export const emptyNeed: Need = {engines: 0, at: 0};
+export const emptyNeed: Need = {engines: 0, at: 0, isAssumed: true};
 
 export type LoadSample = {
 	readonly promptTokensPerSecond: number;
@@ -32,10 +37,11 @@
  */
 export const learnNeed = (need: Need, sample: LoadSample, now: number): Need => {
 	if (sample.promptTokensPerSecond === 0) {
-		return {engines: Math.max(need.engines, sample.present), at: now};
+		return {...need, engines: Math.max(need.engines, sample.present), at: now};
 	}
 
 	const wanted = sample.promptTokensPerSecond / (tokensPerSecond * plannedShare);
-	const remembered = need.engines * Math.exp(-Math.max(0, now - need.at) / peakMemoryMs);
-	return {engines: Math.max(wanted, remembered), at: now};
+	const memoryMs = need.isAssumed ? assumedMemoryMs : peakMemoryMs;
+	const remembered = need.engines * Math.exp(-Math.max(0, now - need.at) / memoryMs);
+	return {engines: Math.max(wanted, remembered), at: now, isAssumed: need.isAssumed && remembered > wanted};
 };
--- a/packages/core/src/news/news.test.ts
+++ b/packages/core/src/news/news.test.ts
@@ -8,6 +8,7 @@
 	incarnation: `life-${index}`,
 	address: `10.0.0.${index}:7500`,
 	availabilityZone: zone,
+	linkMbps: 10,
 	daemons: 1,
 	configurationVersion: index,
 	demands: {shop: 10},
@@ -46,6 +47,11 @@
 	});
 }
 
+test('the daemons with the widest links are relays', () => {
+	const members = Array.from({length: 30}, (_value, index) => ({...makeNews(index, 'zone-0'), linkMbps: index === 7 || index === 8 ? 200 : 10}));
+	assert.deepEqual(pickRelays(members, 'zone-0', never).map(member => member.id).toSorted(), ['d7', 'd8']);
+});
+
 test('when the first relay is silent the second is everybody\'s first', () => {
 	// The daemon that adds up for a zone is stopped. Were the others to go on telling it, each would
 	// soon take itself for the only one, and the zone would spend its accounts' limits many times.
--- a/packages/core/src/news/news.ts
+++ b/packages/core/src/news/news.ts
@@ -14,6 +14,8 @@
 	incarnation: z.string(),
 	address: z.string(),
 	availabilityZone: z.string(),
+	/** Bandwidth of the teller's link, in Mbit/s. */
+	linkMbps: z.number(),
 	/** Daemons that this speaks for. */
 	daemons: z.int(),
 	configurationVersion: z.number(),
--- a/packages/core/src/news/pick-relays.ts
+++ b/packages/core/src/news/pick-relays.ts
@@ -6,6 +6,8 @@
 	/** Address for news and questions. */
 	readonly address: string;
 	readonly availabilityZone: string;
+	/** Bandwidth of its link, in Mbit/s. */
+	readonly linkMbps: number;
 };
 
 /** Up to so many daemons tell everybody and each reads the store; at 16 the calls to the store cost a seventh of a calm day's worth. */
@@ -25,7 +27,12 @@
 		}
 	}
 
-	return rankByRendezvous(zone, [...candidates.keys()])
+	const widest = Math.max(...[...candidates.values()].map(member => member.linkMbps));
+	// A relay sends the sums of all zones to each daemon of its own: 30 of them fill a link of 10 Mbit/s
+	// in a burst, and the news of a whole zone are lost just then.
+	const isWide = (address: string): boolean => candidates.get(address)!.linkMbps === widest;
+	const ranked = rankByRendezvous(zone, [...candidates.keys()]);
+	return [...ranked.filter(address => isWide(address)), ...ranked.filter(address => !isWide(address))]
 		.slice(0, relaysPerZone)
 		.map(address => candidates.get(address)!);
 };
--- a/packages/gateway/src/order-plan.ts
+++ b/packages/gateway/src/order-plan.ts
@@ -11,6 +11,9 @@
 /** Time beyond the start of a backend server after which an accepted order counts as not fulfilled, in milliseconds. */
 const startMarginMs = 2500;
 
+/** Backend servers write every 1.2 s; after three times that the list is whole. */
+const settleMs = 4000;
+
 export type OrderPlan = {
 	readonly planOrders: () => BackendOrder[];
 	readonly noteAccepted: (order: BackendOrder) => void;
@@ -32,6 +35,17 @@
 	const needs = new Map<string, Need>();
 	const now = (): number => gateway.clocks.steady();
 
+	let directorySince: number | undefined;
+	/** Backend servers that started together write their entries one after the other; an order by the first few of them would end the others. */
+	const isSettled = (): boolean => {
+		if (!gateway.hasDirectory) {
+			return false;
+		}
+
+		directorySince ??= now();
+		return now() >= directorySince + settleMs;
+	};
+
 	const countReady = (service: string, zone: string, isReclaimable: boolean): number => (gateway.book.byService.get(service) ?? [])
 		.filter(({entry}) => entry.availabilityZone === zone && entry.isReclaimable === isReclaimable).length;
 
@@ -64,7 +78,7 @@
 
 	return {
 		planOrders() {
-			if (!gateway.hasDirectory) {
+			if (!isSettled()) {
 				return [];
 			}
 
--- a/packages/gateway/src/peer-news.ts
+++ b/packages/gateway/src/peer-news.ts
@@ -51,7 +51,9 @@
 
 const messageSchema = z.object({params: z.array(newsSchema)});
 
-const memberSchema = z.object({id: z.string(), address: z.string(), availabilityZone: z.string()});
+const memberSchema = z.object({
+	id: z.string(), address: z.string(), availabilityZone: z.string(), linkMbps: z.number(),
+});
 
 export type PeerNewsOptions = {
 	readonly gateway: GatewayState;
@@ -75,6 +77,7 @@
 		incarnation,
 		address: settings.listen.peers,
 		availabilityZone: settings.instance.availabilityZone,
+		linkMbps: settings.instance.linkMbps,
 		daemons: 1,
 		configurationVersion: configuration?.configuration.version ?? -1,
 		demands: roundAmounts([...buckets].map(([account, bucket]) => [account, readDemand(bucket, now)] as const)),
@@ -124,9 +127,11 @@
 export const startPeerNews = async (options: PeerNewsOptions): Promise<PeerNewsTask> => {
 	const {gateway, signal} = options;
 	const {host, port} = parseHostAndPort(gateway.settings.listen.peers);
-	const {id: selfId, availabilityZone: ownZone} = gateway.settings.instance;
+	const {id: selfId, availabilityZone: ownZone, linkMbps} = gateway.settings.instance;
 	const socket = dgram.createSocket('udp4');
-	const self: Member = {id: selfId, address: gateway.settings.listen.peers, availabilityZone: ownZone};
+	const self: Member = {
+		id: selfId, address: gateway.settings.listen.peers, availabilityZone: ownZone, linkMbps,
+	};
 	/** By address. */
 	const members = new Map<string, Member>([[self.address, self]]);
 	/** Seeds and members that were not heard yet, and since when. */
@@ -163,7 +168,9 @@
 		}
 
 		strangers.delete(news.address);
-		members.set(news.address, {id: news.id, address: news.address, availabilityZone: news.availabilityZone});
+		members.set(news.address, {
+			id: news.id, address: news.address, availabilityZone: news.availabilityZone, linkMbps: news.linkMbps,
+		});
 		for (const [digest, incarnations] of Object.entries(news.crashes)) {
 			for (const incarnation of incarnations) {
 				gateway.crashes = noteCrash(gateway.crashes, digest, incarnation, now());
@@ -353,7 +360,9 @@
 	};
 
 	for (const address of gateway.settings.peers.seeds) {
-		meet({id: address, address, availabilityZone: ''});
+		meet({
+			id: address, address, availabilityZone: '', linkMbps: 0,
+		});
 	}
 
 	void joinMembers(options, self, meet);
