--- a/packages/core/src/engines/engines.test.ts
+++ b/packages/core/src/engines/engines.test.ts
@@ -1,7 +1,7 @@
 import assert from 'node:assert/strict';
 import test from 'node:test';
 import {type BackendOrder} from '../duties/fold-lease.js';
-import {emptyNeed, learnNeed} from './need-engines.js';
+import {emptyNeed, learnNeed, roundNeed} from './need-engines.js';
 import {planEngines, type ZoneFleet} from './plan-engines.js';
 
 const bounds = {
@@ -64,6 +64,17 @@
 	assert.equal(Math.round(need.engines), 4);
 });
 
+test('a load that wavers about a whole number does not start and end an engine each second', () => {
+	let ordered = 0;
+	const orders: number[] = [];
+	for (const engines of [6.9, 7.1, 6.8, 7.2, 6.6, 5.9, 5.6]) {
+		ordered = roundNeed({engines, at: 0, isAssumed: false}, ordered);
+		orders.push(ordered);
+	}
+
+	assert.deepEqual(orders, [7, 8, 8, 8, 7, 7, 6]);
+});
+
 test('a rise is followed at once and a fall slowly', () => {
 	let need = learnNeed(emptyNeed, {promptTokensPerSecond: 225_000, present: 3}, 0);
 	assert.equal(need.engines, 10);
--- a/packages/core/src/engines/need-engines.ts
+++ b/packages/core/src/engines/need-engines.ts
@@ -24,6 +24,15 @@
 
 export const emptyNeed: Need = {engines: 0, at: 0, isAssumed: true};
 
+/** A plan is lowered only when this many fewer are needed: a load that wavers about a whole number would else start and end an engine every second. */
+const lowerBy = 1.3;
+
+/** The whole number of engines to order, given the one that is ordered. */
+export const roundNeed = (need: Need, ordered: number): number => {
+	const wanted = Math.ceil(need.engines);
+	return wanted > ordered || need.engines < ordered - lowerBy ? wanted : ordered;
+};
+
 export type LoadSample = {
 	readonly promptTokensPerSecond: number;
 	/** Backend servers that run now. */
--- a/packages/core/src/retries/patience.ts
+++ b/packages/core/src/retries/patience.ts
@@ -5,9 +5,13 @@
  */
 import {isStream, mayRunAgain, type Repeatability} from '../calls/types.js';
 
-/** Shortest silence that is taken for darkness, in milliseconds: the longest usual prompt is read in 300 ms, the longest plain call takes 220 ms. */
-const leastStreamMs = 400;
-const leastPlainMs = 260;
+/**
+ * Shortest silence that is taken for darkness, in milliseconds. The longest plain call takes 220 ms
+ * and waits for a place; a prompt of 50,000 tokens is read in 1 s. At 400 and 260 ms a sound backend
+ * server was left about once a second over six daemons.
+ */
+const leastStreamMs = 700;
+const leastPlainMs = 400;
 
 /** A silence of so many times the predicted wait is not chance. */
 const predictedFactor = 3;
--- a/packages/gateway/src/order-plan.ts
+++ b/packages/gateway/src/order-plan.ts
@@ -1,6 +1,8 @@
 /** Works out the orders of backend servers from the directory and the load. */
 import {type BackendOrder} from '@shallotpass/core/duties/fold-lease.js';
-import {emptyNeed, learnNeed, type Need} from '@shallotpass/core/engines/need-engines.js';
+import {
+	emptyNeed, learnNeed, type Need, roundNeed,
+} from '@shallotpass/core/engines/need-engines.js';
 import {planEngines, type ZoneFleet} from '@shallotpass/core/engines/plan-engines.js';
 import {readWorkRate} from '@shallotpass/core/engines/work-rate.js';
 import {type GatewayState, peerSilentMs} from './gateway-state.js';
@@ -33,6 +35,7 @@
 	/** `service/zone` → the order of reclaimable ones that was accepted last. */
 	const accepted = new Map<string, Accepted>();
 	const needs = new Map<string, Need>();
+	const planned = new Map<string, number>();
 	const now = (): number => gateway.clocks.steady();
 
 	let directorySince: number | undefined;
@@ -73,7 +76,9 @@
 		const present = gateway.book.byService.get(service)?.length ?? 0;
 		const need = learnNeed(needs.get(service) ?? emptyNeed, {promptTokensPerSecond: perSecond, present}, now());
 		needs.set(service, need);
-		return need.engines;
+		const ordered = roundNeed(need, planned.get(service) ?? 0);
+		planned.set(service, ordered);
+		return ordered;
 	};
 
 	return {
