--- a/apps/cli/src/commands.ts
+++ b/apps/cli/src/commands.ts
@@ -2,6 +2,7 @@
 import {defineCommand} from 'citty';
 import {configurationSchema} from '@shallotpass/common/configuration-schema.js';
 import {formatMistake, readToml} from '@shallotpass/common/toml-file.js';
+import {explainRequest} from '@shallotpass/gateway/explain-request.js';
 import {runExperiment} from '@shallotpass/measure/run-experiment.js';
 import {
 	callAdmin, CliError, exitCodes, findTarget, makeRefusal, readFile, readJson,
@@ -50,6 +51,25 @@
 	},
 });
 
+const explain = defineCommand({
+	meta: {name: 'explain', description: 'Tell the story of one request from the logs of several daemons'},
+	args: {
+		request: {type: 'positional', required: true, description: 'Id of the request'},
+		logs: {type: 'positional', required: true, description: 'Log files; more may follow'},
+	},
+	run({args}) {
+		const files = args._.slice(1);
+		const story = explainRequest(args.request, files.map(file => readFile(file)));
+		if (story.length === 0) {
+			throw new CliError(`no line of ${files.join(', ')} is about the request ${args.request}`, exitCodes.refused);
+		}
+
+		for (const line of story) {
+			printLine(line);
+		}
+	},
+});
+
 const plan = defineCommand({
 	meta: {name: 'plan', description: 'Show what a file would change'},
 	args: {...fileArgument, ...teamArgument, ...targetArguments},
@@ -210,6 +230,7 @@
 });
 
 export const commands = {
+	explain,
 	check,
 	plan,
 	apply,
--- a/apps/daemon/src/platform-main.ts
+++ b/apps/daemon/src/platform-main.ts
@@ -6,6 +6,7 @@
 import {startGateway} from '@shallotpass/gateway/start-gateway.js';
 import {openPlatform} from '@shallotpass/platform/open-platform.js';
 import {readGatewaySettings, settingsPathVariable} from '@shallotpass/platform/settings.js';
+import {watchSettings} from './watch-settings.js';
 
 const usageExit = 2;
 
@@ -25,11 +26,16 @@
 }
 
 const settings = reading.value;
+let current = settings;
 const log = openEventLog(settings.instance.id);
 const gateway = await startGateway({
 	settings,
 	log,
-	openPlatform: onStoreCall => openPlatform({storeAddress: settings.store.address, cloudAddress: settings.cloud.address, onStoreCall}),
+	openPlatform: onStoreCall => openPlatform({
+		getStoreAddress: () => current.store.address,
+		getCloudAddress: () => current.cloud.address,
+		onStoreCall,
+	}),
 });
 
 const stop = async (): Promise<void> => {
@@ -41,6 +47,19 @@
 process.once('SIGTERM', () => {
 	void stop();
 });
+const watcher = watchSettings({
+	path,
+	read: readGatewaySettings,
+	onChange(next) {
+		current = next;
+		gateway.reload(next);
+	},
+	onRefusal(mistakes) {
+		log.write('failure', 'settings_refused', {mistakes});
+	},
+});
+
 process.on('SIGHUP', () => {
 	log.write('belief', 'reload_asked', {path});
+	watcher.look();
 });
--- a/packages/gateway/src/duty-task.ts
+++ b/packages/gateway/src/duty-task.ts
@@ -77,7 +77,6 @@
 
 export const startDutyTask = (options: DutyOptions): DutyTask => {
 	const {gateway, platform, signal} = options;
-	const {bounds} = gateway.settings;
 	let held: Held | undefined;
 	let watch: LeaseWatch | undefined;
 	/** Disagreements of the clocks when the watch began. */
@@ -195,8 +194,8 @@
 
 	const planLease = (lease: Lease): Lease => {
 		const now = gateway.clocks.trueTime();
-		const current = getWindow(now - reportAfterMs, bounds.usageWindowMs);
-		const oldest = getWindow(now - bounds.usageLateMs - bounds.usageWindowMs, bounds.usageWindowMs);
+		const current = getWindow(now - reportAfterMs, gateway.settings.bounds.usageWindowMs);
+		const oldest = getWindow(now - gateway.settings.bounds.usageLateMs - gateway.settings.bounds.usageWindowMs, gateway.settings.bounds.usageWindowMs);
 		const counted = mergeUsage(lease.counted, listUsage());
 		let next = lease;
 		for (const window of listDueWindows(lease, current, oldest)) {
@@ -212,7 +211,7 @@
 			return false;
 		}
 
-		return held.disagreements === countDisagreements() && mayActOnLease(held.renewedAt, bounds.leaseMs, elapsed());
+		return held.disagreements === countDisagreements() && mayActOnLease(held.renewedAt, gateway.settings.bounds.leaseMs, elapsed());
 	};
 
 	const noteCloud = (duty: string, reply: CloudReply, fields: Record<string, unknown>): void => {
@@ -337,7 +336,7 @@
 
 		// A record of this daemon's own, or one that its holder gave up, is nobody else's to act on.
 		const isFree = standing === 'none' || standing.lease.incarnation === gateway.incarnation || standing.lease.incarnation === nobody;
-		const mayTake = isFree || (watch !== undefined && mayTakeLease(watch, bounds.leaseMs, elapsed()));
+		const mayTake = isFree || (watch !== undefined && mayTakeLease(watch, gateway.settings.bounds.leaseMs, elapsed()));
 		if (!mayTake) {
 			return;
 		}
--- /dev/null
+++ b/packages/gateway/src/explain-request.test.ts
@@ -0,0 +1,28 @@
+import assert from 'node:assert/strict';
+import test from 'node:test';
+import {explainRequest} from './explain-request.js';
+
+const write = (time: number, instance: string, event: string, fields: Readonly<Record<string, unknown>> = {}): string => JSON.stringify({
+	level: 'info', time, instance, event, ...fields,
+});
+
+test('the story of a request has its own lines and the beliefs that decided it, in order', () => {
+	const logs = [
+		[
+			write(1000, 'a', 'backend_unreachable', {backend: 'x', reason: 'connect_timeout'}),
+			write(1100, 'a', 'backend_unreachable', {backend: 'other', reason: 'silent'}),
+			write(1300, 'a', 'call_ended', {request: 'r', account: 'shop', outcome: 'no_backend'}),
+			'a line of the runtime',
+		].join('\n'),
+		[
+			write(1200, 'a', 'call_placed', {request: 'r', backend: 'x', result: 'not_run'}),
+			write(1150, 'b', 'draining'),
+			write(1250, 'a', 'limit_reached', {account: 'somebody'}),
+			write(1260, 'a', 'limit_reached', {account: 'shop'}),
+			'{"time":12',
+		].join('\n'),
+	];
+	const story = explainRequest('r', logs).map(line => line.split(' ').slice(1, 3).join(' '));
+	assert.deepEqual(story, ['a backend_unreachable', 'a call_placed', 'a limit_reached', 'a call_ended']);
+	assert.deepEqual(explainRequest('unknown', logs), []);
+});
--- a/packages/gateway/src/gateway-state.ts
+++ b/packages/gateway/src/gateway-state.ts
@@ -23,7 +23,8 @@
 };
 
 export type GatewayState = {
-	readonly settings: GatewaySettings;
+	/** Replaced when the settings file changes; listeners keep their addresses. Written by the reload. */
+	settings: GatewaySettings;
 	/** Names one life of this process. */
 	readonly incarnation: string;
 	readonly clocks: Clocks;
--- a/packages/gateway/src/start-gateway.ts
+++ b/packages/gateway/src/start-gateway.ts
@@ -43,6 +43,8 @@
 	readonly state: GatewayState;
 	/** Finishes all calls, refuses new ones late, and resolves when the process may end. */
 	readonly drain: () => Promise<void>;
+	/** Takes settings that have changed; addresses of listeners hold until the next start. */
+	readonly reload: (settings: GatewaySettings) => void;
 	/** Ends at once, as a crash does, but for the process itself. */
 	readonly stop: () => void;
 };
@@ -147,6 +149,10 @@
 	return {
 		state,
 		drain: async () => drain(state, listener, controller),
+		reload(settings) {
+			state.settings = {...settings, listen: state.settings.listen, instance: state.settings.instance};
+			state.log.write('belief', 'settings_taken', {bounds: settings.bounds, store: settings.store.address});
+		},
 		stop() {
 			controller.abort();
 			listener.closeAll();
