--- a/packages/gateway/src/run-at-backend.ts
+++ b/packages/gateway/src/run-at-backend.ts
@@ -217,7 +217,11 @@
 		notePart(state.prefixes, part.id, now);
 	}
 
-	const stopWatching = watchSilence(gateway, state, now, computePatience(call.repeatability, placement.choice.predictedMs), abort);
+	let isSilent = false;
+	const stopWatching = watchSilence(gateway, state, now, computePatience(call.repeatability, placement.choice.predictedMs), () => {
+		isSilent = true;
+		abort();
+	});
 	const end = (isFailure: boolean): void => {
 		stopWatching();
 		signal.removeEventListener('abort', abort);
@@ -245,7 +249,7 @@
 			noteUsage(gateway, call, false);
 		}
 
-		return {kind: 'may_have_run', reason: result.reason};
+		return {kind: 'may_have_run', reason: isSilent ? 'silent' : result.reason};
 	}
 
 	const {response, isWhole} = result;
--- a/packages/gateway/src/serve-call.ts
+++ b/packages/gateway/src/serve-call.ts
@@ -179,6 +179,8 @@
 type Outcome = {
 	readonly name: string;
 	readonly refusal?: Refusal;
+	/** Why an answer that had begun ended early. */
+	readonly detail?: string;
 };
 
 const describeEnd = (progress: Progress): Outcome => progress.runs > 0
@@ -274,9 +276,9 @@
 
 			attempt.exchange.abort();
 			void noteBreak(gateway, attempt.state, sending.digest);
-			progress.lastReason = 'the answer broke off';
+			progress.lastReason = `the answer broke off at ${attempt.state.entry.id}`;
 			if (passed === 'broken_midway') {
-				return {name: 'broken_midway'};
+				return {name: 'broken_midway', detail: progress.lastReason};
 			}
 		}
 
@@ -299,7 +301,7 @@
 		// eslint-disable-next-line no-await-in-loop -- one try after the other
 		const result = await tryOnce(context, {call, sending}, progress, signal);
 		if (result.kind === 'no_backend') {
-			return hasBegun ? {name: 'broken_midway'} : describeEnd(progress);
+			return hasBegun ? {name: 'broken_midway', detail: progress.lastReason} : describeEnd(progress);
 		}
 
 		if (result.kind === 'answered') {
@@ -324,7 +326,7 @@
 
 			if (isFailure) {
 				drainFailure(response, attempt);
-				return {name: 'broken_midway'};
+				return {name: 'broken_midway', detail: `status ${response.statusCode ?? 0} when it was to go on`};
 			}
 
 			if (!hasBegun) {
@@ -356,11 +358,11 @@
 				return {name: passed === 'caller_left' ? 'caller_left' : 'deadline'};
 			}
 
-			progress.lastReason = 'the stream broke off';
+			progress.lastReason = `the stream broke off at ${attempt.state.entry.id}`;
 		}
 
 		if (signal.aborted || !mayTryAgain(gateway, call, progress)) {
-			return hasBegun ? {name: 'broken_midway'} : describeEnd(progress);
+			return hasBegun ? {name: 'broken_midway', detail: progress.lastReason} : describeEnd(progress);
 		}
 
 		splitter.dropRest();
@@ -384,7 +386,7 @@
 	gateway.metrics.callSeconds.observe({service, kind}, tookMs / 1000);
 	gateway.log.write(outcome.name === 'served' ? 'routine' : 'failure', 'call_ended', {
 		request: head.id, account: admitted?.call.account, route: admitted?.call.routeName, service, kind, outcome: name,
-		detail: outcome.refusal?.detail, status: response.statusCode, tookMs: Math.round(tookMs),
+		detail: outcome.refusal?.detail ?? outcome.detail, status: response.statusCode, tookMs: Math.round(tookMs),
 		configuration: gateway.configuration?.configuration.version,
 	});
 };
