--- a/packages/gateway/src/duty-task.ts
+++ b/packages/gateway/src/duty-task.ts
@@ -7,12 +7,11 @@
 import {
 	type BackendOrder, getFence, type Lease, leaseSchema, type LeaseWatch, listDueWindows, mayActOnLease, mayTakeLease, type StoredLease, withReport,
 } from '@shallotpass/core/duties/fold-lease.js';
-import {readDemand} from '@shallotpass/core/quotas/account-share.js';
-import {readSpentSlots} from '@shallotpass/core/quotas/spending.js';
 import {
-	dropEarlierWindows, getWindow, mergeUsage, sumCounts, type UsageCounts, type UsageTable,
+	dropEarlierWindows, getWindow, mergeUsage, sumCounts,
 } from '@shallotpass/core/usage/count-starts.js';
 import {pauseFor} from './pause.js';
+import {listUsage, sumSpent} from './gather-duties.js';
 import {type GatewayState, peerSilentMs} from './gateway-state.js';
 import {type CloudReply, type Platform} from './ports.js';
 
@@ -26,13 +25,6 @@
 
 const cloudTimeoutMs = 600;
 
-/**
- * Between a call and its place in the record lie the news, 0.3 s, and the renewal, 0.9 s. What is
- * asked in that time is written in advance, in seconds: a hot account whose daemons all ended was
- * 5 in 100 beyond its limit without.
- */
-const unwrittenS = 1.2;
-
 /** Longest time that callers wait for what accounts have spent, and between two readings of it. */
 const spendingPatienceMs = 1500;
 const spendingPauseMs = 100;
@@ -176,50 +168,11 @@
 		return false;
 	};
 
-	/** What all daemons counted, as far as this one knows; those that ended since are in the lease's record. */
-	const listUsage = (): UsageTable => {
-		const table: Record<string, Record<string, UsageCounts>> = {};
-		const books = [
-			...[...gateway.usage].map(([window, counts]) => ({window: String(window), incarnation: gateway.incarnation, counts})),
-			...[...gateway.peers.values()].flatMap(({incarnation, usage}) => Object.entries(usage).map(([window, counts]) => ({window, incarnation, counts}))),
-		];
-		for (const {window, incarnation, counts} of books) {
-			table[window] ??= {};
-			table[window][incarnation] = {...counts};
-		}
-
-		return table;
-	};
-
-	const sumSpent = (): Lease['spent'] => {
-		const now = elapsed();
-		const accounts: Record<string, number[]> = {};
-		const own = Object.fromEntries([...gateway.spending].map(([account, spending]) => [account, readSpentSlots(spending, now).map(cost => Math.round(cost))]));
-		for (const spent of [own, ...[...gateway.peers.values()].map(peer => peer.spent)]) {
-			for (const [account, slots] of Object.entries(spent)) {
-				accounts[account] = slots.map((cost, index) => cost + (accounts[account]?.[index] ?? 0));
-			}
-		}
-
-		const demands = [
-			...[...gateway.buckets].map(([account, bucket]) => [account, readDemand(bucket, now)] as const),
-			...[...gateway.peers.values()].flatMap(peer => Object.entries(peer.demands)),
-		];
-		for (const [account, demand] of demands) {
-			const slots = accounts[account];
-			if (slots?.[0] !== undefined) {
-				slots[0] += Math.round(demand * unwrittenS);
-			}
-		}
-
-		return {at: Math.round(gateway.clocks.trueTime()), accounts};
-	};
-
 	const planLease = (lease: Lease): Lease => {
 		const now = gateway.clocks.trueTime();
 		const current = getWindow(now - reportAfterMs, gateway.settings.bounds.usageWindowMs);
 		const oldest = getWindow(now - gateway.settings.bounds.usageLateMs - gateway.settings.bounds.usageWindowMs, gateway.settings.bounds.usageWindowMs);
-		const counted = mergeUsage(lease.counted, listUsage());
+		const counted = mergeUsage(lease.counted, listUsage(gateway));
 		let next = lease;
 		for (const window of listDueWindows(lease, current, oldest)) {
 			next = withReport(next, {window, counts: sumCounts(Object.values(counted[String(window)] ?? {})), isDelivered: false});
@@ -306,7 +259,7 @@
 		if (gateway.drainingSince !== undefined) {
 			// A successor need not wait for the lease to lapse.
 			await write({
-				...held.stored.lease, incarnation: nobody, counted: mergeUsage(held.stored.lease.counted, listUsage()), spent: sumSpent(),
+				...held.stored.lease, incarnation: nobody, counted: mergeUsage(held.stored.lease.counted, listUsage(gateway)), spent: sumSpent(gateway),
 			});
 			lose('the daemon is leaving');
 			return;
@@ -323,8 +276,8 @@
 				holder: gateway.settings.instance.id,
 				incarnation,
 				fence,
-				counted: dropEarlierWindows(mergeUsage(planned.counted, listUsage()), last + 1),
-				spent: sumSpent(),
+				counted: dropEarlierWindows(mergeUsage(planned.counted, listUsage(gateway)), last + 1),
+				spent: sumSpent(gateway),
 			});
 			if (!isStanding) {
 				return;
--- /dev/null
+++ b/packages/gateway/src/gather-duties.ts
@@ -0,0 +1,53 @@
+/** What the holder of the duties writes down of all daemons, out of the news it heard. */
+import {type Lease} from '@shallotpass/core/duties/fold-lease.js';
+import {readDemand} from '@shallotpass/core/quotas/account-share.js';
+import {readSpentSlots} from '@shallotpass/core/quotas/spending.js';
+import {type UsageCounts, type UsageTable} from '@shallotpass/core/usage/count-starts.js';
+import {type GatewayState} from './gateway-state.js';
+
+/**
+ * Between a call and its place in the record lie the news, 0.3 s, and the renewal, 0.9 s. What is
+ * asked in that time is written in advance, in seconds: a hot account whose daemons all ended was
+ * 5 in 100 beyond its limit without.
+ */
+const unwrittenS = 1.2;
+
+/** What all daemons counted, as far as this one knows; those that ended since are in the lease's record. */
+export const listUsage = (gateway: GatewayState): UsageTable => {
+	const table: Record<string, Record<string, UsageCounts>> = {};
+	const books = [
+		...[...gateway.usage].map(([window, counts]) => ({window: String(window), incarnation: gateway.incarnation, counts})),
+		...[...gateway.peers.values()].flatMap(({incarnation, usage}) => Object.entries(usage).map(([window, counts]) => ({window, incarnation, counts}))),
+	];
+	for (const {window, incarnation, counts} of books) {
+		table[window] ??= {};
+		table[window][incarnation] = {...counts};
+	}
+
+	return table;
+};
+
+/** What accounts spent within the window of their limits, over all daemons, with what is asked until it stands in the record. */
+export const sumSpent = (gateway: GatewayState): Lease['spent'] => {
+	const now = gateway.clocks.steady();
+	const accounts: Record<string, number[]> = {};
+	const own = Object.fromEntries([...gateway.spending].map(([account, spending]) => [account, readSpentSlots(spending, now).map(cost => Math.round(cost))]));
+	for (const spent of [own, ...[...gateway.peers.values()].map(peer => peer.spent)]) {
+		for (const [account, slots] of Object.entries(spent)) {
+			accounts[account] = slots.map((cost, index) => cost + (accounts[account]?.[index] ?? 0));
+		}
+	}
+
+	const demands = [
+		...[...gateway.buckets].map(([account, bucket]) => [account, readDemand(bucket, now)] as const),
+		...[...gateway.peers.values()].flatMap(peer => Object.entries(peer.demands)),
+	];
+	for (const [account, demand] of demands) {
+		const slots = accounts[account];
+		if (slots?.[0] !== undefined) {
+			slots[0] += Math.round(demand * unwrittenS);
+		}
+	}
+
+	return {at: Math.round(gateway.clocks.trueTime()), accounts};
+};
--- /dev/null
+++ b/packages/gateway/src/repeat-limits.ts
@@ -0,0 +1,16 @@
+/** This daemon's part of the limit of second tries, by service. */
+import {emptyAllowance, type RepeatAllowance, type RepeatLimit} from '@shallotpass/core/retries/repeat-allowance.js';
+import {countDaemons, type GatewayState} from './gateway-state.js';
+
+export const getRepeatLimit = (gateway: GatewayState): RepeatLimit => {
+	const {repeatRatio, repeatSlack, repeatWindowMs} = gateway.settings.bounds;
+	return {
+		ratio: repeatRatio, slack: repeatSlack, windowMs: repeatWindowMs, daemons: countDaemons(gateway),
+	};
+};
+
+export const getAllowance = (gateway: GatewayState, service: string): RepeatAllowance => {
+	const allowance = gateway.allowances.get(service) ?? emptyAllowance();
+	gateway.allowances.set(service, allowance);
+	return allowance;
+};
--- a/packages/gateway/src/serve-call.ts
+++ b/packages/gateway/src/serve-call.ts
@@ -1,171 +1,27 @@
-/** The one path of all calls: find the route, admit, place, send, hand the answer over, account. */
+/** The one path of all calls: admit, place, send, hand the answer over, account. */
 import type http from 'node:http';
-import {type ErrorKind} from '@shallotpass/common/error-kinds.js';
-import {type Deadline} from '@shallotpass/common/types.js';
-import {findRoute, type IndexedConfiguration, pickService} from '@shallotpass/core/calls/index-configuration.js';
-import {type Account, type Route} from '@shallotpass/core/calls/serving-configuration.js';
 import {type Call, isStream, mayRunAgain} from '@shallotpass/core/calls/types.js';
-import {isRefusedForCrashes} from '@shallotpass/core/retries/crash-register.js';
 import {stalledStreamMs} from '@shallotpass/core/retries/patience.js';
+import {noteCall, takeRepeat} from '@shallotpass/core/retries/repeat-allowance.js';
 import {
-	emptyAllowance, noteCall, type RepeatLimit, takeRepeat,
-} from '@shallotpass/core/retries/repeat-allowance.js';
-import {hashText, hashTextWide} from '@shallotpass/core/routing/rank-by-rendezvous.js';
-import {readWholeBody} from './body.js';
-import {type BackendState} from './backend-book.js';
+	admit, type Admitted, type CallContext, RefusedCall,
+} from './admit-call.js';
 import {makeEventSplitter} from './event-splitter.js';
-import {countDaemons, type GatewayState} from './gateway-state.js';
+import {type GatewayState} from './gateway-state.js';
 import {passPlain} from './pass-plain.js';
 import {beginStream, passEvents} from './pass-stream.js';
 import {placeCall} from './place-call.js';
-import {type CallerHead} from './ports.js';
 import {answerRefusal, type Refusal} from './refusal.js';
+import {getAllowance, getRepeatLimit} from './repeat-limits.js';
 import {
-	type Attempt, type AttemptResult, noteBreak, runAtBackend, type Sending,
+	type Attempt, type AttemptResult, noteBreak, runAtBackend,
 } from './run-at-backend.js';
-import {takeQuota} from './take-quota.js';
-
-/** Milliseconds by which a call ends before its caller stops waiting, so that the answer arrives. */
-const answerMarginMs = 20;
 
 /** Backend servers that one call is offered to at most; each offer that is refused costs a way there and back. */
 const mostOffers = 6;
 
-/** A configuration that was not confirmed for so long may lack a route or a key that was added since. */
-const doubtfulAfterMs = 1500;
-
-/** Time after SIGTERM until which new calls are still taken, in milliseconds: the balancer sends none after two questions a second apart. */
-const lateCallsMs = 2600;
-
-type CallContext = {
-	readonly gateway: GatewayState;
-	readonly request: http.IncomingMessage;
-	readonly response: http.ServerResponse;
-	readonly head: CallerHead;
-};
-
-type Admitted = {
-	readonly call: Call;
-	readonly sending: Sending;
-};
-
-class RefusedCall {
-	constructor(readonly refusal: Refusal) {}
-}
-
-const refuse = (kind: ErrorKind, detail: string, retryAfterS?: number): RefusedCall => new RefusedCall({kind, detail, ...(retryAfterS !== undefined && {retryAfterS})});
-
 const isDraining = (gateway: GatewayState): boolean => gateway.drainingSince !== undefined;
 
-const isDoubtful = (gateway: GatewayState): boolean => gateway.clocks.steady() > gateway.configurationCheckedAt + doubtfulAfterMs;
-
-const findAccount = (gateway: GatewayState, index: IndexedConfiguration, route: Route, key: string | undefined): Account | RefusedCall | undefined => {
-	const account = key === undefined ? undefined : index.accountsByKey.get(key);
-	if (account !== undefined || route.allowsAnonymous || index.configuration.accounts.length === 0) {
-		return account;
-	}
-
-	if (isDoubtful(gateway)) {
-		return refuse('no_configuration', 'The key is unknown to a configuration that may be out of date.', 0.5);
-	}
-
-	return refuse('unauthenticated', 'The key is missing or unknown.');
-};
-
-const getRepeatLimit = (gateway: GatewayState): RepeatLimit => {
-	const {repeatRatio, repeatSlack, repeatWindowMs} = gateway.settings.bounds;
-	return {
-		ratio: repeatRatio, slack: repeatSlack, windowMs: repeatWindowMs, daemons: countDaemons(gateway),
-	};
-};
-
-const getAllowance = (gateway: GatewayState, service: string) => {
-	const allowance = gateway.allowances.get(service) ?? emptyAllowance();
-	gateway.allowances.set(service, allowance);
-	return allowance;
-};
-
-const admit = async (context: CallContext): Promise<Admitted | RefusedCall> => {
-	const {gateway, request, head} = context;
-	const now = gateway.clocks.steady();
-	const index = gateway.configuration;
-	if (index === undefined || !gateway.hasDirectory || !gateway.hasSpending) {
-		return refuse('no_configuration', 'This daemon has not read the configuration and the backend servers yet.', 0.3);
-	}
-
-	if (gateway.drainingSince !== undefined && now > gateway.drainingSince + lateCallsMs) {
-		return refuse('draining', 'This daemon is leaving.', 0);
-	}
-
-	const target = request.url ?? '/';
-	const path = target.split('?', 1)[0]!;
-	const route = findRoute(index, request.headers.host ?? '', path);
-	if (route === undefined) {
-		return isDoubtful(gateway)
-			? refuse('no_configuration', 'No route is known in a configuration that may be out of date.', 0.5)
-			: refuse('not_found', 'No route serves this host and path.');
-	}
-
-	const account = findAccount(gateway, index, route, head.key);
-	if (account instanceof RefusedCall) {
-		return account;
-	}
-
-	const service = pickService(route, (hashText(head.id ?? path) % 10_000) / 10_000);
-	if (service === undefined) {
-		return refuse('no_backend', 'The route names no service.', 1);
-	}
-
-	const reading = await readWholeBody(request, index.configuration.limits.bodyBytes);
-	if (reading.kind === 'too_large') {
-		return refuse('payload_too_large', `The body has more than ${index.configuration.limits.bodyBytes} bytes.`);
-	}
-
-	if (reading.kind === 'broken') {
-		return refuse('caller_cancelled', 'The request broke off.');
-	}
-
-	const method = request.method ?? 'GET';
-	const digest = hashTextWide(`${account?.name ?? ''}\n${method}\n${target}\n${reading.body.toString('latin1')}`).toString(16);
-	if (isRefusedForCrashes(gateway.crashes, digest)) {
-		return refuse('request_suspended', 'This request has ended the backend servers that ran it.', 30);
-	}
-
-	const overQuota = account && takeQuota(gateway, account, head);
-	if (overQuota) {
-		return refuse('rate_limited', `The client account ${account.name} is over its limit.`, overQuota.retryAfterS);
-	}
-
-	const waitsMs = Math.min(head.waitsMs ?? route.limitMs, route.limitMs);
-	const rank = account?.rank === undefined ? route.rank : Math.max(0, route.rank);
-	const call: Call = {
-		id: head.id ?? '',
-		account: account?.name,
-		routeName: route.name,
-		service,
-		repeatability: route.repeatability,
-		arrivedAt: now,
-		targetAt: (now + route.targetMs) as Deadline,
-		deadline: (now + waitsMs - answerMarginMs) as Deadline,
-		rank,
-		attemptsAllowed: Math.max(1, route.attempts),
-		promptTokens: head.promptTokens ?? 0,
-		outputTokens: head.outputTokens ?? 0,
-		promptParts: head.promptParts,
-	};
-	return {
-		call,
-		sending: {
-			method,
-			path: target,
-			callerFields: request.rawHeaders,
-			body: reading.body,
-			digest,
-			lastEventId: undefined,
-		},
-	};
-};
-
 type Progress = {
 	readonly tried: Set<string>;
 	/** Backend servers that may have run the call. */
