Soak the gateway's daemons as processes under faults from outside

Daemons run as processes of the bundle; relays before the store, the cloud and each backend server cut, silence, reset, delay or let through one way only; processes are suspended, killed, stopped and started again; clocks jump, the settings file is cut short; backend servers misbehave and leave; configurations come and go. Faults overlap and come in series, all from the seed.

--- a/packages/stand-ins/src/relay.ts
+++ b/packages/stand-ins/src/relay.ts
@@ -8,6 +8,10 @@
 	| 'cut'
 	/** Open connections stay and carry nothing any more; new ones work. */
 	| 'forgetful'
+	/** Open connections are reset; new ones work. */
+	| 'reset'
+	/** What is asked gets through, and no answer comes back. */
+	| 'one_way'
 	/** Nothing gets through and nobody is told. */
 	| 'silent';
 
@@ -36,10 +40,10 @@
 
 	const isMute = (socket: Socket): boolean => mode === 'silent' || forgotten.has(socket);
 
-	const pass = (from: Socket, to: Socket): void => {
+	const pass = (from: Socket, to: Socket, isAnswer: boolean): void => {
 		from.on('data', chunk => {
 			bytes += chunk.length;
-			if (isMute(from)) {
+			if (isMute(from) || (isAnswer && mode === 'one_way')) {
 				return;
 			}
 
@@ -61,6 +65,19 @@
 		});
 	};
 
+	/** What a mode does to connections that are open when it begins. */
+	const strikes: Partial<Record<RelayMode, (socket: Socket) => void>> = {
+		cut(socket) {
+			socket.destroy();
+		},
+		reset(socket) {
+			socket.resetAndDestroy();
+		},
+		forgetful(socket) {
+			forgotten.add(socket);
+		},
+	};
+
 	const server = createServer(near => {
 		if (mode === 'cut' || blocked.has(near.remoteAddress ?? '')) {
 			near.destroy();
@@ -81,8 +98,8 @@
 
 		const far = connect(Number(port), host);
 		sockets.add(far);
-		pass(near, far);
-		pass(far, near);
+		pass(near, far, false);
+		pass(far, near, true);
 	});
 	const address = await listenAt(server, {host: '127.0.0.1', port: 0});
 	return {
@@ -92,12 +109,11 @@
 			target = next;
 		},
 		setMode(next) {
-			mode = next === 'forgetful' ? 'open' : next;
-			for (const socket of sockets) {
-				if (next === 'cut') {
-					socket.destroy();
-				} else if (next === 'forgetful') {
-					forgotten.add(socket);
+			mode = next === 'forgetful' || next === 'reset' ? 'open' : next;
+			const strike = strikes[next];
+			if (strike !== undefined) {
+				for (const socket of sockets) {
+					strike(socket);
 				}
 			}
 		},
--- /dev/null
+++ b/scripts/soak/src/soak.test.ts
@@ -0,0 +1,30 @@
+import assert from 'node:assert/strict';
+import {mkdtempSync, rmSync} from 'node:fs';
+import os from 'node:os';
+import path from 'node:path';
+import test from 'node:test';
+import {planFaults} from './plan-faults.js';
+import {runSoak} from './run-soak.js';
+
+const play = async (seed: number, hasOnlyPlannedWork: boolean): Promise<void> => {
+	const folder = mkdtempSync(path.join(os.tmpdir(), 'soak-test-'));
+	const report = await runSoak({
+		seed, daemons: 3, callers: 6, faultsMs: 6000, hasOnlyPlannedWork, folder,
+	});
+	assert.deepEqual(report.violations, [], `logs and history in ${folder}`);
+	assert.ok(report.calls > 100 && report.served > 50);
+	rmSync(folder, {recursive: true});
+};
+
+test('the same seed plans the same faults', () => {
+	const options = {
+		seed: 3, daemons: 3, backends: 6, forMs: 10_000, hasOnlyPlannedWork: false,
+	};
+	assert.deepEqual(planFaults(options), planFaults(options));
+	assert.notDeepEqual(planFaults(options), planFaults({...options, seed: 4}));
+	assert.ok(planFaults({...options, hasOnlyPlannedWork: true}).every(({fault}) => ['stop', 'reload', 'leave', 'configure'].includes(fault.kind)));
+});
+
+test('daemons that are killed, suspended and cut off keep every promise', async () => play(1, false));
+
+test('planned work loses no call', async () => play(4, true));
