Live through signals and half-written settings at the start

Ruled out: a crash (nothing on standard error), the memory (33 MB). Before: both new tests red (broken pipe as the reader is gone; exit code 2). After: green. The handler is the first module that the bundle runs; the settings are read again for 3 s, the mistake is told at once. Left: Node's own 40 ms before any module runs.

--- a/apps/daemon/src/platform-main.ts
+++ b/apps/daemon/src/platform-main.ts
@@ -1,12 +1,13 @@
 /** The daemon on the users' platform. */
-import {readFileSync} from 'node:fs';
+// eslint-disable-next-line import-x/order -- signals may come while the other modules load
+import './ignore-early-signals.js';
 import process from 'node:process';
 import {formatMistake} from '@shallotpass/common/toml-file.js';
 import {openEventLog} from '@shallotpass/gateway/event-log.js';
 import {startGateway} from '@shallotpass/gateway/start-gateway.js';
 import {openPlatform} from '@shallotpass/platform/open-platform.js';
 import {readGatewaySettings, settingsPathVariable} from '@shallotpass/platform/settings.js';
-import {watchSettings} from './watch-settings.js';
+import {readFirstSettings, watchSettings} from './watch-settings.js';
 
 const usageExit = 2;
 
@@ -16,16 +17,19 @@
 	process.exit(usageExit);
 }
 
-const reading = readGatewaySettings(readFileSync(path, 'utf8'));
-if (reading.kind === 'mistakes') {
-	for (const mistake of reading.mistakes) {
-		process.stderr.write(`${formatMistake(path, mistake)}\n`);
-	}
-
+const settings = await readFirstSettings({
+	path,
+	read: readGatewaySettings,
+	onRefusal(mistakes) {
+		for (const mistake of mistakes) {
+			process.stderr.write(`${formatMistake(path, mistake)}\n`);
+		}
+	},
+});
+if (settings === undefined) {
 	process.exit(usageExit);
 }
 
-const settings = reading.value;
 let current = settings;
 const log = openEventLog(settings.instance.id);
 const gateway = await startGateway({
