--- a/packages/gateway/src/callers-listener.ts
+++ b/packages/gateway/src/callers-listener.ts
@@ -87,23 +87,13 @@
 
 const isReady = (gateway: GatewayState): boolean => gateway.configuration !== undefined && gateway.hasDirectory && gateway.hasSpending && gateway.drainingSince === undefined;
 
-/** Answers whether this daemon takes calls, and serves the metrics. */
+/** Answers whether this daemon takes calls. */
 export const listenForReady = async (gateway: GatewayState): Promise<http.Server> => {
-	const server = http.createServer({keepAliveTimeout: 15_000}, (request, response) => {
-		void answerProbe(gateway, request, response);
+	const server = http.createServer({keepAliveTimeout: 15_000}, (_request, response) => {
+		response.statusCode = isReady(gateway) ? 200 : 503;
+		response.setHeader('Content-Length', '0');
+		response.end();
 	});
 	await listenOn(server, gateway.settings.listen.ready);
 	return server;
 };
-
-const answerProbe = async (gateway: GatewayState, request: http.IncomingMessage, response: http.ServerResponse): Promise<void> => {
-	if (request.url === '/metrics') {
-		response.setHeader('Content-Type', gateway.metrics.registry.contentType);
-		response.end(await gateway.metrics.registry.metrics());
-		return;
-	}
-
-	response.statusCode = isReady(gateway) ? 200 : 503;
-	response.setHeader('Content-Length', '0');
-	response.end();
-};
--- a/packages/gateway/src/start-gateway.ts
+++ b/packages/gateway/src/start-gateway.ts
@@ -11,6 +11,7 @@
 import {type EventLog} from './event-log.js';
 import {followConfiguration} from './follow-configuration.js';
 import {followDirectory} from './follow-directory.js';
+import {listenForMetrics} from './metrics-listener.js';
 import {collectProcessFigures, openGatewayMetrics} from './gateway-metrics.js';
 import {type GatewaySettings} from './gateway-settings.js';
 import {countDaemons, type GatewayState} from './gateway-state.js';
@@ -124,6 +125,7 @@
 	collectProcessFigures(metrics);
 	const listener = await listenForCallers(state);
 	const ready = await listenForReady(state);
+	const scrapes = listenForMetrics(state);
 	const plan = openOrderPlan(state);
 	const duties = startDutyTask({
 		gateway: state, platform, planOrders: plan.planOrders, onAcceptedOrder: plan.noteAccepted, onRefusedOrder: plan.noteRefusal, isFulfilled: plan.isFulfilled, signal,
@@ -159,6 +161,8 @@
 			listener.closeAll();
 			ready.close();
 			ready.closeAllConnections();
+			scrapes?.close();
+			scrapes?.closeAllConnections();
 		},
 	};
 };
