--- a/packages/gateway/src/duty-task.ts
+++ b/packages/gateway/src/duty-task.ts
@@ -60,6 +60,8 @@
 	readonly platform: Platform;
 	/** The orders that are wanted now. */
 	readonly planOrders: () => readonly BackendOrder[];
+	/** Called at each answer of the cloud, also one that says no. */
+	readonly onCloudAnswer: () => void;
 	readonly onAcceptedOrder: (order: BackendOrder) => void;
 	readonly onRefusedOrder: (order: BackendOrder) => void;
 	/** Whether what was ordered has come. */
@@ -192,6 +194,10 @@
 
 	const noteCloud = (duty: string, reply: CloudReply, fields: Record<string, unknown>): void => {
 		const outcome = reply.kind === 'failed' ? reply.reason : reply.kind;
+		if (reply.kind !== 'failed') {
+			options.onCloudAnswer();
+		}
+
 		gateway.metrics.duties.inc({duty, outcome: reply.kind});
 		gateway.log.write(reply.kind === 'done' ? 'belief' : 'failure', duty, {...fields, outcome});
 	};
--- a/packages/gateway/src/gateway-metrics.ts
+++ b/packages/gateway/src/gateway-metrics.ts
@@ -23,7 +23,13 @@
 	readonly activeCalls: Gauge;
 };
 
-export const openGatewayMetrics = (): GatewayMetrics => {
+export type DependencyAnswers = {
+	/** When each dependency last answered, on the clock that `now` reads, in milliseconds; one that never did is missing. */
+	readonly answeredAt: ReadonlyMap<string, number>;
+	readonly now: () => number;
+};
+
+export const openGatewayMetrics = ({answeredAt, now}: DependencyAnswers): GatewayMetrics => {
 	const registry = new Registry();
 	const registers = [registry];
 	return {
@@ -45,6 +51,11 @@
 		}),
 		dependencyAge: new Gauge({
 			name: 'shallotpass_gateway_dependency_age_seconds', help: 'Seconds since a dependency last answered', labelNames: ['dependency'], registers,
+			collect() {
+				for (const [dependency, at] of answeredAt) {
+					this.set({dependency}, (now() - at) / 1000);
+				}
+			},
 		}),
 		duties: new Counter({
 			name: 'shallotpass_gateway_duties_total', help: 'Calls of the duties by outcome', labelNames: ['duty', 'outcome'], registers,
--- a/packages/gateway/src/serve-call.ts
+++ b/packages/gateway/src/serve-call.ts
@@ -98,6 +98,10 @@
 	attempt.end(true);
 };
 
+const noteFirstByte = (gateway: GatewayState, call: Call): void => {
+	gateway.metrics.firstByteSeconds.observe({service: call.service, kind: call.repeatability}, (gateway.clocks.steady() - call.arrivedAt) / 1000);
+};
+
 const passPlainCall = async (context: CallContext, admitted: Admitted, signal: AbortSignal): Promise<Outcome> => {
 	const {gateway, response: target} = context;
 	const {call, sending} = admitted;
@@ -121,6 +125,7 @@
 				continue;
 			}
 
+			noteFirstByte(gateway, call);
 			// eslint-disable-next-line no-await-in-loop -- one try after the other
 			const passed = await passPlain({
 				response, isWhole: attempt.isWhole, target, method: sending.method, isLast: () => isDraining(gateway),
@@ -188,7 +193,7 @@
 			if (!hasBegun) {
 				hasBegun = true;
 				beginStream(response, target, isDraining(gateway));
-				gateway.metrics.firstByteSeconds.observe({service: call.service, kind: call.repeatability}, (gateway.clocks.steady() - call.arrivedAt) / 1000);
+				noteFirstByte(gateway, call);
 			}
 
 			// eslint-disable-next-line no-await-in-loop -- one try after the other
--- a/packages/gateway/src/start-gateway.ts
+++ b/packages/gateway/src/start-gateway.ts
@@ -37,7 +37,7 @@
 export type GatewayOptions = {
 	readonly settings: GatewaySettings;
 	readonly log: EventLog;
-	readonly openPlatform: (onStoreCall: (topic: Topic, outcome: string) => void) => Platform;
+	readonly openPlatform: (onStoreCall: (topic: Topic, outcome: string, isAnswered: boolean) => void) => Platform;
 };
 
 export type Gateway = {
@@ -113,9 +113,14 @@
 };
 
 export const startGateway = async (options: GatewayOptions): Promise<Gateway> => {
-	const metrics = openGatewayMetrics();
+	const answeredAt = new Map<string, number>();
+	const metrics = openGatewayMetrics({answeredAt, now: () => performance.now()});
 	const storeCalls = new Map<string, number>();
-	const platform = options.openPlatform((topic, outcome) => {
+	const platform = options.openPlatform((topic, outcome, isAnswered) => {
+		if (isAnswered) {
+			answeredAt.set(topic, performance.now());
+		}
+
 		metrics.storeCalls.inc({topic, outcome});
 		storeCalls.set(topic, (storeCalls.get(topic) ?? 0) + 1);
 	});
@@ -128,7 +133,9 @@
 	const scrapes = listenForMetrics(state);
 	const plan = openOrderPlan(state);
 	const duties = startDutyTask({
-		gateway: state, platform, planOrders: plan.planOrders, onAcceptedOrder: plan.noteAccepted, onRefusedOrder: plan.noteRefusal, isFulfilled: plan.isFulfilled, signal,
+		gateway: state, platform, planOrders: plan.planOrders, onCloudAnswer() {
+			answeredAt.set('cloud', performance.now());
+		}, onAcceptedOrder: plan.noteAccepted, onRefusedOrder: plan.noteRefusal, isFulfilled: plan.isFulfilled, signal,
 	});
 	const news = await startPeerNews({
 		gateway: state, platform, signal, getLeaseOffset: duties.getLeaseOffset,
