Hold each log line against one table of events, and make the page of events from it

Cause: events and fields were known only by reading the code; nothing held them. The compiler does now: an event or a field that is not in the table does not build. Found on the way: limit_reached lacked the request's id, so a 429 could not be traced by it.

--- a/packages/gateway/src/duty-task.ts
+++ b/packages/gateway/src/duty-task.ts
@@ -13,6 +13,7 @@
 import {pauseFor} from './pause.js';
 import {listUsage, sumSpent} from './gather-duties.js';
 import {type GatewayState, peerSilentMs} from './gateway-state.js';
+import {type FieldsOf} from './log-events.js';
 import {type CloudReply, type Platform} from './ports.js';
 
 const tickMs = 250;
@@ -192,7 +193,7 @@
 		return held.disagreements === countDisagreements() && mayActOnLease(held.renewedAt, gateway.settings.bounds.leaseMs, elapsed());
 	};
 
-	const noteCloud = (duty: string, reply: CloudReply, fields: Record<string, unknown>): void => {
+	const noteCloud = <Duty extends 'usage_report' | 'backend_order'>(duty: Duty, reply: CloudReply, fields: FieldsOf<Duty>): void => {
 		const outcome = reply.kind === 'failed' ? reply.reason : reply.kind;
 		if (reply.kind !== 'failed') {
 			options.onCloudAnswer();
--- a/packages/gateway/src/event-log.ts
+++ b/packages/gateway/src/event-log.ts
@@ -4,8 +4,7 @@
  */
 import {performance} from 'node:perf_hooks';
 import pino from 'pino';
-
-export type LogFields = Readonly<Record<string, unknown>>;
+import {type EventName, type FieldsOf} from './log-events.js';
 
 /** How much an event matters: failures of requests are never left out before successes. */
 export type Weight = 'routine' | 'failure' | 'belief';
@@ -22,7 +21,7 @@
 const flushEveryMs = 500;
 
 export type EventLog = {
-	readonly write: (weight: Weight, event: string, fields?: LogFields) => void;
+	readonly write: <Event extends EventName>(weight: Weight, event: Event, fields?: FieldsOf<Event>) => void;
 	readonly flush: () => void;
 };
 
@@ -53,9 +52,8 @@
 		windows.set(event, window);
 		if (window.second !== second) {
 			if (window.left > 0) {
-				logger.warn({
-					event: 'lines_left_out', of: event, count: window.left, dropped,
-				});
+				const fields: FieldsOf<'lines_left_out'> = {of: event, count: window.left, dropped};
+				logger.warn({event: 'lines_left_out', ...fields});
 			}
 
 			window.second = second;
@@ -73,7 +71,7 @@
 	};
 
 	return {
-		write(weight, event, fields = {}) {
+		write(weight, event, fields) {
 			if (!isWithinBound(weight, event)) {
 				return;
 			}
--- a/packages/gateway/src/take-quota.ts
+++ b/packages/gateway/src/take-quota.ts
@@ -88,7 +88,7 @@
 	}
 
 	gateway.log.write('failure', 'limit_reached', {
-		account: name, cost, share: Number(share.toFixed(3)), level: Math.round(verdict.bucket.level), own: Math.round(readSpent(spending, now)),
+		request: head.id, account: name, cost, share: Number(share.toFixed(3)), level: Math.round(verdict.bucket.level), own: Math.round(readSpent(spending, now)),
 		others: heard.reduce((sum, peer) => sum + sumSlots(peer.spent[name]), 0), allowance: Math.round(allowance), daemons: countDaemons(gateway),
 	});
 	return {retryAfterS: Math.max(leastRetryAfterS, (verdict.retryAt - now) / 1000)};
--- a/scripts/measure/src/reference-pages.ts
+++ b/scripts/measure/src/reference-pages.ts
@@ -4,6 +4,7 @@
 import {errorAnswers} from '@shallotpass/common/error-kinds.js';
 import {settingsSchema} from '@shallotpass/common/settings-schema.js';
 import {toFileKey} from '@shallotpass/common/toml-file.js';
+import {logEvents} from '@shallotpass/gateway/log-events.js';
 import {metricDescriptions} from '@shallotpass/telemetry/metrics.js';
 import {z} from 'zod';
 
@@ -102,6 +103,17 @@
 ${Object.values(metricDescriptions).map(metric => `| \`${metric.name}\` | ${metric.kind} | ${metric.labels.join(', ')} | ${metric.help} |`).join('\n')}
 `;
 
+const makeLogEventsPage = (): string => `# Log events of the gateway
+
+${generated} A line is one JSON object with \`level\`, \`time\` (milliseconds
+since 1970), \`instance\`, \`event\` and the fields below; a field that does not apply is left out.
+The way from a failed request to its cause is in [OPERATIONS](../OPERATIONS.md).
+
+| event | meaning | fields |
+| --- | --- | --- |
+${Object.entries(logEvents).map(([event, {meaning, fields}]) => `| \`${event}\` | ${meaning} | ${fields.map(field => `\`${field}\``).join(', ')} |`).join('\n')}
+`;
+
 const makeRoutesPage = (): string => `# Operators' interface
 
 ${generated} A key is sent as \`Authorization: Bearer KEY\`. \`/healthz\`, \`/readyz\` and
@@ -118,4 +130,5 @@
 	{path: 'docs/operators/errors.md', text: makeErrorsPage()},
 	{path: 'docs/operators/metrics.md', text: makeMetricsPage()},
 	{path: 'docs/operators/interface.md', text: makeRoutesPage()},
+	{path: 'docs/operators/log-events.md', text: makeLogEventsPage()},
 ];
