Move runs that can't be repeated off backend servers that leave

Change: 1.3 s before a leaving engine ends each of its drafts is stopped, its memory moved, and the same run goes on at another engine with the last event's id; where no room is found it goes on where it was; where the answer to the move is lost it is not begun again. Counted as one run, and against the budget of repeats.

--- a/packages/core/src/calls/serving-configuration.ts
+++ b/packages/core/src/calls/serving-configuration.ts
@@ -42,6 +42,8 @@
 	readonly name: string;
 	readonly maxConnections: number;
 	readonly engine: EngineTraits | undefined;
+	/** Whether a run's memory can be taken to another backend server. */
+	readonly canMoveRuns: boolean;
 	readonly fleet: FleetBounds | undefined;
 };
 
--- a/packages/gateway/src/backend-book.ts
+++ b/packages/gateway/src/backend-book.ts
@@ -34,6 +34,10 @@
 	/** When the calls were sent that have no answer yet, the oldest first. */
 	readonly unanswered: Map<symbol, number>;
 	isGone: boolean;
+	/** Aborted when it begins to leave or is gone. */
+	readonly leaving: AbortController;
+	/** When it is expected to end, on the steady clock. */
+	leavesAt: number | undefined;
 	readonly prefixes: PrefixMemory;
 	/** Digests of the calls that run there, for the case that it ends. */
 	readonly digests: Set<string>;
@@ -65,6 +69,8 @@
 	heardAt: now,
 	unanswered: new Map(),
 	isGone: false,
+	leaving: new AbortController(),
+	leavesAt: undefined,
 	prefixes: new Map(),
 	digests: new Set(),
 });
@@ -78,18 +84,35 @@
 	}
 };
 
+/** Time in which a backend server that leaves still serves, when it does not say for how long. */
+type LeavingTimes = {
+	readonly now: number;
+	readonly drainMs: number;
+};
+
+const noteLeaving = (state: BackendState, {now, drainMs}: LeavingTimes): void => {
+	state.leavesAt ??= now + (state.entry.leavesInMs ?? drainMs);
+	state.leaving.abort();
+};
+
 export type BookChange = {
 	readonly kind: 'joined' | 'restarted' | 'leaving' | 'gone';
 	readonly entry: BackendEntry;
 };
 
 /** Brings the book up to the directory; running calls keep the state they began with. */
-export const takeDirectory = (book: BackendBook, directory: Directory, now: number): BookChange[] => {
+export const takeDirectory = (book: BackendBook, directory: Directory, times: LeavingTimes): BookChange[] => {
+	const {now} = times;
 	const changes: BookChange[] = [];
 	for (const [id, state] of book.byId) {
 		const known = directory.backends.get(id);
 		if (known === undefined || toIncarnation(known.entry) !== state.incarnation) {
 			state.isGone = true;
+			if (known === undefined) {
+				// It may serve on for the time of a drain.
+				noteLeaving(state, times);
+			}
+
 			closeIdle(state);
 			book.byId.delete(id);
 			changes.push({kind: known === undefined ? 'gone' : 'restarted', entry: state.entry});
@@ -99,8 +122,13 @@
 	for (const [id, {entry}] of directory.backends) {
 		const state = book.byId.get(id);
 		if (state === undefined) {
-			book.byId.set(id, openState(entry, now));
+			const joined = openState(entry, now);
+			book.byId.set(id, joined);
 			changes.push({kind: 'joined', entry});
+			if (entry.isLeaving) {
+				noteLeaving(joined, times);
+			}
+
 			continue;
 		}
 
@@ -109,6 +137,9 @@
 		}
 
 		state.entry = entry;
+		if (entry.isLeaving) {
+			noteLeaving(state, times);
+		}
 	}
 
 	book.byService.clear();
--- /dev/null
+++ b/packages/gateway/src/call-tries.ts
@@ -0,0 +1,105 @@
+/** What the ways of all kinds of calls share: what was tried, whether more may be, and one try. */
+import type http from 'node:http';
+import {type Call, mayRunAgain} from '@shallotpass/core/calls/types.js';
+import {takeRepeat} from '@shallotpass/core/retries/repeat-allowance.js';
+import {type Admitted, type CallContext} from './admit-call.js';
+import {type GatewayState} from './gateway-state.js';
+import {type Placement, placeCall} from './place-call.js';
+import {type Refusal} from './refusal.js';
+import {getAllowance, getRepeatLimit} from './repeat-limits.js';
+import {type Attempt, type AttemptResult, runAtBackend} from './run-at-backend.js';
+
+/** Backend servers that one call is offered to at most; each offer that is refused costs a way there and back. */
+const mostOffers = 6;
+
+export const isDraining = (gateway: GatewayState): boolean => gateway.drainingSince !== undefined;
+
+/** What has been tried for one call. */
+export type Progress = {
+	readonly tried: Set<string>;
+	/** Backend servers that may have run the call. */
+	runs: number;
+	offers: number;
+	/** Whether the call has reached a backend server before. */
+	hasArrived: boolean;
+	lastReason: string;
+};
+
+/** What became of one call. */
+export type Outcome = {
+	readonly name: string;
+	readonly refusal?: Refusal;
+	/** Why an answer that had begun ended early. */
+	readonly detail?: string;
+};
+
+export const describeEnd = (progress: Progress): Outcome => progress.runs > 0
+	? {name: 'backend_failed', refusal: {kind: 'backend_failed', detail: `The backend server failed: ${progress.lastReason}.`}}
+	: {name: 'no_backend', refusal: {kind: 'no_backend', detail: `No backend server took the call: ${progress.lastReason}.`, retryAfterS: 0.2}};
+
+/** Whether a further try is allowed after one that ended with `result`. */
+export const mayTryAgain = (gateway: GatewayState, call: Call, progress: Progress): boolean => {
+	if (progress.offers >= mostOffers) {
+		return false;
+	}
+
+	if (progress.runs > 0 && (!mayRunAgain(call.repeatability) || progress.runs >= call.attemptsAllowed)) {
+		return false;
+	}
+
+	return !progress.hasArrived || takeRepeat(getAllowance(gateway, call.service), getRepeatLimit(gateway), gateway.clocks.steady());
+};
+
+export type TryResult = AttemptResult | {readonly kind: 'no_backend'};
+
+/** Sends the call to the best backend server that has not had it. */
+export const tryOnce = async (context: CallContext, admitted: Admitted, progress: Progress, signal: AbortSignal): Promise<TryResult> => {
+	const placement = placeCall(context.gateway, admitted.call, {tried: progress.tried});
+	if (placement === undefined) {
+		progress.lastReason = 'none is ready';
+		return {kind: 'no_backend'};
+	}
+
+	return tryAt(context, admitted, placement, progress, signal);
+};
+
+/** Sends the call to the placed backend server. */
+// eslint-disable-next-line max-params -- a call, its place, what was tried and when to stop
+export const tryAt = async (context: CallContext, admitted: Admitted, placement: Placement, progress: Progress, signal: AbortSignal): Promise<AttemptResult> => {
+	const {gateway} = context;
+	const {call, sending} = admitted;
+	const {state, choice, cachedTokens} = placement;
+	progress.offers++;
+	progress.tried.add(state.incarnation);
+	const result = await runAtBackend(gateway, call, placement, sending, signal);
+	gateway.log.write(result.kind === 'answered' ? 'routine' : 'failure', 'call_placed', {
+		request: call.id, service: call.service, backend: state.entry.id, predictedMs: Math.round(choice.predictedMs), cachedTokens,
+		own: state.running, others: state.othersRunning, tokensPerMs: Math.round(state.tokensPerMs), offer: progress.offers,
+		result: result.kind, reason: result.kind === 'answered' ? result.response.statusCode : result.reason,
+	});
+	if (result.kind !== 'answered') {
+		progress.lastReason = result.reason;
+		progress.hasArrived ||= result.kind === 'may_have_run' || result.hasArrived;
+	}
+
+	if (result.kind === 'may_have_run') {
+		progress.runs++;
+	}
+
+	return result;
+};
+
+export const isServerFailure = (response: http.IncomingMessage): boolean => (response.statusCode ?? 0) >= 500;
+
+/** Reads an answer that is not used to its end, so that its connection serves again. */
+export const drainFailure = (response: http.IncomingMessage, attempt: Attempt): void => {
+	response.on('error', () => {
+		// The answer is not used any more.
+	});
+	response.resume();
+	attempt.end(true);
+};
+
+export const noteFirstByte = (gateway: GatewayState, call: Call): void => {
+	gateway.metrics.firstByteSeconds.observe({service: call.service, kind: call.repeatability}, (gateway.clocks.steady() - call.arrivedAt) / 1000);
+};
--- a/packages/gateway/src/follow-directory.ts
+++ b/packages/gateway/src/follow-directory.ts
@@ -60,7 +60,7 @@
 
 	const take = (next: Directory): void => {
 		directory = dropMissing(next, now());
-		for (const change of takeDirectory(gateway.book, directory, now())) {
+		for (const change of takeDirectory(gateway.book, directory, {now: now(), drainMs: gateway.settings.bounds.drainMs})) {
 			gateway.log.write('belief', `backend_${change.kind}`, {
 				backend: change.entry.id, address: change.entry.address, service: change.entry.service, zone: change.entry.availabilityZone,
 				reclaimable: change.entry.isReclaimable, leavesInMs: change.entry.leavesInMs, offset: directory.next,
--- a/packages/gateway/src/gateway-state.ts
+++ b/packages/gateway/src/gateway-state.ts
@@ -12,7 +12,7 @@
 import {type EventLog} from './event-log.js';
 import {type GatewayMetrics} from './gateway-metrics.js';
 import {type GatewaySettings} from './gateway-settings.js';
-import {type WireFormat} from './ports.js';
+import {type Engines, type WireFormat} from './ports.js';
 
 /** What another daemon, or a relay for the daemons of a zone, told last. */
 export type PeerNews = News & {
@@ -31,6 +31,7 @@
 	readonly log: EventLog;
 	readonly metrics: GatewayMetrics;
 	readonly wire: WireFormat;
+	readonly engines: Engines;
 	readonly random: () => number;
 	/** Written by the follower of the configuration. */
 	configuration: IndexedConfiguration | undefined;
--- a/packages/gateway/src/log-events.ts
+++ b/packages/gateway/src/log-events.ts
@@ -55,6 +55,10 @@
 		meaning: 'What became of a call',
 		fields: ['request', 'account', 'route', 'service', 'kind', 'outcome', 'detail', 'status', 'tookMs', 'configuration'],
 	},
+	call_moved: {
+		meaning: 'A run was stopped at a backend server that leaves; its memory is at another one, or it goes on where it was',
+		fields: ['request', 'from', 'to', 'outcome', 'reason', 'leavesInMs', 'tookMs'],
+	},
 	call_suspected: {meaning: 'A backend server ended while the call was there', fields: ['digest', 'backend', 'ends']},
 	call_crashed: {meaning: 'A mistake of the program in a call', fields: ['request', 'error']},
 	limit_reached: {
--- a/packages/gateway/src/ports.ts
+++ b/packages/gateway/src/ports.ts
@@ -1,5 +1,5 @@
 /** What the gateway needs from the platform it runs on, in the product's own terms; `platform/` implements it. */
-import {type IncomingHttpHeaders} from 'node:http';
+import {type Agent, type IncomingHttpHeaders} from 'node:http';
 import {type PromptPart} from '@shallotpass/core/calls/types.js';
 import {type ServingConfiguration} from '@shallotpass/core/calls/serving-configuration.js';
 import {type BackendEntry} from '@shallotpass/core/directory/types.js';
@@ -63,6 +63,31 @@
 	readonly orderBackends: (authority: DutyAuthority, order: BackendOrder, options: CallOptions) => Promise<CloudReply>;
 };
 
+/** Where the memory of a run that was stopped is to be had. */
+export type MovedMemory = {
+	/** Address of the backend server where it ran. */
+	readonly from: string;
+	readonly handle: string;
+};
+
+export type MoveReply =
+	/** The run has stopped, and the other backend server has its memory. */
+	| {readonly kind: 'moved'; readonly memory: MovedMemory}
+	/** The run has stopped, and the memory is still where it was. */
+	| {readonly kind: 'kept'; readonly memory: MovedMemory}
+	| {readonly kind: 'not_running'}
+	/** It may have stopped; its memory cannot be found. */
+	| {readonly kind: 'failed'; readonly reason: string};
+
+export type Engines = {
+	/** Stops a run and copies its memory to another backend server. */
+	readonly stopAndMove: (
+		source: {readonly address: string; readonly agent: Agent},
+		move: {readonly callId: string; readonly to: string},
+		options: CallOptions,
+	) => Promise<MoveReply>;
+};
+
 /** Records of others, decoded once. Undefined: the bytes cannot be read. */
 export type RecordFormat = {
 	readonly configurationKey: string;
@@ -90,6 +115,8 @@
 	readonly rank: number | undefined;
 	/** Last event that the caller has, where a stream goes on. */
 	readonly lastEventId: string | undefined;
+	/** Memory of the same run, where it goes on elsewhere. */
+	readonly memory: MovedMemory | undefined;
 };
 
 /** What the head of a backend server's answer says. */
@@ -114,6 +141,7 @@
 export type Platform = {
 	readonly store: Store;
 	readonly cloud: Cloud;
+	readonly engines: Engines;
 	readonly records: RecordFormat;
 	readonly wire: WireFormat;
 };
--- a/packages/gateway/src/run-at-backend.ts
+++ b/packages/gateway/src/run-at-backend.ts
@@ -14,6 +14,7 @@
 import {parseHostAndPort} from './host-and-port.js';
 import {type GatewayState} from './gateway-state.js';
 import {type Placement} from './place-call.js';
+import {type MovedMemory} from './ports.js';
 
 /** Milliseconds for a new connection: a hundred times the way between zones, and less than a plain call's target. */
 const connectMs = 250;
@@ -29,6 +30,8 @@
 	readonly body: Buffer;
 	readonly digest: string;
 	readonly lastEventId: string | undefined;
+	/** Memory of the run that goes on; undefined when the call begins anew. */
+	readonly memory?: MovedMemory;
 };
 
 export type AttemptResult =
@@ -196,6 +199,7 @@
 		remainingMs: Math.max(1, Math.floor(call.deadline - now)),
 		rank: isStream(call.repeatability) ? rank : undefined,
 		lastEventId: sending.lastEventId,
+		memory: sending.memory,
 	});
 	const hasBody = sending.body.length > 0 || sending.method === 'POST' || sending.method === 'PUT';
 	const exchange = sendToBackend({
@@ -280,7 +284,8 @@
 
 	work.endPending();
 	learnFromHead(gateway, call, {state, sentAt: now, workTokens});
-	noteUsage(gateway, call, response.statusCode === 200);
+	// A run that goes on elsewhere has been counted where it began.
+	noteUsage(gateway, call, response.statusCode === 200 && sending.memory === undefined);
 	gateway.metrics.attempts.inc({service: call.service, outcome: (response.statusCode ?? 0) < 500 ? 'answered' : 'failed'});
 	return {
 		kind: 'answered', response, attempt: {
--- a/packages/gateway/src/start-gateway.ts
+++ b/packages/gateway/src/start-gateway.ts
@@ -57,6 +57,7 @@
 	log,
 	metrics,
 	wire: platform.wire,
+	engines: platform.engines,
 	random: Math.random,
 	configuration: undefined,
 	configurationCheckedAt: Number.NEGATIVE_INFINITY,
--- a/scripts/soak/src/check-history.test.ts
+++ b/scripts/soak/src/check-history.test.ts
@@ -19,7 +19,7 @@
 });
 
 const makeHistory = (changes: Partial<History> = {}): History => ({
-	calls: [makeCall()], runs: [makeRun()], duties: [], disturbances: [], bans: [], ownEnds: [], calmFrom: 9000, hasOnlyPlannedWork: false, ...changes,
+	calls: [makeCall()], runs: [makeRun()], duties: [], disturbances: [], bans: [], ownEnds: [], neverReady: [], calmFrom: 9000, hasOnlyPlannedWork: false, ...changes,
 });
 
 /** A call that is served, so that a run whose calls were refused still counts as recovered. */
@@ -63,6 +63,7 @@
 	},
 	{name: 'a call lost by planned work', history: {calls: [makeCall({end: {kind: 'cut', reason: 'reset'}}), ...served], runs: [makeRun(), ...servedRuns], hasOnlyPlannedWork: true}, expected: /lost by planned work/v},
 	{name: 'a daemon that ends by itself', history: {ownEnds: ['daemon-0']}, expected: /ended by itself/v},
+	{name: 'a daemon that stays away', history: {neverReady: ['daemon-0']}, expected: /did not become ready/v},
 	{name: 'no recovery', history: {calls: [refuse(503)], runs: []}, expected: /only 0 of 1/v},
 	{
 		name: 'a duty said with a fence of before',
--- a/scripts/soak/src/check-history.ts
+++ b/scripts/soak/src/check-history.ts
@@ -161,6 +161,7 @@
 		...calls,
 		...(tries.length > spareTries ? [`${tries.length} calls ran more often than their route allows, the first ${tries[0]!.id}`] : []),
 		...findBrokenDuties(history.duties, duty => disturbedDuty(duty.holder, duty.at)),
+		...history.neverReady.map(daemon => `${daemon} did not become ready again`),
 		...history.ownEnds.map(daemon => `${daemon} ended by itself`),
 		...checkRecovery(history),
 	];
--- a/scripts/soak/src/daemon-process.ts
+++ b/scripts/soak/src/daemon-process.ts
@@ -10,6 +10,9 @@
 const program = path.join(root, 'target/shallotpassd.mjs');
 const clockModule = path.join(import.meta.dirname, 'shifted-clock.js');
 
+/** The platform starts a process that has ended again after such a pause, in milliseconds. */
+const restartMs = 500;
+
 export type DaemonProcess = {
 	readonly id: string;
 	readonly settings: GatewaySettings;
@@ -45,6 +48,7 @@
 	/** Whether the end that comes next was asked for. */
 	let isEnding = false;
 	let ownEnds = 0;
+	let restartTimer: NodeJS.Timeout | undefined;
 	writeSettings('whole');
 
 	const start = (): void => {
@@ -57,8 +61,11 @@
 		started.stdout.pipe(log, {end: false});
 		started.stderr.pipe(log, {end: false});
 		started.once('exit', () => {
-			ownEnds += isEnding ? 0 : 1;
 			child = undefined;
+			if (!isEnding) {
+				ownEnds++;
+				restartTimer = setTimeout(start, restartMs);
+			}
 		});
 		child = started;
 	};
@@ -73,12 +80,13 @@
 			child?.kill(signal);
 		},
 		async end(signal) {
+			clearTimeout(restartTimer);
+			isEnding = true;
 			const ending = child;
 			if (ending === undefined) {
 				return;
 			}
 
-			isEnding = true;
 			const gone = new Promise<void>(resolve => {
 				ending.once('exit', () => {
 					resolve();
--- a/scripts/soak/src/history.ts
+++ b/scripts/soak/src/history.ts
@@ -63,6 +63,8 @@
 	readonly bans: readonly Ban[];
 	/** Daemons that ended though nobody stopped or killed them. */
 	readonly ownEnds: readonly string[];
+	/** Daemons that took no calls long after the last disturbance. */
+	readonly neverReady: readonly string[];
 	/** From here on nothing was disturbed and everything must be served. */
 	readonly calmFrom: number;
 	readonly hasOnlyPlannedWork: boolean;
--- a/scripts/soak/src/run-soak.ts
+++ b/scripts/soak/src/run-soak.ts
@@ -92,7 +92,7 @@
 			world, name: `caller-${index}`, random: makeRandom((options.seed * 1000) + index), signal: callersEnd.signal, hasOneKey: () => isCalm,
 		}));
 		const faults = await playFaults(world, options);
-		await waitForReady(world);
+		const neverReady = await waitForReady(world);
 		await sleep(recoveryMs);
 		isCalm = true;
 		const calmFrom = performance.now();
@@ -106,6 +106,7 @@
 			duties: world.fixture.cloud.calls,
 			disturbances: world.disturbances,
 			bans: world.bans,
+			neverReady,
 			ownEnds: world.daemons.filter(({process}) => process.countOwnEnds() > 0).map(({process}) => process.id),
 			calmFrom,
 			hasOnlyPlannedWork: options.hasOnlyPlannedWork,
--- a/scripts/soak/src/soak-world.ts
+++ b/scripts/soak/src/soak-world.ts
@@ -83,14 +83,26 @@
 	}
 };
 
-export const waitForReady = async (world: SoakWorld): Promise<void> => {
+/** A daemon that is not ready by then never will be, in milliseconds. */
+const readyWithinMs = 30_000;
+
+/** Gives the daemons that did not become ready. */
+export const waitForReady = async (world: SoakWorld): Promise<string[]> => {
+	const giveUpAt = performance.now() + readyWithinMs;
+	const late: string[] = [];
 	for (const daemon of world.daemons) {
-		// eslint-disable-next-line no-await-in-loop -- one after the other is as soon as the last
-		while (!await isReady(daemon)) {
-			world.signal.throwIfAborted();
+		let hasAnswered = await isReady(daemon); // eslint-disable-line no-await-in-loop -- one after the other is as soon as the last
+		while (!hasAnswered && performance.now() < giveUpAt) {
 			await sleep(50); // eslint-disable-line no-await-in-loop -- a poll
+			hasAnswered = await isReady(daemon); // eslint-disable-line no-await-in-loop -- a poll
+		}
+
+		if (!hasAnswered) {
+			late.push(daemon.process.id);
 		}
 	}
+
+	return late;
 };
 
 export const startSoakWorld = async ({daemons, folder, signal, tell}: WorldOptions): Promise<SoakWorld> => {
