--- a/scripts/soak/src/check-history.test.ts
+++ b/scripts/soak/src/check-history.test.ts
@@ -41,6 +41,7 @@
 	{name: 'an answer of another call', history: {calls: [makeCall({end: answer({requestId: 'c-2'})})]}, expected: /the answer of another call/v},
 	{name: 'a whole answer that lacks its end', history: {calls: [makeCall({end: answer({body: 'answer of'})})]}, expected: /other bytes/v},
 	{name: 'a call of another service', history: {runs: [makeRun({service: 'llm'})]}, expected: /ran at the service llm/v},
+	{name: 'the memory of another run', history: {runs: [makeRun(), makeRun({memory: '127.0.0.1:1/handle-of-c-2'})]}, expected: /with the memory/v},
 	{name: 'a changed body', history: {runs: [makeRun({body: 'y'})]}, expected: /another path or body/v},
 	{name: 'a key that was passed on', history: {runs: [makeRun({hasKey: true})]}, expected: /key was passed on/v},
 	{name: 'another account', history: {runs: [makeRun({account: 'other'})]}, expected: /for the account other/v},
@@ -94,6 +95,10 @@
 	});
 }
 
+test('a run that goes on with its own memory has not run twice', () => {
+	assert.deepEqual(findViolations(makeHistory({runs: [makeRun(), makeRun({backend: 'app-1', memory: '127.0.0.1:1/handle-of-c-1'})]})), []);
+});
+
 test('a daemon that was suspended is not blamed for what it could not know', () => {
 	const disturbances = [{daemon: 'daemon-0', from: 8000, until: 9500}];
 	assert.deepEqual(findViolations(makeHistory({
--- a/scripts/soak/src/history.ts
+++ b/scripts/soak/src/history.ts
@@ -40,6 +40,8 @@
 	/** Whether the caller's key was passed on. */
 	readonly hasKey: boolean;
 	readonly at: number;
+	/** Memory of a run that was stopped elsewhere, with which it goes on. */
+	readonly memory?: string;
 };
 
 /** A span in which a daemon, or all of them, could not know or do what it should. */
--- a/scripts/soak/src/run-soak.ts
+++ b/scripts/soak/src/run-soak.ts
@@ -63,6 +63,7 @@
 	account: String(execution.headers['x-tenant'] ?? ''),
 	hasKey: execution.headers.authorization !== undefined,
 	at: execution.at,
+	memory: execution.memory,
 })));
 
 const playFaults = async (world: SoakWorld, options: SoakOptions): Promise<number> => {
