--- a/packages/backends/src/http-fields.ts
+++ b/packages/backends/src/http-fields.ts
@@ -1,26 +1,17 @@
-/** Header fields that belong to one connection and are never passed on (RFC 9110, section 7.6.1). */
-const connectionFields = new Set([
-	'connection',
-	'keep-alive',
-	'proxy-authenticate',
-	'proxy-authorization',
-	'proxy-connection',
-	'te',
-	'trailer',
-	'transfer-encoding',
-	'upgrade',
-	'host',
-	'expect',
-]);
+/** Header fields that are passed on, and those that are not. */
+import {hopByHopFields, parseConnectionNames} from '@shallotpass/common/hop-by-hop-fields.js';
 
 /** Fields between caller and system that a backend server has no use for. */
 const callerFields = new Set(['authorization', 'x-request-deadline', 'x-request-class', 'traceparent', 'tracestate', 'x-request-id', 'x-fencing', 'content-length']);
 
 export type HttpField = {readonly name: string; readonly value: string};
 
-const listConnectionFields = (fields: readonly HttpField[]): Set<string> => new Set(fields
+const listConnectionFields = (fields: readonly HttpField[]): Set<string> => parseConnectionNames(fields
 	.filter(field => field.name.toLowerCase() === 'connection')
-	.flatMap(field => field.value.split(',').map(name => name.trim().toLowerCase())));
+	.map(field => field.value));
+
+/** `Host` names the next hop, which the client of it sets itself. */
+const isOfOneConnection = (name: string, named: ReadonlySet<string>): boolean => hopByHopFields.has(name) || name === 'host' || named.has(name);
 
 /** Raw header list of Node to fields. */
 export const readRawFields = (raw: readonly string[]): HttpField[] => {
@@ -36,7 +27,7 @@
 	const named = listConnectionFields(fields);
 	return fields.filter(({name}) => {
 		const lower = name.toLowerCase();
-		return !connectionFields.has(lower) && !callerFields.has(lower) && !named.has(lower);
+		return !isOfOneConnection(lower, named) && !callerFields.has(lower);
 	});
 };
 
@@ -44,7 +35,7 @@
 	const named = listConnectionFields(fields);
 	return fields.filter(({name}) => {
 		const lower = name.toLowerCase();
-		return !connectionFields.has(lower) && lower !== 'x-request-id' && !named.has(lower);
+		return !isOfOneConnection(lower, named) && lower !== 'x-request-id';
 	});
 };
 
--- a/packages/gateway/src/hop-fields.ts
+++ b/packages/gateway/src/hop-fields.ts
@@ -1,29 +1,15 @@
-/** Header fields that concern one connection only (RFC 9110, section 7.6.1). */
-
-const hopByHopFields = new Set([
-	'connection',
-	'keep-alive',
-	'proxy-authenticate',
-	'proxy-authorization',
-	'proxy-connection',
-	'te',
-	'trailer',
-	'transfer-encoding',
-	'upgrade',
-	'expect',
-]);
+/** Header fields that go from end to end, as Node's raw lists have them. */
+import {hopByHopFields, parseConnectionNames} from '@shallotpass/common/hop-by-hop-fields.js';
 
 const listConnectionFields = (rawFields: readonly string[]): Set<string> => {
-	const named = new Set<string>();
+	const values: string[] = [];
 	for (let index = 0; index < rawFields.length; index += 2) {
 		if (rawFields[index]!.toLowerCase() === 'connection') {
-			for (const name of rawFields[index + 1]!.split(',')) {
-				named.add(name.trim().toLowerCase());
-			}
+			values.push(rawFields[index + 1]!);
 		}
 	}
 
-	return named;
+	return parseConnectionNames(values);
 };
 
 /** Raw name and value pairs without those of one connection and without `alsoLeftOut` (lower case). */
