--- /dev/null
+++ b/packages/gateway/src/make-news.ts
@@ -0,0 +1,41 @@
+/** What a daemon tells the others of itself. */
+import {readWorkRate} from '@shallotpass/core/engines/work-rate.js';
+import {type News} from '@shallotpass/core/news/news.js';
+import {readDemand} from '@shallotpass/core/quotas/account-share.js';
+import {readSpentSlots} from '@shallotpass/core/quotas/spending.js';
+import {type GatewayState} from './gateway-state.js';
+
+/** Windows of usage that are told: the running one and those whose report may still be due. */
+const toldWindows = 3;
+
+/** Requests that ended backend servers lately that are told; one that ends them comes again within seconds. */
+const toldCrashes = 20;
+
+const roundAmounts = (amounts: Iterable<readonly [string, number]>): Record<string, number> =>
+	Object.fromEntries([...amounts].map(([key, amount]) => [key, Math.round(amount)] as const).filter(([, amount]) => amount > 0));
+
+export const makeNews = (gateway: GatewayState, leaseOffset: number): News => {
+	const {settings, incarnation, configuration, book, buckets, usage} = gateway;
+	const now = gateway.clocks.steady();
+	const loads = [...book.byId.values()]
+		.filter(state => state.running > 0)
+		.map(state => [state.entry.id, [state.running, ...state.pendingTokens.map(tokens => Math.round(tokens))]] as [string, number[]]);
+	const windows = [...usage].toSorted(([left], [right]) => right - left).slice(0, toldWindows);
+	return {
+		id: settings.instance.id,
+		incarnation,
+		address: settings.listen.peers,
+		availabilityZone: settings.instance.availabilityZone,
+		linkMbps: settings.instance.linkMbps,
+		daemons: 1,
+		configurationVersion: configuration?.configuration.version ?? -1,
+		demands: roundAmounts([...buckets].map(([account, bucket]) => [account, readDemand(bucket, now)] as const)),
+		spent: Object.fromEntries([...gateway.spending].map(([account, spending]) => [account, readSpentSlots(spending, now).map(cost => Math.round(cost))])),
+		loads: Object.fromEntries(loads),
+		usage: Object.fromEntries(windows),
+		work: roundAmounts([...gateway.workRates].map(([service, rate]) => [service, readWorkRate(rate, now)] as const)),
+		leaseOffset,
+		trueTime: gateway.clocks.trueTime(),
+		crashes: Object.fromEntries([...gateway.crashes.endedBy].slice(-toldCrashes).map(([digest, ended]) => [digest, [...ended]])),
+	};
+};
--- a/packages/gateway/src/peer-news.ts
+++ b/packages/gateway/src/peer-news.ts
@@ -7,19 +7,18 @@
 import {Buffer} from 'node:buffer';
 import dgram from 'node:dgram';
 import {createJSONRPCNotification} from 'json-rpc-2.0';
-import {readWorkRate} from '@shallotpass/core/engines/work-rate.js';
 import {
 	type News, newsSchema, sumNews, withoutOwn,
 } from '@shallotpass/core/news/news.js';
 import {type Member, needsRelays, pickRelays} from '@shallotpass/core/news/pick-relays.js';
-import {readDemand} from '@shallotpass/core/quotas/account-share.js';
-import {readSpentSlots} from '@shallotpass/core/quotas/spending.js';
 import {noteCrash} from '@shallotpass/core/retries/crash-register.js';
 import {z} from 'zod';
 import {type GatewayState, type PeerNews, peerSilentMs} from './gateway-state.js';
 import {parseHostAndPort} from './host-and-port.js';
-import {pauseFor} from './pause.js';
+import {joinMembers} from './join-members.js';
+import {makeNews} from './make-news.js';
 import {type Platform} from './ports.js';
+import {sumOtherLoads} from './sum-other-loads.js';
 
 /** Between two tellings; load that is older misleads the placing of calls that take 200 ms. */
 const newsEveryMs = 300;
@@ -35,26 +34,8 @@
 const relaySilentMs = 1500;
 const avoidRelayMs = 8000;
 
-const membersTimeoutMs = 1500;
-const membersPauseMs = 1000;
-
-/** The list of members is read again soon after the start, and then seldom: a daemon that joins later tells its relays, or everybody. */
-const earlyListings = 3;
-const earlyListingMs = 1800;
-const lateListingMs = 30_000;
-
-/** Windows of usage that are told: the running one and those whose report may still be due. */
-const toldWindows = 3;
-
-/** Requests that ended backend servers lately that are told; one that ends them comes again within seconds. */
-const toldCrashes = 20;
-
 const messageSchema = z.object({params: z.array(newsSchema)});
 
-const memberSchema = z.object({
-	id: z.string(), address: z.string(), availabilityZone: z.string(), linkMbps: z.number(),
-});
-
 export type PeerNewsOptions = {
 	readonly gateway: GatewayState;
 	readonly platform: Platform;
@@ -62,62 +43,6 @@
 	readonly signal: AbortSignal;
 };
 
-const roundAmounts = (amounts: Iterable<readonly [string, number]>): Record<string, number> =>
-	Object.fromEntries([...amounts].map(([key, amount]) => [key, Math.round(amount)] as const).filter(([, amount]) => amount > 0));
-
-const makeNews = ({gateway, getLeaseOffset}: PeerNewsOptions): News => {
-	const {settings, incarnation, configuration, book, buckets, usage} = gateway;
-	const now = gateway.clocks.steady();
-	const loads = [...book.byId.values()]
-		.filter(state => state.running > 0)
-		.map(state => [state.entry.id, [state.running, ...state.pendingTokens.map(tokens => Math.round(tokens))]] as [string, number[]]);
-	const windows = [...usage].toSorted(([left], [right]) => right - left).slice(0, toldWindows);
-	return {
-		id: settings.instance.id,
-		incarnation,
-		address: settings.listen.peers,
-		availabilityZone: settings.instance.availabilityZone,
-		linkMbps: settings.instance.linkMbps,
-		daemons: 1,
-		configurationVersion: configuration?.configuration.version ?? -1,
-		demands: roundAmounts([...buckets].map(([account, bucket]) => [account, readDemand(bucket, now)] as const)),
-		spent: Object.fromEntries([...gateway.spending].map(([account, spending]) => [account, readSpentSlots(spending, now).map(cost => Math.round(cost))])),
-		loads: Object.fromEntries(loads),
-		usage: Object.fromEntries(windows),
-		work: roundAmounts([...gateway.workRates].map(([service, rate]) => [service, readWorkRate(rate, now)] as const)),
-		leaseOffset: getLeaseOffset(),
-		trueTime: gateway.clocks.trueTime(),
-		crashes: Object.fromEntries([...gateway.crashes.endedBy].slice(-toldCrashes).map(([digest, ended]) => [digest, [...ended]])),
-	};
-};
-
-/** Adds up what the other daemons run at each backend server. */
-const sumOtherLoads = (gateway: GatewayState): void => {
-	const since = gateway.clocks.steady() - (4 * newsEveryMs);
-	for (const state of gateway.book.byId.values()) {
-		state.othersRunning = 0;
-		state.othersPendingTokens.fill(0);
-	}
-
-	for (const peer of gateway.peers.values()) {
-		if (peer.heardAt < since) {
-			continue;
-		}
-
-		for (const [id, [running, ...pending]] of Object.entries(peer.loads)) {
-			const state = gateway.book.byId.get(id);
-			if (state === undefined) {
-				continue;
-			}
-
-			state.othersRunning += running ?? 0;
-			for (const [rank, tokens] of pending.entries()) {
-				state.othersPendingTokens[rank] = (state.othersPendingTokens[rank] ?? 0) + tokens;
-			}
-		}
-	}
-};
-
 export type PeerNewsTask = {
 	/** Relays of this daemon's zone that it listens to; empty while all daemons tell everybody, or when it is a relay itself. */
 	readonly listRelays: () => readonly Member[];
@@ -144,7 +69,7 @@
 	/** When each relay was heard last, and until when it is passed over. */
 	const relayHeardAt = new Map<string, number>();
 	const avoidedUntil = new Map<string, number>();
-	let lastOwn = makeNews(options);
+	let lastOwn = makeNews(gateway, options.getLeaseOffset());
 	let tellings = 0;
 	const now = (): number => gateway.clocks.steady();
 
@@ -326,7 +251,7 @@
 	const tell = (): void => {
 		tellings++;
 		forgetSilent();
-		lastOwn = makeNews(options);
+		lastOwn = makeNews(gateway, options.getLeaseOffset());
 		if (needsRelays(members.size)) {
 			tellRelays();
 		} else {
@@ -363,7 +288,9 @@
 		});
 	}
 
-	void joinMembers(options, self, meet);
+	void joinMembers({
+		gateway, platform: options.platform, self, meet, signal,
+	});
 	return {
 		listRelays() {
 			if (!needsRelays(members.size)) {
@@ -375,33 +302,3 @@
 		},
 	};
 };
-
-/** Writes this daemon into the store, and reads the others now and then; many start at once, so the first readings miss some. */
-const joinMembers = async ({gateway, platform, signal}: PeerNewsOptions, self: Member, meet: (member: Member) => void): Promise<void> => {
-	const value = Buffer.from(JSON.stringify(self));
-	let isWritten = false;
-	let listings = 0;
-	while (!signal.aborted) {
-		if (!isWritten) {
-			// eslint-disable-next-line no-await-in-loop -- until it is done
-			const reply = await platform.store.append('members', {key: self.id, value}, {timeoutMs: membersTimeoutMs, signal});
-			isWritten = reply.kind === 'appended';
-		}
-
-		// eslint-disable-next-line no-await-in-loop -- until it is done
-		const listing = await platform.store.readNewest('members', {timeoutMs: membersTimeoutMs, signal});
-		if (isWritten && listing.kind === 'listing') {
-			listings++;
-			for (const record of listing.records) {
-				const member = record.value && memberSchema.safeParse(JSON.parse(Buffer.from(record.value).toString('utf8')));
-				if (member?.success) {
-					meet(member.data);
-				}
-			}
-		}
-
-		const pauseMs = listings === 0 ? membersPauseMs : (listings < earlyListings ? earlyListingMs : lateListingMs);
-		// eslint-disable-next-line no-await-in-loop -- until it is done
-		await pauseFor(pauseMs * (0.75 + (0.5 * gateway.random())), signal);
-	}
-};
