--- a/packages/core/src/engines/plan-engines.ts
+++ b/packages/core/src/engines/plan-engines.ts
@@ -116,8 +116,8 @@
 /**
  * Full-price ones to order beyond the base: what reclaimable ones that run or start leave open. Those
  * that run are let go only when reclaimable ones run in their place: when each new try for
- * reclaimable ones sent them away, and was refused, the fleet of a day with five waves stood at
- * two thirds of its need for 1.5 s of every 3.8 s.
+ * reclaimable ones sent them away, and was refused, a day with five waves was worth 0.54 in place
+ * of 0.66.
  */
 const planFull = ({zones, beyondBase, getBase, most}: Share, reclaimable: Counts, isLoadKnown: boolean): Counts => {
 	const coming = sum(zones, zone => Math.min(reclaimable.get(zone.availabilityZone) ?? 0, zone.reclaimable + zone.starting));
--- a/packages/gateway/src/move-run.ts
+++ b/packages/gateway/src/move-run.ts
@@ -1,7 +1,8 @@
 /**
  * Takes a run that can't be repeated off a backend server that leaves: its memory goes to another
  * one, where the same run goes on. A wave takes a zone's reclaimable backend servers at 2 s of
- * notice; long answers outlast it, and 7 in 100 of them broke off over 90 daemons.
+ * notice, and long answers outlast it: on a day with five waves 31 of 906 were caught by them, of
+ * which 21 were answered to their end elsewhere.
  */
 import {type Call} from '@shallotpass/core/calls/types.js';
 import {takeRepeat} from '@shallotpass/core/retries/repeat-allowance.js';
@@ -14,8 +15,8 @@
 
 /**
  * A run is moved so long before its backend server ends, in milliseconds: later ones may have ended
- * by themselves, and each move is paid for. The notice is up to 0.7 s old when it is read, and 64 runs
- * of 12,000 tokens take 0.2 s of the link.
+ * by themselves, and each move is paid for. The notice is up to 0.7 s old when it is read, and by
+ * the published speed of the link 64 runs of 12,000 tokens take 0.2 s.
  */
 const moveLeadMs = 1300;
 
