--- a/scripts/soak/src/callers.ts
+++ b/scripts/soak/src/callers.ts
@@ -37,8 +37,8 @@
 		return {
 			kind: 'answered',
 			status: answer.status,
-			vouchedBy: String(answer.headers['x-response-seal'] ?? '').replace('seal-', ''),
-			requestId: String(answer.headers['x-request-id'] ?? ''),
+			vouchedBy: answer.vouchedBy,
+			requestId: answer.requestId,
 			body: answer.body,
 			isWhole: answer.isWhole,
 		};
