--- a/scripts/soak/src/check-history.test.ts
+++ b/scripts/soak/src/check-history.test.ts
@@ -70,8 +70,8 @@
 	{
 		name: 'a duty said with a fence of before',
 		history: {
-			duties: [2, 1].map(fence => ({
-				path: '/usage', holder: 'daemon-0', fence, at: 10_000, body: {window_id: fence, counts: {}},
+			duties: [2, 1].map(fence => makeUsageReport({
+				holder: 'daemon-0', fence, window: fence, at: 10_000,
 			})),
 		},
 		expected: /fence 1 after a higher one/v,
