Log what a daemon knew of a backend server when it sent a call, and from where

Present before: time, offset and backend server of a leaving as each daemon learned it, and where a daemon reads from (store_source_changed). Change: call_placed has the time since the choice, offset, age and source of the directory, and for how long the server was known to leave; lines on backend servers have start time, sequence, source and the longest time ago at which the change was written; directory_from_peer names the peer. The age is also a gauge. The age of the directory moved from the follower into the gateway's state; its rules are unchanged.

--- a/packages/gateway/src/calls/backend-registry.ts
+++ b/packages/gateway/src/calls/backend-registry.ts
@@ -46,6 +46,8 @@
 	isGone: boolean;
 	/** Aborted when it starts leaving or is removed from the directory. */
 	readonly leaving: AbortController;
+	/** When this daemon learned that it leaves or was removed, on the steady clock. */
+	leavingSince: number | undefined;
 	/** When it is expected to stop, on the steady clock. */
 	leavesAt: number | undefined;
 	/** Prompt parts that it is expected to have cached. */
@@ -85,6 +87,7 @@
 	unansweredSince: new Map(),
 	isGone: false,
 	leaving: new AbortController(),
+	leavingSince: undefined,
 	leavesAt: undefined,
 	knownParts: new Map(),
 	runningDigests: new Set(),
@@ -106,6 +109,7 @@
 };
 
 const markLeaving = (state: BackendState, {now, drainMs}: DepartureTimes): void => {
+	state.leavingSince ??= now;
 	state.leavesAt ??= now + (state.entry.leavesInMs ?? drainMs);
 	state.leaving.abort();
 };
--- a/packages/gateway/src/calls/call-attempts.ts
+++ b/packages/gateway/src/calls/call-attempts.ts
@@ -90,6 +90,18 @@
 	return sendToPlacement(context, admitted, placement, progress, signal);
 };
 
+/** Describes what this daemon knows of the backend server at the moment of a send, for the log. */
+const describeKnowledge = ({clocks, directoryStatus}: GatewayState, {state, chosenAt}: Placement) => {
+	const now = clocks.steady();
+	return {
+		chosenMs: Math.round(now - chosenAt),
+		directoryOffset: directoryStatus.offset,
+		directoryAgeMs: Math.round(now - directoryStatus.confirmedAt),
+		directorySource: directoryStatus.source,
+		leavingMs: state.leavingSince === undefined ? undefined : Math.round(now - state.leavingSince),
+	};
+};
+
 /** Sends the call to the backend server of the placement. */
 // eslint-disable-next-line max-params -- the call, its placement, its progress and its abort signal
 export const sendToPlacement = async (context: CallContext, admitted: AdmittedCall, placement: Placement, progress: CallProgress, signal: AbortSignal): Promise<AttemptResult> => {
@@ -98,11 +110,12 @@
 	const {state, choice, cachedTokens} = placement;
 	progress.attempts++;
 	progress.attemptedIncarnations.add(state.incarnation);
+	const knownAtSend = describeKnowledge(gateway, placement);
 	const result = await runAtBackend(gateway, call, placement, outgoing, signal);
 	gateway.log.write(result.kind === 'answered' ? 'routine' : 'failure', 'call_placed', {
 		request: call.id, service: call.service, backend: state.entry.id, predictedMs: Math.round(choice.predictedMs), cachedTokens,
 		own: state.running, others: state.othersRunning, tokensPerMs: Math.round(getLatencyModel(gateway.registry, state, gateway.clocks.steady()).tokensPerMs), offer: progress.attempts,
-		result: result.kind, reason: result.kind === 'answered' ? result.response.statusCode : result.reason,
+		result: result.kind, reason: result.kind === 'answered' ? result.response.statusCode : result.reason, ...knownAtSend,
 	});
 	if (result.kind !== 'answered') {
 		progress.lastFailure = result.reason;
--- a/packages/gateway/src/calls/move-run.ts
+++ b/packages/gateway/src/calls/move-run.ts
@@ -46,8 +46,8 @@
 };
 
 /** Makes a placement at a backend server that holds the run's KV cache, so the complete prompt counts as cached. */
-const makePlacement = (state: BackendState, call: Call): Placement => ({
-	state, choice: {id: state.entry.id, predictedMs: 0, cost: 0}, cachedTokens: call.promptTokens,
+const makePlacement = (state: BackendState, call: Call, chosenAt: number): Placement => ({
+	state, choice: {id: state.entry.id, predictedMs: 0, cost: 0}, cachedTokens: call.promptTokens, chosenAt,
 });
 
 /** Stops the run and copies its KV cache to another backend server, if the retry limit allows it. */
@@ -69,12 +69,12 @@
 	});
 	switch (reply.kind) {
 		case 'moved': {
-			return {kvCache: reply.kvCache, placements: [makePlacement(target.state, call), makePlacement(state, call)]};
+			return {kvCache: reply.kvCache, placements: [makePlacement(target.state, call, startedAt), makePlacement(state, call, startedAt)]};
 		}
 
 		case 'kept': {
 			// The run has stopped and its KV cache was not copied, so it can continue only on the same backend server.
-			return {kvCache: reply.kvCache, placements: [makePlacement(state, call)]};
+			return {kvCache: reply.kvCache, placements: [makePlacement(state, call, startedAt)]};
 		}
 
 		case 'not_running':
--- a/packages/gateway/src/calls/place-call.ts
+++ b/packages/gateway/src/calls/place-call.ts
@@ -37,6 +37,8 @@
 	readonly state: BackendState;
 	readonly choice: Choice;
 	readonly cachedTokens: number;
+	/** When the backend server was chosen, on the steady clock. */
+	readonly chosenAt: number;
 };
 
 export type PlacementOptions = {
@@ -74,5 +76,7 @@
 	};
 	const choice = chooseBackend(views, placedCall, gateway.random);
 	const state = choice && gateway.registry.byId.get(choice.id);
-	return choice && state && {state, choice, cachedTokens: countCachedTokens(call.promptParts, {wasSent: partId => state.knownParts.has(partId), isPreferred: state === preferred})};
+	return choice && state && {
+		state, choice, chosenAt: now, cachedTokens: countCachedTokens(call.promptParts, {wasSent: partId => state.knownParts.has(partId), isPreferred: state === preferred}),
+	};
 };
--- a/packages/gateway/src/gateway-state.ts
+++ b/packages/gateway/src/gateway-state.ts
@@ -22,6 +22,16 @@
 	readonly clockOffset: number;
 };
 
+/** Origin and age of this daemon's directory of backend servers. */
+export type DirectoryStatus = {
+	/** Offset of the first record of the store that the directory doesn't include. */
+	readonly offset: number;
+	/** `store`, or the address of the daemon that last changed the directory or confirmed that it is up to date. */
+	readonly source: string;
+	/** Time as of which it was last known to be up to date, on the steady clock. */
+	readonly confirmedAt: number;
+};
+
 export type GatewayState = {
 	/** Replaced when the settings file changes, except the addresses of listeners. Written by `reload`. */
 	settings: GatewaySettings;
@@ -41,6 +51,8 @@
 	readonly registry: BackendRegistry;
 	/** When the directory was first read, on the steady clock. Written by the directory follower. */
 	directoryReadAt: number | undefined;
+	/** Written by the directory follower. */
+	directoryStatus: DirectoryStatus;
 	/** Quota buckets by account. Written by calls. */
 	readonly buckets: Map<string, AccountBucket>;
 	/** Spending within the quota window, by account. Written by calls. */
--- a/packages/gateway/src/peers/query-peers.ts
+++ b/packages/gateway/src/peers/query-peers.ts
@@ -62,18 +62,18 @@
 });
 
 /** Renews the age of this daemon's state wherever the peer holds the same state. */
-const confirmFreshness = ({gateway, directory}: SharedStateOptions, known: Omit<StoreVersions, 'members'>): void => {
+const confirmFreshness = ({gateway, directory}: SharedStateOptions, known: Omit<StoreVersions, 'members'>, address: string): void => {
 	const version = gateway.configuration?.configuration.version ?? -1;
 	if (known.configurationVersion === version) {
 		gateway.configurationCheckedAt = Math.max(gateway.configurationCheckedAt, gateway.clocks.steady() - known.configurationAgeMs);
 	}
 
 	if (known.directoryDigest === directory.read().digest) {
-		directory.confirm(known.directoryNext, known.directoryAgeMs);
+		directory.confirm(known.directoryNext, known.directoryAgeMs, address);
 	}
 };
 
-const applySharedState = (options: SharedStateOptions, state: SharedState): void => {
+const applySharedState = (options: SharedStateOptions, state: SharedState, address: string): void => {
 	const {directory, members, onConfiguration} = options;
 	for (const member of state.members ?? []) {
 		members.add(member);
@@ -84,10 +84,10 @@
 	}
 
 	if (state.backends !== undefined) {
-		directory.adoptFromPeer({backends: state.backends, next: state.directoryNext}, state.directoryAgeMs);
+		directory.adoptFromPeer({backends: state.backends, next: state.directoryNext}, state.directoryAgeMs, address);
 	}
 
-	confirmFreshness(options, state);
+	confirmFreshness(options, state, address);
 };
 
 const listPeerAddresses = (gateway: GatewayState): string[] => {
@@ -164,7 +164,7 @@
 		members: members.list().length,
 	});
 	if (state !== undefined) {
-		applySharedState(options, state);
+		applySharedState(options, state, address);
 	}
 };
 
@@ -202,7 +202,7 @@
 	void queryWhileOutOfDate();
 	return {
 		handleStoreVersions(known, address) {
-			confirmFreshness(options, known);
+			confirmFreshness(options, known, address);
 			const isNewer = known.configurationVersion > (gateway.configuration?.configuration.version ?? -1)
 				|| known.members > options.members.list().length
 				|| (known.directoryNext > directory.read().directory.next && known.directoryDigest !== directory.read().digest);
--- a/packages/gateway/src/start-gateway.ts
+++ b/packages/gateway/src/start-gateway.ts
@@ -66,6 +66,7 @@
 	configurationCheckedAt: Number.NEGATIVE_INFINITY,
 	registry: makeBackendRegistry(),
 	directoryReadAt: undefined,
+	directoryStatus: {offset: 0, source: 'store', confirmedAt: Number.NEGATIVE_INFINITY},
 	buckets: new Map(),
 	spending: new Map(),
 	inherited: undefined,
@@ -118,7 +119,9 @@
 
 export const startGateway = async (options: GatewayOptions): Promise<Gateway> => {
 	const lastAnswerAt = new Map<string, number>();
-	const metrics = makeGatewayMetrics({answeredAt: lastAnswerAt, now: () => performance.now()});
+	const metrics = makeGatewayMetrics({
+		answeredAt: lastAnswerAt, now: () => performance.now(), getDirectoryAgeMs: () => state.clocks.steady() - state.directoryStatus.confirmedAt,
+	});
 	const storeCalls = new Map<string, number>();
 	const platform = options.openPlatform((topic, outcome, isAnswered) => {
 		if (isAnswered) {
@@ -128,7 +131,7 @@
 		metrics.storeCalls.inc({topic, outcome});
 		storeCalls.set(topic, (storeCalls.get(topic) ?? 0) + 1);
 	});
-	const state = makeState(options, platform, metrics);
+	const state: GatewayState = makeState(options, platform, metrics);
 	const controller = new AbortController();
 	const {signal} = controller;
 	collectProcessMetrics(metrics);
--- a/packages/gateway/src/store/follow-directory.ts
+++ b/packages/gateway/src/store/follow-directory.ts
@@ -7,7 +7,7 @@
 import {type Directory, emptyDirectory} from '@shallotpass/core/directory/types.js';
 import {applyDirectory} from '../calls/backend-registry.js';
 import {type GatewaySettings} from '../gateway-settings.js';
-import {type GatewayState} from '../gateway-state.js';
+import {type DirectoryStatus, type GatewayState} from '../gateway-state.js';
 import {type KeyedRecord, type Platform} from '../ports.js';
 import {followTopic} from './follow-topic.js';
 
@@ -38,9 +38,16 @@
 	/** Returns this daemon's directory and its age. */
 	readonly read: () => {readonly directory: Directory; readonly digest: string; readonly ageMs: number};
 	/** Adopts a peer's directory if it is newer. */
-	readonly adoptFromPeer: (directory: PeerDirectory, ageMs: number) => void;
-	/** Records that a peer has the same backend servers as of the store offset `next`. */
-	readonly confirm: (next: number, ageMs: number) => void;
+	readonly adoptFromPeer: (directory: PeerDirectory, ageMs: number, address: string) => void;
+	/** Records that the peer at the address has the same backend servers as of the store offset `next`. */
+	readonly confirm: (next: number, ageMs: number, address: string) => void;
+};
+
+type DirectoryOrigin = {
+	/** `store`, or the address of the daemon that it was adopted from. */
+	readonly source: string;
+	/** Time on the steady clock as of which the previous directory was up to date, so all changes were written later. */
+	readonly changedAfter: number;
 };
 
 export type FollowDirectoryOptions = {
@@ -57,27 +64,36 @@
 	let isStoreUnavailable = false;
 	/** End of the grace period in which entries may be missing only because of an outage of the store. */
 	let expiryGraceUntil = 0;
-	/** When this daemon's directory was last confirmed to be up to date, and when that of any peer was. */
-	let freshAt = Number.NEGATIVE_INFINITY;
+	/** When the directory of any peer was last confirmed to be up to date. */
 	let peerFreshAt = Number.NEGATIVE_INFINITY;
+	/** When this daemon's directory had last been confirmed before the store's latest response. */
+	let confirmedBefore = Number.NEGATIVE_INFINITY;
 	const now = (): number => gateway.clocks.steady();
 
+	const updateStatus = (changes: Partial<DirectoryStatus>): void => {
+		gateway.directoryStatus = {...gateway.directoryStatus, ...changes, offset: directory.next};
+	};
+
+	const getAgeMs = (): number => now() - gateway.directoryStatus.confirmedAt;
+
 	const toRecord = (record: KeyedRecord): DirectoryRecord => ({
 		offset: record.offset,
 		id: record.key,
 		entry: record.value === undefined ? undefined : (platform.records.toBackendEntry(record.key, record.value) ?? 'unreadable'),
 	});
 
-	const replaceDirectory = (next: Directory): void => {
+	const replaceDirectory = (next: Directory, {source, changedAfter}: DirectoryOrigin): void => {
 		directory = dropExpired(next, now());
 		digest = digestDirectory(directory);
 		for (const change of applyDirectory(gateway.registry, directory, {now: now(), drainMs: gateway.settings.bounds.drainMs})) {
 			gateway.log.write('state', `backend_${change.kind}`, {
 				backend: change.entry.id, address: change.entry.address, service: change.entry.service, zone: change.entry.availabilityZone,
 				reclaimable: change.entry.isReclaimable, leavesInMs: change.entry.leavesInMs, offset: directory.next,
+				startedAt: change.entry.startedAt, sequence: change.entry.sequence, source, writtenWithinMs: Math.round(now() - changedAfter),
 			});
 		}
 
+		updateStatus({source});
 		gateway.directoryReadAt ??= now();
 	};
 
@@ -85,7 +101,7 @@
 	const timer = setInterval(() => {
 		const dropped = dropExpired(directory, now());
 		if (!isStoreUnavailable && dropped !== directory) {
-			replaceDirectory(dropped);
+			replaceDirectory(dropped, {source: gateway.directoryStatus.source, changedAfter: now()});
 		}
 	}, missingCheckIntervalMs);
 	signal.addEventListener('abort', () => {
@@ -102,14 +118,15 @@
 		signal,
 		handlers: {
 			onListing(records, end) {
-				replaceDirectory(applyListing(directory, records.map(record => toRecord(record)), end, makeApplyContext()));
+				replaceDirectory(applyListing(directory, records.map(record => toRecord(record)), end, makeApplyContext()), {source: 'store', changedAfter: confirmedBefore});
 			},
 			onRecords(records) {
-				replaceDirectory(applyDirectoryRecords(directory, records.map(record => toRecord(record)), makeApplyContext()));
+				replaceDirectory(applyDirectoryRecords(directory, records.map(record => toRecord(record)), makeApplyContext()), {source: 'store', changedAfter: confirmedBefore});
 			},
 			onResponse() {
-				const wasStale = Number.isFinite(freshAt) && now() > freshAt + peerFreshMs;
-				freshAt = now();
+				const wasStale = Number.isFinite(getAgeMs()) && getAgeMs() > peerFreshMs;
+				confirmedBefore = gateway.directoryStatus.confirmedAt;
+				updateStatus({confirmedAt: now(), source: 'store'});
 				if (isStoreUnavailable || wasStale) {
 					isStoreUnavailable = false;
 					// If the store was available to other daemons, entries did not expire because of an outage:
@@ -129,27 +146,30 @@
 		},
 	});
 
-	const recordPeerFreshness = (peerNext: number, refreshedAt: number): void => {
+	const recordPeerFreshness = (peerNext: number, refreshedAt: number, address: string): void => {
 		peerFreshAt = Math.max(peerFreshAt, refreshedAt);
-		if (peerNext >= directory.next) {
-			freshAt = Math.max(freshAt, refreshedAt);
+		if (peerNext >= directory.next && refreshedAt > gateway.directoryStatus.confirmedAt) {
+			updateStatus({confirmedAt: refreshedAt, source: address});
 		}
 	};
 
 	return {
-		read: () => ({directory, digest, ageMs: now() - freshAt}),
-		adoptFromPeer(peerDirectory, ageMs) {
+		read: () => ({directory, digest, ageMs: getAgeMs()}),
+		adoptFromPeer(peerDirectory, ageMs, address) {
 			const refreshedAt = now() - ageMs;
 			if (peerDirectory.next > directory.next) {
-				gateway.log.write('state', 'directory_from_peer', {next: peerDirectory.next, before: directory.next, ageMs: Math.round(ageMs)});
-				replaceDirectory(adoptPeerDirectory(directory, peerDirectory, now()));
+				gateway.log.write('state', 'directory_from_peer', {
+					next: peerDirectory.next, before: directory.next, ageMs: Math.round(ageMs), address,
+				});
+				replaceDirectory(adoptPeerDirectory(directory, peerDirectory, now()), {source: address, changedAfter: gateway.directoryStatus.confirmedAt});
 			}
 
-			recordPeerFreshness(peerDirectory.next, refreshedAt);
+			recordPeerFreshness(peerDirectory.next, refreshedAt, address);
 		},
-		confirm(next, ageMs) {
-			recordPeerFreshness(next, now() - ageMs);
+		confirm(next, ageMs, address) {
+			recordPeerFreshness(next, now() - ageMs, address);
 			directory = {...directory, next: Math.max(directory.next, next)};
+			updateStatus({});
 		},
 	};
 };
--- a/packages/gateway/src/telemetry/gateway-metrics.ts
+++ b/packages/gateway/src/telemetry/gateway-metrics.ts
@@ -19,6 +19,7 @@
 	readonly storeCalls: Counter<'topic' | 'outcome'>;
 	readonly dependencyAge: Gauge<'dependency'>;
 	readonly cloudRequests: Counter<'duty' | 'outcome'>;
+	readonly directoryAge: Gauge;
 	readonly peers: Gauge;
 	readonly activeCalls: Gauge;
 };
@@ -27,9 +28,11 @@
 	/** When each dependency last answered, in milliseconds on the clock of `now`. A dependency that never answered has no entry. */
 	readonly answeredAt: ReadonlyMap<string, number>;
 	readonly now: () => number;
+	/** Milliseconds since the directory was last known to be up to date. */
+	readonly getDirectoryAgeMs: () => number;
 };
 
-export const makeGatewayMetrics = ({answeredAt, now}: DependencyAnswers): GatewayMetrics => {
+export const makeGatewayMetrics = ({answeredAt, now, getDirectoryAgeMs}: DependencyAnswers): GatewayMetrics => {
 	const registry = new Registry();
 	const registers = [registry];
 	return {
@@ -60,6 +63,12 @@
 		cloudRequests: new Counter({
 			name: 'shallotpass_gateway_duties_total', help: 'Calls of the duties by outcome', labelNames: ['duty', 'outcome'], registers,
 		}),
+		directoryAge: new Gauge({
+			name: 'shallotpass_gateway_directory_age_seconds', help: 'Seconds since the list of backend servers was last known to be up to date', registers,
+			collect() {
+				this.set(getDirectoryAgeMs() / 1000);
+			},
+		}),
 		peers: new Gauge({name: 'shallotpass_gateway_peers', help: 'Other daemons that were heard lately', registers}),
 		activeCalls: new Gauge({name: 'shallotpass_gateway_active_calls', help: 'Calls in flight', registers}),
 	};
