--- a/packages/core/src/directory/adopt-peer-directory.test.ts
+++ b/packages/core/src/directory/adopt-peer-directory.test.ts
@@ -3,9 +3,9 @@
 import {adoptPeerDirectory, toPeerBackends} from './adopt-peer-directory.js';
 import {type BackendEntry, type Directory} from './types.js';
 
-const makeEntry = (id: string): BackendEntry => ({
+const makeEntry = (id: string, changes: Partial<BackendEntry> = {}): BackendEntry => ({
 	id, service: 'assistant', address: '10.0.0.1:8000', availabilityZone: 'a', places: 32,
-	isLeaving: false, leavesInMs: undefined, isReclaimable: true, startedAt: 1000, sequence: 1,
+	isLeaving: false, leavesInMs: undefined, isReclaimable: true, startedAt: 1000, sequence: 1, ...changes,
 });
 
 const makeDirectory = (next: number, ids: Readonly<Record<string, number | undefined>>): Directory => ({
@@ -26,3 +26,11 @@
 	assert.equal(adopted.backends.get('expired')?.missingUntil, 6700);
 	assert.equal(adopted.next, 20);
 });
+
+test('a peer that has read an older entry does not restore a leaving backend server', () => {
+	// The store applied an earlier write late, and the peer read it in a listing without the newer one.
+	const leaving = {entry: makeEntry('x', {isLeaving: true, sequence: 6}), offset: 11, missingUntil: undefined};
+	const ready = {entry: makeEntry('x', {sequence: 5}), offset: 13, missingForMs: undefined};
+	const adopted = adoptPeerDirectory({next: 12, backends: new Map([['x', leaving]])}, {backends: [ready], next: 14}, 5000);
+	assert.equal(adopted.backends.get('x')?.entry.isLeaving, true);
+});
--- a/packages/core/src/directory/digest-directory.test.ts
+++ b/packages/core/src/directory/digest-directory.test.ts
@@ -30,3 +30,10 @@
 test('the digest changes when a backend server is removed', () => {
 	assert.notEqual(digestDirectory(makeDirectory(9, entry)), digestDirectory(makeDirectory(9)));
 });
+
+test('the digest changes when an entry is missing', () => {
+	// A daemon that was disconnected may keep a removed entry for a while. Others must not take its offset for the offset of their own list.
+	const directory = makeDirectory(9, entry);
+	const missing = new Map([[entry.id, {entry, offset: 8, missingUntil: 700}]]);
+	assert.notEqual(digestDirectory(directory), digestDirectory({...directory, backends: missing}));
+});
--- a/packages/core/src/directory/directory.test.ts
+++ b/packages/core/src/directory/directory.test.ts
@@ -42,6 +42,26 @@
 	assert.equal(listed.next, 9);
 });
 
+test('a listing that was read before a newer directory arrived does not restore a removed backend server', () => {
+	// The listing was delayed. Meanwhile a peer told the directory of offset 9, in which the backend server is removed.
+	const adopted: Directory = {backends: new Map([['y', {entry: makeEntry('y'), offset: 1, missingUntil: undefined}]]), next: 9};
+	const listed = applyListing(adopted, [makeEntryRecord(0, 'x'), makeEntryRecord(1, 'y')], 5, storeAvailable);
+	assert.deepEqual([listIds(listed), listed.next], [['y'], 9]);
+});
+
+test('an entry that the store applies late does not restore a removed backend server', () => {
+	// The write got no response and is executed seconds later, after the backend server has announced that it leaves and was removed.
+	const directory = applyDirectoryRecords(emptyDirectory, [
+		makeEntryRecord(0, 'x', {sequence: 4}), makeEntryRecord(1, 'x', {sequence: 6, isLeaving: true}), makeRemovalRecord(2, 'x'), makeEntryRecord(3, 'x', {sequence: 5}),
+	], storeAvailable);
+	assert.deepEqual(listIds(directory), []);
+});
+
+test('a backend server whose entry had only expired is used again after it has written a newer one', () => {
+	const directory = applyDirectoryRecords(emptyDirectory, [makeEntryRecord(0, 'x', {sequence: 4}), makeRemovalRecord(1, 'x'), makeEntryRecord(2, 'x', {sequence: 5})], storeAvailable);
+	assert.deepEqual(listIds(directory), ['x']);
+});
+
 test('an unreadable entry changes nothing, and a record is applied only once', () => {
 	const known = applyDirectoryRecords(emptyDirectory, [makeEntryRecord(0, 'x'), {offset: 1, id: 'x', entry: 'unreadable'}], storeAvailable);
 	assert.deepEqual(listIds(known), ['x']);
