Stop a run once on each backend server, also when no other one has room for it

Callers saw: a draft on a leaving engine whose KV cache found no room elsewhere paused again and again until the retry limit of its service was used up, and other calls lacked these retries. Cause: the run continues on its own engine then, and the watch that moves runs in time before a departure started anew. Its time had passed, so it stopped the run at once. Class: an action bound to a moment is repeated because its state, that the run was stopped here, is kept nowhere. Change: a stream remembers on which incarnations it was stopped, and isn't watched there a second time.

--- a/packages/gateway/src/calls/move-run.ts
+++ b/packages/gateway/src/calls/move-run.ts
@@ -41,7 +41,8 @@
 	readonly finish: () => Promise<MovedRun | undefined>;
 };
 
-const inactiveWatch: DepartureWatch = {
+/** The run stays on its backend server. */
+export const inactiveWatch: DepartureWatch = {
 	finish: async () => undefined,
 };
 
--- a/packages/gateway/src/calls/serve-stream.ts
+++ b/packages/gateway/src/calls/serve-stream.ts
@@ -7,7 +7,7 @@
 	type SendResult, sendToBestBackend, sendToPlacement, takeRetry,
 } from './call-attempts.js';
 import {type EventSplitter, makeEventSplitter} from './event-splitter.js';
-import {type MovedRun, watchDeparture} from './move-run.js';
+import {inactiveWatch, type MovedRun, watchDeparture} from './move-run.js';
 import {forwardPlainResponse} from './forward-plain-response.js';
 import {forwardEvents, writeStreamHead} from './forward-stream.js';
 import {type Placement} from './place-call.js';
@@ -24,6 +24,8 @@
 	hasStarted: boolean;
 	/** Placements where a moved run can continue, best first. */
 	placements: readonly Placement[];
+	/** Incarnations of the backend servers on which the run was stopped to be moved. It is stopped once on each. */
+	readonly stoppedOn: Set<string>;
 	readonly signal: AbortSignal;
 };
 
@@ -66,8 +68,9 @@
 };
 
 /** Continues the run with the moved KV cache. It is the same run, so the next attempt is not a retry. */
-const resumeMovedRun = (stream: StreamState, moved: MovedRun): NextStep => {
+const resumeMovedRun = (stream: StreamState, moved: MovedRun, stoppedOn: string): NextStep => {
 	stream.splitter.discardPartialEvent();
+	stream.stoppedOn.add(stoppedOn);
 	stream.placements = moved.placements;
 	stream.outgoing = {...stream.outgoing, lastEventId: stream.splitter.getLastEventId(), kvCache: moved.kvCache};
 	return {kind: 'try_again', isExempt: true};
@@ -83,9 +86,11 @@
 		recordFirstByte(stream.context, call);
 	}
 
-	const departure = watchDeparture({
-		gateway, call, state: attempt.state, signal,
-	});
+	const departure = stream.stoppedOn.has(attempt.state.incarnation)
+		? inactiveWatch
+		: watchDeparture({
+			gateway, call, state: attempt.state, signal,
+		});
 	const forwarded = await forwardEvents({
 		response, isComplete: attempt.isComplete, target, splitter,
 		stallTimeoutMs: call.repeatability === 'resumable_stream' ? streamStallTimeoutMs : undefined,
@@ -107,7 +112,7 @@
 	}
 
 	if (moved !== undefined) {
-		return resumeMovedRun(stream, moved);
+		return resumeMovedRun(stream, moved, attempt.state.incarnation);
 	}
 
 	void recordBrokenConnection(gateway, attempt.state, stream.outgoing.digest);
@@ -153,6 +158,7 @@
 		splitter: makeEventSplitter(),
 		hasStarted: false,
 		placements: [],
+		stoppedOn: new Set(),
 		signal,
 	};
 	for (;;) {
