Send no run back to its leaving backend server after the drain time

Cause: a run that must not be repeated is stopped 1.3 s before its backend server ends, and where it may continue is chosen before its KV cache is copied: the target, then its own server. Neither was checked again at the send, and with a notice of over about 3 s the send came after the bound of 2 s. Class: a choice that is checked when it is made and used after a wait. Evidence: with a notice of 4 s and no room elsewhere the run was sent 2,701 ms after the daemon knew of the announcement. Ruled out as other places of this class: plain calls, retries and resumed streams choose and hand over in one step (chosenMs of call_placed); a connection that isn't open after 250 ms sends nothing. Change: each send checks that the call arrives within the drain time, counted from the earliest moment at which the store may have accepted the leaving (the last time at which the list was known to be current); the run is moved early enough to return within it. If that time has passed the run ends, as it has nowhere to go.

--- a/packages/gateway/src/calls/backend-registry.ts
+++ b/packages/gateway/src/calls/backend-registry.ts
@@ -46,7 +46,7 @@
 	isGone: boolean;
 	/** Aborted when it starts leaving or is removed from the directory. */
 	readonly leaving: AbortController;
-	/** When this daemon learned that it leaves or was removed, on the steady clock. */
+	/** Earliest time at which the store may have accepted that it leaves or its removal, on the steady clock. */
 	leavingSince: number | undefined;
 	/** When it is expected to stop, on the steady clock. */
 	leavesAt: number | undefined;
@@ -104,12 +104,14 @@
 
 type DepartureTimes = {
 	readonly now: number;
+	/** Time on the steady clock before which the directory showed none of the changes. */
+	readonly changedAfter: number;
 	/** How long a leaving backend server still serves calls if its entry does not state it. */
 	readonly drainMs: number;
 };
 
-const markLeaving = (state: BackendState, {now, drainMs}: DepartureTimes): void => {
-	state.leavingSince ??= now;
+const markLeaving = (state: BackendState, {now, changedAfter, drainMs}: DepartureTimes): void => {
+	state.leavingSince ??= changedAfter;
 	state.leavesAt ??= now + (state.entry.leavesInMs ?? drainMs);
 	state.leaving.abort();
 };
@@ -175,6 +177,16 @@
 	return changes;
 };
 
+export type ArrivalBounds = {
+	/** Time at which a call that is sent now arrives at the latest, on the steady clock. */
+	readonly arrivesBy: number;
+	readonly drainMs: number;
+};
+
+/** Whether a call may still be sent to the backend server: it is ready, or the call arrives before its drain time has passed. */
+export const mayReceiveCalls = ({isGone, leavingSince}: BackendState, {arrivesBy, drainMs}: ArrivalBounds): boolean =>
+	leavingSince === undefined ? !isGone : arrivesBy <= leavingSince + drainMs;
+
 /** Milliseconds since data was last received from the backend server while calls are waiting for it. */
 export const computeSilenceMs = (state: BackendState, now: number): number => {
 	const [oldestSentAt] = state.unansweredSince.values();
--- a/packages/gateway/src/calls/call-attempts.ts
+++ b/packages/gateway/src/calls/call-attempts.ts
@@ -5,11 +5,13 @@
 import {takeFromRetryAllowance} from '@shallotpass/core/retries/retry-allowance.js';
 import {type GatewayState} from '../gateway-state.js';
 import {type AdmittedCall, type CallContext} from './admit-call.js';
-import {getLatencyModel} from './backend-registry.js';
+import {getLatencyModel, mayReceiveCalls} from './backend-registry.js';
 import {type Placement, placeCall} from './place-call.js';
 import {type Refusal} from './refusal.js';
 import {getRetryAllowance, getRetryLimit} from './retry-limits.js';
-import {type Attempt, type AttemptResult, runAtBackend} from './run-at-backend.js';
+import {
+	type Attempt, type AttemptResult, connectTimeoutMs, runAtBackend,
+} from './run-at-backend.js';
 
 /** Maximum number of attempts of one call, including those that backend servers refuse. Each refusal costs a round trip. */
 const maxAttemptsPerCall = 6;
@@ -111,7 +113,11 @@
 	progress.attempts++;
 	progress.attemptedIncarnations.add(state.incarnation);
 	const knownAtSend = describeKnowledge(gateway, placement);
-	const result = await runAtBackend(gateway, call, placement, outgoing, signal);
+	const bounds = {arrivesBy: gateway.clocks.steady() + connectTimeoutMs, drainMs: gateway.settings.bounds.drainMs};
+	// A moved run waits for its KV cache after its placements were chosen.
+	const result = mayReceiveCalls(state, bounds)
+		? await runAtBackend(gateway, call, placement, outgoing, signal)
+		: {kind: 'not_run' as const, reason: 'backend_left', hasArrived: false};
 	gateway.log.write(result.kind === 'answered' ? 'routine' : 'failure', 'call_placed', {
 		request: call.id, service: call.service, backend: state.entry.id, predictedMs: Math.round(choice.predictedMs), cachedTokens,
 		own: state.running, others: state.othersRunning, tokensPerMs: Math.round(getLatencyModel(gateway.registry, state, gateway.clocks.steady()).tokensPerMs), offer: progress.attempts,
--- a/packages/gateway/src/calls/move-run.ts
+++ b/packages/gateway/src/calls/move-run.ts
@@ -19,6 +19,12 @@
  */
 const moveLeadMs = 1300;
 
+/**
+ * Time before the end of the drain time at which a run is moved at the latest, in milliseconds. If its KV cache
+ * can't be copied, it returns to its own backend server, where it must arrive within the drain time.
+ */
+const returnLeadMs = 500;
+
 /** Timeout of a move. The run makes no progress meanwhile. */
 const moveTimeoutMs = 800;
 
@@ -96,8 +102,10 @@
 	const streamEnd = new AbortController();
 	let pendingMove: Promise<MovedRun | undefined> | undefined;
 	const moveBeforeDeparture = async (): Promise<MovedRun | undefined> => {
-		const leavesAt = state.leavesAt ?? gateway.clocks.steady();
-		await pauseFor(Math.max(0, leavesAt - moveLeadMs - gateway.clocks.steady()), streamEnd.signal);
+		const now = gateway.clocks.steady();
+		const lastReturnAt = (state.leavingSince ?? now) + gateway.settings.bounds.drainMs;
+		const moveAt = Math.min((state.leavesAt ?? now) - moveLeadMs, lastReturnAt - returnLeadMs);
+		await pauseFor(Math.max(0, moveAt - now), streamEnd.signal);
 		return streamEnd.signal.aborted || signal.aborted ? undefined : moveRun(options);
 	};
 
--- a/packages/gateway/src/calls/run-at-backend.ts
+++ b/packages/gateway/src/calls/run-at-backend.ts
@@ -20,7 +20,7 @@
 import {type Placement} from './place-call.js';
 
 /** Timeout of a new connection: a hundred times the latency between availability zones, but less than the target latency of a plain call. */
-const connectTimeoutMs = 250;
+export const connectTimeoutMs = 250;
 
 /** Bounds of the exponential backoff after failed connections to a backend server. */
 const initialBackoffMs = 250;
--- a/packages/gateway/src/store/follow-directory.ts
+++ b/packages/gateway/src/store/follow-directory.ts
@@ -85,7 +85,7 @@
 	const replaceDirectory = (next: Directory, {source, changedAfter}: DirectoryOrigin): void => {
 		directory = dropExpired(next, now());
 		digest = digestDirectory(directory);
-		for (const change of applyDirectory(gateway.registry, directory, {now: now(), drainMs: gateway.settings.bounds.drainMs})) {
+		for (const change of applyDirectory(gateway.registry, directory, {now: now(), changedAfter, drainMs: gateway.settings.bounds.drainMs})) {
 			gateway.log.write('state', `backend_${change.kind}`, {
 				backend: change.entry.id, address: change.entry.address, service: change.entry.service, zone: change.entry.availabilityZone,
 				reclaimable: change.entry.isReclaimable, leavesInMs: change.entry.leavesInMs, offset: directory.next,
@@ -101,7 +101,7 @@
 	const timer = setInterval(() => {
 		const dropped = dropExpired(directory, now());
 		if (!isStoreUnavailable && dropped !== directory) {
-			replaceDirectory(dropped, {source: gateway.directoryStatus.source, changedAfter: now()});
+			replaceDirectory(dropped, {source: gateway.directoryStatus.source, changedAfter: now() - entryRewriteMs});
 		}
 	}, missingCheckIntervalMs);
 	signal.addEventListener('abort', () => {
