Ignore a listing of backend servers that is older than the directory

Cause: a listing was applied whatever offset the directory had reached. One that was under way while a peer told of a removal restored the removed backend server and kept the later offset. The store writes a record only when an entry changes, so nothing corrected it: the record of the removal counted as known, and peers with the same offset are not asked. Daemons with a lower offset adopted it. Class: old knowledge replaces newer one because versions are not compared where two sources meet. Evidence: the test of a daemon that starts while the listing takes one second kept the engine in 8 of 8 runs, at offset 6, where its removal is record 5. Ruled out: records from polls, which are compared with the offset. Change: a listing whose end lies before the directory's offset changes nothing. Checks: tests of directory, peers and calls 39 passed, 3 failed (listed); the test of the late listing passed in 4 of 4 more runs.

--- a/packages/core/src/directory/directory-state.ts
+++ b/packages/core/src/directory/directory-state.ts
@@ -68,8 +68,15 @@
 	return {backends, next};
 };
 
-/** Replaces the directory with a complete listing. Entries that are not listed count as removed. */
+/**
+ * Replaces the directory with a complete listing. Entries that are not listed count as removed. A listing of a state of the
+ * store before the directory's offset changes nothing: a peer may have told of later removals while it was under way.
+ */
 export const applyListing = (directory: Directory, records: readonly DirectoryRecord[], endOffset: number, context: ApplyContext): Directory => {
+	if (endOffset < directory.next) {
+		return directory;
+	}
+
 	const listed = new Set(records.map(record => record.id));
 	const missing = [...directory.backends.keys()]
 		.filter(id => !listed.has(id))
@@ -81,7 +88,7 @@
 
 	// A listing holds each entry with the offset of its newest record, in no particular order.
 	const applied = applyDirectoryRecords({backends: remaining, next: 0}, records.toSorted((left, right) => left.offset - right.offset), context);
-	return {backends: applied.backends, next: Math.max(endOffset, directory.next)};
+	return {backends: applied.backends, next: endOffset};
 };
 
 /** Drops entries that are still missing at the end of their grace period. */
