Remember removed backend servers, so that a write applied late doesn't restore them

Callers would see calls fail at a backend server that has left. Cause: entries are compared with the known one of the same id, by start time and sequence, and a removal forgot what to compare with. Class: old knowledge replaces newer one because the newer one was not kept. Change: the directory keeps the last entry of removed backend servers for 20 s, which is how long the store keeps its history, and ignores entries written before it. An entry with the same or a higher sequence still counts: it expired only and was written again. One copy of the maps a batch, as before.

--- a/packages/core/src/directory/adopt-peer-directory.test.ts
+++ b/packages/core/src/directory/adopt-peer-directory.test.ts
@@ -9,7 +9,7 @@
 });
 
 const makeDirectory = (next: number, ids: Readonly<Record<string, number | undefined>>): Directory => ({
-	next, backends: new Map(Object.entries(ids).map(([id, missingUntil]) => [id, {entry: makeEntry(id), offset: 1, missingUntil}])),
+	next, removed: new Map(), backends: new Map(Object.entries(ids).map(([id, missingUntil]) => [id, {entry: makeEntry(id), offset: 1, missingUntil}])),
 });
 
 const listIds = (directory: Directory): string[] => [...directory.backends.keys()];
@@ -31,6 +31,6 @@
 	// The store applied an earlier write late, and the peer read it in a listing without the newer one.
 	const leaving = {entry: makeEntry('x', {isLeaving: true, sequence: 6}), offset: 11, missingUntil: undefined};
 	const ready = {entry: makeEntry('x', {sequence: 5}), offset: 13, missingForMs: undefined};
-	const adopted = adoptPeerDirectory({next: 12, backends: new Map([['x', leaving]])}, {backends: [ready], next: 14}, 5000);
+	const adopted = adoptPeerDirectory({next: 12, removed: new Map(), backends: new Map([['x', leaving]])}, {backends: [ready], next: 14}, 5000);
 	assert.equal(adopted.backends.get('x')?.entry.isLeaving, true);
 });
--- a/packages/core/src/directory/adopt-peer-directory.ts
+++ b/packages/core/src/directory/adopt-peer-directory.ts
@@ -34,5 +34,5 @@
 		}
 	}
 
-	return {backends, next: peer.next};
+	return {backends, removed: own.removed, next: peer.next};
 };
--- a/packages/core/src/directory/digest-directory.test.ts
+++ b/packages/core/src/directory/digest-directory.test.ts
@@ -9,7 +9,7 @@
 };
 
 const makeDirectory = (next: number, ...entries: readonly BackendEntry[]): Directory => ({
-	next, backends: new Map(entries.map(known => [known.id, {entry: known, offset: next - 1, missingUntil: undefined}])),
+	next, removed: new Map(), backends: new Map(entries.map(known => [known.id, {entry: known, offset: next - 1, missingUntil: undefined}])),
 });
 
 test('the digest stays equal when entries are only rewritten, so that the whole list is not sent again', () => {
--- a/packages/core/src/directory/directory-state.ts
+++ b/packages/core/src/directory/directory-state.ts
@@ -1,5 +1,7 @@
 /** Applies the records of the directory topic, in offset order, to the known backend servers. */
-import {type BackendEntry, type Directory, type KnownBackend} from './types.js';
+import {
+	type BackendEntry, type Directory, type KnownBackend, type RemovedBackend,
+} from './types.js';
 
 export type DirectoryRecord = {
 	readonly offset: number;
@@ -19,33 +21,64 @@
 	readonly expiryGraceUntil: number;
 };
 
+/** Time for which removed backend servers are remembered. A write that got no response may be executed seconds later. */
+const rememberRemovedMs = 20_000;
+
 /** Whether an entry was written by an earlier incarnation than the known one, or earlier in the same incarnation. */
-const isOutdated = (entry: BackendEntry, known: KnownBackend | undefined): boolean => {
-	if (known === undefined || entry.startedAt === undefined || known.entry.startedAt === undefined) {
+export const isOutdated = (entry: BackendEntry, known: BackendEntry | undefined): boolean => {
+	if (known === undefined || entry.startedAt === undefined || known.startedAt === undefined) {
 		return false;
 	}
 
-	return entry.startedAt < known.entry.startedAt
-		|| (entry.startedAt === known.entry.startedAt && entry.sequence < known.entry.sequence);
+	return entry.startedAt < known.startedAt
+		|| (entry.startedAt === known.startedAt && entry.sequence < known.sequence);
+};
+
+/** Copy of a directory under change. It is copied once for a whole batch, as there may be thousands of backend servers. */
+type Draft = {
+	readonly backends: Map<string, KnownBackend>;
+	readonly removed: Map<string, RemovedBackend>;
+};
+
+const makeDraft = ({backends, removed}: Directory, now: number): Draft => ({
+	backends: new Map(backends),
+	removed: new Map([...removed].filter(([, {forgetAt}]) => forgetAt > now)),
+});
+
+/** Returns the newest known entry of a backend server, also if it was removed lately. */
+export const getLastEntry = ({backends, removed}: Pick<Directory, 'backends' | 'removed'>, id: string): BackendEntry | undefined => (backends.get(id) ?? removed.get(id))?.entry;
+
+/** Removes a backend server and remembers its last entry. */
+const removeBackend = (draft: Draft, id: string, now: number): void => {
+	const known = draft.backends.get(id);
+	if (known !== undefined) {
+		draft.backends.delete(id);
+		draft.removed.set(id, {entry: known.entry, forgetAt: now + rememberRemovedMs});
+	}
 };
 
-const applyRemoval = (backends: Map<string, KnownBackend>, record: DirectoryRecord, context: ApplyContext): void => {
-	const known = backends.get(record.id);
-	if (known === undefined) {
+/** Removes a backend server, or marks its entry as missing during the grace period. */
+const applyRemoval = (draft: Draft, id: string, {now, expiryGraceUntil}: ApplyContext): void => {
+	const known = draft.backends.get(id);
+	if (known !== undefined && now < expiryGraceUntil && !known.entry.isLeaving) {
+		draft.backends.set(id, {...known, missingUntil: known.missingUntil ?? expiryGraceUntil});
 		return;
 	}
 
-	if (context.now < context.expiryGraceUntil && !known.entry.isLeaving) {
-		backends.set(record.id, {...known, missingUntil: known.missingUntil ?? context.expiryGraceUntil});
+	removeBackend(draft, id, now);
+};
+
+const applyEntry = (draft: Draft, {id, offset, entry}: DirectoryRecord): void => {
+	if (entry === undefined || entry === 'unreadable' || isOutdated(entry, getLastEntry(draft, id))) {
 		return;
 	}
 
-	backends.delete(record.id);
+	draft.backends.set(id, {entry, offset, missingUntil: undefined});
 };
 
 /** Applies records to the directory. Records that were applied before and outdated entries change nothing. */
 export const applyDirectoryRecords = (directory: Directory, records: readonly DirectoryRecord[], context: ApplyContext): Directory => {
-	const backends = new Map(directory.backends);
+	const draft = makeDraft(directory, context.now);
 	let {next} = directory;
 	for (const record of records) {
 		if (record.offset < next) {
@@ -54,18 +87,13 @@
 
 		next = record.offset + 1;
 		if (record.entry === undefined) {
-			applyRemoval(backends, record, context);
-			continue;
+			applyRemoval(draft, record.id, context);
+		} else {
+			applyEntry(draft, record);
 		}
-
-		if (record.entry === 'unreadable' || isOutdated(record.entry, backends.get(record.id))) {
-			continue;
-		}
-
-		backends.set(record.id, {entry: record.entry, offset: record.offset, missingUntil: undefined});
 	}
 
-	return {backends, next};
+	return {...draft, next};
 };
 
 /**
@@ -77,18 +105,19 @@
 		return directory;
 	}
 
+	const draft = makeDraft(directory, context.now);
 	const listed = new Set(records.map(record => record.id));
-	const missing = [...directory.backends.keys()]
-		.filter(id => !listed.has(id))
-		.map(id => ({offset: directory.next, id, entry: undefined}));
-	const remaining = new Map(directory.backends);
-	for (const record of missing) {
-		applyRemoval(remaining, record, context);
+	for (const id of directory.backends.keys()) {
+		if (!listed.has(id)) {
+			applyRemoval(draft, id, context);
+		}
+	}
+
+	for (const record of records) {
+		applyEntry(draft, record);
 	}
 
-	// A listing holds each entry with the offset of its newest record, in no particular order.
-	const applied = applyDirectoryRecords({backends: remaining, next: 0}, records.toSorted((left, right) => left.offset - right.offset), context);
-	return {backends: applied.backends, next: endOffset};
+	return {...draft, next: endOffset};
 };
 
 /** Drops entries that are still missing at the end of their grace period. */
@@ -98,10 +127,10 @@
 		return directory;
 	}
 
-	const backends = new Map(directory.backends);
+	const draft = makeDraft(directory, now);
 	for (const [id] of expired) {
-		backends.delete(id);
+		removeBackend(draft, id, now);
 	}
 
-	return {backends, next: directory.next};
+	return {...draft, next: directory.next};
 };
--- a/packages/core/src/directory/directory.test.ts
+++ b/packages/core/src/directory/directory.test.ts
@@ -44,7 +44,7 @@
 
 test('a listing that was read before a newer directory arrived does not restore a removed backend server', () => {
 	// The listing was delayed. Meanwhile a peer told the directory of offset 9, in which the backend server is removed.
-	const adopted: Directory = {backends: new Map([['y', {entry: makeEntry('y'), offset: 1, missingUntil: undefined}]]), next: 9};
+	const adopted: Directory = {backends: new Map([['y', {entry: makeEntry('y'), offset: 1, missingUntil: undefined}]]), removed: new Map(), next: 9};
 	const listed = applyListing(adopted, [makeEntryRecord(0, 'x'), makeEntryRecord(1, 'y')], 5, storeAvailable);
 	assert.deepEqual([listIds(listed), listed.next], [['y'], 9]);
 });
--- a/packages/core/src/directory/types.ts
+++ b/packages/core/src/directory/types.ts
@@ -27,10 +27,20 @@
 	readonly missingUntil: number | undefined;
 };
 
+/** A backend server that was removed, kept to recognize entries that it wrote before. */
+export type RemovedBackend = {
+	/** Its last known entry. */
+	readonly entry: BackendEntry;
+	/** When it is forgotten, on the steady clock. */
+	readonly forgetAt: number;
+};
+
 export type Directory = {
 	readonly backends: ReadonlyMap<string, KnownBackend>;
+	/** Backend servers that were removed lately. */
+	readonly removed: ReadonlyMap<string, RemovedBackend>;
 	/** Offset of the next record to apply. */
 	readonly next: number;
 };
 
-export const emptyDirectory: Directory = {backends: new Map(), next: 0};
+export const emptyDirectory: Directory = {backends: new Map(), removed: new Map(), next: 0};
