Take no older entry of a backend server from a peer

Callers would see calls fail at a backend server that leaves. Cause: a peer's directory with a later offset replaced this daemon's as a whole. If the store applied an earlier write late, a peer that lists the entries in the moment until the next heartbeat reads the backend server as ready, and its offset is later than that of daemons which had read that it leaves. Class: one version for a whole list stands in for the versions of its entries. Evidence: the test adopted sequence 5, ready, over sequence 6, leaving. Change: adopting compares each entry with the known or lately removed one, as records and listings do.

--- a/packages/core/src/directory/adopt-peer-directory.ts
+++ b/packages/core/src/directory/adopt-peer-directory.ts
@@ -1,4 +1,5 @@
 /** Adopts the backend servers that another daemon has read from the store. */
+import {isOutdated, rememberRemoved} from './directory-state.js';
 import {type BackendEntry, type Directory, type KnownBackend} from './types.js';
 
 /** A backend server in the form in which daemons send it to each other. */
@@ -19,6 +20,10 @@
 	entry, offset, missingForMs: missingUntil === undefined ? undefined : missingUntil - now,
 }));
 
+/** Returns the newer one of two entries of a backend server: a peer may have read an older one last. */
+const getNewerEntry = (entry: BackendEntry, lastKnown: BackendEntry | undefined): BackendEntry =>
+	lastKnown !== undefined && isOutdated(entry, lastKnown) ? lastKnown : entry;
+
 /**
  * Replaces the directory with a peer's. A missing entry in its grace period is kept if this daemon knows it too, but it
  * isn't added: the peer may have been disconnected while this daemon saw the entry removed, and the backend server
@@ -27,12 +32,18 @@
 export const adoptPeerDirectory = (own: Directory, peer: PeerDirectory, now: number): Directory => {
 	const backends = new Map<string, KnownBackend>();
 	for (const {entry, offset, missingForMs} of peer.backends) {
-		if (missingForMs === undefined) {
-			backends.set(entry.id, {entry, offset, missingUntil: undefined});
-		} else if (own.backends.has(entry.id)) {
-			backends.set(entry.id, {entry, offset, missingUntil: now + missingForMs});
+		const known = own.backends.get(entry.id);
+		if (known === undefined && (missingForMs !== undefined || isOutdated(entry, own.removed.get(entry.id)?.entry))) {
+			continue;
 		}
+
+		backends.set(entry.id, {
+			entry: getNewerEntry(entry, known?.entry),
+			offset,
+			missingUntil: missingForMs === undefined ? undefined : now + missingForMs,
+		});
 	}
 
-	return {backends, removed: own.removed, next: peer.next};
+	const missingIds = [...own.backends.keys()].filter(id => !backends.has(id));
+	return {backends, removed: rememberRemoved(own, missingIds, now), next: peer.next};
 };
--- a/packages/core/src/directory/directory-state.ts
+++ b/packages/core/src/directory/directory-state.ts
@@ -46,17 +46,26 @@
 });
 
 /** Returns the newest known entry of a backend server, also if it was removed lately. */
-export const getLastEntry = ({backends, removed}: Pick<Directory, 'backends' | 'removed'>, id: string): BackendEntry | undefined => (backends.get(id) ?? removed.get(id))?.entry;
-
-/** Removes a backend server and remembers its last entry. */
-const removeBackend = (draft: Draft, id: string, now: number): void => {
-	const known = draft.backends.get(id);
-	if (known !== undefined) {
-		draft.backends.delete(id);
-		draft.removed.set(id, {entry: known.entry, forgetAt: now + rememberRemovedMs});
+const getLastEntry = ({backends, removed}: Draft, id: string): BackendEntry | undefined => (backends.get(id) ?? removed.get(id))?.entry;
+
+/** Removes backend servers and remembers their last entries. */
+const removeBackends = (draft: Draft, ids: readonly string[], now: number): void => {
+	for (const id of ids) {
+		const known = draft.backends.get(id);
+		if (known !== undefined) {
+			draft.backends.delete(id);
+			draft.removed.set(id, {entry: known.entry, forgetAt: now + rememberRemovedMs});
+		}
 	}
 };
 
+/** Returns the backend servers to remember after those with the given ids were removed from the directory. */
+export const rememberRemoved = (directory: Directory, ids: readonly string[], now: number): Directory['removed'] => {
+	const draft = makeDraft(directory, now);
+	removeBackends(draft, ids, now);
+	return draft.removed;
+};
+
 /** Removes a backend server, or marks its entry as missing during the grace period. */
 const applyRemoval = (draft: Draft, id: string, {now, expiryGraceUntil}: ApplyContext): void => {
 	const known = draft.backends.get(id);
@@ -65,7 +74,7 @@
 		return;
 	}
 
-	removeBackend(draft, id, now);
+	removeBackends(draft, [id], now);
 };
 
 const applyEntry = (draft: Draft, {id, offset, entry}: DirectoryRecord): void => {
@@ -122,15 +131,12 @@
 
 /** Drops entries that are still missing at the end of their grace period. */
 export const dropExpired = (directory: Directory, now: number): Directory => {
-	const expired = [...directory.backends].filter(([, known]) => known.missingUntil !== undefined && known.missingUntil <= now);
+	const expired = [...directory.backends].filter(([, known]) => known.missingUntil !== undefined && known.missingUntil <= now).map(([id]) => id);
 	if (expired.length === 0) {
 		return directory;
 	}
 
 	const draft = makeDraft(directory, now);
-	for (const [id] of expired) {
-		removeBackend(draft, id, now);
-	}
-
+	removeBackends(draft, expired, now);
 	return {...draft, next: directory.next};
 };
