Drop entries at the end of their grace period also in a daemon whose own call to the store failed last

Callers would see calls fail at a backend server that ended while the store was away, longer than the grace period. Cause: missing entries are not dropped while the store is unavailable, and that flag is cleared only by this daemon's next successful call. A daemon that peers serve again makes none: it kept the entries until it had to read for itself. Class: a fact that is learned in two ways is kept in a flag that only one of them clears. Change: entries are dropped if the directory was confirmed, by the store or by a peer, after the last failed call. The grace period that a failed call opened is gone: every response after a failure sets it anew before records are applied.

--- /dev/null
+++ b/packages/gateway/src/store/follow-directory.test.ts
@@ -0,0 +1,103 @@
+import assert from 'node:assert/strict';
+import test, {type TestContext} from 'node:test';
+import {setImmediate as nextTurn} from 'node:timers/promises';
+import {type BackendEntry} from '@shallotpass/core/directory/types.js';
+import {type PeerBackend} from '@shallotpass/core/directory/adopt-peer-directory.js';
+import {makeBackendRegistry} from '../calls/backend-registry.js';
+import {type GatewayState} from '../gateway-state.js';
+import {type KeyedRecord, type Platform, type ReadReply} from '../ports.js';
+import {type DirectoryFollower, followDirectory} from './follow-directory.js';
+
+const peerAddress = '10.0.0.2:7500';
+
+const makeEntry = (id: string): BackendEntry => ({
+	id, service: 'llm', address: '10.0.0.9:80', availabilityZone: 'a', places: 8, isLeaving: false, leavesInMs: undefined, isReclaimable: false, startedAt: 1000, sequence: 1,
+});
+
+const makePeerBackend = (id: string, missingForMs?: number): PeerBackend => ({entry: makeEntry(id), offset: 1, missingForMs});
+
+const makeRecord = (offset: number, key: string): KeyedRecord => ({offset, key, value: new Uint8Array(1)});
+
+type FollowerFixture = {
+	readonly follower: DirectoryFollower;
+	readonly listIds: () => string[];
+	readonly advance: (ms: number) => void;
+	/** Answers the poll of the store that is under way. */
+	readonly answerPoll: (reply: ReadReply) => Promise<void>;
+	readonly setPaused: (isPaused: boolean) => void;
+};
+
+/** Starts a follower on a clock of the test and a store whose polls the test answers. Its directory holds `x` and `y`, with 2 as the next offset. */
+const startFollower = async (t: TestContext): Promise<FollowerFixture> => {
+	let now = 10_000;
+	let isPaused = false;
+	let resolvePoll: ((reply: ReadReply) => void) | undefined;
+	t.mock.timers.enable({apis: ['setInterval', 'setTimeout']});
+	const controller = new AbortController();
+	t.after(() => {
+		controller.abort();
+	});
+	const store: Platform['store'] = {
+		append: async () => ({kind: 'refused', reason: ''}),
+		read: async () => new Promise(resolve => {
+			resolvePoll = resolve;
+		}),
+		readNewest: async () => ({kind: 'listing', records: [makeRecord(0, 'x'), makeRecord(1, 'y')], end: 2}),
+	};
+	const gateway = {
+		settings: {bounds: {drainMs: 2000}},
+		clocks: {steady: () => now},
+		log: {write() {/* not needed */}},
+		registry: makeBackendRegistry(),
+		directoryReadAt: undefined,
+		directoryStatus: {offset: 0, source: 'store', confirmedAt: Number.NEGATIVE_INFINITY},
+	} as unknown as GatewayState;
+	const platform = {store, records: {toBackendEntry: makeEntry}} as unknown as Platform;
+	const follower = followDirectory({
+		gateway, platform, isPaused: () => isPaused, getMaxRetryDelayMs: () => 1000, signal: controller.signal,
+	});
+	const settle = async (): Promise<void> => {
+		for (let turn = 0; turn < 5; turn++) {
+			await nextTurn(); // eslint-disable-line no-await-in-loop -- lets pending promises settle
+		}
+	};
+
+	await settle();
+	return {
+		follower,
+		listIds: () => [...gateway.registry.byId.keys()],
+		advance(ms) {
+			now += ms;
+			t.mock.timers.tick(ms);
+		},
+		async answerPoll(reply) {
+			resolvePoll?.(reply);
+			await settle();
+		},
+		setPaused(value) {
+			isPaused = value;
+		},
+	};
+};
+
+test('a daemon that was connected keeps no backend server that only a disconnected peer keeps', async t => {
+	const {follower, listIds, advance} = await startFollower(t);
+	assert.deepEqual(listIds(), ['x', 'y']);
+	advance(300);
+	follower.adoptFromPeer({backends: [makePeerBackend('x', 1700), makePeerBackend('y')], next: 3}, 10, peerAddress);
+	assert.deepEqual(listIds(), ['y']);
+});
+
+test('daemons that were all disconnected keep a backend server whose entry expired, and drop it after the grace period', async t => {
+	const {follower, listIds, advance, answerPoll, setPaused} = await startFollower(t);
+	await answerPoll({kind: 'failed', reason: 'timeout'});
+	setPaused(true);
+	advance(5000);
+	follower.adoptFromPeer({backends: [makePeerBackend('x', 1700), makePeerBackend('y')], next: 3}, 10, peerAddress);
+	assert.deepEqual(listIds(), ['x', 'y']);
+	advance(1000);
+	follower.adoptFromPeer({backends: [makePeerBackend('x', 700), makePeerBackend('y', 700)], next: 4}, 10, peerAddress);
+	assert.deepEqual(listIds(), ['x', 'y']);
+	advance(1000);
+	assert.deepEqual(listIds(), []);
+});
--- a/packages/gateway/src/store/follow-directory.ts
+++ b/packages/gateway/src/store/follow-directory.ts
@@ -62,6 +62,8 @@
 	let directory = emptyDirectory;
 	let digest = digestDirectory(directory);
 	let isStoreUnavailable = false;
+	/** When this daemon's latest call to the store failed. */
+	let failedAt = Number.NEGATIVE_INFINITY;
 	/** End of the grace period in which entries may be missing only because of an outage of the store. */
 	let expiryGraceUntil = 0;
 	/** When the directory of any peer was last confirmed to be up to date. */
@@ -99,8 +101,10 @@
 
 	const makeApplyContext = () => ({now: now(), expiryGraceUntil});
 	const timer = setInterval(() => {
-		const dropped = dropExpired(directory, now());
-		if (!isStoreUnavailable && dropped !== directory) {
+		// While nobody reaches the store, a running backend server can't write its entry again.
+		const isStoreReachable = gateway.directoryStatus.confirmedAt > failedAt;
+		const dropped = isStoreReachable ? dropExpired(directory, now()) : directory;
+		if (dropped !== directory) {
 			replaceDirectory(dropped, {source: gateway.directoryStatus.source, changedAfter: now() - entryRewriteMs});
 		}
 	}, missingCheckIntervalMs);
@@ -137,7 +141,7 @@
 				}
 			},
 			onFailure(reason) {
-				expiryGraceUntil = now() + entryRewriteMs;
+				failedAt = now();
 				if (!isStoreUnavailable && !signal.aborted) {
 					isStoreUnavailable = true;
 					gateway.log.write('state', 'store_lost', {topic: 'directory', reason});
