Keep no removed backend server because a peer that was disconnected keeps it

Cause: two parts of one rule. A daemon that was disconnected keeps removed entries for 1.7 s, since they may have expired in an outage. A connected daemon that had not heard of the removal yet adopted them with that grace; or, as the digest left out that an entry is missing, took them for its own list and only the peer's offset with them. The reader's list then had no later offset and was not asked for. The store writes records only when an entry changes, so this lasted until the next change, or until the daemon read the store itself: up to 1.7 + 0.5 + 1.5 s after the removal. Class: a local judgement (the store was away for me) travels with data and counts as a fact elsewhere.

--- a/packages/core/src/directory/adopt-peer-directory.ts
+++ b/packages/core/src/directory/adopt-peer-directory.ts
@@ -1,5 +1,5 @@
 /** Adopts the backend servers that another daemon has read from the store. */
-import {isOutdated, rememberRemoved} from './directory-state.js';
+import {type ApplyContext, isOutdated, rememberRemoved} from './directory-state.js';
 import {type BackendEntry, type Directory, type KnownBackend} from './types.js';
 
 /** A backend server in the form in which daemons send it to each other. */
@@ -25,15 +25,19 @@
 	lastKnown !== undefined && isOutdated(entry, lastKnown) ? lastKnown : entry;
 
 /**
- * Replaces the directory with a peer's. A missing entry in its grace period is kept if this daemon knows it too, but it
- * isn't added: the peer may have been disconnected while this daemon saw the entry removed, and the backend server
- * would get calls after it has left.
+ * Replaces the directory with a peer's. An entry that is missing there and in its grace period is kept only if it can have expired
+ * for this daemon too. Otherwise the peer alone was disconnected, and the backend server would get calls after it has left.
  */
-export const adoptPeerDirectory = (own: Directory, peer: PeerDirectory, now: number): Directory => {
+export const adoptPeerDirectory = (own: Directory, peer: PeerDirectory, {now, expiryGraceUntil}: ApplyContext): Directory => {
 	const backends = new Map<string, KnownBackend>();
 	for (const {entry, offset, missingForMs} of peer.backends) {
 		const known = own.backends.get(entry.id);
-		if (known === undefined && (missingForMs !== undefined || isOutdated(entry, own.removed.get(entry.id)?.entry))) {
+		const mayHaveExpired = known !== undefined && (known.missingUntil !== undefined || now < expiryGraceUntil);
+		if (missingForMs !== undefined && !mayHaveExpired) {
+			continue;
+		}
+
+		if (known === undefined && isOutdated(entry, own.removed.get(entry.id)?.entry)) {
 			continue;
 		}
 
--- a/packages/gateway/src/store/follow-directory.ts
+++ b/packages/gateway/src/store/follow-directory.ts
@@ -150,6 +150,13 @@
 		},
 	});
 
+	/** If this daemon's directory is stale, the store may have been away, and entries that peers miss may have expired meanwhile. */
+	const openGraceAfterOutage = (): void => {
+		if (getAgeMs() > peerFreshMs) {
+			expiryGraceUntil = Math.max(expiryGraceUntil, now() + entryRewriteMs);
+		}
+	};
+
 	const recordPeerFreshness = (peerNext: number, refreshedAt: number, address: string): void => {
 		peerFreshAt = Math.max(peerFreshAt, refreshedAt);
 		if (peerNext >= directory.next && refreshedAt > gateway.directoryStatus.confirmedAt) {
@@ -161,16 +168,18 @@
 		read: () => ({directory, digest, ageMs: getAgeMs()}),
 		adoptFromPeer(peerDirectory, ageMs, address) {
 			const refreshedAt = now() - ageMs;
+			openGraceAfterOutage();
 			if (peerDirectory.next > directory.next) {
 				gateway.log.write('state', 'directory_from_peer', {
 					next: peerDirectory.next, before: directory.next, ageMs: Math.round(ageMs), address,
 				});
-				replaceDirectory(adoptPeerDirectory(directory, peerDirectory, now()), {source: address, changedAfter: gateway.directoryStatus.confirmedAt});
+				replaceDirectory(adoptPeerDirectory(directory, peerDirectory, makeApplyContext()), {source: address, changedAfter: gateway.directoryStatus.confirmedAt});
 			}
 
 			recordPeerFreshness(peerDirectory.next, refreshedAt, address);
 		},
 		confirm(next, ageMs, address) {
+			openGraceAfterOutage();
 			recordPeerFreshness(next, now() - ageMs, address);
 			directory = {...directory, next: Math.max(directory.next, next)};
 			updateStatus({});
