Keep reading the store until the daemon that takes over reads it

Cause: a daemon stopped reading as soon as its data was fresh and another daemon ranked before it, whether or not that one could read. It took over after 1.0 to 1.3 s without confirmation, read once, found its data fresh and stopped again. Class: a duty is laid down for a successor that has not taken it up. Change: reports tell when the store itself last answered their sender. Reports of earlier versions count as reading, as before.

--- a/packages/core/src/gossip/gossip-report.ts
+++ b/packages/core/src/gossip/gossip-report.ts
@@ -18,6 +18,8 @@
 	directoryNext: z.number(),
 	directoryDigest: z.string(),
 	directoryAgeMs: z.number(),
+	/** Milliseconds since the store itself last answered the daemon. Daemons of earlier versions don't report it. */
+	storeAnswerAgeMs: z.number().optional(),
 	/** Number of daemons that it knows. */
 	members: z.int(),
 });
--- a/packages/core/src/gossip/store-role.ts
+++ b/packages/core/src/gossip/store-role.ts
@@ -1,7 +1,8 @@
 /**
  * Decides which daemon reads the platform's store for all. Calls to the store are billed and every daemon needs the
  * same data, so one daemon reads it and the others ask that daemon or their zone's relay. A daemon whose data becomes
- * stale reads the store itself, so a wrong choice causes extra calls but no incorrect results.
+ * stale reads the store itself, and continues until a daemon that ranks before it reports that it reads, so a wrong choice
+ * causes extra calls but no incorrect results.
  */
 import {type GossipMember, rankByBandwidth} from './pick-relays.js';
 
@@ -10,10 +11,12 @@
 	readonly rank: number;
 	/** Addresses of the daemons to ask for the configuration and the backend servers, the preferred one first. */
 	readonly sources: readonly string[];
+	/** Whether a daemon that ranks before this one reads the store at present, so this one need not. */
+	readonly isReaderKnown: boolean;
 };
 
 /** A daemon reads the store itself until it knows other daemons. */
-export const initialStoreRole: StoreRole = {rank: 0, sources: []};
+export const initialStoreRole: StoreRole = {rank: 0, sources: [], isReaderKnown: false};
 
 /** Rendezvous key that ranks the readers. */
 const readerKey = 'store';
@@ -21,24 +24,33 @@
 /** Number of daemons to ask: the reader and its standby. */
 const maxSources = 2;
 
+/** A daemon with recent reports. */
+export type ReportingMember = GossipMember & {
+	/** Whether the store has answered it lately. A daemon that the store refuses can't read for others. */
+	readonly isReading: boolean;
+};
+
 export type RoleInput = {
 	/** This daemon. */
 	readonly self: GossipMember;
-	/** Daemons with recent reports that may read for all: all daemons, or one relay per zone. */
-	readonly reporting: readonly GossipMember[];
+	/** Daemons that may read for all: all daemons, or one relay per zone. */
+	readonly reporting: readonly ReportingMember[];
 	/** Relays of the daemon's own zone, or empty if it doesn't use relays. */
 	readonly relays: readonly GossipMember[];
 };
 
 export const computeStoreRole = ({self, reporting, relays}: RoleInput): StoreRole => {
 	if (relays.length > 0) {
-		return {rank: Infinity, sources: relays.map(({address}) => address)};
+		return {rank: Infinity, sources: relays.map(({address}) => address), isReaderKnown: true};
 	}
 
 	const ranked = rankByBandwidth(readerKey, [self, ...reporting]).map(({address}) => address);
+	const rank = ranked.indexOf(self.address);
+	const reading = new Set(reporting.filter(({isReading}) => isReading).map(({address}) => address));
 	return {
-		rank: ranked.indexOf(self.address),
+		rank,
 		sources: ranked.filter(address => address !== self.address).slice(0, maxSources),
+		isReaderKnown: ranked.slice(0, rank).some(address => reading.has(address)),
 	};
 };
 
@@ -50,7 +62,7 @@
 const otherMarginMs = 900;
 const relayedMarginMs = 1300;
 
-export const getStaleMarginMs = ({rank}: StoreRole): number => {
+export const getStaleMarginMs = ({rank}: Pick<StoreRole, 'rank'>): number => {
 	if (rank <= 1) {
 		return standbyMarginMs;
 	}
@@ -58,11 +70,14 @@
 	return rank === Infinity ? relayedMarginMs : otherMarginMs;
 };
 
+/** Whether a daemon that the store last answered this long ago counts as reading it. It polls at the given interval. */
+export const isReadingStore = (lastAnswerMs: number, pollMs: number): boolean => lastAnswerMs < pollMs + standbyMarginMs;
+
 /** Longest pause between retries while the store doesn't answer. The reader retries more often and informs the others when the store is back. */
 const maxReaderPauseMs = 1000;
 const maxOtherPauseMs = 2000;
 
-export const getMaxRetryPauseMs = ({rank}: StoreRole): number => rank <= 1 ? maxReaderPauseMs : maxOtherPauseMs;
+export const getMaxRetryPauseMs = ({rank}: Pick<StoreRole, 'rank'>): number => rank <= 1 ? maxReaderPauseMs : maxOtherPauseMs;
 
 /**
  * Delay after the last report of a lease holder before a daemon looks up the lease in the store. It increases with the
@@ -71,4 +86,4 @@
 const lookupDelayPerRankMs = 400;
 const maxLookupDelayMs = 2500;
 
-export const getLeaseLookupDelayMs = ({rank}: StoreRole): number => Math.min(rank * lookupDelayPerRankMs, maxLookupDelayMs);
+export const getLeaseLookupDelayMs = ({rank}: Pick<StoreRole, 'rank'>): number => Math.min(rank * lookupDelayPerRankMs, maxLookupDelayMs);
--- a/packages/gateway/src/gateway-state.ts
+++ b/packages/gateway/src/gateway-state.ts
@@ -30,6 +30,8 @@
 	readonly source: string;
 	/** Time as of which it was last known to be up to date, on the steady clock. */
 	readonly confirmedAt: number;
+	/** When the store itself last answered this daemon, on the steady clock. */
+	readonly storeAnsweredAt: number;
 };
 
 export type GatewayState = {
--- a/packages/gateway/src/peers/gossip.ts
+++ b/packages/gateway/src/peers/gossip.ts
@@ -12,12 +12,15 @@
 } from '@shallotpass/core/gossip/gossip-report.js';
 import {filterLoads} from '@shallotpass/core/gossip/filter-loads.js';
 import {type GossipMember, needsRelays, pickRelays} from '@shallotpass/core/gossip/pick-relays.js';
-import {computeStoreRole, type StoreRole} from '@shallotpass/core/gossip/store-role.js';
+import {
+	computeStoreRole, isReadingStore, type ReportingMember, type StoreRole,
+} from '@shallotpass/core/gossip/store-role.js';
 import {recordCrash} from '@shallotpass/core/retries/crash-register.js';
 import * as z from 'zod';
 import {isLimitedToOwnZone} from '../calls/backend-registry.js';
 import {type GatewayState, type PeerReport, peerExpiryMs} from '../gateway-state.js';
 import {parseHostAndPort} from '../host-and-port.js';
+import {getDirectoryPollMs} from '../store/follow-directory.js';
 import {type Platform} from '../ports.js';
 import {joinMembers, type MemberList} from './join-members.js';
 import {makeReport, type ReportInput} from './make-report.js';
@@ -336,9 +339,17 @@
 		});
 	}
 
+	const toReportingMember = ({id, address, availabilityZone, linkMbps, known, receivedAt}: PeerReport): ReportingMember => {
+		const lastAnswerMs = (known.storeAnswerAgeMs ?? 0) + now() - receivedAt;
+		const pollMs = getDirectoryPollMs(gateway.settings.bounds);
+		return {
+			id, address, availabilityZone, linkMbps, isReading: isReadingStore(lastAnswerMs, pollMs),
+		};
+	};
+
 	const determineStoreRole = (): StoreRole => {
 		const since = now() - readerTimeoutMs;
-		const reporting = [...gateway.peers.values()].filter(peer => peer.receivedAt >= since);
+		const reporting = [...gateway.peers.values()].filter(peer => peer.receivedAt >= since).map(peer => toReportingMember(peer));
 		if (!needsRelays(members.size)) {
 			return computeStoreRole({self, reporting, relays: []});
 		}
--- a/packages/gateway/src/peers/query-peers.ts
+++ b/packages/gateway/src/peers/query-peers.ts
@@ -4,7 +4,7 @@
  */
 import http from 'node:http';
 import {type StoreVersions} from '@shallotpass/core/gossip/gossip-report.js';
-import {getStaleMarginMs} from '@shallotpass/core/gossip/store-role.js';
+import {getStaleMarginMs, isReadingStore} from '@shallotpass/core/gossip/store-role.js';
 import {type GatewayState, peerExpiryMs} from '../gateway-state.js';
 import {parseHostAndPort} from '../host-and-port.js';
 import {pauseFor} from '../pause.js';
@@ -117,9 +117,15 @@
 	return configurationAge >= getConfigurationStaleMs(bounds) + marginMs || directory.read().ageMs >= getDirectoryPollMs(bounds) + marginMs;
 };
 
+/** Whether this daemon reads the store and knows of no other one that does so in its place. */
+const isNeededAsReader = ({gateway, getStoreRole}: SharedStateOptions): boolean => {
+	const lastAnswerMs = gateway.clocks.steady() - gateway.directoryStatus.storeAnsweredAt;
+	return isReadingStore(lastAnswerMs, getDirectoryPollMs(gateway.settings.bounds)) && !getStoreRole().isReaderKnown;
+};
+
 /** Whether other daemons read the store on behalf of this one and keep its state up to date. */
 export const isServedByPeers = (options: SharedStateOptions): boolean =>
-	isWithinFirstStart(options, firstDiscoveryMs) || (options.getStoreRole().rank > 0 && !isStale(options));
+	isWithinFirstStart(options, firstDiscoveryMs) || (options.getStoreRole().rank > 0 && !isStale(options) && !isNeededAsReader(options));
 
 const listSources = (options: SharedStateOptions): readonly string[] => {
 	const {rank, sources} = options.getStoreRole();
--- a/packages/gateway/src/peers/shared-state.ts
+++ b/packages/gateway/src/peers/shared-state.ts
@@ -53,6 +53,7 @@
 		directoryNext: next,
 		directoryDigest: digest,
 		directoryAgeMs: Math.min(Number.MAX_SAFE_INTEGER, ageMs),
+		storeAnswerAgeMs: Math.min(Number.MAX_SAFE_INTEGER, gateway.clocks.steady() - gateway.directoryStatus.storeAnsweredAt),
 		members: members.list().length,
 	};
 };
--- a/packages/gateway/src/start-gateway.ts
+++ b/packages/gateway/src/start-gateway.ts
@@ -66,7 +66,9 @@
 	configurationCheckedAt: Number.NEGATIVE_INFINITY,
 	registry: makeBackendRegistry(),
 	directoryReadAt: undefined,
-	directoryStatus: {offset: 0, source: 'store', confirmedAt: Number.NEGATIVE_INFINITY},
+	directoryStatus: {
+		offset: 0, source: 'store', confirmedAt: Number.NEGATIVE_INFINITY, storeAnsweredAt: Number.NEGATIVE_INFINITY,
+	},
 	buckets: new Map(),
 	spending: new Map(),
 	inherited: undefined,
--- a/packages/gateway/src/store/follow-directory.test.ts
+++ b/packages/gateway/src/store/follow-directory.test.ts
@@ -50,7 +50,9 @@
 		log: {write() {/* not needed */}},
 		registry: makeBackendRegistry(),
 		directoryReadAt: undefined,
-		directoryStatus: {offset: 0, source: 'store', confirmedAt: Number.NEGATIVE_INFINITY},
+		directoryStatus: {
+			offset: 0, source: 'store', confirmedAt: Number.NEGATIVE_INFINITY, storeAnsweredAt: Number.NEGATIVE_INFINITY,
+		},
 	} as unknown as GatewayState;
 	const platform = {store, records: {toBackendEntry: makeEntry}} as unknown as Platform;
 	const follower = followDirectory({
--- a/packages/gateway/src/store/follow-directory.ts
+++ b/packages/gateway/src/store/follow-directory.ts
@@ -130,7 +130,7 @@
 			onResponse() {
 				const wasStale = Number.isFinite(getAgeMs()) && getAgeMs() > peerFreshMs;
 				confirmedBefore = gateway.directoryStatus.confirmedAt;
-				updateStatus({confirmedAt: now(), source: 'store'});
+				updateStatus({confirmedAt: now(), storeAnsweredAt: now(), source: 'store'});
 				if (isStoreUnavailable || wasStale) {
 					isStoreUnavailable = false;
 					// If the store was available to other daemons, entries did not expire because of an outage:
