Count the time that a report was under way as age of its data

Cause: reports state ages as of their making, and the receiver took them as of their arrival. A report that waited half a second in a full link, or seconds for a suspended process, confirmed old data as new, and daemons took over so much later from a reader that had ended. Class: an age is used as if no time had passed since it was measured. Change: the receiver adds the difference between its true time and that of the report to all ages, beyond 300 ms, by which the clocks of two daemons may differ. A report from the future is taken as before. A wrong clock makes data look older, which costs reads but is safe. Checks: tests of peers and gossip 28 passed, three times.

--- a/packages/gateway/src/peers/gossip.ts
+++ b/packages/gateway/src/peers/gossip.ts
@@ -10,6 +10,7 @@
 import {
 	isSum, isTotal, isZoneSum, type GossipReport, gossipReportSchema, type StoreVersions, sumReports, sumZones, subtractReport,
 } from '@shallotpass/core/gossip/gossip-report.js';
+import {ageReport} from '@shallotpass/core/gossip/age-report.js';
 import {filterLoads} from '@shallotpass/core/gossip/filter-loads.js';
 import {type GossipMember, needsRelays, pickRelays} from '@shallotpass/core/gossip/pick-relays.js';
 import {
@@ -102,7 +103,9 @@
 	let ownReport = makeReport(gateway, options.getReportInput(memberList));
 	let rounds = 0;
 
-	const toPeerReport = (report: GossipReport): PeerReport => ({...report, receivedAt: now(), clockOffset: report.trueTime - now()});
+	const toPeerReport = (report: GossipReport): PeerReport => ({
+		...ageReport(report, gateway.clocks.trueTime()), receivedAt: now(), clockOffset: report.trueTime - now(),
+	});
 
 	const recordPeer = (report: PeerReport): void => {
 		if (!gateway.peers.has(report.incarnation)) {
