Let engines of the soak leave with notice, also when no other engine has room for their runs

Cause: in the soak engines left without a stated time, moved runs always found room, and a run lasted 0.6 s, so no run was ever sent back to its leaving engine. Why the fault of that path was not found there. Change: of the leavings that are announced, seven in ten state 3 to 5.5 s; for half of these the other engines have no room. Runs of such an engine last 3.6 s.

--- a/scripts/soak/src/inject-fault.ts
+++ b/scripts/soak/src/inject-fault.ts
@@ -1,11 +1,12 @@
 /** Injects planned faults into a running cluster and reverts them. */
 import {setTimeout as sleep} from 'node:timers/promises';
 import {type Relay} from '@shallotpass/stand-ins/relay.js';
+import {type BackendStandIn} from '@shallotpass/platform/stand-ins/backend-stand-in.js';
 import {
 	announceBackend, putAccountKeys, secondKey, removeBackend,
 } from '@shallotpass/platform/stand-ins/platform-fixture.js';
 import {shopKey} from '@shallotpass/platform/stand-ins/send-call.js';
-import {type Fault, type LinkFault} from './plan-faults.js';
+import {type Fault, type LinkFault, type Notice} from './plan-faults.js';
 import {type SoakDaemon, type SoakCluster} from './soak-cluster.js';
 
 /** Latency that a slow link adds in each direction. */
@@ -70,8 +71,29 @@
 	daemon.process.start();
 };
 
+/** Interval between the events of an engine that leaves with notice: a run then lasts longer than the drain time, but ends before its deadline. */
+const eventIntervalWithNoticeMs = 120;
+
+/** Makes runs of the engine long, and leaves no room for them elsewhere if the notice says so. Returns a function that undoes both. */
+const prepareNotice = (cluster: SoakCluster, engine: BackendStandIn, {hasRoom}: Notice): (() => void) => {
+	const engines = cluster.backends.filter(({service}) => service === 'llm').map(({standIn}) => standIn);
+	const {delayMs} = engine;
+	const behavior = hasRoom ? 'moves' : 'keeps';
+	engine.delayMs = eventIntervalWithNoticeMs;
+	for (const standIn of engines) {
+		standIn.moveBehavior = behavior;
+	}
+
+	return () => {
+		engine.delayMs = delayMs;
+		for (const standIn of engines) {
+			standIn.moveBehavior = 'moves';
+		}
+	};
+};
+
 /** Removes a backend server from the store, with or without an announcement, and later adds it again as a restarted one. */
-const removeBackendTemporarily = async (cluster: SoakCluster, index: number, isAnnounced: boolean, forMs: number): Promise<void> => {
+const removeBackendTemporarily = async (cluster: SoakCluster, {backend: index, isTold, forMs, notice}: Fault & {kind: 'leave'}): Promise<void> => {
 	const backend = cluster.backends[index]!;
 	// At most one backend server per service may leave at a time, so that callers are still served.
 	if (backend.isLeaving || cluster.backends.some(other => other.service === backend.service && other.isLeaving)) {
@@ -81,8 +103,9 @@
 	const {store} = cluster.fixture;
 	const entry = {service: backend.service, address: backend.relay.address, born: backend.born};
 	backend.isLeaving = true;
-	if (isAnnounced) {
-		announceBackend(store, backend.standIn, {...entry, isLeaving: true});
+	const endNotice = notice === undefined || backend.service === 'app' ? undefined : prepareNotice(cluster, backend.standIn, notice);
+	if (isTold) {
+		announceBackend(store, backend.standIn, {...entry, isLeaving: true, leavesMs: notice?.leavesMs});
 	} else {
 		removeBackend(store, backend.standIn);
 	}
@@ -94,6 +117,7 @@
 	cluster.bans.push({
 		kind: 'backend', backend: backend.standIn.id, from: leavingSince + propagationBoundMs + boundMarginMs, until: performance.now(),
 	});
+	endNotice?.();
 	backend.born++;
 	announceBackend(store, backend.standIn, {...entry, born: backend.born});
 	backend.isLeaving = false;
@@ -198,7 +222,7 @@
 		}
 
 		case 'leave': {
-			await removeBackendTemporarily(cluster, fault.backend, fault.isTold, fault.forMs);
+			await removeBackendTemporarily(cluster, fault);
 			return;
 		}
 
--- a/scripts/soak/src/plan-faults.ts
+++ b/scripts/soak/src/plan-faults.ts
@@ -7,6 +7,14 @@
 /** Failure modes of a backend server stand-in. */
 export type BackendFault = 'close_after_read' | 'refuse' | 'break_stream' | 'fail' | 'mute' | 'other_id';
 
+/** Notice that an engine gives when it announces that it is leaving. */
+export type Notice = {
+	/** Time until its end. */
+	readonly leavesMs: number;
+	/** Whether the other engines have room for its runs. */
+	readonly hasRoom: boolean;
+};
+
 export type Fault =
 	/** Stops the process temporarily with SIGSTOP, like the suspension of an instance. */
 	| {readonly kind: 'pause'; readonly daemon: number; readonly forMs: number}
@@ -29,7 +37,7 @@
 	/** Makes a backend server fail in the given way temporarily. */
 	| {readonly kind: 'misbehave'; readonly backend: number; readonly how: BackendFault; readonly forMs: number}
 	/** Removes a backend server from the store for a while. `isTold` states whether it first announces that it is leaving. */
-	| {readonly kind: 'leave'; readonly backend: number; readonly isTold: boolean; readonly forMs: number}
+	| {readonly kind: 'leave'; readonly backend: number; readonly isTold: boolean; readonly forMs: number; readonly notice?: Notice}
 	/** Writes a new configuration version that contains or lacks the second key. */
 	| {readonly kind: 'configure'; readonly hasSecondKey: boolean};
 
@@ -93,6 +101,25 @@
 /** Maximum number of faults of the same kind that start in quick succession. */
 const maxSeriesLength = 3;
 
+/** Shortest and longest notice, both longer than the drain time. The longest is longer than a call may last. */
+const minNoticeMs = 3000;
+const maxNoticeMs = 5500;
+
+/** Added to the seed, so that notices have random numbers of their own and the plans of known seeds stay as they are. */
+const noticeSeedOffset = 1_000_000;
+
+const addNotices = (planned: readonly PlannedFault[], seed: number): PlannedFault[] => {
+	const random = makeRandom(seed + noticeSeedOffset);
+	return planned.map(({at, fault}) => {
+		if (fault.kind !== 'leave' || !fault.isTold || random() < 0.3) {
+			return {at, fault};
+		}
+
+		const notice = {leavesMs: Math.round(minNoticeMs + (random() * (maxNoticeMs - minNoticeMs))), hasRoom: random() < 0.5};
+		return {at, fault: {...fault, notice}};
+	});
+};
+
 export const planFaults = (options: FaultOptions): PlannedFault[] => {
 	const random = makeRandom(options.seed);
 	const pickIndex = (length: number): number => Math.floor(random() * length);
@@ -114,5 +141,5 @@
 		}
 	}
 
-	return planned.toSorted((left, right) => left.at - right.at);
+	return addNotices(planned.toSorted((left, right) => left.at - right.at), options.seed);
 };
