Give the decision to read the store, the store role, and what a send counts files of their own

Change: moved as they are: peers/find-store-role.ts, peers/store-reading.ts, calls/connect-failures.ts, calls/watch-for-silence.ts, calls/track-running-call.ts. One function deletes old entries in place of three loops. Ruled out: a split of follow-directory.ts, whose parts share its state.

--- a/packages/gateway/src/calls/run-at-backend.ts
+++ b/packages/gateway/src/calls/run-at-backend.ts
@@ -1,31 +1,27 @@
 /** Runs a call on one backend server and updates the backend server's state from the result. */
 import {type Buffer} from 'node:buffer';
 import type http from 'node:http';
-import net from 'node:net';
 import {type Call, isStream} from '@shallotpass/core/calls/types.js';
 import {
 	defaultLatencyModel, updateFixedLatency, recordPrefill, toPrefillSample,
 } from '@shallotpass/core/placement/engine-latency.js';
-import {updateFailureRate, updateMovingMean} from '@shallotpass/core/placement/moving-averages.js';
+import {updateMovingMean} from '@shallotpass/core/placement/moving-averages.js';
 import {recordPart} from '@shallotpass/core/placement/known-parts.js';
 import {recordWork} from '@shallotpass/core/engines/work-rate.js';
-import {recordCrash} from '@shallotpass/core/retries/crash-register.js';
 import {computeSilenceTimeout} from '@shallotpass/core/retries/silence-timeout.js';
 import {getWindowIndex, recordStart} from '@shallotpass/core/usage/count-starts.js';
-import {parseHostAndPort} from '../host-and-port.js';
 import {type GatewayState} from '../gateway-state.js';
 import {type MovedKvCache} from '../ports.js';
 import {type BackendState, trackedRankCount} from './backend-registry.js';
 import {type Exchange, type IsComplete, sendToBackend} from './backend-exchange.js';
+import {recordBrokenConnection, recordConnectFailure} from './connect-failures.js';
 import {type Placement} from './place-call.js';
+import {trackRunningCall} from './track-running-call.js';
+import {watchForSilence} from './watch-for-silence.js';
 
 /** Timeout of a new connection: a hundred times the latency between availability zones, but less than the target latency of a plain call. */
 export const connectTimeoutMs = 250;
 
-/** Bounds of the exponential backoff after failed connections to a backend server. */
-const initialBackoffMs = 250;
-const maxBackoffMs = 2000;
-
 export type OutgoingRequest = {
 	readonly method: string;
 	readonly path: string;
@@ -53,76 +49,6 @@
 	readonly end: (isFailure: boolean) => void;
 };
 
-const recordConnectFailure = (gateway: GatewayState, state: BackendState, reason: string): void => {
-	const pauseMs = Math.min(maxBackoffMs, initialBackoffMs * (2 ** state.failedConnects));
-	state.failedConnects++;
-	state.suspendedUntil = gateway.clocks.steady() + pauseMs;
-	gateway.log.write('state', 'backend_unreachable', {
-		backend: state.entry.id, address: state.entry.address, reason, failures: state.failedConnects, pauseMs,
-	});
-};
-
-/** Timeout of the connection attempt that checks whether a backend server still runs. */
-const probeTimeoutMs = 300;
-
-/** Whether a new connection to the backend server can be opened. */
-const canConnect = async (address: string): Promise<boolean> => new Promise(resolve => {
-	const socket = net.connect(parseHostAndPort(address));
-	const finish = (isOpen: boolean): void => {
-		socket.destroy();
-		resolve(isOpen);
-	};
-
-	socket.setTimeout(probeTimeoutMs, () => {
-		finish(false);
-	});
-	socket.once('connect', () => {
-		finish(true);
-	});
-	socket.once('error', () => {
-		finish(false);
-	});
-});
-
-/**
- * Handles a connection that broke during a call. If no new connection can be opened, the backend
- * server has crashed and the call may be the cause, so its digest is recorded.
- */
-export const recordBrokenConnection = async (gateway: GatewayState, state: BackendState, digest: string): Promise<void> => {
-	if (await canConnect(state.entry.address)) {
-		return;
-	}
-
-	recordConnectFailure(gateway, state, 'ended_during_a_call');
-	gateway.crashes = recordCrash(gateway.crashes, digest, state.incarnation, gateway.clocks.steady());
-	gateway.log.write('state', 'call_suspected', {digest, backend: state.entry.id, ends: gateway.crashes.crashedIncarnations.get(digest)?.length});
-};
-
-/** Calls `onSilent` if no data is received from the backend server for too long. Returns a function that stops watching. */
-// eslint-disable-next-line max-params -- the backend server, the send time, the timeout and its callback
-const watchForSilence = (gateway: GatewayState, state: BackendState, sentAt: number, maxSilenceMs: number | undefined, onSilent: () => void): (() => void) => {
-	if (maxSilenceMs === undefined) {
-		return () => {/* nothing to stop */};
-	}
-
-	let timer: NodeJS.Timeout | undefined;
-	const check = (): void => {
-		const remainingMs = maxSilenceMs - (gateway.clocks.steady() - Math.max(sentAt, state.lastReadAt));
-		if (remainingMs > 0) {
-			timer = setTimeout(check, remainingMs + 1);
-			return;
-		}
-
-		recordConnectFailure(gateway, state, 'silent');
-		onSilent();
-	};
-
-	timer = setTimeout(check, maxSilenceMs);
-	return () => {
-		clearTimeout(timer);
-	};
-};
-
 /**
  * Counts a started call for the usage report. A plain call starts when it arrives, a stream with its
  * first token, so a stream that fails before its first token is not counted.
@@ -152,43 +78,6 @@
 	state.plainMs = updateMovingMean(state.plainMs, Math.max(1, tookMs));
 };
 
-/** Counts a call in the load of its backend server until it ends. */
-// eslint-disable-next-line max-params -- the backend server and what the call adds to its load
-const trackRunningCall = (gateway: GatewayState, rank: number, state: BackendState, uncachedTokens: number, digest: string) => {
-	state.running++;
-	state.pendingTokens[rank]! += uncachedTokens;
-	state.runningDigests.add(digest);
-	let isPending = true;
-	let isRunning = true;
-	const endPending = (): void => {
-		if (isPending) {
-			isPending = false;
-			state.pendingTokens[rank]! -= uncachedTokens;
-		}
-	};
-
-	const callKey = Symbol('call');
-	state.unansweredSince.set(callKey, gateway.clocks.steady());
-	return {
-		endPending,
-		markAnswered(): void {
-			state.unansweredSince.delete(callKey);
-		},
-		end(isFailure: boolean): void {
-			if (!isRunning) {
-				return;
-			}
-
-			isRunning = false;
-			endPending();
-			state.unansweredSince.delete(callKey);
-			state.running--;
-			state.runningDigests.delete(digest);
-			state.failureRate = updateFailureRate(state.failureRate, isFailure);
-		},
-	};
-};
-
 /** Sends the call to the backend server of the placement and waits for the head of the response. */
 export const runAtBackend = async (gateway: GatewayState, call: Call, placement: Placement, outgoing: OutgoingRequest, signal: AbortSignal): Promise<AttemptResult> => {
 	const {state} = placement;
--- a/packages/gateway/src/calls/serve-plain.ts
+++ b/packages/gateway/src/calls/serve-plain.ts
@@ -5,7 +5,7 @@
 	type CallOutcome, type CallProgress, discardResponse, isDraining, isServerError, makeFailureOutcome, makeUnsentOutcome, recordFirstByte, sendToBestBackend, takeRetry,
 } from './call-attempts.js';
 import {forwardPlainResponse} from './forward-plain-response.js';
-import {recordBrokenConnection} from './run-at-backend.js';
+import {recordBrokenConnection} from './connect-failures.js';
 
 export const servePlain = async (context: CallContext, admitted: AdmittedCall, signal: AbortSignal): Promise<CallOutcome> => {
 	const {gateway, response: target} = context;
--- a/packages/gateway/src/calls/serve-stream.ts
+++ b/packages/gateway/src/calls/serve-stream.ts
@@ -11,7 +11,7 @@
 import {forwardPlainResponse} from './forward-plain-response.js';
 import {forwardEvents, writeStreamHead} from './forward-stream.js';
 import {type Placement} from './place-call.js';
-import {recordBrokenConnection} from './run-at-backend.js';
+import {recordBrokenConnection} from './connect-failures.js';
 
 type StreamState = {
 	readonly context: CallContext;
--- a/packages/gateway/src/peers/gossip.ts
+++ b/packages/gateway/src/peers/gossip.ts
@@ -13,16 +13,14 @@
 import {ageReport} from '@shallotpass/core/gossip/age-report.js';
 import {filterLoads} from '@shallotpass/core/gossip/filter-loads.js';
 import {type GossipMember, needsRelays, pickRelays} from '@shallotpass/core/gossip/pick-relays.js';
-import {
-	computeStoreRole, isReadingStore, type ReportingMember, type StoreRole,
-} from '@shallotpass/core/gossip/store-role.js';
+import {type StoreRole} from '@shallotpass/core/gossip/store-role.js';
 import {recordCrash} from '@shallotpass/core/retries/crash-register.js';
 import * as z from 'zod';
 import {isLimitedToOwnZone} from '../calls/backend-registry.js';
 import {type GatewayState, type PeerReport, peerExpiryMs} from '../gateway-state.js';
 import {parseHostAndPort} from '../host-and-port.js';
-import {getDirectoryPollMs} from '../store/follow-directory.js';
 import {type Platform} from '../ports.js';
+import {makeStoreRoleFinder} from './find-store-role.js';
 import {joinMembers, type MemberList} from './join-members.js';
 import {makeReport, type ReportInput} from './make-report.js';
 import {makeRelayMonitor} from './relay-monitor.js';
@@ -38,12 +36,6 @@
 /** Peers that were silent for this long are removed, together with the usage they reported. */
 const removeAfterMs = 40_000;
 
-/** Peers that reported within this time can read the store for all. The time covers three rounds and one late report. */
-const readerTimeoutMs = 1000;
-
-/** Time for which a computed role is cached. Roles are requested many times a second. */
-const roleCacheMs = 100;
-
 const messageSchema = z.object({params: z.array(gossipReportSchema)});
 
 export type GossipOptions = {
@@ -61,6 +53,15 @@
 	readonly members: MemberList;
 };
 
+/** Deletes the entries whose time lies before `since`. */
+const deleteBefore = <Value>(entries: Map<string, Value>, since: number, getTime: (value: Value) => number): void => {
+	for (const [key, value] of entries) {
+		if (getTime(value) < since) {
+			entries.delete(key);
+		}
+	}
+};
+
 /** Sends and receives reports until the signal is aborted. */
 export const startGossip = async (options: GossipOptions): Promise<GossipTask> => {
 	const {gateway, signal} = options;
@@ -235,23 +236,10 @@
 			}
 		}
 
-		for (const [incarnation, {receivedAt}] of zoneReports) {
-			if (receivedAt < now() - removeAfterMs) {
-				zoneReports.delete(incarnation);
-			}
-		}
-
-		for (const [incarnation, {receivedAt}] of zoneSums) {
-			if (receivedAt < now() - removeAfterMs) {
-				zoneSums.delete(incarnation);
-			}
-		}
-
-		for (const [address, since] of unconfirmed) {
-			if (since < now() - removeAfterMs) {
-				unconfirmed.delete(address);
-			}
-		}
+		const since = now() - removeAfterMs;
+		deleteBefore(zoneReports, since, ({receivedAt}) => receivedAt);
+		deleteBefore(zoneSums, since, ({receivedAt}) => receivedAt);
+		deleteBefore(unconfirmed, since, addedAt => addedAt);
 	};
 
 	const sendToAllPeers = (): void => {
@@ -342,35 +330,15 @@
 		});
 	}
 
-	const toReportingMember = ({id, address, availabilityZone, linkMbps, known, receivedAt}: PeerReport): ReportingMember => {
-		const lastAnswerMs = (known.storeAnswerAgeMs ?? 0) + now() - receivedAt;
-		const pollMs = getDirectoryPollMs(gateway.settings.bounds);
-		return {
-			id, address, availabilityZone, linkMbps, isReading: isReadingStore(lastAnswerMs, pollMs),
-		};
-	};
-
-	const determineStoreRole = (): StoreRole => {
-		const since = now() - readerTimeoutMs;
-		const reporting = [...gateway.peers.values()].filter(peer => peer.receivedAt >= since).map(peer => toReportingMember(peer));
-		if (!needsRelays(members.size)) {
-			return computeStoreRole({self, reporting, relays: []});
-		}
-
-		const relays = isActiveRelay ? [] : pickRelays(members.values(), ownZone, relayMonitor.isSkipped).filter(({address}) => address !== self.address);
-		return computeStoreRole({self, reporting: reporting.filter(peer => peer.availabilityZone !== ownZone), relays});
-	};
-
-	let role = determineStoreRole();
-	let roleComputedAt = now();
-	const getStoreRole = (): StoreRole => {
-		if (now() >= roleComputedAt + roleCacheMs) {
-			role = determineStoreRole();
-			roleComputedAt = now();
-		}
+	const getStoreRole = makeStoreRoleFinder({
+		gateway, self, listRelays() {
+			if (!needsRelays(members.size)) {
+				return undefined;
+			}
 
-		return role;
-	};
+			return isActiveRelay ? [] : pickRelays(members.values(), ownZone, relayMonitor.isSkipped).filter(({address}) => address !== self.address);
+		},
+	});
 
 	void joinMembers({
 		gateway, platform: options.platform, self, members: memberList, getStoreRole, signal,
--- a/packages/gateway/src/peers/query-peers.ts
+++ b/packages/gateway/src/peers/query-peers.ts
@@ -1,10 +1,9 @@
 /**
  * Keeps this daemon's copy of the shared state (configuration, backend servers, members) up to date by querying
- * other daemons by JSON-RPC, and decides when this daemon reads the platform's store itself.
+ * other daemons by JSON-RPC.
  */
 import http from 'node:http';
 import {type StoreVersions} from '@shallotpass/core/gossip/gossip-report.js';
-import {getStaleMarginMs, isReadingStore} from '@shallotpass/core/gossip/store-role.js';
 import {type GatewayState, peerExpiryMs} from '../gateway-state.js';
 import {parseHostAndPort} from '../host-and-port.js';
 import {pauseFor} from '../pause.js';
@@ -13,6 +12,7 @@
 import {
 	readMessage, type SharedState, type SharedStateOptions, type SharedStateQuery,
 } from './shared-state.js';
+import {isStale, makeSourceLogger} from './store-reading.js';
 
 const queryIntervalMs = 300;
 
@@ -97,36 +97,6 @@
 	return addresses.length > 0 ? addresses : seeds;
 };
 
-/** When all daemons start for the first time there are no callers yet. Daemons first wait to discover each other, then for the reader to load the state from the store. */
-const firstDiscoveryMs = 1500;
-const firstLoadMs = 6000;
-
-const isWithinFirstStart = ({gateway}: SharedStateOptions, ms: number): boolean =>
-	gateway.settings.instance.firstStart && gateway.clocks.steady() < gateway.startedAt + ms;
-
-/** Whether this daemon's state is so old that its sources must have failed. */
-const isStale = (options: SharedStateOptions): boolean => {
-	if (isWithinFirstStart(options, firstLoadMs)) {
-		return false;
-	}
-
-	const {gateway, directory} = options;
-	const {bounds} = gateway.settings;
-	const marginMs = getStaleMarginMs(options.getStoreRole());
-	const configurationAge = gateway.clocks.steady() - gateway.configurationCheckedAt;
-	return configurationAge >= getConfigurationStaleMs(bounds) + marginMs || directory.read().ageMs >= getDirectoryPollMs(bounds) + marginMs;
-};
-
-/** Whether this daemon reads the store and knows of no other one that does so in its place. */
-const isNeededAsReader = ({gateway, getStoreRole}: SharedStateOptions): boolean => {
-	const lastAnswerMs = gateway.clocks.steady() - gateway.directoryStatus.storeAnsweredAt;
-	return isReadingStore(lastAnswerMs, getDirectoryPollMs(gateway.settings.bounds)) && !getStoreRole().isReaderKnown;
-};
-
-/** Whether other daemons read the store on behalf of this one and keep its state up to date. */
-export const isServedByPeers = (options: SharedStateOptions): boolean =>
-	isWithinFirstStart(options, firstDiscoveryMs) || (options.getStoreRole().rank > 0 && !isStale(options) && !isNeededAsReader(options));
-
 const listSources = (options: SharedStateOptions): readonly string[] => {
 	const {rank, sources} = options.getStoreRole();
 	return rank > 0 && !isStale(options) ? sources : listPeerAddresses(options.gateway);
@@ -135,25 +105,6 @@
 const pickSource = (sources: readonly string[], random: () => number): string | undefined =>
 	random() < bestSourceShare ? sources[0] : sources[Math.floor(random() * sources.length)];
 
-/** Logs when this daemon starts or stops reading the store itself. */
-const makeSourceLogger = (options: SharedStateOptions): (() => void) => {
-	const {gateway, directory} = options;
-	let wasServed: boolean | undefined;
-	return () => {
-		const isServed = isServedByPeers(options);
-		if (isServed !== wasServed) {
-			const {rank, sources} = options.getStoreRole();
-			gateway.log.write('state', 'store_source_changed', {
-				isServed, rank, sources,
-				configurationAgeMs: Math.round(gateway.clocks.steady() - gateway.configurationCheckedAt),
-				directoryAgeMs: Math.round(directory.read().ageMs),
-			});
-		}
-
-		wasServed = isServed;
-	};
-};
-
 /** Whether recent reports confirm that this daemon's state is up to date. */
 const isUpToDate = ({gateway, directory}: SharedStateOptions): boolean => {
 	const {bounds} = gateway.settings;
--- a/packages/gateway/src/start-gateway.ts
+++ b/packages/gateway/src/start-gateway.ts
@@ -19,8 +19,9 @@
 import {countDaemons, type GatewayState} from './gateway-state.js';
 import {makeOrderPlanner} from './leader/order-planner.js';
 import {startGossip} from './peers/gossip.js';
-import {isServedByPeers, type PeerQuerier, startPeerQueries} from './peers/query-peers.js';
+import {type PeerQuerier, startPeerQueries} from './peers/query-peers.js';
 import {getStoreVersions, listenForPeers, type SharedStateOptions} from './peers/shared-state.js';
+import {isServedByPeers} from './peers/store-reading.js';
 import {type Platform, type Topic} from './ports.js';
 
 /** Interval between checks for calls in flight while the daemon drains. */
