Step the clock of a soaked daemon only when it can take the signal

Cause: the soak makes a daemon read its shifted clock with SIGUSR2. No daemon outside the soak gets this signal. Change: a step before the first output waits for it.

--- a/scripts/soak/src/daemon-process.ts
+++ b/scripts/soak/src/daemon-process.ts
@@ -45,6 +45,17 @@
 	};
 
 	let child: ChildProcess | undefined;
+	/** Whether the current process has written output, so its signal handlers are installed. */
+	let hasWrittenOutput = false;
+	let isClockStepPending = false;
+	/** Makes the process read its clock offset. Before its handler is installed, the signal would terminate it. */
+	const sendClockStep = (): void => {
+		isClockStepPending = !hasWrittenOutput;
+		if (hasWrittenOutput) {
+			child?.kill('SIGUSR2');
+		}
+	};
+
 	/** Whether the next exit was requested. */
 	let isExitExpected = false;
 	let unexpectedExits = 0;
@@ -60,9 +71,12 @@
 		});
 		spawned.stdout.pipe(log, {end: false});
 		spawned.stderr.pipe(log, {end: false});
-		let hasWrittenOutput = false;
+		hasWrittenOutput = false;
 		spawned.stdout.once('data', () => {
 			hasWrittenOutput = true;
+			if (isClockStepPending) {
+				sendClockStep();
+			}
 		});
 		spawned.once('exit', (_code, signal) => {
 			child = undefined;
@@ -104,7 +118,7 @@
 		},
 		setClock(offsetMs) {
 			writeFileSync(clockPath, String(offsetMs));
-			child?.kill('SIGUSR2');
+			sendClockStep();
 		},
 		writeSettings,
 	};
