Reset a call that may still be on its way when its backend server's drain time ends

Operators saw calls reach a backend server seconds after it had left; callers got nothing from them, or late. Cause: a call sent into a link that fails waits in its connection until the link is back, also if its backend server was removed meanwhile. Calls that may be repeated leave a silent server; those that may not waited for their deadline, 12 to 15 s. Class: the send is taken for the arrival. Change: at the end of the drain time, counted from the earliest moment of the leaving, a call without an answer is reset if its server has sent nothing at all since the call. A reset discards what was not delivered; closing would go on delivering it. Its outcome is unknown, so it is not sent again. A server that answers other calls is heard, and its calls stay.

--- a/packages/gateway/src/calls/backend-exchange.ts
+++ b/packages/gateway/src/calls/backend-exchange.ts
@@ -22,6 +22,8 @@
 	readonly result: Promise<ExchangeResult>;
 	/** Cancels the call and closes its connection. */
 	readonly abort: () => void;
+	/** Cancels the call and resets its connection, which also discards data that was not delivered yet. */
+	readonly reset: () => void;
 };
 
 export type ExchangeOptions = {
@@ -116,5 +118,9 @@
 		abort() {
 			request.destroy();
 		},
+		reset() {
+			request.socket?.resetAndDestroy();
+			request.destroy();
+		},
 	};
 };
--- a/packages/gateway/src/calls/run-at-backend.ts
+++ b/packages/gateway/src/calls/run-at-backend.ts
@@ -17,6 +17,7 @@
 import {recordBrokenConnection, recordConnectFailure} from './connect-failures.js';
 import {type Placement} from './place-call.js';
 import {trackRunningCall} from './track-running-call.js';
+import {watchForLateArrival} from './watch-for-late-arrival.js';
 import {watchForSilence} from './watch-for-silence.js';
 
 /** Timeout of a new connection: a hundred times the latency between availability zones, but less than the target latency of a plain call. */
@@ -119,14 +120,21 @@
 		isSilent = true;
 		abort();
 	});
+	let isLate = false;
+	const stopWatchingArrival = watchForLateArrival(gateway, state, now, () => {
+		isLate = true;
+		exchange.reset();
+	});
 	const end = (isFailure: boolean): void => {
 		stopWatching();
+		stopWatchingArrival();
 		signal.removeEventListener('abort', abort);
 		trackedCall.end(isFailure);
 	};
 
 	const result = await exchange.result;
 	stopWatching();
+	stopWatchingArrival();
 	trackedCall.markAnswered();
 	if (result.kind === 'failed') {
 		const isAborted = signal.aborted;
@@ -134,7 +142,7 @@
 		gateway.metrics.attempts.inc({service: call.service, outcome: result.delivery === 'unsent' ? 'unsent' : 'broken'});
 		if (result.isConnectFailure && !isAborted) {
 			recordConnectFailure(gateway, state, result.reason);
-		} else if (!isAborted) {
+		} else if (!isAborted && !isLate) {
 			void recordBrokenConnection(gateway, state, outgoing.digest);
 		}
 
@@ -146,7 +154,7 @@
 			recordUsage(gateway, call, false);
 		}
 
-		return {kind: 'may_have_run', reason: isSilent ? 'silent' : result.reason};
+		return {kind: 'may_have_run', reason: isLate ? 'backend_left' : (isSilent ? 'silent' : result.reason)};
 	}
 
 	const {response, isComplete} = result;
--- /dev/null
+++ b/packages/gateway/src/calls/watch-for-late-arrival.ts
@@ -0,0 +1,34 @@
+/** Watches for calls that may still be on their way to a leaving backend server at the end of its drain time. */
+import {type GatewayState} from '../gateway-state.js';
+import {type BackendState} from './backend-registry.js';
+
+/**
+ * Calls `onLate` at the end of the drain time if the backend server has sent nothing since the call. Its link may have
+ * failed then, and would deliver the call later. Returns a function that stops watching.
+ */
+export const watchForLateArrival = (gateway: GatewayState, state: BackendState, sentAt: number, onLate: () => void): (() => void) => {
+	const controller = new AbortController();
+	let timer: NodeJS.Timeout | undefined;
+	const check = (): void => {
+		if (state.lastReadAt <= sentAt) {
+			onLate();
+		}
+	};
+
+	const scheduleCheck = (): void => {
+		const now = gateway.clocks.steady();
+		const drainedAt = (state.leavingSince ?? now) + gateway.settings.bounds.drainMs;
+		timer = setTimeout(check, Math.max(0, drainedAt - now));
+	};
+
+	if (state.leaving.signal.aborted) {
+		scheduleCheck();
+	} else {
+		state.leaving.signal.addEventListener('abort', scheduleCheck, {once: true, signal: controller.signal});
+	}
+
+	return () => {
+		controller.abort();
+		clearTimeout(timer);
+	};
+};
