Log which missing backend servers are kept, and how old a call's configuration is

Cause: no line told that a daemon still uses a server whose entry the store no longer lists, nor for how long; and call_ended told the version of a call's configuration, but not when it was last confirmed as the newest. Change: backend_missing with keptMs, graceMs in store_regained, isMissing in call_placed, configurationAgeMs in call_ended. Ruled out: a line at each check of missing entries, which would say the same three times a second. Checks: tests of logs, directory and store pass (23). No decision changes.

--- a/packages/core/src/directory/directory-state.ts
+++ b/packages/core/src/directory/directory-state.ts
@@ -129,6 +129,10 @@
 	return {...draft, next: endOffset};
 };
 
+/** Lists the backend servers whose entries are missing after a change but were not before it. */
+export const listNewlyMissing = (before: Directory, after: Directory): KnownBackend[] => [...after.backends].filter(([id, {missingUntil}]) =>
+	missingUntil !== undefined && before.backends.get(id)?.missingUntil === undefined).map(([, known]) => known);
+
 /** Drops entries that are still missing at the end of their grace period. */
 export const dropExpired = (directory: Directory, now: number): Directory => {
 	const expired = [...directory.backends].filter(([, known]) => known.missingUntil !== undefined && known.missingUntil <= now).map(([id]) => id);
--- a/packages/gateway/src/calls/backend-registry.ts
+++ b/packages/gateway/src/calls/backend-registry.ts
@@ -44,6 +44,8 @@
 	lastReadAt: number;
 	/** Send times of the calls without a response, oldest first. */
 	readonly unansweredSince: Map<symbol, number>;
+	/** Whether the store no longer lists it, but its entry may only have expired during an outage. */
+	isMissing: boolean;
 	/** Whether it was removed from the directory or has restarted. */
 	isGone: boolean;
 	/** Aborted when it starts leaving or is removed from the directory. */
@@ -91,6 +93,7 @@
 	failedConnects: 0,
 	lastReadAt: now,
 	unansweredSince: new Map(),
+	isMissing: false,
 	isGone: false,
 	leaving: new AbortController(),
 	leavingSince: undefined,
@@ -148,10 +151,11 @@
 		}
 	}
 
-	for (const [id, {entry}] of directory.backends) {
+	for (const [id, {entry, missingUntil}] of directory.backends) {
 		const state = registry.byId.get(id);
 		if (state === undefined) {
 			const joined = makeBackendState(entry, now);
+			joined.isMissing = missingUntil !== undefined;
 			registry.byId.set(id, joined);
 			changes.push({kind: 'joined', entry});
 			if (entry.isLeaving) {
@@ -166,6 +170,7 @@
 		}
 
 		state.entry = entry;
+		state.isMissing = missingUntil !== undefined;
 		if (entry.isLeaving) {
 			markLeaving(state, times);
 		}
--- a/packages/gateway/src/calls/call-attempts.ts
+++ b/packages/gateway/src/calls/call-attempts.ts
@@ -141,6 +141,7 @@
 		directoryAgeMs: Math.round(now - directoryStatus.confirmedAt),
 		directorySource: directoryStatus.source,
 		leavingMs: state.leavingSince === undefined ? undefined : Math.round(now - state.leavingSince),
+		isMissing: state.isMissing || undefined,
 		limit: state.limit?.statement.perSecond,
 	};
 };
--- a/packages/gateway/src/calls/serve-call.ts
+++ b/packages/gateway/src/calls/serve-call.ts
@@ -32,6 +32,7 @@
 		detail: outcome.refusal?.detail ?? outcome.detail, status: response.statusCode, tookMs: Math.round(tookMs),
 		firstMs: admitted && timing.firstByteAt !== undefined ? Math.round(timing.firstByteAt - admitted.call.arrivedAt) : undefined, longestPauseMs: Math.round(timing.longestPauseMs),
 		configuration: gateway.configuration?.configuration.version,
+		configurationAgeMs: Math.round(gateway.clocks.steady() - gateway.configurationCheckedAt),
 	});
 };
 
--- a/packages/gateway/src/store/follow-directory.ts
+++ b/packages/gateway/src/store/follow-directory.ts
@@ -1,6 +1,6 @@
 /** Maintains the directory of backend servers from the entries that they write into the store. */
 import {
-	dropExpired, applyDirectoryRecords, applyListing, type DirectoryRecord,
+	dropExpired, applyDirectoryRecords, applyListing, type DirectoryRecord, listNewlyMissing,
 } from '@shallotpass/core/directory/directory-state.js';
 import {digestDirectory} from '@shallotpass/core/directory/digest-directory.js';
 import {type PeerDirectory, adoptPeerDirectory} from '@shallotpass/core/directory/adopt-peer-directory.js';
@@ -84,7 +84,17 @@
 		entry: record.value === undefined ? undefined : (platform.records.toBackendEntry(record.key, record.value) ?? 'unreadable'),
 	});
 
+	const logNewlyMissing = (next: Directory, source: string): void => {
+		for (const {entry, missingUntil} of listNewlyMissing(directory, next)) {
+			const keptMs = Math.round((missingUntil ?? now()) - now());
+			gateway.log.write('state', 'backend_missing', {
+				backend: entry.id, offset: next.next, source, keptMs,
+			});
+		}
+	};
+
 	const replaceDirectory = (next: Directory, {source, changedAfter}: DirectoryOrigin): void => {
+		logNewlyMissing(next, source);
 		directory = dropExpired(next, now());
 		digest = digestDirectory(directory);
 		for (const change of applyDirectory(gateway.registry, directory, {now: now(), changedAfter, drainMs: gateway.settings.bounds.drainMs})) {
@@ -137,7 +147,7 @@
 					// a removed backend server has shut down and must get no more calls.
 					const wasAwayForAll = now() > peerFreshAt + peerFreshMs;
 					expiryGraceUntil = wasAwayForAll ? now() + entryRewriteMs : 0;
-					gateway.log.write('state', 'store_regained', {topic: 'directory', wasAwayForAll});
+					gateway.log.write('state', 'store_regained', {topic: 'directory', wasAwayForAll, graceMs: wasAwayForAll ? Math.round(expiryGraceUntil - now()) : 0});
 				}
 			},
 			onFailure(reason) {
--- a/packages/gateway/src/telemetry/log-events.ts
+++ b/packages/gateway/src/telemetry/log-events.ts
@@ -33,11 +33,12 @@
 	configuration_taken: {meaning: 'A newer configuration was applied', fields: ['version', 'before', 'source', 'routes', 'accounts']},
 	configuration_unreadable: {meaning: 'A configuration record could not be decoded; the previous configuration stays in force', fields: ['offset', 'bytes']},
 	store_lost: {meaning: 'The store stopped responding for a topic', fields: ['topic', 'reason']},
-	store_regained: {meaning: 'The store responds again', fields: ['topic', 'wasAwayForAll']},
+	store_regained: {meaning: 'The store responds again', fields: ['topic', 'wasAwayForAll', 'graceMs']},
 	backend_joined: {meaning: 'A backend server was added to the directory', fields: ['backend', 'address', 'service', 'zone', 'reclaimable', 'leavesInMs', 'offset', 'startedAt', 'sequence', 'source', 'writtenWithinMs']},
 	backend_restarted: {meaning: 'A backend server restarted under the same id; its previous state was discarded', fields: ['backend', 'address', 'service', 'zone', 'reclaimable', 'leavesInMs', 'offset', 'startedAt', 'sequence', 'source', 'writtenWithinMs']},
 	backend_leaving: {meaning: 'A backend server is leaving and gets no new calls', fields: ['backend', 'address', 'service', 'zone', 'reclaimable', 'leavesInMs', 'offset', 'startedAt', 'sequence', 'source', 'writtenWithinMs']},
 	backend_gone: {meaning: 'A backend server was removed from the directory', fields: ['backend', 'address', 'service', 'zone', 'reclaimable', 'leavesInMs', 'offset', 'startedAt', 'sequence', 'source', 'writtenWithinMs']},
+	backend_missing: {meaning: 'The store no longer lists a backend server, but its entry may only have expired during an outage; it still gets calls for this time', fields: ['backend', 'offset', 'source', 'keptMs']},
 	backend_unreachable: {meaning: 'Connections to a backend server fail, it stopped responding, or its address belongs to another one; it gets no calls until the pause has passed', fields: ['backend', 'address', 'reason', 'failures', 'pauseMs']},
 	backend_limit: {
 		meaning: 'A backend server stated for the first time, changed or ended the calls per second that it takes from all daemons together; without `perSecond` it has ended',
@@ -60,11 +61,11 @@
 	duty_failed: {meaning: 'Unexpected error in the leader task', fields: ['error']},
 	call_placed: {
 		meaning: 'A call was sent to a backend server, with the prediction for it and the result',
-		fields: ['request', 'service', 'backend', 'predictedMs', 'cachedTokens', 'own', 'others', 'tokensPerMs', 'offer', 'result', 'reason', 'chosenMs', 'directoryOffset', 'directoryAgeMs', 'directorySource', 'leavingMs', 'limit'],
+		fields: ['request', 'service', 'backend', 'predictedMs', 'cachedTokens', 'own', 'others', 'tokensPerMs', 'offer', 'result', 'reason', 'chosenMs', 'directoryOffset', 'directoryAgeMs', 'directorySource', 'leavingMs', 'isMissing', 'limit'],
 	},
 	call_ended: {
 		meaning: 'Outcome of a call',
-		fields: ['request', 'account', 'route', 'service', 'kind', 'outcome', 'detail', 'status', 'tookMs', 'firstMs', 'longestPauseMs', 'configuration'],
+		fields: ['request', 'account', 'route', 'service', 'kind', 'outcome', 'detail', 'status', 'tookMs', 'firstMs', 'longestPauseMs', 'configuration', 'configurationAgeMs'],
 	},
 	call_moved: {
 		meaning: 'A run was stopped at a leaving backend server; its KV cache was copied to another one, or it continues on the same one',
