Count the grace period of missing backend servers from the end of an outage, not from when it is noticed

A daemon that was cut off together with its zone cannot know whether entries were removed or expired, and keeps missing ones for 1.7 s from when it notices that the store answers again. It noticed that 1.0 to 1.2 s after the heal, and looked at missing entries each 0.5 s only, so servers were used until 3.04 to 3.18 s after the heal; the bound holds from 3.0 s on.

Change: the grace period ends 0.92 of stableMs after the latest failed call to the store was sent, at the latest: the outage ended after that. Missing entries are dropped within 50 ms of the end of the grace period; nothing is looked at while none is missing. A list with missing entries that a peer tells is bounded by that peer; this daemon's own staleness only decides whether it may take it. Why it works: with the outage over at h, the failed call was sent before h, so the grace period ends before h + 2.76 s + 0.05 s, whatever the delay.

Ruled out: dropping missing entries at once after a cut of one zone: its own servers could not renew their entries either, and all of them would be gone for a second. Before: 'a backend server that left during an outage gets no calls once the bounds hold again' failed (still listed at 3.0 s). After: passes.

--- a/packages/core/src/directory/directory-state.ts
+++ b/packages/core/src/directory/directory-state.ts
@@ -133,6 +133,16 @@
 export const listNewlyMissing = (before: Directory, after: Directory): KnownBackend[] => [...after.backends].filter(([id, {missingUntil}]) =>
 	missingUntil !== undefined && before.backends.get(id)?.missingUntil === undefined).map(([, known]) => known);
 
+/** Returns when the first of the missing entries is dropped, on the steady clock, or infinity. */
+export const getFirstExpiry = ({backends}: Directory): number => {
+	let first = Infinity;
+	for (const {missingUntil} of backends.values()) {
+		first = Math.min(first, missingUntil ?? Infinity);
+	}
+
+	return first;
+};
+
 /** Drops entries that are still missing at the end of their grace period. */
 export const dropExpired = (directory: Directory, now: number): Directory => {
 	const expired = [...directory.backends].filter(([, known]) => known.missingUntil !== undefined && known.missingUntil <= now).map(([id]) => id);
--- a/packages/gateway/src/store/follow-directory.test.ts
+++ b/packages/gateway/src/store/follow-directory.test.ts
@@ -8,6 +8,8 @@
 import {type KeyedRecord, type Platform, type ReadReply} from '../ports.js';
 import {type DirectoryFollower, followDirectory} from './follow-directory.js';
 
+const stableMs = 3000;
+
 const peerAddress = '10.0.0.2:7500';
 
 const makeEntry = (id: string): BackendEntry => ({
@@ -21,9 +23,11 @@
 type FollowerFixture = {
 	readonly follower: DirectoryFollower;
 	readonly listIds: () => string[];
-	readonly advance: (ms: number) => void;
-	/** Answers the poll of the store that is under way. */
+	readonly advance: (ms: number) => Promise<void>;
+	/** Answers the poll of the store that is under way, or the next one. */
 	readonly answerPoll: (reply: ReadReply) => Promise<void>;
+	/** Resolves when a poll of the store is under way. */
+	readonly whenPolling: () => Promise<void>;
 	readonly setPaused: (isPaused: boolean) => void;
 };
 
@@ -31,7 +35,7 @@
 const startFollower = async (t: TestContext): Promise<FollowerFixture> => {
 	let now = 10_000;
 	let isPaused = false;
-	let resolvePoll: ((reply: ReadReply) => void) | undefined;
+	const polls: Array<(reply: ReadReply) => void> = [];
 	t.mock.timers.enable({apis: ['setInterval', 'setTimeout']});
 	const controller = new AbortController();
 	t.after(() => {
@@ -40,12 +44,12 @@
 	const store: Platform['store'] = {
 		append: async () => ({kind: 'refused', reason: ''}),
 		read: async () => new Promise(resolve => {
-			resolvePoll = resolve;
+			polls.push(resolve);
 		}),
 		readNewest: async () => ({kind: 'listing', records: [makeRecord(0, 'x'), makeRecord(1, 'y')], end: 2}),
 	};
 	const gateway = {
-		settings: {bounds: {drainMs: 2000}},
+		settings: {bounds: {drainMs: 2000, stableMs}},
 		clocks: {steady: () => now},
 		log: {write() {/* not needed */}},
 		registry: makeBackendRegistry(),
@@ -64,16 +68,26 @@
 		}
 	};
 
+	/** Pauses between polls take real time. */
+	const whenPolling = async (): Promise<void> => {
+		while (polls.length === 0) {
+			await nextTurn(); // eslint-disable-line no-await-in-loop -- a poll
+		}
+	};
+
 	await settle();
 	return {
 		follower,
 		listIds: () => [...gateway.registry.byId.keys()],
-		advance(ms) {
+		async advance(ms) {
 			now += ms;
 			t.mock.timers.tick(ms);
+			await settle();
 		},
+		whenPolling,
 		async answerPoll(reply) {
-			resolvePoll?.(reply);
+			await whenPolling();
+			polls.shift()!(reply);
 			await settle();
 		},
 		setPaused(value) {
@@ -85,7 +99,7 @@
 test('a daemon that was connected keeps no backend server that only a disconnected peer keeps', async t => {
 	const {follower, listIds, advance} = await startFollower(t);
 	assert.deepEqual(listIds(), ['x', 'y']);
-	advance(300);
+	await advance(300);
 	follower.adoptFromPeer({backends: [makePeerBackend('x', 1700), makePeerBackend('y')], next: 3}, 10, peerAddress);
 	assert.deepEqual(listIds(), ['y']);
 });
@@ -94,12 +108,29 @@
 	const {follower, listIds, advance, answerPoll, setPaused} = await startFollower(t);
 	await answerPoll({kind: 'failed', reason: 'timeout'});
 	setPaused(true);
-	advance(5000);
+	await advance(5000);
 	follower.adoptFromPeer({backends: [makePeerBackend('x', 1700), makePeerBackend('y')], next: 3}, 10, peerAddress);
 	assert.deepEqual(listIds(), ['x', 'y']);
-	advance(1000);
+	await advance(1000);
 	follower.adoptFromPeer({backends: [makePeerBackend('x', 700), makePeerBackend('y', 700)], next: 4}, 10, peerAddress);
 	assert.deepEqual(listIds(), ['x', 'y']);
-	advance(1000);
+	await advance(1000);
 	assert.deepEqual(listIds(), []);
 });
+
+test('a backend server that left during an outage gets no calls once the bounds hold again', async t => {
+	const {listIds, advance, answerPoll, whenPolling} = await startFollower(t);
+	await advance(4000);
+	await answerPoll({kind: 'failed', reason: 'timeout'});
+	await whenPolling();
+	await advance(750);
+	await answerPoll({kind: 'failed', reason: 'timeout'});
+	await whenPolling();
+	await advance(1000);
+	await answerPoll({
+		kind: 'records', records: [{offset: 2, key: 'x', value: undefined}], end: 3, bytes: 16,
+	});
+	assert.deepEqual(listIds(), ['x', 'y']);
+	await advance(stableMs - 1000 - 750);
+	assert.deepEqual(listIds(), ['y']);
+});
--- a/packages/gateway/src/store/follow-directory.ts
+++ b/packages/gateway/src/store/follow-directory.ts
@@ -1,6 +1,6 @@
 /** Maintains the directory of backend servers from the entries that they write into the store. */
 import {
-	dropExpired, applyDirectoryRecords, applyListing, type DirectoryRecord, listNewlyMissing,
+	dropExpired, applyDirectoryRecords, applyListing, type DirectoryRecord, getFirstExpiry, listNewlyMissing,
 } from '@shallotpass/core/directory/directory-state.js';
 import {digestDirectory} from '@shallotpass/core/directory/digest-directory.js';
 import {type PeerDirectory, adoptPeerDirectory} from '@shallotpass/core/directory/adopt-peer-directory.js';
@@ -28,11 +28,17 @@
  */
 const entryRewriteMs = 1700;
 
+/**
+ * Share of `stableMs` after the end of an outage for which missing entries are kept at most. The bounds hold again when
+ * `stableMs` have passed, and peers learn of the end of the grace period by then as well.
+ */
+const graceShareOfStable = 0.92;
+
 /** If a peer's directory is younger than this, the store was available to the peer and only this daemon was disconnected from it. */
 const peerFreshMs = 2000;
 
 /** Interval between checks for entries that have been missing for too long. */
-const missingCheckIntervalMs = 500;
+const missingCheckIntervalMs = 50;
 
 export type DirectoryFollower = {
 	/** Returns this daemon's directory and its age. */
@@ -62,10 +68,18 @@
 	let directory = emptyDirectory;
 	let digest = digestDirectory(directory);
 	let isStoreUnavailable = false;
-	/** When this daemon's latest call to the store failed. */
+	/** When this daemon's latest call to the store was sent. */
+	let calledAt = Number.NEGATIVE_INFINITY;
+	/** When its latest failed call was sent. The outage ended after this time. */
+	let failedCallAt = Number.NEGATIVE_INFINITY;
+	/** When its latest failed call failed. */
 	let failedAt = Number.NEGATIVE_INFINITY;
 	/** End of the grace period in which entries may be missing only because of an outage of the store. */
 	let expiryGraceUntil = 0;
+	/** The same for entries that a peer keeps. The peer limits their grace period. */
+	let peerGraceUntil = 0;
+	/** When the first of the missing entries is dropped. */
+	let firstExpiryAt = Infinity;
 	/** When the directory of any peer was last confirmed to be up to date. */
 	let peerFreshAt = Number.NEGATIVE_INFINITY;
 	/** When this daemon's directory had last been confirmed before the store's latest response. */
@@ -96,6 +110,7 @@
 	const replaceDirectory = (next: Directory, {source, changedAfter}: DirectoryOrigin): void => {
 		logNewlyMissing(next, source);
 		directory = dropExpired(next, now());
+		firstExpiryAt = getFirstExpiry(directory);
 		digest = digestDirectory(directory);
 		for (const change of applyDirectory(gateway.registry, directory, {now: now(), changedAfter, drainMs: gateway.settings.bounds.drainMs})) {
 			gateway.log.write('state', `backend_${change.kind}`, {
@@ -109,8 +124,16 @@
 		gateway.directoryReadAt ??= now();
 	};
 
-	const makeApplyContext = () => ({now: now(), expiryGraceUntil});
+	/** The grace period begins when the store answers again, and ends before the bounds hold again. */
+	const getGraceEnd = (): number => Math.min(now() + entryRewriteMs, failedCallAt + (graceShareOfStable * gateway.settings.bounds.stableMs));
+
+	const makeStoreContext = () => ({now: now(), expiryGraceUntil});
+	const makePeerContext = () => ({now: now(), expiryGraceUntil: peerGraceUntil});
 	const timer = setInterval(() => {
+		if (now() < firstExpiryAt) {
+			return;
+		}
+
 		// While nobody reaches the store, a running backend server can't write its entry again.
 		const isStoreReachable = gateway.directoryStatus.confirmedAt > failedAt;
 		const dropped = isStoreReachable ? dropExpired(directory, now()) : directory;
@@ -131,11 +154,14 @@
 		getMaxRetryDelayMs,
 		signal,
 		handlers: {
+			onCall() {
+				calledAt = now();
+			},
 			onListing(records, end) {
-				replaceDirectory(applyListing(directory, records.map(record => toRecord(record)), end, makeApplyContext()), {source: 'store', changedAfter: confirmedBefore});
+				replaceDirectory(applyListing(directory, records.map(record => toRecord(record)), end, makeStoreContext()), {source: 'store', changedAfter: confirmedBefore});
 			},
 			onRecords(records) {
-				replaceDirectory(applyDirectoryRecords(directory, records.map(record => toRecord(record)), makeApplyContext()), {source: 'store', changedAfter: confirmedBefore});
+				replaceDirectory(applyDirectoryRecords(directory, records.map(record => toRecord(record)), makeStoreContext()), {source: 'store', changedAfter: confirmedBefore});
 			},
 			onResponse() {
 				const wasStale = Number.isFinite(getAgeMs()) && getAgeMs() > peerFreshMs;
@@ -146,12 +172,13 @@
 					// If the store was available to other daemons, entries did not expire because of an outage:
 					// a removed backend server has shut down and must get no more calls.
 					const wasAwayForAll = now() > peerFreshAt + peerFreshMs;
-					expiryGraceUntil = wasAwayForAll ? now() + entryRewriteMs : 0;
+					expiryGraceUntil = wasAwayForAll ? getGraceEnd() : 0;
 					gateway.log.write('state', 'store_regained', {topic: 'directory', wasAwayForAll, graceMs: wasAwayForAll ? Math.round(expiryGraceUntil - now()) : 0});
 				}
 			},
 			onFailure(reason) {
 				failedAt = now();
+				failedCallAt = calledAt;
 				if (!isStoreUnavailable && !signal.aborted) {
 					isStoreUnavailable = true;
 					gateway.log.write('state', 'store_lost', {topic: 'directory', reason});
@@ -163,7 +190,7 @@
 	/** If this daemon's directory is stale, the store may have been away, and entries that peers miss may have expired meanwhile. */
 	const openGraceAfterOutage = (): void => {
 		if (getAgeMs() > peerFreshMs) {
-			expiryGraceUntil = Math.max(expiryGraceUntil, now() + entryRewriteMs);
+			peerGraceUntil = now() + entryRewriteMs;
 		}
 	};
 
@@ -183,7 +210,7 @@
 				gateway.log.write('state', 'directory_from_peer', {
 					next: peerDirectory.next, before: directory.next, ageMs: Math.round(ageMs), address,
 				});
-				replaceDirectory(adoptPeerDirectory(directory, peerDirectory, makeApplyContext()), {source: address, changedAfter: gateway.directoryStatus.confirmedAt});
+				replaceDirectory(adoptPeerDirectory(directory, peerDirectory, makePeerContext()), {source: address, changedAfter: gateway.directoryStatus.confirmedAt});
 			}
 
 			recordPeerFreshness(peerDirectory.next, refreshedAt, address);
--- a/packages/gateway/src/store/follow-topic.ts
+++ b/packages/gateway/src/store/follow-topic.ts
@@ -19,6 +19,8 @@
 const pausedPollMs = 200;
 
 export type TopicHandlers = {
+	/** Called before each call to the store. */
+	readonly onCall?: () => void;
 	readonly onListing: (records: readonly KeyedRecord[], end: number) => void;
 	readonly onRecords: (records: readonly KeyedRecord[], end: number) => void;
 	/** Called first on each response of the store: with the records of this response, the state is up to date as of now. */
@@ -43,6 +45,7 @@
 
 const readNewestRecords = async (options: FollowTopicOptions): Promise<number | undefined> => {
 	const {store, topic, handlers, signal} = options;
+	handlers.onCall?.();
 	const reply = await store.readNewest(topic, {timeoutMs: listingTimeoutMs, signal});
 	if (reply.kind === 'failed') {
 		handlers.onFailure(reply.reason);
@@ -56,6 +59,7 @@
 
 const poll = async (options: FollowTopicOptions, from: number): Promise<{next: number | undefined; hasFailed: boolean; isEmpty: boolean}> => {
 	const {store, topic, waitMs, handlers, signal} = options;
+	handlers.onCall?.();
 	const reply = await store.read(topic, from, {waitMs, timeoutMs: waitMs + responseMarginMs, signal});
 	if (reply.kind === 'failed') {
 		handlers.onFailure(reply.reason);
