Claim a key again when the call that held it turns out not to have been sent

Callers: a reservation got 409 call_in_progress at its deadline although nothing ran or would run with its key. Its owner waits, asks again, or gives up or books elsewhere what could have been booked at once.

Cause: two calls with one key reach different daemons, the first claim wins. Its daemon cannot send the call (backend server not reached, or the answers of the log take longer than the 1.8 s in which it may be sent, as with dead connections), tells its caller so and records that it was not sent. The key is free then, but the second caller only looked it up: 'the claim is not in the log' counted as an unanswered question until its deadline, 30 s by default. Or an append of the second claim that was thought lost takes effect after that: the lookup says 'won', which was answered with 409 at once, and the key stays with a call that nobody sends. Change: looking up a free key answers 'absent'; the waiting caller then claims it again with a new id, after recording that its lost claim was not sent. 'won' after waiting is used. At most once as before: only the winner of a claim sends, each claim id belongs to one request.

Ruled out: an outcome that is recorded late (retried on every route until it is in the log, found by the lookup then).

--- a/packages/callers/src/serve-claimed.ts
+++ b/packages/callers/src/serve-claimed.ts
@@ -4,7 +4,6 @@
  */
 import {Buffer} from 'node:buffer';
 import {createHash, randomUUID} from 'node:crypto';
-import {waitUntilOrAborted} from '@shallotpass/common/clock.js';
 import {
 	defaultCallTimeoutMs, dispatchMarginMs, dispatchWindowMs, maxRecordedResponseBytes,
 } from '@shallotpass/common/constants.js';
@@ -14,9 +13,9 @@
 import {BackendCallError, callPlain} from '@shallotpass/backends/call-plain.js';
 import {type BackendView} from '@shallotpass/core/routing/types.js';
 import {makeKeyName} from '@shallotpass/core/claims/claim-state.js';
-import {type ClaimResult} from '@shallotpass/peers/peer-methods.js';
 import {makeAttemptSignal} from './attempt-signal.js';
 import {getHeader} from './caller-call.js';
+import {claimKey, type SettledClaim} from './claim-key.js';
 import {
 	choosePlainBackend, admitCall, makeResponseHeaders, makeNoBackendError, runAtBackend, type PlainCallContext,
 } from './plain-call.js';
@@ -25,10 +24,6 @@
 const maxKeyCharacters = 255;
 const retryAfterMs = 1000;
 
-/** Interval for polling the log about a call that another request is running; it doubles up to the maximum. */
-const initialPollIntervalMs = 50;
-const maxPollIntervalMs = 500;
-
 /** Maximum size of a response. Responses are buffered completely before they are relayed. */
 const maxResponseBytes = 16 * 1024 * 1024;
 
@@ -199,25 +194,7 @@
 	sendResponse(context, answer, 'first');
 };
 
-/** Waits for the outcome of a call with the same key that is already running, so that the caller gets the same response. */
-const waitForOutcome = async (context: PlainCallContext, claim: Claim): Promise<ClaimResult> => {
-	const {environment, claims} = context.services;
-	const {clock} = environment;
-	for (let polls = 0; clock.now() < context.deadline && !context.call.callerGoneSignal.aborted; polls++) {
-		const delayMs = Math.min(maxPollIntervalMs, initialPollIntervalMs * (2 ** polls));
-		/* eslint-disable no-await-in-loop -- polls until the outcome is known */
-		await waitUntilOrAborted(clock, Math.min(context.deadline, clock.now() + delayMs) as Deadline, context.call.callerGoneSignal);
-		const answer = await claims.lookUp(claim, context.deadline, context.call.span);
-		/* eslint-enable no-await-in-loop */
-		if (answer.kind !== 'running' && answer.kind !== 'unavailable') {
-			return answer;
-		}
-	}
-
-	throw new ServingError('the first call with this key has not ended yet', {kind: 'call_in_progress', retryAt: addMilliseconds(clock.now(), retryAfterMs)});
-};
-
-const respondToSettledClaim = (context: PlainCallContext, claim: Claim, answer: ClaimResult): void => {
+const respondToSettledClaim = (context: PlainCallContext, claim: Claim, answer: Exclude<SettledClaim['result'], {kind: 'won'}>): void => {
 	switch (answer.kind) {
 		case 'answered': {
 			sendResponse(context, answer.answer, 'replayed');
@@ -244,30 +221,28 @@
 			recordNotSent(context, claim);
 			throw makeUnavailableError(context, answer.detail);
 		}
-
-		case 'won':
-		case 'running': {
-			throw new ServingError('the call with this key has not ended yet', {kind: 'call_in_progress', retryAt: addMilliseconds(context.services.environment.clock.now(), retryAfterMs)});
-		}
 	}
 };
 
-const claimAndRun = async (context: PlainCallContext, claim: Claim, body: Uint8Array): Promise<void> => {
-	const span = context.call.span.startChild('claim');
-	const claimBy = Math.min(context.deadline, claim.dispatchBy - dispatchMarginMs) as Deadline;
-	const answer = await context.services.claims.claim(claim, claimBy, span);
-	span.end();
-	if (answer.kind === 'won') {
-		await runWonClaim(context, claim, answer.fencing, body);
-		return;
-	}
-
-	if (answer.kind !== 'running') {
-		respondToSettledClaim(context, claim, answer);
+const claimAndRun = async (context: PlainCallContext, key: string, body: Uint8Array): Promise<void> => {
+	const {services, call, deadline} = context;
+	const {claim, result} = await claimKey({
+		claims: services.claims,
+		clock: services.environment.clock,
+		makeClaim: () => makeClaim(context, key, body),
+		recordNotSent(lost) {
+			recordNotSent(context, lost);
+		},
+		deadline,
+		callerGoneSignal: call.callerGoneSignal,
+		span: call.span,
+	});
+	if (result.kind === 'won') {
+		await runWonClaim(context, claim, result.fencing, body);
 		return;
 	}
 
-	respondToSettledClaim(context, claim, await waitForOutcome(context, claim));
+	respondToSettledClaim(context, claim, result);
 };
 
 export const serveClaimed = async (context: PlainCallContext): Promise<void> => {
@@ -276,7 +251,7 @@
 	const release = await admitCall(context);
 	try {
 		// The claim is made after admission, so that its dispatch window does not include the time in the queue.
-		await claimAndRun(context, makeClaim(context, key, body), body);
+		await claimAndRun(context, key, body);
 	} finally {
 		release();
 	}
--- a/packages/peers/src/peer-methods.ts
+++ b/packages/peers/src/peer-methods.ts
@@ -35,7 +35,10 @@
 	forgetAt: z.number(),
 });
 
-/** Decision on a claim. If it is `answered`, the recorded response is included. `unavailable` means that no decision could be made. */
+/**
+ * Decision on a claim. If it is `answered`, the recorded response is included. `absent` is the state of a key that is looked up while no
+ * call holds it. `unavailable` means that no decision could be made.
+ */
 export const claimResultSchema = z.discriminatedUnion('kind', [
 	z.object({kind: z.literal('won'), fencing: z.number()}),
 	z.object({kind: z.literal('reused')}),
@@ -43,6 +46,7 @@
 	z.object({kind: z.literal('answered_not_kept')}),
 	z.object({kind: z.literal('running'), owner: z.string(), answerBy: z.number()}),
 	z.object({kind: z.literal('unknown')}),
+	z.object({kind: z.literal('absent')}),
 	z.object({kind: z.literal('unsafe'), until: z.number()}),
 	z.object({kind: z.literal('unavailable'), detail: z.string()}),
 ]);
--- a/packages/tasks/src/claim-shard.ts
+++ b/packages/tasks/src/claim-shard.ts
@@ -158,14 +158,11 @@
 				return {kind: 'running', owner: decision.claim.owner, answerBy: decision.claim.answerBy};
 			}
 
-			case 'absent': {
-				return makeUnavailable('the claim is not in the log');
-			}
-
 			case 'won':
 			case 'reused':
 			case 'answered_not_kept':
 			case 'unknown':
+			case 'absent':
 			case 'unsafe': {
 				return decision;
 			}
@@ -279,7 +276,8 @@
 				}
 
 				const isInLog = await enqueueClaim(claim);
-				return isInLog ? await toAnswer(evaluateClaim(claim), claim) : makeUnavailable('the log does not answer');
+				const answer = isInLog ? await toAnswer(evaluateClaim(claim), claim) : makeUnavailable('the log does not answer');
+				return answer.kind === 'absent' ? makeUnavailable('the claim is not in the log') : answer;
 			} catch (error) {
 				return makeUnavailable(error instanceof Error ? error.message : 'the log does not answer');
 			}
--- a/tests/src/at-most-once.test.ts
+++ b/tests/src/at-most-once.test.ts
@@ -153,3 +153,15 @@
 	assert.deepEqual([retry.status, retry.body.kind, retry.body.executed], [409, 'outcome_unknown', 'unknown']);
 	assert.equal(fleet.countExecutions(), 1);
 });
+
+test('callers that wait for a call which could not be sent are not told that it is in progress', async t => {
+	// A caller that is told so waits and asks again, although nothing runs.
+	const fleet = await startFleet(t, {daemons: 3});
+	await fleet.services[0]!.close();
+	const headers = {'x-request-deadline': String(Date.now() + 8000)};
+	const answers = await Promise.all(Array.from({length: 12}, async (_value, index) =>
+		sendReservation({
+			address: fleet.daemons[index % 3]!.callers, key: `order-${index % 4}`, body, headers,
+		})));
+	assert.deepEqual([...new Set(answers.map(answer => answer.body.executed))], ['no']);
+});
