Report to all silent peers as soon as one of them is heard again

After a cut of over 5 s, each side reports to the other only each seventh round (2.1 s), and answers only the daemon that was heard. Change: a report of a peer that was silent for over 5 s makes the next round go to all peers. The first report that crosses reaches both sides within two rounds. The selection is a function of its own. Ruled out: shortening the interval for silent peers, which costs datagrams to every daemon that has ended.

--- a/packages/gateway/src/peers/gossip.ts
+++ b/packages/gateway/src/peers/gossip.ts
@@ -21,6 +21,7 @@
 import {deleteBefore} from './delete-before.js';
 import {makeStoreRoleFinder} from './find-store-role.js';
 import {joinMembers, type MemberList} from './join-members.js';
+import {isHeardAgain, listReportTargets} from './list-report-targets.js';
 import {makeReport, type ReportInput} from './make-report.js';
 import {makeRelayExchange} from './relay-reports.js';
 import {adoptLimits, updateParticipants} from './share-limits.js';
@@ -32,10 +33,6 @@
 /** Interval at which changed limits are reported at the earliest. The end of a limit should be known to hundreds of daemons within a second. */
 const limitReportIntervalMs = 50;
 
-/** Peers that were silent for this long receive a report only every few rounds. */
-const quietAfterMs = 5000;
-const quietRoundInterval = 7;
-
 /** Peers that were silent for this long are removed, together with the usage they reported. */
 const removeAfterMs = 40_000;
 
@@ -74,6 +71,8 @@
 	 * in use only aggregated reports do, since the others become part of this relay's own sum.
 	 */
 	let hasNewLoads = false;
+	/** Whether a peer that had been silent was heard again since the last round. */
+	let hasHeardAgain = false;
 	const now = (): number => gateway.clocks.steady();
 
 	const addMember = (member: GossipMember): void => {
@@ -97,7 +96,9 @@
 	});
 
 	const recordPeer = (report: PeerReport): void => {
-		if (!gateway.peers.has(report.incarnation)) {
+		const previous = gateway.peers.get(report.incarnation);
+		hasHeardAgain ||= isHeardAgain(previous, now());
+		if (previous === undefined) {
 			gateway.log.write('state', 'peer_joined', {
 				peer: report.id, address: report.address, incarnation: report.incarnation, daemons: report.daemons,
 			});
@@ -185,19 +186,12 @@
 	};
 
 	const sendToAllPeers = (): void => {
-		const addresses = new Map<string, number>();
-		for (const peer of gateway.peers.values()) {
-			addresses.set(peer.address, Math.max(addresses.get(peer.address) ?? 0, peer.receivedAt));
-		}
-
-		for (const [address, since] of unconfirmed) {
-			addresses.set(address, since);
-		}
-
-		for (const [address, receivedAt] of addresses) {
-			if (receivedAt >= now() - quietAfterMs || rounds % quietRoundInterval === 0) {
-				sendReport(address, ownReport);
-			}
+		const targets = listReportTargets({
+			peers: gateway.peers.values(), unconfirmed, round: rounds, hasHeardAgain, now: now(),
+		});
+		hasHeardAgain = false;
+		for (const address of targets) {
+			sendReport(address, ownReport);
 		}
 	};
 
