Count the time that a peer's answer was under way in its ages

The answer to a query states ages as of when it was made. Its body may take up to 2.5 s on a full link, and the data then counted as confirmed now: a daemon would take over too late from a reader that has ended, and keep a missing server by so much longer. Reports were corrected like this before; the answers to queries, found while looking for the same fault elsewhere, were not. Change: ages grow, and the rest of grace periods shrinks, by the time since the query was sent.

--- a/packages/core/src/gossip/age-report.ts
+++ b/packages/core/src/gossip/age-report.ts
@@ -4,7 +4,10 @@
 /** Delays up to this are ignored, in milliseconds. Daemons correct their true time only beyond 150 ms, so two of them may differ by twice that. */
 const toleratedDelayMs = 300;
 
-const ageVersions = (known: StoreVersions, ms: number): StoreVersions => ({
+type VersionAges = Pick<StoreVersions, 'configurationAgeMs' | 'directoryAgeMs' | 'storeAnswerAgeMs'>;
+
+/** Adds a time to the ages. */
+export const ageVersions = <Versions extends VersionAges>(known: Versions, ms: number): Versions => ({
 	...known,
 	configurationAgeMs: known.configurationAgeMs + ms,
 	directoryAgeMs: known.directoryAgeMs + ms,
--- a/packages/gateway/src/peers/query-peers.ts
+++ b/packages/gateway/src/peers/query-peers.ts
@@ -10,7 +10,7 @@
 import {applyConfiguration, getConfigurationStaleMs} from '../store/follow-configuration.js';
 import {getDirectoryPollMs} from '../store/follow-directory.js';
 import {
-	readMessage, type SharedState, type SharedStateOptions, type SharedStateQuery,
+	ageSharedState, readMessage, type SharedState, type SharedStateOptions, type SharedStateQuery,
 } from './shared-state.js';
 import {isStale, makeSourceLogger} from './store-reading.js';
 
@@ -114,6 +114,7 @@
 
 const queryPeer = async (options: SharedStateOptions, address: string): Promise<void> => {
 	const {gateway, directory, members} = options;
+	const requestedAt = gateway.clocks.steady();
 	const state = await fetchSharedState(address, {
 		configurationVersion: gateway.configuration?.configuration.version ?? -1,
 		directoryNext: directory.read().directory.next,
@@ -121,7 +122,7 @@
 		members: members.list().length,
 	});
 	if (state !== undefined) {
-		applySharedState(options, state, address);
+		applySharedState(options, ageSharedState(state, gateway.clocks.steady() - requestedAt), address);
 	}
 };
 
--- a/packages/gateway/src/peers/shared-state.ts
+++ b/packages/gateway/src/peers/shared-state.ts
@@ -7,6 +7,7 @@
 import {JSONRPCServer} from 'json-rpc-2.0';
 import {type ServingConfiguration} from '@shallotpass/core/calls/serving-configuration.js';
 import {type PeerBackend, toPeerBackends} from '@shallotpass/core/directory/adopt-peer-directory.js';
+import {ageVersions} from '@shallotpass/core/gossip/age-report.js';
 import {type StoreVersions} from '@shallotpass/core/gossip/gossip-report.js';
 import {type GossipMember} from '@shallotpass/core/gossip/pick-relays.js';
 import {type StoreRole} from '@shallotpass/core/gossip/store-role.js';
@@ -70,6 +71,14 @@
 	};
 };
 
+/** Returns the state of a peer as of now, if it was requested this long ago. A list that a slow link delays would otherwise confirm old data. */
+export const ageSharedState = (state: SharedState, ms: number): SharedState => ({
+	...ageVersions(state, ms),
+	...(state.backends !== undefined && {
+		backends: state.backends.map(backend => ({...backend, missingForMs: backend.missingForMs === undefined ? undefined : backend.missingForMs - ms})),
+	}),
+});
+
 export const readMessage = async (stream: http.IncomingMessage): Promise<string> => {
 	const chunks: Buffer[] = [];
 	let bytes = 0;
