Check the lease again when the connection for an order or report is established

Callers: two daemons order backend servers against each other (ONE).

Cause looked for: what lies between the check of the lease and the write. A connection may be opened in between; a process that is suspended then (the steady clock, and with it the timeout, stands still) writes an order for which it had asked before the suspension, up to 0.6 s after it: beyond the 0.3 s that are excused after a thaw. Change: the request is written when the connection is established, and only if the lease is still held under the same fence. Ruled out: a call whose timeout passes while it connects; it is never sent ('... not established at its timeout ...' passes on too). A call that is queued in the agent: its number of connections is not limited. Calls past getAuthority: cloud-sender.ts alone calls the cloud API, and asks it each time. Before: 'an order is not sent if the lease has expired while its connection was opened' failed on; passes.

--- a/packages/gateway/src/leader/cloud-sender.ts
+++ b/packages/gateway/src/leader/cloud-sender.ts
@@ -2,7 +2,9 @@
 import {type BackendOrder, getFencingToken, addReport} from '@shallotpass/core/lease/lease.js';
 import {type GatewayState} from '../gateway-state.js';
 import {type EventFields} from '../telemetry/log-events.js';
-import {type CloudReply, type LeaseAuthority, type Platform} from '../ports.js';
+import {
+	type CloudCallOptions, type CloudReply, type LeaseAuthority, type Platform,
+} from '../ports.js';
 import {type LeaseRecord} from './lease-record.js';
 
 const cloudTimeoutMs = 600;
@@ -59,6 +61,10 @@
 		return held !== undefined && record.canAct() ? {holder: gateway.settings.instance.id, fence: getFencingToken(held.stored)} : undefined;
 	};
 
+	const makeCallOptions = (authority: LeaseAuthority): CloudCallOptions => ({
+		timeoutMs: cloudTimeoutMs, isStillHeld: () => getAuthority()?.fence === authority.fence, signal,
+	});
+
 	const sendReports = async (): Promise<void> => {
 		for (const report of record.getHeld()?.stored.lease.reports ?? []) {
 			const authority = getAuthority();
@@ -67,7 +73,7 @@
 			}
 
 			// eslint-disable-next-line no-await-in-loop -- sequential: the lease is checked before each call
-			const reply = await platform.cloud.reportUsage(authority, report.window, report.counts, {timeoutMs: cloudTimeoutMs, signal});
+			const reply = await platform.cloud.reportUsage(authority, report.window, report.counts, makeCallOptions(authority));
 			recordCloudReply('usage_report', reply, {window: report.window, counts: report.counts, fence: authority.fence});
 			const held = record.getHeld();
 			if (reply.kind === 'done' && held) {
@@ -89,7 +95,7 @@
 			}
 
 			// eslint-disable-next-line no-await-in-loop -- sequential: the lease is checked before each call
-			const reply = await platform.cloud.orderBackends(authority, order, {timeoutMs: cloudTimeoutMs, signal});
+			const reply = await platform.cloud.orderBackends(authority, order, makeCallOptions(authority));
 			recordCloudReply('backend_order', reply, {...order, fence: authority.fence});
 			if (reply.kind === 'failed') {
 				// The cloud API is unavailable or overloaded. Further calls would fail as well, and each call is billed.
--- a/packages/gateway/src/ports.ts
+++ b/packages/gateway/src/ports.ts
@@ -62,9 +62,14 @@
 	readonly fence: number;
 };
 
+export type CloudCallOptions = CallOptions & {
+	/** Whether the lease is still held. Evaluated when the connection is established: the process may have been suspended meanwhile. */
+	readonly isStillHeld: () => boolean;
+};
+
 export type Cloud = {
-	readonly reportUsage: (authority: LeaseAuthority, window: number, counts: Readonly<Record<string, number>>, options: CallOptions) => Promise<CloudReply>;
-	readonly orderBackends: (authority: LeaseAuthority, order: BackendOrder, options: CallOptions) => Promise<CloudReply>;
+	readonly reportUsage: (authority: LeaseAuthority, window: number, counts: Readonly<Record<string, number>>, options: CloudCallOptions) => Promise<CloudReply>;
+	readonly orderBackends: (authority: LeaseAuthority, order: BackendOrder, options: CloudCallOptions) => Promise<CloudReply>;
 };
 
 /** Location of the KV cache of a stopped run. */
