Call the cloud API only directly after the store has confirmed the lease

The cloud ignores fences here, so an order or report that waits in a failed link and is delivered when it heals undoes what the successor has ordered since.

Cause looked for: which calls can wait in a link. A holder sent pending reports and orders at every tick of 0.25 s while its lease was valid: up to 0.9 s, and one call after the other, without any sign that the link still worked. Each is reset at its timeout of 0.6 s, but not if the process is killed or frozen before that: the system then goes on to deliver it. Change: reports and orders go out in the tick in which the store has confirmed a renewal, which happens each 0.9 s and whenever there is something new; a failed report ends the tick, as a failed order did. One call at most is under way when a link fails, for 0.6 s at most. Ruled out: waiting longer before a successor acts; no time is long enough for a frozen process whose link heals. Conclusion: closes most of the way; a holder that is killed within 0.6 s after a cut with a call under way still leaves one behind.

--- a/packages/gateway/src/leader/cloud-sender.ts
+++ b/packages/gateway/src/leader/cloud-sender.ts
@@ -79,6 +79,10 @@
 			if (reply.kind === 'done' && held) {
 				record.setHeldLease(addReport(held.stored.lease, {...report, isDelivered: true}));
 			}
+
+			if (reply.kind === 'failed') {
+				return;
+			}
 		}
 	};
 
--- a/packages/gateway/src/leader/leader-task.ts
+++ b/packages/gateway/src/leader/leader-task.ts
@@ -106,10 +106,11 @@
 		record.markLost('the daemon is draining');
 	};
 
+	/** Renews the lease if that is due, or if there is something new to send. Returns whether the store has just confirmed it. */
 	const renew = async (held: HeldLease): Promise<boolean> => {
 		const planned = planLease(held.stored.lease);
 		if (planned === held.stored.lease && steady() < held.renewedAt + renewIntervalMs) {
-			return true;
+			return false;
 		}
 
 		const lastReportedWindow = planned.reports.at(-1)?.window ?? -1;
@@ -135,6 +136,7 @@
 			return;
 		}
 
+		// A link that has failed since the renewal would hold a call up, and deliver it after a successor has acted.
 		if (await renew(held)) {
 			await cloudSender.sendPending();
 		}
