Give back calls to limited backend servers that were not sent

A holder of a limit of 1 has a call each 3 s; a connection that a starved process does not open within 0.25 s cost it that call. Change: a call that was certainly not sent is given back to the bucket. No backend server has seen it, so the limit is kept.

--- a/packages/core/src/limits/backend-limit.ts
+++ b/packages/core/src/limits/backend-limit.ts
@@ -110,6 +110,9 @@
 /** Counts a call that is sent. */
 export const takeCall = (limit: BackendLimit): BackendLimit => ({...limit, level: Math.max(-maxOwedCalls, limit.level - 1)});
 
+/** Gives back a call that was counted and then certainly not sent. */
+export const returnCall = (limit: BackendLimit): BackendLimit => ({...limit, level: limit.level + 1});
+
 /** Level that a call needs. A run that has started may owe a call, as it would be lost otherwise. */
 export const computeNeededLevel = ({most}: LimitRefill, {hasStarted, moreUrgentRanks}: {readonly hasStarted: boolean; readonly moreUrgentRanks: number}): number => {
 	if (hasStarted) {
--- a/packages/core/src/limits/limits.test.ts
+++ b/packages/core/src/limits/limits.test.ts
@@ -113,6 +113,39 @@
 	}
 });
 
+/** Draws times in which daemons get no processor time: each about half of the time, for up to 1.5 s. */
+const drawStalls = (daemons: number, durationMs: number, random: () => number): DaemonFault[] => Array.from({length: daemons}, (_value, daemon) => {
+	const stalls: DaemonFault[] = [];
+	for (let from = random() * 1500; from < durationMs; from += random() * 3000) {
+		const until = from + (random() * 1500);
+		stalls.push({
+			daemon, kind: 'stall', from, until,
+		});
+		from = until;
+	}
+
+	return stalls;
+}).flat();
+
+/** Longest time in which a limited backend server that is used gets no call. */
+const maxUnusedMs = 4000;
+
+for (const {daemons, limit} of [{daemons: 3, limit: 1}, {daemons: 6, limit: 0.5}, {daemons: 9, limit: 1}]) {
+	for (const unsentRate of [0, 0.25]) {
+		test(`${daemons} daemons that stall still use a limit of ${limit} a second${unsentRate > 0 ? ', while a quarter of the calls cannot be sent' : ''}`, () => {
+			for (let seed = 1; seed <= 40; seed++) {
+				const day: LimitDay = {
+					daemons, zones: 1, steps: [{at: 0, perSecond: limit}], faults: drawStalls(daemons, 24_000, makeRandom(seed)), lossRate: 0.05, durationMs: 24_000, callRate: 60, seed, unsentRate,
+				};
+				const arrivals = simulateDay(day);
+				const unused = Array.from({length: 5}, (_value, index) => 4000 + (index * maxUnusedMs)).filter(from => countBetween(arrivals, from, from + maxUnusedMs) === 0);
+				assert.deepEqual(unused, [], `seed ${seed}`);
+				assert.equal(findLimitViolation({spans: toSpans(day.steps, day.durationMs), calls: arrivals, isExcused: makeExcuse(day.faults)}), undefined, `seed ${seed}`);
+			}
+		});
+	}
+}
+
 test('daemons keep to limits that change, while reports are lost and daemons restart or are cut off', () => {
 	const limitArbitrary = fc.oneof(fc.constantFrom(0, 0.2, 1, 4), fc.double({min: 0, max: 30, noNaN: true}));
 	const faultArbitrary = fc.record({
--- a/packages/core/src/testing/simulate-backend-limit.ts
+++ b/packages/core/src/testing/simulate-backend-limit.ts
@@ -1,6 +1,6 @@
 /** Simulates daemons that share the limit of one backend server, in virtual time: calls, answers, reports, restarts and cuts. */
 import {
-	applyStatement, type BackendLimit, computeNeededLevel, computeRefill, isAlmostFull, isConfirmationDue, isLimited, refillLimit, takeCall,
+	applyStatement, type BackendLimit, computeNeededLevel, computeRefill, isAlmostFull, isConfirmationDue, isLimited, refillLimit, returnCall, takeCall,
 } from '../limits/backend-limit.js';
 import {isNewerStatement, type LimitStatement} from '../limits/limit-statement.js';
 import {
@@ -12,8 +12,11 @@
 
 export type LimitStep = {readonly at: number; /** Undefined: no limit. */ readonly perSecond: number | undefined};
 
-/** A daemon that is away: its process restarts with nothing known, or its reports don't get through. */
-export type DaemonFault = {readonly daemon: number; readonly kind: 'restart' | 'cut'; readonly from: number; readonly until: number};
+/**
+ * A daemon that is away: its process restarts with nothing known, its reports don't get through, or it gets no processor time (`stall`)
+ * and handles what has arrived afterwards.
+ */
+export type DaemonFault = {readonly daemon: number; readonly kind: 'restart' | 'cut' | 'stall'; readonly from: number; readonly until: number};
 
 export type BackendLimitSimulation = {
 	readonly daemons: number;
@@ -25,6 +28,8 @@
 	readonly usualPart: number;
 	readonly faults: readonly DaemonFault[];
 	readonly lossRate: number;
+	/** Chance that a call cannot be sent, as no connection was opened in time. Its daemon then sends none for a while. */
+	readonly unsentRate?: number;
 	readonly durationMs: number;
 	readonly random: () => number;
 };
@@ -42,8 +47,17 @@
 	callRate: number;
 	reports: Map<number, ParticipantReport>;
 	holding: KnownHolding | undefined;
+	/** Calls that arrived while the daemon was stalled. */
+	heldCalls: number;
+	/** No call is sent before this time. */
+	suspendedUntil: number;
+	failedConnects: number;
 };
 
+/** Bounds of the pause after a call that could not be sent. */
+const minPauseMs = 250;
+const maxPauseMs = 2000;
+
 const reportIntervalMs = 300;
 const stepMs = 10;
 const maxDirectDaemons = 12;
@@ -72,10 +86,23 @@
 	const getLimit = (at: number): number | undefined => simulation.steps.findLast(step => step.at <= at)?.perSecond;
 	const startDaemon = (index: number, now: number): Daemon => ({
 		id: `daemon-${index}`, zone: `zone-${index % simulation.zones}`, startedAt: now, nextReportAt: now + (random() * reportIntervalMs), limit: undefined, history: [],
-		level: undefined, callRate: 0, reports: new Map(), holding: undefined,
+		level: undefined, callRate: 0, reports: new Map(), holding: undefined, heldCalls: 0, suspendedUntil: now, failedConnects: 0,
 	});
 	const daemons = Array.from({length: simulation.daemons}, (_value, index) => startDaemon(index, -20_000));
 	const findFault = (index: number, now: number): DaemonFault | undefined => simulation.faults.find(fault => fault.daemon === index && fault.from <= now && now < fault.until);
+	/** Runs at the time, or when the daemon is no longer stalled. */
+	const scheduleAt = (index: number, at: number, run: (now: number) => void): void => {
+		schedule(at, () => {
+			const fault = findFault(index, at);
+			if (fault?.kind === 'stall') {
+				scheduleAt(index, fault.until, run);
+				return;
+			}
+
+			run(at);
+		});
+	};
+
 	const newestReports = new Map<number, Report>();
 
 	const learn = (daemon: Daemon, statement: LimitStatement, now: number): void => {
@@ -99,9 +126,8 @@
 			return;
 		}
 
-		const at = now + least + (random() * (most - least));
 		const {startedAt} = daemons[target]!;
-		schedule(at, () => {
+		scheduleAt(target, now + least + (random() * (most - least)), at => {
 			if (findFault(target, at) === undefined && (source === target || findFault(source, at) === undefined) && daemons[target]!.startedAt === startedAt) {
 				deliver(daemons[target]!, at);
 			}
@@ -149,20 +175,33 @@
 		return daemon.holding.value;
 	};
 
-	const send = (index: number, now: number): void => {
+	/** Returns whether the call was sent. */
+	const send = (index: number, now: number): boolean => {
 		const daemon = daemons[index]!;
+		if (random() < (simulation.unsentRate ?? 0)) {
+			daemon.suspendedUntil = now + Math.min(maxPauseMs, minPauseMs * (2 ** daemon.failedConnects));
+			daemon.failedConnects++;
+			return false;
+		}
+
+		daemon.failedConnects = 0;
 		const arrivesAt = now + 2 + (random() * 18);
 		const answeredAt = arrivesAt + 20 + (random() < 0.02 ? 2000 : random() * 300);
 		arrivals.push({at: arrivesAt, daemon: daemon.id});
-		schedule(answeredAt, () => {
+		scheduleAt(index, answeredAt, at => {
 			if (daemons[index] === daemon) {
-				learn(daemon, {perSecond: getLimit(answeredAt), statedAt: now}, answeredAt);
+				learn(daemon, {perSecond: getLimit(answeredAt), statedAt: now}, at);
 			}
 		});
+		return true;
 	};
 
 	const makeCall = (index: number, now: number): void => {
 		const daemon = daemons[index]!;
+		if (now < daemon.suspendedUntil) {
+			return;
+		}
+
 		if (daemon.limit === undefined || !isLimited(daemon.limit, now)) {
 			if (random() < simulation.usualPart) {
 				send(index, now);
@@ -177,7 +216,7 @@
 		const chance = isConfirmationDue(daemon.limit, now) || isAlmostFull(daemon.limit, refill) ? 1 : choiceChance;
 		if (daemon.limit.level >= computeNeededLevel(refill, {hasStarted: false, moreUrgentRanks: 0}) && random() < chance) {
 			daemon.limit = takeCall(daemon.limit);
-			send(index, now);
+			daemon.limit = send(index, now) ? daemon.limit : returnCall(daemon.limit);
 		}
 	};
 
@@ -189,11 +228,17 @@
 			return;
 		}
 
-		let calls = 0;
+		let calls = daemon.heldCalls;
+		daemon.heldCalls = 0;
 		for (let left = simulation.getCallRate(index, now) * stepMs / 1000; left > 0; left--) {
 			calls += random() < left ? 1 : 0;
 		}
 
+		if (fault?.kind === 'stall') {
+			daemon.heldCalls = calls;
+			return;
+		}
+
 		daemon.callRate = (daemon.callRate * Math.exp(-stepMs / rateDecayMs)) + (calls * 1000 / rateDecayMs);
 		for (; calls > 0; calls--) {
 			makeCall(index, now);
--- a/packages/gateway/src/calls/backend-limits.ts
+++ b/packages/gateway/src/calls/backend-limits.ts
@@ -1,6 +1,6 @@
 /** Limits that backend servers state: learns them from answers and peers, and decides how many calls this daemon may send. */
 import {
-	applyStatement, type BackendLimit, computeNeededLevel, computeRefill, estimateLimitWait, isAlmostFull, isConfirmationDue, isLimited, type LimitRefill, refillLimit, takeCall,
+	applyStatement, type BackendLimit, computeNeededLevel, computeRefill, estimateLimitWait, isAlmostFull, isConfirmationDue, isLimited, type LimitRefill, refillLimit, returnCall, takeCall,
 } from '@shallotpass/core/limits/backend-limit.js';
 import {isNewerStatement, type LimitStatement} from '@shallotpass/core/limits/limit-statement.js';
 import {estimateCallRate} from '@shallotpass/core/limits/participants.js';
@@ -182,6 +182,13 @@
 	}
 };
 
+/** Gives back a call that was counted and then certainly not sent. */
+export const returnToLimit = (gateway: GatewayState, state: BackendState): void => {
+	if (refreshLimit(gateway, state) !== undefined) {
+		state.limit = returnCall(state.limit!);
+	}
+};
+
 /** Time for which calls of a rank count as still coming. */
 const rankActiveMs = 2000;
 
--- a/packages/gateway/src/calls/call-attempts.ts
+++ b/packages/gateway/src/calls/call-attempts.ts
@@ -6,7 +6,7 @@
 import {type GatewayState} from '../gateway-state.js';
 import {type AdmittedCall, type CallContext} from './admit-call.js';
 import {getLatencyModel, mayReceiveCalls} from './backend-registry.js';
-import {takeFromLimit} from './backend-limits.js';
+import {returnToLimit, takeFromLimit} from './backend-limits.js';
 import {type Placement, placeCall} from './place-call.js';
 import {type Refusal} from './refusal.js';
 import {getRetryAllowance, getRetryLimit} from './retry-limits.js';
@@ -165,6 +165,10 @@
 	const result = mayReceive
 		? await runAtBackend(gateway, call, placement, outgoing, signal)
 		: {kind: 'not_run' as const, reason: 'backend_left', hasArrived: false};
+	if (result.kind === 'not_run' && !result.hasArrived && (mayReceive || placement.isCounted === true)) {
+		returnToLimit(gateway, state);
+	}
+
 	gateway.log.write(result.kind === 'answered' ? 'routine' : 'failure', 'call_placed', {
 		request: call.id, service: call.service, backend: state.entry.id, predictedMs: Math.round(choice.predictedMs), cachedTokens,
 		own: state.running, others: state.othersRunning, tokensPerMs: Math.round(getLatencyModel(gateway.registry, state, gateway.clocks.steady()).tokensPerMs), offer: progress.attempts,
