Ask a limited backend server again in time, however slow it is estimated

Cause looked for, for a limited server that nobody uses beside load: the estimated time of a plain service is measured by its calls only. Beside load single answers took seconds; once the estimate is over 1.5 s above the others', the fixed preference of the question whether the limit still holds does not outweigh it, no call measures it again, and the end of the limit is never learned. Change: the preference grows by 1.5 ms for each millisecond since the last statement. Silence counts 2 ms for each: a server that owes an answer is still not asked. Ruled out: letting estimates decay, which would send calls to slow servers without a limit. Before: 1.5 s at any age; the test in limits.test.ts states what is needed.

--- a/packages/core/src/limits/backend-limit.ts
+++ b/packages/core/src/limits/backend-limit.ts
@@ -134,5 +134,15 @@
 /** Age of the last statement after which holders prefer the backend server for a call, to learn whether the limit still holds. */
 const askAfterMs = 1000;
 
+/** Additional wait that is accepted to learn whether a limit still holds, for each millisecond since the last statement. It grows more slowly than the penalty of silence. */
+const preferencePerMs = 1.5;
+
 export const isConfirmationDue = (limit: BackendLimit, now: number): boolean =>
 	limit.statement.perSecond !== undefined && now >= limit.confirmedAt + askAfterMs;
+
+/**
+ * Computes the additional wait that is accepted to learn whether a limit still holds, in milliseconds. Without a call, what made the
+ * backend server seem slow would never be measured again, so in time it outweighs any estimate.
+ */
+export const computeConfirmationPreference = (limit: BackendLimit, now: number): number =>
+	isConfirmationDue(limit, now) ? (now - limit.confirmedAt) * preferencePerMs : 0;
--- a/packages/core/src/limits/limits.test.ts
+++ b/packages/core/src/limits/limits.test.ts
@@ -2,13 +2,16 @@
 import test from 'node:test';
 import fc from 'fast-check';
 import {hashText} from '../routing/rank-by-rendezvous.js';
+import {computeCost} from '../placement/choose-backend.js';
+import {defaultLatencyModel} from '../placement/engine-latency.js';
+import {type BackendView} from '../placement/types.js';
 import {findLimitViolation, type LimitedCall, type StatedSpan} from '../testing/find-limit-violation.js';
 import {makeRandom} from '../testing/make-random.js';
 import {
 	type BackendLimitSimulation, type DaemonFault, type LimitStep, simulateBackendLimit,
 } from '../testing/simulate-backend-limit.js';
 import {
-	applyStatement, computeNeededLevel, computeRefill, isLimited, refillLimit, takeCall,
+	applyStatement, computeConfirmationPreference, computeNeededLevel, computeRefill, isLimited, refillLimit, takeCall,
 } from './backend-limit.js';
 import {
 	collectParticipants, followParticipants, maxParticipants, mergeParticipants, type ReportedParticipant, updateLevel,
@@ -113,6 +116,22 @@
 	}
 });
 
+test('a backend server whose estimated time has become very long is asked again in time, unless it is silent', () => {
+	// Its estimate would never be measured again, and the end of its limit never be learned.
+	const limit = applyStatement(undefined, {perSecond: 1, statedAt: 0}, {now: 0, random});
+	assert.equal(computeConfirmationPreference(limit, 900), 0);
+	assert.ok(computeConfirmationPreference(limit, 1000) >= 1500);
+	assert.ok(computeConfirmationPreference(limit, 8000) >= 10_000);
+	const view: BackendView = {
+		id: 'b', isInOtherZone: false, places: 8, isReclaimable: false, latencyModel: defaultLatencyModel, plainMs: 30, own: {running: 0, pendingTokens: []}, others: {running: 0, pendingTokens: []},
+		failureRate: 0, isAtConnectionLimit: false, cachedTokens: 0, spreadPenaltyMs: 0, limitPreferenceMs: computeConfirmationPreference(limit, 8000), silentMs: 8000,
+	};
+	const call = {
+		rank: 0, promptTokens: 0, isStream: false, isPinned: false,
+	};
+	assert.ok(computeCost(view, call) > computeCost({...view, silentMs: 0, limitPreferenceMs: 0}, call));
+});
+
 /** Draws times in which daemons get no processor time: each about half of the time, for up to 1.5 s. */
 const drawStalls = (daemons: number, durationMs: number, random: () => number): DaemonFault[] => Array.from({length: daemons}, (_value, daemon) => {
 	const stalls: DaemonFault[] = [];
--- a/packages/gateway/src/calls/backend-limits.ts
+++ b/packages/gateway/src/calls/backend-limits.ts
@@ -1,6 +1,6 @@
 /** Limits that backend servers state: learns them from answers and peers, and decides how many calls this daemon may send. */
 import {
-	applyStatement, type BackendLimit, computeNeededLevel, computeRefill, estimateLimitWait, isAlmostFull, isConfirmationDue, isLimited, type LimitRefill, refillLimit, returnCall, takeCall,
+	applyStatement, type BackendLimit, computeConfirmationPreference, computeNeededLevel, computeRefill, estimateLimitWait, isAlmostFull, isLimited, type LimitRefill, refillLimit, returnCall, takeCall,
 } from '@shallotpass/core/limits/backend-limit.js';
 import {isNewerStatement, type LimitStatement} from '@shallotpass/core/limits/limit-statement.js';
 import {estimateCallRate} from '@shallotpass/core/limits/participants.js';
@@ -146,16 +146,8 @@
 /** Additional wait that is accepted to use a part of a limit that would be lost. */
 const unusedLimitPreferenceMs = 100;
 
-/** Additional wait that is accepted to learn whether a limit still holds. Without a call, what made the backend server seem slow would never be measured again. */
-const confirmationPreferenceMs = 1500;
-
-const getPreferenceMs = ({limit, refill}: OwnPart, now: number): number => {
-	if (isConfirmationDue(limit, now)) {
-		return confirmationPreferenceMs;
-	}
-
-	return isAlmostFull(limit, refill) ? unusedLimitPreferenceMs : 0;
-};
+const getPreferenceMs = ({limit, refill}: OwnPart, now: number): number =>
+	Math.max(computeConfirmationPreference(limit, now), isAlmostFull(limit, refill) ? unusedLimitPreferenceMs : 0);
 
 const unlimitedRoom: LimitRoom = {kind: 'unlimited'};
 
