--- a/packages/core/src/limits/limits.test.ts
+++ b/packages/core/src/limits/limits.test.ts
@@ -2,13 +2,16 @@
 import test from 'node:test';
 import fc from 'fast-check';
 import {hashText} from '../routing/rank-by-rendezvous.js';
+import {computeCost} from '../placement/choose-backend.js';
+import {defaultLatencyModel} from '../placement/engine-latency.js';
+import {type BackendView} from '../placement/types.js';
 import {findLimitViolation, type LimitedCall, type StatedSpan} from '../testing/find-limit-violation.js';
 import {makeRandom} from '../testing/make-random.js';
 import {
 	type BackendLimitSimulation, type DaemonFault, type LimitStep, simulateBackendLimit,
 } from '../testing/simulate-backend-limit.js';
 import {
-	applyStatement, computeNeededLevel, computeRefill, isLimited, refillLimit, takeCall,
+	applyStatement, computeConfirmationPreference, computeNeededLevel, computeRefill, isLimited, refillLimit, takeCall,
 } from './backend-limit.js';
 import {
 	collectParticipants, followParticipants, maxParticipants, mergeParticipants, type ReportedParticipant, updateLevel,
@@ -113,6 +116,55 @@
 	}
 });
 
+test('a backend server whose estimated time has become very long is asked again in time, unless it is silent', () => {
+	// Its estimate would never be measured again, and the end of its limit never be learned.
+	const limit = applyStatement(undefined, {perSecond: 1, statedAt: 0}, {now: 0, random});
+	assert.equal(computeConfirmationPreference(limit, 900), 0);
+	assert.ok(computeConfirmationPreference(limit, 1000) >= 1500);
+	assert.ok(computeConfirmationPreference(limit, 8000) >= 10_000);
+	const view: BackendView = {
+		id: 'b', isInOtherZone: false, places: 8, isReclaimable: false, latencyModel: defaultLatencyModel, plainMs: 30, own: {running: 0, pendingTokens: []}, others: {running: 0, pendingTokens: []},
+		failureRate: 0, isAtConnectionLimit: false, cachedTokens: 0, spreadPenaltyMs: 0, limitPreferenceMs: computeConfirmationPreference(limit, 8000), silentMs: 8000,
+	};
+	const call = {
+		rank: 0, promptTokens: 0, isStream: false, isPinned: false,
+	};
+	assert.ok(computeCost(view, call) > computeCost({...view, silentMs: 0, limitPreferenceMs: 0}, call));
+});
+
+/** Draws times in which daemons get no processor time: each about half of the time, for up to 1.5 s. */
+const drawStalls = (daemons: number, durationMs: number, random: () => number): DaemonFault[] => Array.from({length: daemons}, (_value, daemon) => {
+	const stalls: DaemonFault[] = [];
+	for (let from = random() * 1500; from < durationMs; from += random() * 3000) {
+		const until = from + (random() * 1500);
+		stalls.push({
+			daemon, kind: 'stall', from, until,
+		});
+		from = until;
+	}
+
+	return stalls;
+}).flat();
+
+/** Longest time in which a limited backend server that is used gets no call. */
+const maxUnusedMs = 4000;
+
+for (const {daemons, limit} of [{daemons: 3, limit: 1}, {daemons: 6, limit: 0.5}, {daemons: 9, limit: 1}]) {
+	for (const unsentRate of [0, 0.25]) {
+		test(`${daemons} daemons that stall still use a limit of ${limit} a second${unsentRate > 0 ? ', while a quarter of the calls cannot be sent' : ''}`, () => {
+			for (let seed = 1; seed <= 40; seed++) {
+				const day: LimitDay = {
+					daemons, zones: 1, steps: [{at: 0, perSecond: limit}], faults: drawStalls(daemons, 24_000, makeRandom(seed)), lossRate: 0.05, durationMs: 24_000, callRate: 60, seed, unsentRate,
+				};
+				const arrivals = simulateDay(day);
+				const unused = Array.from({length: 5}, (_value, index) => 4000 + (index * maxUnusedMs)).filter(from => countBetween(arrivals, from, from + maxUnusedMs) === 0);
+				assert.deepEqual(unused, [], `seed ${seed}`);
+				assert.equal(findLimitViolation({spans: toSpans(day.steps, day.durationMs), calls: arrivals, isExcused: makeExcuse(day.faults)}), undefined, `seed ${seed}`);
+			}
+		});
+	}
+}
+
 test('daemons keep to limits that change, while reports are lost and daemons restart or are cut off', () => {
 	const limitArbitrary = fc.oneof(fc.constantFrom(0, 0.2, 1, 4), fc.double({min: 0, max: 30, noNaN: true}));
 	const faultArbitrary = fc.record({
