Share the slack of retries also among daemons that have just started

Suspected in the postmortem on limits, tried now: a daemon that has just started has heard no other one for 0.3 to 0.9 s, and took the whole slack of retries of a service for itself. After a restart of all at once each did: 36 retries of a slack of 52 at each of six daemons, 216 together. Change: until it has heard the others (1.5 s), a daemon shares the slack with as many daemons as the store's list of members has, or with eleven others until it has read that. Ruled out: no slack at all for that time: a single daemon would not retry at all after its start. Not changed: max_connections beyond 150 daemons, suspected there too. Two for each of 195 daemons are 390 of 360 (computed); fewer than one each would leave daemons without any server of a service that has two.

--- a/packages/gateway/src/calls/retry-limits.ts
+++ b/packages/gateway/src/calls/retry-limits.ts
@@ -2,10 +2,22 @@
 import {makeRetryAllowance, type RetryAllowance, type RetryLimit} from '@shallotpass/core/retries/retry-allowance.js';
 import {countDaemons, type GatewayState} from '../gateway-state.js';
 
+/** Time after its start until a daemon has heard the others: they answer its first report with theirs. */
+const introductionMs = 1500;
+
+/** Number of daemons that a daemon assumes until it has read the members. */
+const assumedDaemons = 12;
+
+/** Counts the daemons that share the slack. One that has just started hears none yet, and would take all of it, like each of the others after a restart of all. */
+export const countSharingDaemons = (gateway: GatewayState): number => {
+	const heard = countDaemons(gateway);
+	return gateway.clocks.steady() < gateway.startedAt + introductionMs ? Math.max(heard, gateway.registeredDaemons ?? assumedDaemons) : heard;
+};
+
 export const getRetryLimit = (gateway: GatewayState): RetryLimit => {
 	const {repeatRatio, repeatSlack, repeatWindowMs} = gateway.settings.bounds;
 	return {
-		ratio: repeatRatio, slack: repeatSlack, windowMs: repeatWindowMs, daemons: countDaemons(gateway),
+		ratio: repeatRatio, slack: repeatSlack, windowMs: repeatWindowMs, daemons: countSharingDaemons(gateway),
 	};
 };
 
--- a/packages/gateway/src/gateway-state.ts
+++ b/packages/gateway/src/gateway-state.ts
@@ -86,6 +86,8 @@
 	readonly unreportedLimits: {areOwn: boolean; areFromPeers: boolean};
 	/** Latest reports of peers, by incarnation. Written by gossip. */
 	readonly peers: Map<string, PeerReport>;
+	/** Number of daemons in the store's list of members, some of which may have ended. Undefined until it is read. Written by `joinMembers`. */
+	registeredDaemons: number | undefined;
 	/** When draining began after SIGTERM, on the steady clock. */
 	drainingSince: number | undefined;
 	/** Number of calls in flight. */
--- a/packages/gateway/src/peers/join-members.ts
+++ b/packages/gateway/src/peers/join-members.ts
@@ -62,6 +62,7 @@
 		}
 	}
 
+	gateway.registeredDaemons = listing.records.length;
 	gateway.log.write('state', 'members_read', {members: listing.records.length, known: members.list().length});
 	return isListed;
 };
--- a/packages/gateway/src/start-gateway.ts
+++ b/packages/gateway/src/start-gateway.ts
@@ -85,6 +85,7 @@
 	participantLevels: new Map(),
 	unreportedLimits: {areOwn: false, areFromPeers: false},
 	peers: new Map(),
+	registeredDaemons: undefined,
 	drainingSince: undefined,
 	activeCalls: 0,
 });
