Hold the hops from the end of an outage to the last daemon below the time when bounds hold again

The chain had a reason for each of its delays and a test for none of their sum, which is why DRAIN broke after healed cuts (grace period counted from when the end is noticed). No decision changes; three modules read their constants from one place.

--- a/packages/gateway/src/peers/gossip.ts
+++ b/packages/gateway/src/peers/gossip.ts
@@ -16,6 +16,7 @@
 import {recordCrash} from '@shallotpass/core/retries/crash-register.js';
 import * as z from 'zod';
 import {type GatewayState, type PeerReport, peerExpiryMs} from '../gateway-state.js';
+import {gossipIntervalMs} from '../hop-times.js';
 import {parseHostAndPort} from '../host-and-port.js';
 import {type Platform} from '../ports.js';
 import {deleteBefore} from './delete-before.js';
@@ -27,9 +28,6 @@
 import {adoptLimits, updateParticipants} from './share-limits.js';
 import {sumOtherLoads} from './sum-other-loads.js';
 
-/** Interval between rounds. Calls take about 200 ms, so older loads would lead to wrong placements. */
-const gossipIntervalMs = 300;
-
 /** Interval at which changed limits are reported at the earliest. The end of a limit should be known to hundreds of daemons within a second. */
 const limitReportIntervalMs = 50;
 
--- a/packages/gateway/src/peers/query-peers.ts
+++ b/packages/gateway/src/peers/query-peers.ts
@@ -5,6 +5,7 @@
 import http from 'node:http';
 import {type StoreVersions} from '@shallotpass/core/gossip/gossip-report.js';
 import {type GatewayState, peerExpiryMs} from '../gateway-state.js';
+import {peerResponseTimeoutMs} from '../hop-times.js';
 import {parseHostAndPort} from '../host-and-port.js';
 import {pauseFor} from '../pause.js';
 import {applyConfiguration, getConfigurationStaleMs} from '../store/follow-configuration.js';
@@ -22,8 +23,7 @@
 /** Share of queries that go to the best source. The rest go to other sources, so that an outdated best source is detected. */
 const bestSourceShare = 0.8;
 
-/** Timeouts for the response headers and for the whole body. The list of thousands of backend servers takes several megabytes. */
-const responseTimeoutMs = 300;
+/** Timeout for the whole body. The list of thousands of backend servers takes several megabytes. */
 const bodyTimeoutMs = 2500;
 
 const queryAgent = new http.Agent({keepAlive: true, maxFreeSockets: 2});
@@ -37,7 +37,7 @@
 		request.destroy();
 	};
 
-	let timer = setTimeout(abortRequest, responseTimeoutMs);
+	let timer = setTimeout(abortRequest, peerResponseTimeoutMs);
 	request.once('error', () => {
 		// A peer that does not respond is skipped. Another one is queried in the next round.
 		resolve(undefined);
--- a/packages/gateway/src/store/follow-topic.ts
+++ b/packages/gateway/src/store/follow-topic.ts
@@ -3,14 +3,11 @@
  * records in order by long polling.
  */
 import {performance} from 'node:perf_hooks';
+import {listingResponseTimeoutMs, storeResponseMarginMs} from '../hop-times.js';
 import {pauseFor} from '../pause.js';
 import {type KeyedRecord, type Store, type Topic} from '../ports.js';
 
-/** Time beyond the requested wait after which a connection counts as broken. The store answers in 4 ms. */
-const responseMarginMs = 350;
-
-/** Timeouts for reading the newest records: until the response begins, and for the whole of it. */
-const listingResponseTimeoutMs = 600;
+/** Timeout for reading the newest records, until the whole response has arrived. */
 const listingTimeoutMs = 1500;
 
 /** Initial retry delay, doubled with each consecutive failure. It is short because a store that refused one call may accept the next. */
@@ -67,7 +64,7 @@
 const poll = async (options: FollowTopicOptions, {from, waitMs}: PollRange): Promise<{next: number | undefined; hasFailed: boolean; isEmpty: boolean}> => {
 	const {store, topic, handlers, signal} = options;
 	handlers.onCall?.();
-	const reply = await store.read(topic, from, {waitMs, timeoutMs: waitMs + responseMarginMs, signal});
+	const reply = await store.read(topic, from, {waitMs, timeoutMs: waitMs + storeResponseMarginMs, signal});
 	if (reply.kind === 'failed') {
 		handlers.onFailure(reply.reason);
 		return {next: from, hasFailed: true, isEmpty: true};
