--- a/packages/gateway/src/store/follow-directory.ts
+++ b/packages/gateway/src/store/follow-directory.ts
@@ -10,6 +10,7 @@
 import {type DirectoryStatus, type GatewayState} from '../gateway-state.js';
 import {type KeyedRecord, type Platform} from '../ports.js';
 import {followTopic} from './follow-topic.js';
+import {entryRewriteMs, makeOutageTracker} from './track-outage.js';
 
 /**
  * Polling interval as a share of `drainMs`. Backend servers write every 1.2 s, so a long poll returns
@@ -21,19 +22,6 @@
 
 export const getDirectoryPollMs = (bounds: GatewaySettings['bounds']): number => Math.floor(bounds.drainMs * pollShareOfDrain);
 
-/**
- * Time after the store is reachable again within which every running backend server has rewritten its
- * entry, which it does every 1.2 s. Together with the 1.3 s until the recovery is detected, it stays
- * below the 3 s after which the bounds hold again.
- */
-const entryRewriteMs = 1700;
-
-/**
- * Share of `stableMs` after the end of an outage for which missing entries are kept at most. The bounds hold again when
- * `stableMs` have passed, and peers learn of the end of the grace period by then as well.
- */
-const graceShareOfStable = 0.92;
-
 /** If a peer's directory is younger than this, the store was available to the peer and only this daemon was disconnected from it. */
 const peerFreshMs = 2000;
 
@@ -67,13 +55,6 @@
 export const followDirectory = ({gateway, platform, isPaused, getMaxRetryDelayMs, signal}: FollowDirectoryOptions): DirectoryFollower => {
 	let directory = emptyDirectory;
 	let digest = digestDirectory(directory);
-	let isStoreUnavailable = false;
-	/** When this daemon's latest call to the store was sent. */
-	let calledAt = Number.NEGATIVE_INFINITY;
-	/** When its latest failed call was sent. The outage ended after this time. */
-	let failedCallAt = Number.NEGATIVE_INFINITY;
-	/** When its latest failed call failed. */
-	let failedAt = Number.NEGATIVE_INFINITY;
 	/** End of the grace period in which entries may be missing only because of an outage of the store. */
 	let expiryGraceUntil = 0;
 	/** The same for entries that a peer keeps. The peer limits their grace period. */
@@ -85,6 +66,7 @@
 	/** When this daemon's directory had last been confirmed before the store's latest response. */
 	let confirmedBefore = Number.NEGATIVE_INFINITY;
 	const now = (): number => gateway.clocks.steady();
+	const outage = makeOutageTracker({now, getStableMs: () => gateway.settings.bounds.stableMs});
 
 	const updateStatus = (changes: Partial<DirectoryStatus>): void => {
 		gateway.directoryStatus = {...gateway.directoryStatus, ...changes, offset: directory.next};
@@ -124,9 +106,6 @@
 		gateway.directoryReadAt ??= now();
 	};
 
-	/** The grace period begins when the store answers again, and ends before the bounds hold again. */
-	const getGraceEnd = (): number => Math.min(now() + entryRewriteMs, failedCallAt + (graceShareOfStable * gateway.settings.bounds.stableMs));
-
 	const makeStoreContext = () => ({now: now(), expiryGraceUntil});
 	const makePeerContext = () => ({now: now(), expiryGraceUntil: peerGraceUntil});
 	const timer = setInterval(() => {
@@ -135,7 +114,7 @@
 		}
 
 		// While nobody reaches the store, a running backend server can't write its entry again.
-		const isStoreReachable = gateway.directoryStatus.confirmedAt > failedAt;
+		const isStoreReachable = gateway.directoryStatus.confirmedAt > outage.getFailedAt();
 		const dropped = isStoreReachable ? dropExpired(directory, now()) : directory;
 		if (dropped !== directory) {
 			replaceDirectory(dropped, {source: gateway.directoryStatus.source, changedAfter: now() - entryRewriteMs});
@@ -154,9 +133,7 @@
 		getMaxRetryDelayMs,
 		signal,
 		handlers: {
-			onCall() {
-				calledAt = now();
-			},
+			onCall: outage.recordCall,
 			onListing(records, end) {
 				replaceDirectory(applyListing(directory, records.map(record => toRecord(record)), end, makeStoreContext()), {source: 'store', changedAfter: confirmedBefore});
 			},
@@ -167,20 +144,16 @@
 				const wasStale = Number.isFinite(getAgeMs()) && getAgeMs() > peerFreshMs;
 				confirmedBefore = gateway.directoryStatus.confirmedAt;
 				updateStatus({confirmedAt: now(), storeAnsweredAt: now(), source: 'store'});
-				if (isStoreUnavailable || wasStale) {
-					isStoreUnavailable = false;
+				if (outage.recordAnswer() || wasStale) {
 					// If the store was available to other daemons, entries did not expire because of an outage:
 					// a removed backend server has shut down and must get no more calls.
 					const wasAwayForAll = now() > peerFreshAt + peerFreshMs;
-					expiryGraceUntil = wasAwayForAll ? getGraceEnd() : 0;
-					gateway.log.write('state', 'store_regained', {topic: 'directory', wasAwayForAll, graceMs: wasAwayForAll ? Math.round(expiryGraceUntil - now()) : 0});
+					expiryGraceUntil = wasAwayForAll ? outage.getGraceEnd() : now();
+					gateway.log.write('state', 'store_regained', {topic: 'directory', wasAwayForAll, graceMs: Math.round(expiryGraceUntil - now())});
 				}
 			},
 			onFailure(reason) {
-				failedAt = now();
-				failedCallAt = calledAt;
-				if (!isStoreUnavailable && !signal.aborted) {
-					isStoreUnavailable = true;
+				if (outage.recordFailure() && !signal.aborted) {
 					gateway.log.write('state', 'store_lost', {topic: 'directory', reason});
 				}
 			},
