--- a/packages/callers/src/claim-key.test.ts
+++ b/packages/callers/src/claim-key.test.ts
@@ -2,24 +2,24 @@
 import test from 'node:test';
 import {type Claim} from '@shallotpass/common/log-records.js';
 import {type Deadline} from '@shallotpass/common/types.js';
-import {type ClaimResult} from '@shallotpass/peers/peer-methods.js';
+import {type ClaimAttemptResult, type ClaimResult} from '@shallotpass/peers/peer-methods.js';
 import {claimKey, type SettledClaim} from './claim-key.js';
 
 type Answers = {
 	/** Results of the claims, in order. */
-	readonly claims: ClaimResult[];
+	readonly claims: ClaimAttemptResult[];
 	/** Results of the lookups, in order. */
 	readonly lookUps: ClaimResult[];
 };
 
-const running: ClaimResult = {kind: 'running', owner: 'other', answerBy: 30_000};
+const running: ClaimAttemptResult = {kind: 'running', owner: 'other', answerBy: 30_000};
 
 /** Claims a key on a clock of its own. Returns what settled it, and the ids of the claims that were recorded as not sent. */
 const claimWith = async ({claims, lookUps}: Answers): Promise<SettledClaim & {notSent: string[]}> => {
 	let now = 0;
 	let made = 0;
 	const notSent: string[] = [];
-	const take = (results: ClaimResult[]): ClaimResult => results.shift() ?? running;
+	const take = <Result extends ClaimResult>(results: Result[]): Result | typeof running => results.shift() ?? running;
 	const settled = await claimKey({
 		claims: {claim: async () => take(claims), lookUp: async () => take(lookUps)},
 		clock: {
--- a/packages/callers/src/claim-key.ts
+++ b/packages/callers/src/claim-key.ts
@@ -4,7 +4,7 @@
 import {type Claim} from '@shallotpass/common/log-records.js';
 import {ServingError} from '@shallotpass/common/serving-error.js';
 import {addMilliseconds, type Deadline} from '@shallotpass/common/types.js';
-import {type ClaimResult} from '@shallotpass/peers/peer-methods.js';
+import {type ClaimAttemptResult, type ClaimResult} from '@shallotpass/peers/peer-methods.js';
 import {type ClaimService} from '@shallotpass/tasks/claim-service.js';
 import {type TraceSpan} from '@shallotpass/telemetry/tracing.js';
 
@@ -29,7 +29,7 @@
 
 export type SettledClaim = {
 	readonly claim: Claim;
-	readonly result: Exclude<ClaimResult, {kind: 'running' | 'absent'}>;
+	readonly result: Exclude<ClaimAttemptResult, {kind: 'running'}>;
 };
 
 /** Waits until the other call with the key has an outcome, or is known not to have been sent. */
--- a/packages/gateway/src/calls/backend-limits.ts
+++ b/packages/gateway/src/calls/backend-limits.ts
@@ -1,6 +1,7 @@
 /** Limits that backend servers state: learns them from answers and peers, and decides how many calls this daemon may send. */
 import {
-	applyStatement, type BackendLimit, computeConfirmationPreference, computeNeededLevel, computeRefill, estimateLimitWait, isAlmostFull, isLimited, type LimitRefill, refillLimit, returnCall, takeCall,
+	applyStatement, type BackendLimit, computeConfirmationPreference, computeNeededLevel, computeRefill, estimateLimitWait, isAlmostFull, isLimited, type LimitRefill, refillLimit,
+	returnCall, takeCall,
 } from '@shallotpass/core/limits/backend-limit.js';
 import {isNewerStatement, type LimitStatement} from '@shallotpass/core/limits/limit-statement.js';
 import {estimateCallRate} from '@shallotpass/core/limits/participants.js';
--- a/packages/gateway/src/telemetry/log-events.ts
+++ b/packages/gateway/src/telemetry/log-events.ts
@@ -38,7 +38,10 @@
 	backend_restarted: {meaning: 'A backend server restarted under the same id; its previous state was discarded', fields: ['backend', 'address', 'service', 'zone', 'reclaimable', 'leavesInMs', 'offset', 'startedAt', 'sequence', 'source', 'writtenWithinMs']},
 	backend_leaving: {meaning: 'A backend server is leaving and gets no new calls', fields: ['backend', 'address', 'service', 'zone', 'reclaimable', 'leavesInMs', 'offset', 'startedAt', 'sequence', 'source', 'writtenWithinMs']},
 	backend_gone: {meaning: 'A backend server was removed from the directory', fields: ['backend', 'address', 'service', 'zone', 'reclaimable', 'leavesInMs', 'offset', 'startedAt', 'sequence', 'source', 'writtenWithinMs']},
-	backend_missing: {meaning: 'The store no longer lists a backend server, but its entry may only have expired during an outage; it still gets calls for this time', fields: ['backend', 'offset', 'source', 'keptMs']},
+	backend_missing: {
+		meaning: 'The store no longer lists a backend server, but its entry may only have expired during an outage; it still gets calls for this time',
+		fields: ['backend', 'offset', 'source', 'keptMs'],
+	},
 	backend_unreachable: {meaning: 'Connections to a backend server fail, it stopped responding, or its address belongs to another one; it gets no calls until the pause has passed', fields: ['backend', 'address', 'reason', 'failures', 'pauseMs']},
 	backend_limit: {
 		meaning: 'A backend server stated for the first time, changed or ended the calls per second that it takes from all daemons together; without `perSecond` it has ended',
--- a/packages/peers/src/peer-methods.ts
+++ b/packages/peers/src/peer-methods.ts
@@ -53,6 +53,9 @@
 
 export type ClaimResult = z.output<typeof claimResultSchema>;
 
+/** Result of an attempt to claim a key. Only a lookup finds a key that no call holds. */
+export type ClaimAttemptResult = Exclude<ClaimResult, {kind: 'absent'}>;
+
 export const peerMethods = {
 	/** Checks that the peer is alive and exchanges member updates and configuration versions. */
 	probe: {
--- a/packages/tasks/src/claim-service.ts
+++ b/packages/tasks/src/claim-service.ts
@@ -10,14 +10,14 @@
 import {pickClaimStream, pickClaimWriter} from '@shallotpass/core/claims/pick-claim-shard.js';
 import {type TraceSpan} from '@shallotpass/telemetry/tracing.js';
 import {type PeerClient} from '@shallotpass/peers/peer-client.js';
-import {type ClaimResult} from '@shallotpass/peers/peer-methods.js';
+import {type ClaimAttemptResult, type ClaimResult} from '@shallotpass/peers/peer-methods.js';
 import {makeClaimShard, type ClaimShard} from './claim-shard.js';
 import {type Environment} from './environment.js';
 import {type MembershipTask} from './membership-task.js';
 
 export type ClaimService = {
 	/** Claims the key over the first route that reaches the log. After `unavailable`, the claim may or may not be in the log. */
-	readonly claim: (claim: Claim, deadline: Deadline, span?: TraceSpan) => Promise<ClaimResult>;
+	readonly claim: (claim: Claim, deadline: Deadline, span?: TraceSpan) => Promise<ClaimAttemptResult>;
 	/** Returns the current state of the claim's key without claiming it. */
 	readonly lookUp: (claim: Claim, deadline: Deadline, span?: TraceSpan) => Promise<ClaimResult>;
 	/** Records the outcome, with retries until it is in the log or the retry window has passed. */
@@ -188,7 +188,7 @@
 			});
 			metrics.claims.inc({verdict: answer.kind});
 			metrics.claimSeconds.observe((clock.now() - startedAt) / 1000);
-			return answer;
+			return answer.kind === 'absent' ? {kind: 'unavailable', detail: 'the claim is not in the log'} : answer;
 		},
 		lookUp: async (claim, deadline, span) => claimThroughAnyRoute({
 			claim, isNew: false, deadline, span,
