--- a/packages/callers/src/second-run.ts
+++ b/packages/callers/src/second-run.ts
@@ -10,7 +10,7 @@
 import {addMilliseconds, type Deadline} from '@shallotpass/common/types.js';
 import {waitUntilOrAborted} from '@shallotpass/common/clock.js';
 import {makeKeyName} from '@shallotpass/core/claims/claim-state.js';
-import {type ClaimResult} from '@shallotpass/peers/peer-methods.js';
+import {type ClaimAttemptResult} from '@shallotpass/peers/peer-methods.js';
 import {type CallerServices} from './services.js';
 
 export type SecondRun = {
@@ -56,7 +56,7 @@
  * end every response that it was generating. Repeating the same claim is safe: if an earlier attempt was stored
  * unnoticed, the claim still wins.
  */
-export const claimWithRetries = async (services: CallerServices, claim: Claim, deadline: Deadline, signal: AbortSignal): Promise<ClaimResult> => {
+export const claimWithRetries = async (services: CallerServices, claim: Claim, deadline: Deadline, signal: AbortSignal): Promise<ClaimAttemptResult> => {
 	const {claims, environment: {clock}} = services;
 	const giveUpAt = Math.min(deadline, addMilliseconds(clock.now(), logOutageTimeoutMs));
 	for (;;) {
