Make the test of a late list of backend servers provoke it again, and bound every wait in tests

A daemon that is served by its peers by then never lists again, and the test's last loop waited without a bound for an answered listing. Where it ended, a poll had been counted as the listing: the late list no longer arrived, so the test checked nothing. Ruled out: load. Two tests of the follower on a clock of the test hold a list that arrives after the peer's news and one that is given up then.

--- a/packages/gateway/src/store/follow-directory.test.ts
+++ b/packages/gateway/src/store/follow-directory.test.ts
@@ -5,11 +5,15 @@
 import {type PeerBackend} from '@shallotpass/core/directory/adopt-peer-directory.js';
 import {makeBackendRegistry} from '../calls/backend-registry.js';
 import {type GatewayState} from '../gateway-state.js';
-import {type KeyedRecord, type Platform, type ReadReply} from '../ports.js';
+import {
+	type KeyedRecord, type NewestReply, type Platform, type ReadReply,
+} from '../ports.js';
 import {type DirectoryFollower, followDirectory} from './follow-directory.js';
 
 const stableMs = 3000;
 
+const waitTimeoutMs = 20_000;
+
 const peerAddress = '10.0.0.2:7500';
 
 const makeEntry = (id: string): BackendEntry => ({
@@ -24,6 +28,8 @@
 	readonly follower: DirectoryFollower;
 	readonly listIds: () => string[];
 	readonly advance: (ms: number) => Promise<void>;
+	/** Answers the listing that was held. */
+	readonly answerListing: (reply: NewestReply) => Promise<void>;
 	/** Answers the poll of the store that is under way, or the next one. */
 	readonly answerPoll: (reply: ReadReply) => Promise<void>;
 	/** Resolves when a poll of the store is under way. */
@@ -31,11 +37,17 @@
 	readonly setPaused: (isPaused: boolean) => void;
 };
 
-/** Starts a follower on a clock of the test and a store whose polls the test answers. Its directory holds `x` and `y`, with 2 as the next offset. */
-const startFollower = async (t: TestContext): Promise<FollowerFixture> => {
+const firstListing: NewestReply = {kind: 'listing', records: [makeRecord(0, 'x'), makeRecord(1, 'y')], end: 2};
+
+/**
+ * Starts a follower on a clock of the test and a store whose polls the test answers. Its directory holds `x` and `y`, with 2 as the
+ * next offset, unless the test answers its first listing itself.
+ */
+const startFollower = async (t: TestContext, {isListingHeld = false} = {}): Promise<FollowerFixture> => {
 	let now = 10_000;
 	let isPaused = false;
 	const polls: Array<(reply: ReadReply) => void> = [];
+	const listings: Array<(reply: NewestReply) => void> = [];
 	t.mock.timers.enable({apis: ['setInterval', 'setTimeout']});
 	const controller = new AbortController();
 	t.after(() => {
@@ -46,7 +58,11 @@
 		read: async () => new Promise(resolve => {
 			polls.push(resolve);
 		}),
-		readNewest: async () => ({kind: 'listing', records: [makeRecord(0, 'x'), makeRecord(1, 'y')], end: 2}),
+		readNewest: async () => isListingHeld
+			? new Promise(resolve => {
+				listings.push(resolve);
+			})
+			: firstListing,
 	};
 	const gateway = {
 		settings: {bounds: {drainMs: 2000, stableMs}},
@@ -70,7 +86,9 @@
 
 	/** Pauses between polls take real time. */
 	const whenPolling = async (): Promise<void> => {
+		const giveUpAt = performance.now() + waitTimeoutMs;
 		while (polls.length === 0) {
+			assert.ok(performance.now() < giveUpAt, 'timed out waiting for a poll');
 			await nextTurn(); // eslint-disable-line no-await-in-loop -- a poll
 		}
 	};
@@ -85,6 +103,10 @@
 			await settle();
 		},
 		whenPolling,
+		async answerListing(reply) {
+			listings.shift()!(reply);
+			await settle();
+		},
 		async answerPoll(reply) {
 			await whenPolling();
 			polls.shift()!(reply);
@@ -134,3 +156,12 @@
 	await advance(stableMs - 1000 - 750);
 	assert.deepEqual(listIds(), ['y']);
 });
+
+for (const [when, reply] of Object.entries<NewestReply>({'arrives after': firstListing, 'is given up after': {kind: 'failed', reason: 'timeout'}})) {
+	test(`a removed backend server stays removed if the list of the store ${when} a peer told of the removal`, async t => {
+		const {follower, listIds, answerListing} = await startFollower(t, {isListingHeld: true});
+		follower.adoptFromPeer({backends: [makePeerBackend('y')], next: 3}, 10, peerAddress);
+		await answerListing(reply);
+		assert.deepEqual(listIds(), ['y']);
+	});
+}
--- a/tests/src/operators.test.ts
+++ b/tests/src/operators.test.ts
@@ -11,6 +11,7 @@
 	hashKey,
 	makeConfigurationText,
 	operatorKey,
+	waitFor,
 } from '@shallotpass/measure/local-fleet.js';
 import {streamChat, sendReservation} from '@shallotpass/measure/caller-client.js';
 import {startEngineStandIn} from '@shallotpass/stand-ins/engine-stand-in.js';
@@ -146,12 +147,7 @@
 		on: 'call', kind: 'delay', delayMs: 1500, times: 1,
 	});
 	const pendingReservation = sendReservation({address: daemon.callers, key: 'order-1', body: '{}'});
-	while (service.executions.length === 0) {
-		await new Promise(resolve => { // eslint-disable-line no-await-in-loop -- polls
-			setTimeout(resolve, 5);
-		});
-	}
-
+	await waitFor('the reservation is running', () => service.executions.length > 0);
 	daemon.child.kill('SIGTERM');
 	await new Promise(resolve => {
 		setTimeout(resolve, 100);
