--- a/packages/gateway/src/calls/backend-agent.ts
+++ b/packages/gateway/src/calls/backend-agent.ts
@@ -1,6 +1,6 @@
 /** Keep-alive connections to one backend server. */
 import http from 'node:http';
-import type net from 'node:net';
+import net from 'node:net';
 
 /**
  * Idle timeout for backend servers that send no Keep-Alive timeout, in milliseconds. Such a server may
@@ -17,6 +17,9 @@
 	return match?.groups?.seconds === undefined ? undefined : Number(match.groups.seconds) * 1000;
 };
 
+/** Opens a connection to a backend server. */
+export type OpenConnection = (options: net.TcpNetConnectOpts) => net.Socket;
+
 export type PooledSocket = net.Socket & {
 	// Node's HTTP client stores the last request of the socket here.
 	_httpMessage?: http.ClientRequest & {res?: http.IncomingMessage | null};
@@ -57,14 +60,14 @@
 	/** Number of open connections, in use or idle. */
 	openConnections = 0;
 
-	constructor() {
+	constructor(private readonly openConnection: OpenConnection = net.connect) {
 		super({
 			keepAlive: true, noDelay: true, scheduling: 'lifo', maxFreeSockets: 64, allowHalfOpen: true,
 		} as http.AgentOptions);
 	}
 
-	override createConnection(...args: Parameters<http.Agent['createConnection']>): net.Socket {
-		const socket = super.createConnection(...args) as PooledSocket;
+	override createConnection(...[options]: Parameters<http.Agent['createConnection']>): net.Socket {
+		const socket = this.openConnection(options as unknown as net.TcpNetConnectOpts) as PooledSocket;
 		this.openConnections++;
 		socket.on('end', () => {
 			handleRemoteEnd(socket);
--- a/packages/gateway/src/calls/backend-registry.ts
+++ b/packages/gateway/src/calls/backend-registry.ts
@@ -1,4 +1,5 @@
 /** State of each backend server as known to this daemon: directory entry, connections, load, speed and failures. */
+import net from 'node:net';
 import {type BackendEntry, type Directory} from '@shallotpass/core/directory/types.js';
 import {type BackendView, type Load} from '@shallotpass/core/placement/types.js';
 import {
@@ -9,7 +10,7 @@
 import {type KnownParts} from '@shallotpass/core/placement/known-parts.js';
 import {usesOwnZoneOnly} from '@shallotpass/core/gossip/filter-loads.js';
 import {hashText} from '@shallotpass/core/routing/rank-by-rendezvous.js';
-import {BackendAgent} from './backend-agent.js';
+import {BackendAgent, type OpenConnection} from './backend-agent.js';
 
 /** Number of ranks for which pending prompt tokens are counted separately. Less urgent ranks are counted with the last one. */
 export const trackedRankCount = 3;
@@ -72,15 +73,18 @@
 	readonly byService: Map<string, BackendState[]>;
 	/** Latency model by service, also assumed for new backend servers. */
 	readonly latencyModels: Map<string, LatencyModel>;
+	readonly openConnection: OpenConnection;
 };
 
-export const makeBackendRegistry = (): BackendRegistry => ({byId: new Map(), byService: new Map(), latencyModels: new Map()});
+export const makeBackendRegistry = (openConnection: OpenConnection = net.connect): BackendRegistry => ({
+	byId: new Map(), byService: new Map(), latencyModels: new Map(), openConnection,
+});
 
-const makeBackendState = (entry: BackendEntry, now: number): BackendState => ({
+const makeBackendState = (entry: BackendEntry, openConnection: OpenConnection, now: number): BackendState => ({
 	entry,
 	incarnation: formatIncarnation(entry),
 	incarnationHash: hashText(formatIncarnation(entry)),
-	agent: new BackendAgent(),
+	agent: new BackendAgent(openConnection),
 	running: 0,
 	pendingTokens: Array.from<number>({length: trackedRankCount}).fill(0),
 	othersRunning: 0,
@@ -154,7 +158,7 @@
 	for (const [id, {entry, missingUntil}] of directory.backends) {
 		const state = registry.byId.get(id);
 		if (state === undefined) {
-			const joined = makeBackendState(entry, now);
+			const joined = makeBackendState(entry, registry.openConnection, now);
 			joined.isMissing = missingUntil !== undefined;
 			registry.byId.set(id, joined);
 			changes.push({kind: 'joined', entry});
--- a/packages/gateway/src/calls/connect-failures.ts
+++ b/packages/gateway/src/calls/connect-failures.ts
@@ -1,8 +1,8 @@
 /** Records failed and broken connections to backend servers. */
-import net from 'node:net';
 import {recordCrash} from '@shallotpass/core/retries/crash-register.js';
 import {type GatewayState} from '../gateway-state.js';
 import {parseHostAndPort} from '../host-and-port.js';
+import {type OpenConnection} from './backend-agent.js';
 import {type BackendState} from './backend-registry.js';
 
 /** Bounds of the exponential backoff after failed connections to a backend server. */
@@ -23,8 +23,8 @@
 const probeTimeoutMs = 300;
 
 /** Whether a new connection to the backend server can be opened. */
-const canConnect = async (address: string): Promise<boolean> => new Promise(resolve => {
-	const socket = net.connect(parseHostAndPort(address));
+const canConnect = async (openConnection: OpenConnection, address: string): Promise<boolean> => new Promise(resolve => {
+	const socket = openConnection(parseHostAndPort(address));
 	const finish = (isOpen: boolean): void => {
 		socket.destroy();
 		resolve(isOpen);
@@ -46,7 +46,7 @@
  * server has crashed and the call may be the cause, so its digest is recorded.
  */
 export const recordBrokenConnection = async (gateway: GatewayState, state: BackendState, digest: string): Promise<void> => {
-	if (await canConnect(state.entry.address)) {
+	if (await canConnect(gateway.registry.openConnection, state.entry.address)) {
 		return;
 	}
 
--- a/packages/gateway/src/start-gateway.ts
+++ b/packages/gateway/src/start-gateway.ts
@@ -5,6 +5,7 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import {initialStoreRole, getMaxRetryPauseMs} from '@shallotpass/core/gossip/store-role.js';
 import {emptyCrashRegister} from '@shallotpass/core/retries/crash-register.js';
+import {type OpenConnection} from './calls/backend-agent.js';
 import {makeBackendRegistry} from './calls/backend-registry.js';
 import {type CallersListener, listenForCallers, listenForReadinessChecks} from './calls/callers-listener.js';
 import {type CallersServer} from './calls/callers-server.js';
@@ -41,6 +42,8 @@
 	readonly log: EventLog;
 	/** Server that already listens and may have queued requests. */
 	readonly callersServer?: CallersServer;
+	/** Opens the connections to backend servers. Directly by default. */
+	readonly openConnection?: OpenConnection;
 	readonly openPlatform: (onStoreCall: (topic: Topic, outcome: string, isAnswered: boolean) => void) => Platform;
 };
 
@@ -54,7 +57,7 @@
 	readonly stop: () => void;
 };
 
-const makeState = ({settings, log}: GatewayOptions, platform: Platform, metrics: GatewayState['metrics']): GatewayState => ({
+const makeState = ({settings, log, openConnection}: GatewayOptions, platform: Platform, metrics: GatewayState['metrics']): GatewayState => ({
 	settings,
 	incarnation: randomUUID(),
 	clocks: makeClocks(),
@@ -65,7 +68,7 @@
 	random: Math.random,
 	configuration: undefined,
 	configurationCheckedAt: Number.NEGATIVE_INFINITY,
-	registry: makeBackendRegistry(),
+	registry: makeBackendRegistry(openConnection),
 	directoryReadAt: undefined,
 	directoryStatus: {
 		offset: 0, source: 'store', confirmedAt: Number.NEGATIVE_INFINITY, storeAnsweredAt: Number.NEGATIVE_INFINITY,
