--- a/packages/core/src/gossip/gossip-report.ts
+++ b/packages/core/src/gossip/gossip-report.ts
@@ -65,6 +65,13 @@
 	limits: z.record(z.string(), reportedLimitSchema).default({}),
 	/** Daemons that share the limits of a service's backend servers: id, availability zone and level of each, by service. */
 	participants: z.record(z.string(), z.array(reportedParticipant)).default({}),
+	/** What the sender can do for daemons that reach no backend server. Daemons of earlier versions don't report it. */
+	peerCalls: z.object({
+		/** Further calls that it can serve. */
+		room: z.int(),
+		/** Whether it reaches no backend server itself. */
+		isCutOff: z.boolean(),
+	}).optional(),
 });
 
 export type GossipReport = z.infer<typeof gossipReportSchema>;
--- a/packages/core/src/gossip/pick-relays.ts
+++ b/packages/core/src/gossip/pick-relays.ts
@@ -8,6 +8,8 @@
 	readonly availabilityZone: string;
 	/** Bandwidth of the network link, in Mbit/s. */
 	readonly linkMbps: number;
+	/** Whether it serves calls that other daemons send. Those of earlier versions don't. */
+	readonly takesCalls?: boolean | undefined;
 };
 
 /** Up to this number, daemons send their reports directly to all others. */
--- a/packages/core/src/retries/silence-timeout.ts
+++ b/packages/core/src/retries/silence-timeout.ts
@@ -5,8 +5,11 @@
  */
 import {isStream, isRepeatable, type Repeatability} from '../calls/types.js';
 
-/** Minimum silence timeouts: healthy backend servers send nothing while they prefill a long prompt or run a long call. */
-const minStreamTimeoutMs = 700;
+/** A sound backend server may send nothing for a second and go on. Longer silence is a failure. */
+export const soundSilenceMs = 1300;
+
+/** Minimum silence timeouts. A plain call cannot wait for a sound backend server that is silent: its deadline would pass. */
+const minStreamTimeoutMs = soundSilenceMs;
 const minPlainTimeoutMs = 400;
 
 /** Silence longer than this multiple of the predicted wait is not a random variation. */
@@ -21,5 +24,5 @@
 	return Math.max(isStream(repeatability) ? minStreamTimeoutMs : minPlainTimeoutMs, predictedMs * predictedWaitFactor);
 };
 
-/** Silence within a stream after which it resumes on another backend server; equals several steps of an engine under load. */
-export const streamStallTimeoutMs = 500;
+/** Silence within a stream after which it resumes on another backend server. Callers give up after a gap of 2 s. */
+export const streamStallTimeoutMs = soundSilenceMs;
--- a/packages/gateway/src/calls/admit-call.ts
+++ b/packages/gateway/src/calls/admit-call.ts
@@ -35,6 +35,8 @@
 	readonly request: http.IncomingMessage;
 	readonly response: http.ServerResponse;
 	readonly head: CallerHeaders;
+	/** Whether another daemon sent the call. It is never sent on to a further one. */
+	readonly isFromPeer: boolean;
 	readonly timing: ResponseTiming;
 };
 
--- a/packages/gateway/src/calls/backend-agent.ts
+++ b/packages/gateway/src/calls/backend-agent.ts
@@ -20,6 +20,12 @@
 /** Opens a connection to a backend server. */
 export type OpenConnection = (options: net.TcpNetConnectOpts) => net.Socket;
 
+export type BackendAgentOptions = {
+	readonly openConnection?: OpenConnection;
+	/** Called when a new connection was opened. */
+	readonly onConnected?: () => void;
+};
+
 export type PooledSocket = net.Socket & {
 	// Node's HTTP client stores the last request of the socket here.
 	_httpMessage?: http.ClientRequest & {res?: http.IncomingMessage | null};
@@ -60,14 +66,19 @@
 	/** Number of open connections, in use or idle. */
 	openConnections = 0;
 
-	constructor(private readonly openConnection: OpenConnection = net.connect) {
+	constructor(private readonly connectionOptions: BackendAgentOptions = {}) {
 		super({
 			keepAlive: true, noDelay: true, scheduling: 'lifo', maxFreeSockets: 64, allowHalfOpen: true,
 		} as http.AgentOptions);
 	}
 
 	override createConnection(...[options]: Parameters<http.Agent['createConnection']>): net.Socket {
-		const socket = this.openConnection(options as unknown as net.TcpNetConnectOpts) as PooledSocket;
+		const {openConnection = net.connect, onConnected} = this.connectionOptions;
+		const socket = openConnection(options as unknown as net.TcpNetConnectOpts) as PooledSocket;
+		if (onConnected !== undefined) {
+			socket.once('connect', onConnected);
+		}
+
 		this.openConnections++;
 		socket.on('end', () => {
 			handleRemoteEnd(socket);
--- a/packages/gateway/src/calls/backend-registry.ts
+++ b/packages/gateway/src/calls/backend-registry.ts
@@ -41,6 +41,8 @@
 	suspendedUntil: number;
 	/** Consecutive failed connection attempts. */
 	failedConnects: number;
+	/** When an attempt to open a connection or a call last failed, on the steady clock. */
+	failedAt: number;
 	/** When data was last received from it, on the steady clock. */
 	lastReadAt: number;
 	/** Send times of the calls without a response, oldest first. */
@@ -74,17 +76,24 @@
 	/** Latency model by service, also assumed for new backend servers. */
 	readonly latencyModels: Map<string, LatencyModel>;
 	readonly openConnection: OpenConnection;
+	/** Called with the incarnation of a backend server to which a connection was opened. */
+	onConnected: (incarnation: string) => void;
 };
 
 export const makeBackendRegistry = (openConnection: OpenConnection = net.connect): BackendRegistry => ({
-	byId: new Map(), byService: new Map(), latencyModels: new Map(), openConnection,
+	byId: new Map(), byService: new Map(), latencyModels: new Map(), openConnection, onConnected() {/* set by the owner */},
 });
 
-const makeBackendState = (entry: BackendEntry, openConnection: OpenConnection, now: number): BackendState => ({
+const makeBackendState = (entry: BackendEntry, registry: BackendRegistry, now: number): BackendState => ({
 	entry,
 	incarnation: formatIncarnation(entry),
 	incarnationHash: hashText(formatIncarnation(entry)),
-	agent: new BackendAgent(openConnection),
+	agent: new BackendAgent({
+		openConnection: registry.openConnection,
+		onConnected() {
+			registry.onConnected(formatIncarnation(entry));
+		},
+	}),
 	running: 0,
 	pendingTokens: Array.from<number>({length: trackedRankCount}).fill(0),
 	othersRunning: 0,
@@ -95,6 +104,7 @@
 	failureRate: 0,
 	suspendedUntil: 0,
 	failedConnects: 0,
+	failedAt: Number.NEGATIVE_INFINITY,
 	lastReadAt: now,
 	unansweredSince: new Map(),
 	isMissing: false,
@@ -158,7 +168,7 @@
 	for (const [id, {entry, missingUntil}] of directory.backends) {
 		const state = registry.byId.get(id);
 		if (state === undefined) {
-			const joined = makeBackendState(entry, registry.openConnection, now);
+			const joined = makeBackendState(entry, registry, now);
 			joined.isMissing = missingUntil !== undefined;
 			registry.byId.set(id, joined);
 			changes.push({kind: 'joined', entry});
--- a/packages/gateway/src/calls/call-attempts.ts
+++ b/packages/gateway/src/calls/call-attempts.ts
@@ -4,12 +4,15 @@
 import {type Call, isRepeatable} from '@shallotpass/core/calls/types.js';
 import {takeFromRetryAllowance} from '@shallotpass/core/retries/retry-allowance.js';
 import {type GatewayState} from '../gateway-state.js';
+import {hasContactSince, isCutOff} from '../paths/track-paths.js';
 import {type AdmittedCall, type CallContext} from './admit-call.js';
 import {getLatencyModel, mayReceiveCalls} from './backend-registry.js';
 import {returnToLimit, takeFromLimit} from './backend-limits.js';
+import {recordBrokenConnection} from './connect-failures.js';
 import {type Placement, placeCall} from './place-call.js';
 import {type Refusal} from './refusal.js';
 import {getRetryAllowance, getRetryLimit} from './retry-limits.js';
+import {sendToPeer} from './send-to-peer.js';
 import {
 	type Attempt, type AttemptResult, connectTimeoutMs, runAtBackend,
 } from './run-at-backend.js';
@@ -31,8 +34,16 @@
 	/** Whether the call has reached a backend server. */
 	hasArrived: boolean;
 	lastFailure: string;
+	/** Addresses of the peers that the call was offered to. */
+	readonly triedPeers: Set<string>;
+	/** Whether the last attempt found no path, and no backend server was heard meanwhile. */
+	mayBeCutOff: boolean;
 };
 
+export const makeProgress = (): CallProgress => ({
+	attemptedIncarnations: new Set(), possibleRuns: 0, attempts: 0, hasArrived: false, hasStarted: false, lastFailure: '', triedPeers: new Set(), mayBeCutOff: false,
+});
+
 /** Outcome of a call, as reported in metrics and logs. */
 export type CallOutcome = {
 	readonly name: string;
@@ -61,14 +72,18 @@
 export type SendResult =
 	| AttemptResult
 	| {readonly kind: 'no_backend'}
+	/** No backend server is reached from here, and a peer has refused the call; it was not run. */
+	| {readonly kind: 'refused_by_peer'; readonly refusal: Refusal}
 	/** All backend servers are too busy to respond before the deadline; nothing was sent. */
 	| {readonly kind: 'unreachable'; readonly retryAfterS: number}
 	/** All backend servers have stated limits that leave no room; nothing was sent. `waitMs`: estimated time until one has room. */
 	| {readonly kind: 'limited'; readonly waitMs: number; readonly backends: number};
 
-export type UnsentResult = SendResult & {readonly kind: 'no_backend' | 'unreachable' | 'limited'};
+const unsentKinds = ['no_backend', 'refused_by_peer', 'unreachable', 'limited'] as const;
+
+export type UnsentResult = SendResult & {readonly kind: (typeof unsentKinds)[number]};
 
-export const isUnsent = (result: SendResult): result is UnsentResult => result.kind === 'no_backend' || result.kind === 'unreachable' || result.kind === 'limited';
+export const isUnsent = (result: SendResult): result is UnsentResult => (unsentKinds as readonly string[]).includes(result.kind);
 
 /** Lower bound of Retry-After for calls that limits turn away, in seconds. */
 const minLimitRetryAfterS = 0.2;
@@ -87,13 +102,16 @@
 };
 
 /** Makes the outcome of a call that could not be sent to another backend server. */
-
 export const makeUnsentOutcome = (context: CallContext, call: Call, progress: CallProgress, result: UnsentResult): CallOutcome => {
 	switch (result.kind) {
 		case 'no_backend': {
 			return makeFailureOutcome(progress);
 		}
 
+		case 'refused_by_peer': {
+			return progress.possibleRuns > 0 ? makeFailureOutcome(progress) : {name: 'refused_by_peer', refusal: result.refusal};
+		}
+
 		case 'limited': {
 			return progress.possibleRuns > 0 ? makeFailureOutcome(progress) : refuseForLimits(context, call, result);
 		}
@@ -105,8 +123,44 @@
 	}
 };
 
-/** Sends the call to the best backend server that it has not been sent to yet. */
+/** Sends the call through a peer that reaches backend servers. Returns undefined if there is none. */
+const sendThroughPeer = async (context: CallContext, admitted: AdmittedCall, progress: CallProgress, signal: AbortSignal): Promise<SendResult | undefined> => {
+	const result = await sendToPeer(context, admitted, progress, signal);
+	switch (result?.kind) {
+		case 'answered':
+		case undefined: {
+			return result;
+		}
+
+		case 'refused': {
+			progress.lastFailure = result.refusal.detail;
+			return {kind: 'refused_by_peer', refusal: result.refusal};
+		}
+
+		case 'unsent': {
+			progress.lastFailure = result.reason;
+			return {kind: 'not_run', reason: result.reason, hasArrived: false};
+		}
+
+		case 'may_have_run': {
+			progress.lastFailure = result.reason;
+			progress.hasArrived = true;
+			progress.possibleRuns++;
+			return result;
+		}
+	}
+};
+
+/** Sends the call to the best backend server that it has not been sent to yet, or through a peer if none is reached from here. */
 export const sendToBestBackend = async (context: CallContext, admitted: AdmittedCall, progress: CallProgress, signal: AbortSignal): Promise<SendResult> => {
+	if (progress.mayBeCutOff) {
+		progress.mayBeCutOff = false;
+		const sent = await sendThroughPeer(context, admitted, progress, signal);
+		if (sent !== undefined && sent.kind !== 'refused_by_peer') {
+			return sent;
+		}
+	}
+
 	const result = placeCall(context.gateway, admitted.call, progress);
 	if (result.kind === 'limited') {
 		progress.lastFailure = 'the limits of all leave no room';
@@ -114,7 +168,12 @@
 	}
 
 	if (result.kind === 'none') {
-		progress.lastFailure = 'none is ready';
+		const sent = await sendThroughPeer(context, admitted, progress, signal);
+		if (sent !== undefined) {
+			return sent;
+		}
+
+		progress.lastFailure = isCutOff(context.gateway) ? 'none is reached from here, and no other daemon took the call' : 'none is ready';
 		return {kind: 'no_backend'};
 	}
 
@@ -152,6 +211,7 @@
 	const {gateway} = context;
 	const {call, outgoing} = admitted;
 	const {state, choice, cachedTokens} = placement;
+	const startedAt = gateway.clocks.steady();
 	progress.attempts++;
 	progress.attemptedIncarnations.add(state.incarnation);
 	const knownAtSend = describeKnowledge(gateway, placement);
@@ -183,6 +243,8 @@
 		progress.possibleRuns++;
 	}
 
+	progress.mayBeCutOff = result.kind !== 'answered' && (result.kind === 'may_have_run' || !result.hasArrived) && !hasContactSince(gateway, startedAt);
+
 	return result;
 };
 
@@ -197,6 +259,13 @@
 	attempt.end(true);
 };
 
+/** Records that a response broke off. What a peer's connection does says nothing about a backend server. */
+export const recordBrokenAttempt = (gateway: GatewayState, {state}: Attempt, digest: string): void => {
+	if (state !== undefined) {
+		void recordBrokenConnection(gateway, state, digest);
+	}
+};
+
 export const recordFirstByte = ({gateway, timing}: CallContext, call: Call): void => {
 	const now = gateway.clocks.steady();
 	timing.firstByteAt = now;
--- /dev/null
+++ b/packages/gateway/src/calls/peer-call.ts
@@ -0,0 +1,143 @@
+/**
+ * Format of a call that one daemon sends through another: a POST request to the peer's address for daemons, whose body is a
+ * JSON-RPC request on one line, followed by the caller's body. The response is that of the backend server, or of the peer
+ * itself, as `resultField` tells. Callers cannot reach this address, and the field means nothing elsewhere.
+ */
+import {Buffer} from 'node:buffer';
+import type http from 'node:http';
+import {type ErrorKind, errorResponses} from '@shallotpass/common/error-kinds.js';
+import {type Deadline} from '@shallotpass/common/types.js';
+import {type Call} from '@shallotpass/core/calls/types.js';
+import * as z from 'zod';
+import {type GatewayState} from '../gateway-state.js';
+import {type AdmittedCall} from './admit-call.js';
+
+export const peerCallPath = '/calls';
+
+const runCallMethod = 'run_call';
+
+/** Response field that tells who answered. It is removed before the response is sent to the caller. */
+export const resultField = 'x-peer-call-result';
+
+/**
+ * `answered`: a backend server. `refused`: the peer, and the call has not run and never will. `unfit`: the same, as the peer is
+ * cut off itself, full, leaving or without a configuration. `failed`: the peer, and the call may have run.
+ */
+const peerCallResults = ['answered', 'refused', 'unfit', 'failed'] as const;
+
+export type PeerCallResult = (typeof peerCallResults)[number];
+
+export const isPeerCallResult = (value: unknown): value is PeerCallResult => peerCallResults.includes(value as PeerCallResult);
+
+export const setResult = (response: http.ServerResponse, result: PeerCallResult): void => {
+	response.setHeader(resultField, result);
+};
+
+/** Sets the result that fits the refusal, before it is sent. */
+export const setRefusalResult = (response: http.ServerResponse, kind: ErrorKind): void => {
+	if (!response.headersSent) {
+		setResult(response, errorResponses[kind].executed === 'no' ? 'refused' : 'failed');
+	}
+};
+
+/* eslint-disable @typescript-eslint/naming-convention -- names of JSON-RPC */
+const peerCallSchema = z.object({
+	jsonrpc: z.literal('2.0'),
+	method: z.literal(runCallMethod),
+	params: z.object({
+		/** Daemon that sends the call, for the log. */
+		sender: z.string(),
+		/** True time at which it was sent, which daemons synchronize, in milliseconds since the epoch. */
+		sentAt: z.number(),
+		/** Time left when it was sent, and until its target. */
+		remainingMs: z.number(),
+		targetMs: z.number(),
+		call: z.object({
+			id: z.string(),
+			account: z.string().optional(),
+			routeName: z.string(),
+			service: z.string(),
+			repeatability: z.enum(['idempotent', 'once', 'resumable_stream', 'stream_once']),
+			rank: z.int(),
+			/** Backend servers that may still run it. */
+			maxAttempts: z.int(),
+			promptTokens: z.number(),
+			outputTokens: z.number(),
+			promptParts: z.array(z.object({id: z.string(), tokens: z.number()})),
+		}),
+		outgoing: z.object({
+			method: z.string(),
+			path: z.string(),
+			callerFields: z.array(z.string()),
+			digest: z.string(),
+			lastEventId: z.string().optional(),
+		}),
+	}),
+});
+/* eslint-enable @typescript-eslint/naming-convention */
+
+export type PeerCallData = z.infer<typeof peerCallSchema>['params'];
+
+const lineFeed = 10;
+
+/** Encodes the call for a peer. `possibleRuns` backend servers may have run it already. */
+export const encodePeerCall = (gateway: GatewayState, {call, outgoing}: AdmittedCall, possibleRuns: number): Buffer => {
+	const now = gateway.clocks.steady();
+	const {id, account, routeName, service, repeatability, rank, promptTokens, outputTokens, promptParts} = call;
+	const {method, path, callerFields, digest, lastEventId} = outgoing;
+	const data: PeerCallData = {
+		sender: gateway.settings.instance.id,
+		sentAt: gateway.clocks.trueTime(),
+		remainingMs: call.deadline - now,
+		targetMs: call.targetAt - now,
+		call: {
+			id, account, routeName, service, repeatability, rank, maxAttempts: Math.max(1, call.maxAttempts - possibleRuns), promptTokens, outputTokens, promptParts: [...promptParts],
+		},
+		outgoing: {
+			method, path, callerFields: [...callerFields], digest, lastEventId,
+		},
+	};
+	const head = JSON.stringify({
+		jsonrpc: '2.0', id: 1, method: runCallMethod, params: data,
+	});
+	return Buffer.concat([Buffer.from(`${head}\n`), outgoing.body]);
+};
+
+export type DecodedPeerCall = {
+	readonly data: PeerCallData;
+	readonly body: Buffer;
+};
+
+/** Returns undefined if the message is not a call. */
+export const decodePeerCall = (message: Buffer): DecodedPeerCall | undefined => {
+	const headEnd = message.indexOf(lineFeed);
+	if (headEnd === -1) {
+		return undefined;
+	}
+
+	try {
+		const parsed = peerCallSchema.safeParse(JSON.parse(message.toString('utf8', 0, headEnd)));
+		return parsed.success ? {data: parsed.data.params, body: message.subarray(headEnd + 1)} : undefined;
+	} catch {
+		return undefined;
+	}
+};
+
+/** Time by which the synchronized clocks of two daemons may differ. */
+const clockToleranceMs = 300;
+
+/** Time for the way between daemons that is not measured, and for the answer's way back. */
+const hopMs = 5;
+
+/** Restores the call on this daemon's clock. What the way here took is no longer left; a sender that gave up sends nothing on. */
+export const restoreCall = (gateway: GatewayState, {sentAt, remainingMs, targetMs, call}: PeerCallData): Call => {
+	const now = gateway.clocks.steady();
+	const underWayMs = Math.max(0, gateway.clocks.trueTime() - sentAt - clockToleranceMs) + hopMs;
+	return {
+		...call,
+		account: call.account,
+		arrivedAt: now,
+		targetAt: (now + targetMs - underWayMs) as Deadline,
+		deadline: (now + remainingMs - underWayMs) as Deadline,
+	};
+};
--- a/packages/gateway/src/calls/place-call.ts
+++ b/packages/gateway/src/calls/place-call.ts
@@ -6,6 +6,7 @@
 import {countCachedTokens, findPreferredBackend, getAffinityHash} from '@shallotpass/core/placement/prompt-affinity.js';
 import {computeOrderPosition, computeUnreportedMs} from '@shallotpass/core/placement/spread-choices.js';
 import {countDaemons, type GatewayState, peerExpiryMs} from '../gateway-state.js';
+import {isReachable} from '../paths/track-paths.js';
 import {countMoreUrgentRanks, getLimitRoom, type LimitRoom} from './backend-limits.js';
 import {
 	type BackendState, getLatencyModel, isLimitedToOwnZone, toBackendView,
@@ -92,7 +93,7 @@
 	const now = gateway.clocks.steady();
 	const service = gateway.configuration?.servicesByName.get(call.service);
 	const ready = gateway.registry.byService.get(call.service) ?? [];
-	const available = ready.filter(state => state.suspendedUntil <= now && !options.attemptedIncarnations.has(state.incarnation));
+	const available = ready.filter(state => state.suspendedUntil <= now && !options.attemptedIncarnations.has(state.incarnation) && isReachable(gateway, state));
 	const rooms = findRooms(gateway, call, available, options.hasStarted);
 	const withRoom = rooms.filter(({room}) => room.kind !== 'exhausted');
 	if (rooms.length > 0 && withRoom.length === 0) {
--- a/packages/gateway/src/calls/run-at-backend.ts
+++ b/packages/gateway/src/calls/run-at-backend.ts
@@ -14,7 +14,7 @@
 import {type MovedKvCache} from '../ports.js';
 import {type BackendState, trackedRankCount} from './backend-registry.js';
 import {type Exchange, type IsComplete, sendToBackend} from './backend-exchange.js';
-import {recordBrokenConnection, recordConnectFailure} from './connect-failures.js';
+import {recordBrokenConnection, recordConnectFailure, suspendBackend} from './connect-failures.js';
 import {observeLimit} from './backend-limits.js';
 import {type Placement} from './place-call.js';
 import {trackRunningCall} from './track-running-call.js';
@@ -43,8 +43,11 @@
 	| {readonly kind: 'may_have_run'; readonly reason: string};
 
 export type Attempt = {
-	readonly state: BackendState;
-	readonly exchange: Exchange;
+	/** Undefined if the call was sent through a peer. */
+	readonly state: BackendState | undefined;
+	/** Backend server, or address of the peer. */
+	readonly source: string;
+	readonly exchange: Omit<Exchange, 'result'>;
 	readonly isComplete: IsComplete;
 	readonly sentAt: number;
 	/** Stops counting the call as running; called when the response has ended. */
@@ -123,9 +126,13 @@
 	}
 
 	let isSilent = false;
-	const stopWatching = watchForSilence(gateway, state, now, computeSilenceTimeout(call.repeatability, placement.choice.predictedMs), () => {
-		isSilent = true;
-		abort();
+	const {predictedMs} = placement.choice;
+	const stopWatching = watchForSilence({
+		gateway, state, sentAt: now, predictedMs, maxSilenceMs: computeSilenceTimeout(call.repeatability, predictedMs),
+		onSilent() {
+			isSilent = true;
+			abort();
+		},
 	});
 	let isLate = false;
 	const stopWatchingArrival = watchForLateArrival(gateway, state, now, () => {
@@ -148,7 +155,7 @@
 		end(!isAborted);
 		gateway.metrics.attempts.inc({service: call.service, outcome: result.delivery === 'unsent' ? 'unsent' : 'broken'});
 		if (result.isConnectFailure && !isAborted) {
-			recordConnectFailure(gateway, state, result.reason);
+			recordConnectFailure(gateway, state, {reason: result.reason, startedAt: now});
 		} else if (!isAborted && !isLate) {
 			void recordBrokenConnection(gateway, state, outgoing.digest);
 		}
@@ -188,7 +195,7 @@
 		end(false);
 		gateway.metrics.attempts.inc({service: call.service, outcome: 'refused'});
 		if (head.isOtherBackend) {
-			recordConnectFailure(gateway, state, 'other_backend_at_address');
+			suspendBackend(gateway, state, 'other_backend_at_address');
 		}
 
 		return {kind: 'not_run', reason: head.isOtherBackend ? 'other_backend' : `refused_${response.statusCode ?? 0}`, hasArrived: true};
@@ -201,7 +208,7 @@
 	gateway.metrics.attempts.inc({service: call.service, outcome: (response.statusCode ?? 0) < 500 ? 'answered' : 'failed'});
 	return {
 		kind: 'answered', response, attempt: {
-			state, exchange, isComplete, sentAt: now, end,
+			state, source: state.entry.id, exchange, isComplete, sentAt: now, end,
 		},
 	};
 };
--- /dev/null
+++ b/packages/gateway/src/calls/send-to-peer.ts
@@ -0,0 +1,257 @@
+/** Sends a call through another daemon that reaches the backend servers. */
+import http from 'node:http';
+import {isErrorKind} from '@shallotpass/common/error-kinds.js';
+import {choosePeer, type PeerCandidate} from '@shallotpass/core/paths/choose-peer.js';
+import {isRepeatable} from '@shallotpass/core/calls/types.js';
+import {type GatewayState} from '../gateway-state.js';
+import {parseHostAndPort} from '../host-and-port.js';
+import {listPeerCandidates} from '../peers/list-peer-candidates.js';
+import {readMessage} from '../peers/read-message.js';
+import {type AdmittedCall, type CallContext} from './admit-call.js';
+import {type Exchange} from './backend-exchange.js';
+import {type CallProgress} from './call-attempts.js';
+import {
+	encodePeerCall, isPeerCallResult, peerCallPath, type PeerCallResult, resultField,
+} from './peer-call.js';
+import {type Refusal} from './refusal.js';
+import {type Attempt} from './run-at-backend.js';
+
+/** Timeout of a new connection to a peer. */
+const connectTimeoutMs = 150;
+
+/** Time until a peer confirms that it has received a call, and more for each byte of a large one. */
+const confirmationTimeoutMs = 300;
+const slowestBytesPerMs = 500;
+
+/** Idle connections are closed soon: one that was dropped on the way fails only by a timeout. */
+const maxIdleMs = 1000;
+
+/** Time for which a peer that could not take a call is not asked again. */
+const avoidMs = 1000;
+
+/** Time for which no peer is asked for a service that one of them could not serve. */
+const unservedMs = 300;
+
+/** Peers that a call is offered to. Each costs a round trip. */
+const maxPeers = 2;
+
+const agent = new http.Agent({
+	keepAlive: true, noDelay: true, maxFreeSockets: 8, timeout: maxIdleMs,
+});
+
+export type PeerResult =
+	| {readonly kind: 'answered'; readonly response: http.IncomingMessage; readonly attempt: Attempt}
+	/** The peer has not run the call and will not. */
+	| {readonly kind: 'refused'; readonly refusal: Refusal; readonly isUnfit: boolean}
+	/** Nothing was sent. */
+	| {readonly kind: 'unsent'; readonly reason: string}
+	| {readonly kind: 'may_have_run'; readonly reason: string};
+
+/** Removes the field that tells who answered, and returns its value. */
+const takeResult = (response: http.IncomingMessage): PeerCallResult | undefined => {
+	const value = response.headers[resultField];
+	const {rawHeaders} = response;
+	for (let index = rawHeaders.length - 2; index >= 0; index -= 2) {
+		if (rawHeaders[index]!.toLowerCase() === resultField) {
+			rawHeaders.splice(index, 2);
+		}
+	}
+
+	return isPeerCallResult(value) ? value : undefined;
+};
+
+const readRefusal = async (response: http.IncomingMessage): Promise<Refusal> => {
+	const retryAfterS = Number(response.headers['retry-after'] ?? Number.NaN);
+	let body: {kind?: unknown; detail?: unknown} = {};
+	try {
+		body = JSON.parse(await readMessage(response)) as typeof body;
+	} catch {
+		// The field alone tells that the call has not run.
+	}
+
+	return {
+		kind: isErrorKind(body.kind) ? body.kind : 'no_backend',
+		detail: typeof body.detail === 'string' ? body.detail : 'Another daemon could not serve the call either.',
+		...(Number.isFinite(retryAfterS) && {retryAfterS}),
+	};
+};
+
+const countSent = ({peerCalls: {sent}}: GatewayState, address: string, change: 1 | -1): void => {
+	const count = (sent.get(address) ?? 0) + change;
+	if (count === 0) {
+		sent.delete(address);
+	} else {
+		sent.set(address, count);
+	}
+};
+
+type Reply =
+	| {readonly kind: 'response'; readonly response: http.IncomingMessage}
+	| {readonly kind: 'failed'; readonly reason: string; readonly isSent: boolean};
+
+type PeerExchange = {
+	readonly reply: Promise<Reply>;
+	readonly exchange: Omit<Exchange, 'result'>;
+	readonly hasFailed: () => boolean;
+};
+
+const startExchange = (address: string, message: Uint8Array, mayGiveUp: boolean): PeerExchange => {
+	const {host, port} = parseHostAndPort(address);
+	const request = http.request({
+		agent, host, port, method: 'POST', path: peerCallPath, headers: {'Content-Length': String(message.length)},
+	});
+	let isSent = false;
+	let hasFailed = false;
+	let reason: string | undefined;
+	let timer: NodeJS.Timeout | undefined;
+	const reset = (): void => {
+		// After a regular close, a call that a failed link holds up would still arrive when the link works again.
+		request.socket?.resetAndDestroy();
+		request.destroy();
+	};
+
+	const giveUp = (why: string) => (): void => {
+		reason = why;
+		reset();
+	};
+
+	const send = (): void => {
+		isSent = true;
+		clearTimeout(timer);
+		request.end(message);
+		if (mayGiveUp) {
+			timer = setTimeout(giveUp('peer_silent'), confirmationTimeoutMs + (message.length / slowestBytesPerMs));
+		}
+	};
+
+	const reply = new Promise<Reply>(resolve => {
+		request.on('socket', socket => {
+			if (!socket.connecting) {
+				send();
+				return;
+			}
+
+			timer = setTimeout(giveUp('connect_timeout'), connectTimeoutMs);
+			socket.once('connect', send);
+		});
+		request.on('information', () => {
+			clearTimeout(timer);
+		});
+		request.on('response', response => {
+			clearTimeout(timer);
+			resolve({kind: 'response', response});
+		});
+		const fail = (why: string): void => {
+			hasFailed = true;
+			clearTimeout(timer);
+			resolve({kind: 'failed', reason: reason ?? why, isSent});
+		};
+
+		request.on('error', error => {
+			fail((error as NodeJS.ErrnoException).code ?? error.message);
+		});
+		request.on('close', () => {
+			clearTimeout(timer);
+			resolve({kind: 'failed', reason: reason ?? 'closed', isSent});
+		});
+	});
+	return {
+		reply, hasFailed: () => hasFailed, exchange: {
+			abort() {
+				request.destroy();
+			},
+			reset,
+		},
+	};
+};
+
+/** Offers the call to one peer and waits for the head of the response. */
+const offerToPeer = async (context: CallContext, admitted: AdmittedCall, offer: {peer: PeerCandidate; possibleRuns: number}, signal: AbortSignal): Promise<PeerResult> => {
+	const {gateway} = context;
+	const {address} = offer.peer;
+	const message = encodePeerCall(gateway, admitted, offer.possibleRuns);
+	const sentAt = gateway.clocks.steady();
+	const {reply, exchange, hasFailed} = startExchange(address, message, isRepeatable(admitted.call.repeatability));
+	countSent(gateway, address, 1);
+	signal.addEventListener('abort', exchange.reset, {once: true});
+	let isRunning = true;
+	const end = (): void => {
+		if (isRunning) {
+			isRunning = false;
+			signal.removeEventListener('abort', exchange.reset);
+			countSent(gateway, address, -1);
+		}
+	};
+
+	const result = await reply;
+	if (result.kind === 'failed') {
+		end();
+		return result.isSent ? {kind: 'may_have_run', reason: `peer_${result.reason}`} : {kind: 'unsent', reason: `peer_${result.reason}`};
+	}
+
+	const {response} = result;
+	const answer = takeResult(response);
+	if (answer === 'answered') {
+		const attempt: Attempt = {
+			state: undefined, source: address, exchange, sentAt, end,
+			isComplete: async () => response.complete && !hasFailed(),
+		};
+		return {kind: 'answered', response, attempt};
+	}
+
+	const refusal = await readRefusal(response);
+	end();
+	return answer === 'refused' || answer === 'unfit'
+		? {kind: 'refused', refusal, isUnfit: answer === 'unfit'}
+		: {kind: 'may_have_run', reason: `peer_${answer ?? 'without_result'}`};
+};
+
+const recordResult = (gateway: GatewayState, address: string, service: string, result: PeerResult): void => {
+	const now = gateway.clocks.steady();
+	const {avoidedUntil, unservedUntil} = gateway.peerCalls;
+	if (result.kind === 'unsent' || result.kind === 'may_have_run' || (result.kind === 'refused' && result.isUnfit)) {
+		avoidedUntil.set(address, now + avoidMs);
+	} else if (result.kind === 'refused' && result.refusal.kind === 'no_backend') {
+		unservedUntil.set(service, now + unservedMs);
+	}
+};
+
+/** Whether the call may be sent through a peer: it came from a caller, and peers are left to ask. */
+export const canSendToPeer = ({gateway, isFromPeer}: CallContext, {call}: AdmittedCall, progress: CallProgress): boolean =>
+	!isFromPeer && progress.triedPeers.size < maxPeers && (gateway.peerCalls.unservedUntil.get(call.service) ?? 0) <= gateway.clocks.steady();
+
+/** Sends the call through a peer. Returns undefined if there is none. */
+export const sendToPeer = async (context: CallContext, admitted: AdmittedCall, progress: CallProgress, signal: AbortSignal): Promise<PeerResult | undefined> => {
+	const {gateway} = context;
+	const {call} = admitted;
+	let refused: PeerResult | undefined;
+	while (canSendToPeer(context, admitted, progress) && !signal.aborted) {
+		const peer = choosePeer(listPeerCandidates(gateway, progress.triedPeers), {ownZone: gateway.settings.instance.availabilityZone, random: gateway.random});
+		if (peer === undefined) {
+			break;
+		}
+
+		progress.triedPeers.add(peer.address);
+		progress.attempts++;
+		const startedAt = gateway.clocks.steady();
+		// eslint-disable-next-line no-await-in-loop -- peers are asked one after the other
+		const result = await offerToPeer(context, admitted, {peer, possibleRuns: progress.possibleRuns}, signal);
+		recordResult(gateway, peer.address, call.service, result);
+		gateway.metrics.peerCallsSent.inc({service: call.service, outcome: result.kind});
+		gateway.log.write(result.kind === 'answered' ? 'routine' : 'failure', 'call_sent_to_peer', {
+			request: call.id, service: call.service, peer: peer.address, zone: peer.availabilityZone, offer: progress.attempts, result: result.kind,
+			reason: result.kind === 'answered' ? result.response.statusCode : (result.kind === 'refused' ? result.refusal.kind : result.reason),
+			tookMs: Math.round(gateway.clocks.steady() - startedAt), remainingMs: Math.round(call.deadline - startedAt), isCutOff: gateway.paths.lostSince !== undefined,
+		});
+		if (result.kind === 'answered' || result.kind === 'may_have_run') {
+			return result;
+		}
+
+		refused = result;
+		if (result.kind === 'refused' && !result.isUnfit) {
+			break;
+		}
+	}
+
+	return refused;
+};
--- a/packages/gateway/src/calls/serve-call.ts
+++ b/packages/gateway/src/calls/serve-call.ts
@@ -3,19 +3,25 @@
 import {isStream} from '@shallotpass/core/calls/types.js';
 import {recordCall} from '@shallotpass/core/retries/retry-allowance.js';
 import {type GatewayState} from '../gateway-state.js';
+import {isCutOff} from '../paths/track-paths.js';
 import {
 	admitCall, type AdmittedCall, type CallContext, RefusedCall,
 } from './admit-call.js';
 import {recordArrival} from './backend-limits.js';
 import {type CallOutcome, isDraining} from './call-attempts.js';
+import {setRefusalResult} from './peer-call.js';
 import {sendRefusal} from './refusal.js';
 import {getRetryAllowance, getRetryLimit} from './retry-limits.js';
 import {servePlain} from './serve-plain.js';
 import {serveStream} from './serve-stream.js';
 
 const finishCall = (context: CallContext, outcome: CallOutcome, admitted: AdmittedCall | undefined): void => {
-	const {gateway, response, head, timing} = context;
+	const {gateway, response, head, timing, isFromPeer} = context;
 	if (outcome.refusal) {
+		if (isFromPeer) {
+			setRefusalResult(response, outcome.refusal.kind);
+		}
+
 		sendRefusal(response, outcome.refusal, head.id, isDraining(gateway));
 	} else if (!response.writableEnded) {
 		response.destroy();
@@ -32,7 +38,7 @@
 		detail: outcome.refusal?.detail ?? outcome.detail, status: response.statusCode, tookMs: Math.round(tookMs),
 		firstMs: admitted && timing.firstByteAt !== undefined ? Math.round(timing.firstByteAt - admitted.call.arrivedAt) : undefined, longestPauseMs: Math.round(timing.longestPauseMs),
 		configuration: gateway.configuration?.configuration.version,
-		configurationAgeMs: Math.round(gateway.clocks.steady() - gateway.configurationCheckedAt),
+		configurationAgeMs: Math.round(gateway.clocks.steady() - gateway.configurationCheckedAt), isFromPeer: isFromPeer || undefined,
 	});
 };
 
@@ -52,8 +58,14 @@
 	const timer = setTimeout(() => {
 		controller.abort();
 	}, Math.max(0, call.deadline - gateway.clocks.steady()));
-	recordArrival(gateway, call.service, call.rank);
-	recordCall(getRetryAllowance(gateway, call.service), getRetryLimit(gateway), gateway.clocks.steady());
+	if (!isCutOff(gateway)) {
+		recordArrival(gateway, call.service, call.rank);
+	}
+
+	if (!context.isFromPeer) {
+		recordCall(getRetryAllowance(gateway, call.service), getRetryLimit(gateway), gateway.clocks.steady());
+	}
+
 	try {
 		const outcome = await (isStream(call.repeatability) ? serveStream(context, admitted, controller.signal) : servePlain(context, admitted, controller.signal));
 		if (isCallerGone) {
@@ -71,15 +83,13 @@
 	}
 };
 
-/** Serves one request of a caller; never throws. */
-export const serveCall = async (gateway: GatewayState, request: http.IncomingMessage, response: http.ServerResponse): Promise<void> => {
-	const context: CallContext = {
-		gateway, request, response, head: gateway.wire.parseCallerHeaders(request.headers), timing: {firstByteAt: undefined, lastEventAt: 0, longestPauseMs: 0},
-	};
+/** Runs the call, or refuses it, and counts it as active meanwhile; never throws. */
+const serveAdmission = async (context: CallContext, admit: () => Promise<AdmittedCall | RefusedCall>): Promise<void> => {
+	const {gateway} = context;
 	gateway.activeCalls++;
 	let admitted: AdmittedCall | undefined;
 	try {
-		const admission = await admitCall(context);
+		const admission = await admit();
 		if (admission instanceof RefusedCall) {
 			finishCall(context, {name: 'refused', refusal: admission.refusal}, undefined);
 			return;
@@ -94,3 +104,14 @@
 		gateway.activeCalls--;
 	}
 };
+
+/** Serves a call that was admitted by the daemon that sent it; never throws. */
+export const serveAdmittedCall = async (context: CallContext, admitted: AdmittedCall): Promise<void> => serveAdmission(context, async () => admitted);
+
+/** Serves one request of a caller; never throws. */
+export const serveCall = async (gateway: GatewayState, request: http.IncomingMessage, response: http.ServerResponse): Promise<void> => {
+	const context: CallContext = {
+		gateway, request, response, isFromPeer: false, head: gateway.wire.parseCallerHeaders(request.headers), timing: {firstByteAt: undefined, lastEventAt: 0, longestPauseMs: 0},
+	};
+	await serveAdmission(context, async () => admitCall(context));
+};
--- /dev/null
+++ b/packages/gateway/src/calls/serve-peer-call.ts
@@ -0,0 +1,108 @@
+/** Serves calls that other daemons send because they reach no backend server themselves. */
+import type http from 'node:http';
+import {isRefusedForCrashes} from '@shallotpass/core/retries/crash-register.js';
+import {countPeerCallRoom, type GatewayState, maxPeerCalls} from '../gateway-state.js';
+import {isCutOff} from '../paths/track-paths.js';
+import {type AdmittedCall, type CallContext} from './admit-call.js';
+import {
+	decodePeerCall, type PeerCallData, type PeerCallResult, restoreCall, setResult,
+} from './peer-call.js';
+import {readRequestBody} from './read-request-body.js';
+import {type Refusal, sendRefusal} from './refusal.js';
+import {serveAdmittedCall} from './serve-call.js';
+
+/** Space for the fields and the prompt's description of a call beside its body. */
+const maxHeadBytes = 131_072;
+
+/** Share of the room that is kept for the calls of each more urgent rank. */
+const roomKeptPerRank = 0.2;
+
+/** Retry-After of a call that this daemon cannot take. */
+const unfitRetryAfterS = 0.2;
+
+/** Returns why this daemon cannot take the call at all, so that the peer should ask another one. */
+const findUnfitness = (gateway: GatewayState, {call}: PeerCallData): string | undefined => {
+	if (isCutOff(gateway)) {
+		return 'This daemon reaches no backend server either.';
+	}
+
+	if (gateway.drainingSince !== undefined) {
+		return 'This daemon is leaving.';
+	}
+
+	if (gateway.configuration?.servicesByName.has(call.service) !== true) {
+		return 'This daemon does not know the service.';
+	}
+
+	return countPeerCallRoom(gateway) <= maxPeerCalls * roomKeptPerRank * call.rank
+		? 'This daemon serves as many calls of others as it can.'
+		: undefined;
+};
+
+const refuse = (context: CallContext, refusal: Refusal, result: PeerCallResult): void => {
+	const {gateway, response, head} = context;
+	setResult(response, result);
+	gateway.metrics.peerCallsReceived.inc({outcome: result});
+	gateway.log.write('failure', 'peer_call_refused', {
+		request: head.id, result, detail: refusal.detail, serving: gateway.peerCalls.received,
+	});
+	sendRefusal(response, refusal, head.id, false);
+};
+
+const makeContext = (gateway: GatewayState, request: http.IncomingMessage, response: http.ServerResponse, data: PeerCallData | undefined): CallContext => ({
+	gateway, request, response, isFromPeer: true,
+	head: {
+		id: data?.call.id, key: undefined, callerTimeoutMs: undefined, promptTokens: undefined, outputTokens: undefined, promptParts: [],
+	},
+	timing: {firstByteAt: undefined, lastEventAt: 0, longestPauseMs: 0},
+});
+
+const serve = async (context: CallContext, admitted: AdmittedCall, sender: string): Promise<void> => {
+	const {gateway, response} = context;
+	const {call} = admitted;
+	gateway.peerCalls.received++;
+	gateway.metrics.peerCallsReceived.inc({outcome: 'taken'});
+	gateway.log.write('routine', 'peer_call_taken', {
+		request: call.id, service: call.service, peer: sender, rank: call.rank, remainingMs: Math.round(call.deadline - call.arrivedAt), serving: gateway.peerCalls.received,
+	});
+	// Tells the peer that the call has arrived, so that it need not take a dead link for a long run.
+	response.writeProcessing();
+	setResult(response, 'answered');
+	try {
+		await serveAdmittedCall(context, admitted);
+	} finally {
+		gateway.peerCalls.received--;
+	}
+};
+
+/** Serves one request of a peer; never throws. */
+export const servePeerCall = async (gateway: GatewayState, request: http.IncomingMessage, response: http.ServerResponse): Promise<void> => {
+	const maxBodyBytes = gateway.configuration?.configuration.limits.bodyBytes ?? 0;
+	const message = await readRequestBody(request, maxBodyBytes + maxHeadBytes);
+	const decoded = message.kind === 'whole' ? decodePeerCall(message.body) : undefined;
+	const context = makeContext(gateway, request, response, decoded?.data);
+	if (decoded === undefined) {
+		refuse(context, {kind: 'invalid_request', detail: 'The message of the peer is no call.'}, 'unfit');
+		return;
+	}
+
+	const {data, body} = decoded;
+	const unfitness = findUnfitness(gateway, data);
+	if (unfitness !== undefined) {
+		refuse(context, {kind: 'no_backend', detail: unfitness, retryAfterS: unfitRetryAfterS}, 'unfit');
+		return;
+	}
+
+	const call = restoreCall(gateway, data);
+	if (call.deadline <= call.arrivedAt) {
+		refuse(context, {kind: 'deadline_unreachable', detail: 'The call arrived after its deadline.'}, 'refused');
+		return;
+	}
+
+	if (isRefusedForCrashes(gateway.crashes, data.outgoing.digest)) {
+		refuse(context, {kind: 'request_suspended', detail: 'This request has ended the backend servers that ran it.'}, 'refused');
+		return;
+	}
+
+	await serve(context, {call, outgoing: {...data.outgoing, lastEventId: data.outgoing.lastEventId, body}}, data.sender);
+};
--- a/packages/gateway/src/calls/serve-plain.ts
+++ b/packages/gateway/src/calls/serve-plain.ts
@@ -2,17 +2,14 @@
 import {isRepeatable} from '@shallotpass/core/calls/types.js';
 import {type AdmittedCall, type CallContext} from './admit-call.js';
 import {
-	type CallOutcome, type CallProgress, discardResponse, isDraining, isServerError, isUnsent, makeFailureOutcome, makeUnsentOutcome, recordFirstByte, sendToBestBackend, takeRetry,
+	type CallOutcome, discardResponse, isDraining, isServerError, isUnsent, makeFailureOutcome, makeProgress, makeUnsentOutcome, recordBrokenAttempt, recordFirstByte, sendToBestBackend, takeRetry,
 } from './call-attempts.js';
 import {forwardPlainResponse} from './forward-plain-response.js';
-import {recordBrokenConnection} from './connect-failures.js';
 
 export const servePlain = async (context: CallContext, admitted: AdmittedCall, signal: AbortSignal): Promise<CallOutcome> => {
 	const {gateway, response: target} = context;
 	const {call, outgoing} = admitted;
-	const progress: CallProgress = {
-		attemptedIncarnations: new Set(), possibleRuns: 0, attempts: 0, hasArrived: false, hasStarted: false, lastFailure: '',
-	};
+	const progress = makeProgress();
 	for (;;) {
 		// eslint-disable-next-line no-await-in-loop -- attempts run one after another
 		const result = await sendToBestBackend(context, admitted, progress, signal);
@@ -41,8 +38,8 @@
 			}
 
 			attempt.exchange.abort();
-			void recordBrokenConnection(gateway, attempt.state, outgoing.digest);
-			progress.lastFailure = `the answer broke off at ${attempt.state.entry.id}`;
+			recordBrokenAttempt(gateway, attempt, outgoing.digest);
+			progress.lastFailure = `the answer broke off at ${attempt.source}`;
 			if (forwarded === 'broken_midway') {
 				return {name: 'broken_midway', detail: progress.lastFailure};
 			}
--- a/packages/gateway/src/calls/serve-stream.ts
+++ b/packages/gateway/src/calls/serve-stream.ts
@@ -4,7 +4,7 @@
 import {pauseFor} from '../pause.js';
 import {type AdmittedCall, type CallContext} from './admit-call.js';
 import {
-	type CallOutcome, type CallProgress, discardResponse, isDraining, isServerError, isUnsent, makeFailureOutcome, makeUnsentOutcome, recordEvents, recordFirstByte,
+	type CallOutcome, type CallProgress, discardResponse, isDraining, isServerError, isUnsent, makeFailureOutcome, makeProgress, makeUnsentOutcome, recordBrokenAttempt, recordEvents, recordFirstByte,
 	type SendResult, sendToBestBackend, sendToPlacement, takeRetry,
 } from './call-attempts.js';
 import {type EventSplitter, makeEventSplitter} from './event-splitter.js';
@@ -12,7 +12,6 @@
 import {forwardPlainResponse} from './forward-plain-response.js';
 import {forwardEvents, writeStreamHead} from './forward-stream.js';
 import {type Placement} from './place-call.js';
-import {recordBrokenConnection} from './connect-failures.js';
 
 type StreamState = {
 	readonly context: CallContext;
@@ -91,16 +90,21 @@
 		recordFirstByte(stream.context, call);
 	}
 
-	const departure = stream.stoppedOn.has(attempt.state.incarnation)
+	const {state} = attempt;
+	const departure = state === undefined || stream.stoppedOn.has(state.incarnation)
 		? inactiveWatch
 		: watchDeparture({
-			gateway, call, state: attempt.state, signal,
+			gateway, call, state, signal,
 		});
 	const forwarded = await forwardEvents({
 		response, isComplete: attempt.isComplete, target, splitter,
-		stallTimeoutMs: call.repeatability === 'resumable_stream' ? streamStallTimeoutMs : undefined,
+		// A peer watches the backend server itself.
+		stallTimeoutMs: call.repeatability === 'resumable_stream' && state !== undefined ? streamStallTimeoutMs : undefined,
 		onEvents() {
-			attempt.state.lastReadAt = gateway.clocks.steady();
+			if (state !== undefined) {
+				state.lastReadAt = gateway.clocks.steady();
+			}
+
 			recordEvents(stream.context);
 		},
 	});
@@ -116,13 +120,13 @@
 		return endWith({name: forwarded === 'caller_left' ? 'caller_left' : 'deadline'});
 	}
 
-	if (moved !== undefined) {
-		return resumeMovedRun(stream, moved, attempt.state.incarnation);
+	if (moved !== undefined && state !== undefined) {
+		return resumeMovedRun(stream, moved, state.incarnation);
 	}
 
 	stream.limitWaitUntil = gateway.clocks.steady() + limitWaitMs;
-	void recordBrokenConnection(gateway, attempt.state, stream.outgoing.digest);
-	progress.lastFailure = `the stream from ${attempt.state.entry.id} was interrupted`;
+	recordBrokenAttempt(gateway, attempt, stream.outgoing.digest);
+	progress.lastFailure = `the stream from ${attempt.source} was interrupted`;
 	return retryStep;
 };
 
@@ -164,9 +168,7 @@
 		context,
 		call: admitted.call,
 		outgoing: admitted.outgoing,
-		progress: {
-			attemptedIncarnations: new Set(), possibleRuns: 0, attempts: 0, hasArrived: false, hasStarted: false, lastFailure: '',
-		},
+		progress: makeProgress(),
 		splitter: makeEventSplitter(),
 		placements: [],
 		stoppedOn: new Set(),
--- a/packages/gateway/src/calls/track-running-call.ts
+++ b/packages/gateway/src/calls/track-running-call.ts
@@ -1,6 +1,7 @@
 /** Counts running calls as load of their backend servers. */
 import {updateFailureRate} from '@shallotpass/core/placement/moving-averages.js';
 import {type GatewayState} from '../gateway-state.js';
+import {isCutOff} from '../paths/track-paths.js';
 import {type BackendState} from './backend-registry.js';
 
 /** Counts a call in the load of its backend server until it ends. */
@@ -35,7 +36,7 @@
 			state.unansweredSince.delete(callKey);
 			state.running--;
 			state.runningDigests.delete(digest);
-			state.failureRate = updateFailureRate(state.failureRate, isFailure);
+			state.failureRate = updateFailureRate(state.failureRate, isFailure && !isCutOff(gateway));
 		},
 	};
 };
--- a/packages/gateway/src/gateway-state.ts
+++ b/packages/gateway/src/gateway-state.ts
@@ -1,6 +1,7 @@
 /** State shared by the components of one gateway daemon. The comments of mutable fields name the components that write them. */
 import {type AccountBucket} from '@shallotpass/core/quotas/account-bucket.js';
 import {type CrashRegister} from '@shallotpass/core/retries/crash-register.js';
+import {type GossipMember} from '@shallotpass/core/gossip/pick-relays.js';
 import {type GossipReport} from '@shallotpass/core/gossip/gossip-report.js';
 import {type ParticipantHistory} from '@shallotpass/core/limits/participants.js';
 import {type Spending} from '@shallotpass/core/quotas/spending.js';
@@ -8,6 +9,7 @@
 import {type WorkRate} from '@shallotpass/core/engines/work-rate.js';
 import {type RetryAllowance} from '@shallotpass/core/retries/retry-allowance.js';
 import {type UsageTally} from '@shallotpass/core/usage/count-starts.js';
+import {type PathState} from '@shallotpass/core/paths/path-state.js';
 import {type BackendRegistry} from './calls/backend-registry.js';
 import {type Clocks} from './clocks.js';
 import {type EventLog} from './telemetry/event-log.js';
@@ -35,6 +37,20 @@
 	readonly storeAnsweredAt: number;
 };
 
+/** Calls between daemons. */
+export type PeerCalls = {
+	/** Calls in flight that this daemon sent through a peer, by its address. */
+	readonly sent: Map<string, number>;
+	/** Calls of peers that this daemon is serving. */
+	received: number;
+	/** Until when no calls are sent through a peer that could not take one, by address, on the steady clock. */
+	readonly avoidedUntil: Map<string, number>;
+	/** Until when no peer is asked for a service that none of them could serve, on the steady clock. */
+	readonly unservedUntil: Map<string, number>;
+	/** Whether this daemon's timers run late, so that it takes no calls of peers. */
+	isBusy: boolean;
+};
+
 export type GatewayState = {
 	/** Replaced when the settings file changes, except the addresses of listeners. Written by `reload`. */
 	settings: GatewaySettings;
@@ -52,6 +68,14 @@
 	configurationCheckedAt: number;
 	/** Written by the directory follower, calls and gossip. */
 	readonly registry: BackendRegistry;
+	/** Whether connections to backend servers can be opened. Written by `trackPaths`. */
+	paths: PathState;
+	/** Called when the paths to all backend servers are lost. Written by calls. */
+	readonly onPathsLost: Set<() => void>;
+	/** Earliest time of the next probes that confirm a loss, on the steady clock. Written by `confirmLoss`. */
+	nextSuspicionAt: number;
+	/** Calls that are sent through peers, or served for them. */
+	readonly peerCalls: PeerCalls;
 	/** When the directory was first read, on the steady clock. Written by the directory follower. */
 	directoryReadAt: number | undefined;
 	/** Written by the directory follower. */
@@ -86,6 +110,8 @@
 	readonly unreportedLimits: {areOwn: boolean; areFromPeers: boolean};
 	/** Latest reports of peers, by incarnation. Written by gossip. */
 	readonly peers: Map<string, PeerReport>;
+	/** Lists the daemons that this one knows. Set by gossip. */
+	listMembers: () => readonly GossipMember[];
 	/** Number of daemons in the store's list of members, some of which may have ended. Undefined until it is read. Written by `joinMembers`. */
 	registeredDaemons: number | undefined;
 	/** When draining began after SIGTERM, on the steady clock. */
@@ -97,6 +123,13 @@
 /** Peers whose last report is older than this are not counted. Reports arrive three times a second. */
 export const peerExpiryMs = 2500;
 
+/** Most calls of peers that a daemon serves at a time. Each takes some 100 kB of memory and a connection. */
+export const maxPeerCalls = 96;
+
+/** Counts the further calls of peers that this daemon can serve. */
+export const countPeerCallRoom = ({peerCalls, drainingSince}: GatewayState): number =>
+	peerCalls.isBusy || drainingSince !== undefined ? 0 : Math.max(0, maxPeerCalls - peerCalls.received);
+
 /** Counts this daemon and all daemons covered by recent reports. */
 export const countDaemons = (state: GatewayState): number => {
 	const since = state.clocks.steady() - peerExpiryMs;
--- a/packages/gateway/src/leader/order-planner.ts
+++ b/packages/gateway/src/leader/order-planner.ts
@@ -9,6 +9,7 @@
 import {countMissingBackends} from '../calls/backend-limits.js';
 import {getLatencyModel} from '../calls/backend-registry.js';
 import {type GatewayState, peerExpiryMs} from '../gateway-state.js';
+import {isCutOff} from '../paths/track-paths.js';
 
 /** Delay before reclaimable backend servers of a zone are ordered again after a refusal. The cloud refuses for 12 to 15 s after a mass reclaim, so that several orders may be refused in a row. */
 const refusalBackoffMs = 3500;
@@ -101,18 +102,25 @@
 		return {needed, assumed: Math.ceil(demand.assumed)};
 	};
 
+	let lastPlan: BackendOrder[] = [];
 	return {
 		planOrders() {
 			if (!isDirectoryComplete()) {
 				return [];
 			}
 
+			// What a daemon that is cut off sees of the load says nothing about the need.
+			if (isCutOff(gateway)) {
+				return lastPlan;
+			}
+
 			const services = gateway.configuration?.configuration.services ?? [];
-			return services.flatMap(({name, fleet}) => fleet === undefined
+			lastPlan = services.flatMap(({name, fleet}) => fleet === undefined
 				? []
 				: planBackends({
 					service: name, bounds: fleet, zones: listZones(name), ...estimateDemand(name), now: now(),
 				}));
+			return lastPlan;
 		},
 		recordAccepted(order) {
 			if (order.isReclaimable) {
--- /dev/null
+++ b/packages/gateway/src/paths/ask-peer.ts
@@ -0,0 +1,45 @@
+/** Asks another daemon whether it reaches a backend server that this one does not reach. */
+import * as z from 'zod';
+import {choosePeer} from '@shallotpass/core/paths/choose-peer.js';
+import {type BackendState} from '../calls/backend-registry.js';
+import {type GatewayState} from '../gateway-state.js';
+import {callPeer} from '../peers/call-peer.js';
+import {listPeerCandidates} from '../peers/list-peer-candidates.js';
+import {canConnect} from './can-connect.js';
+import {recordPathFailure, recordPathSuccess} from './track-paths.js';
+
+export const backendContactMethod = 'backend_contact';
+
+const backendContactQuery = z.object({incarnation: z.string()});
+
+export type BackendContact = 'reached' | 'unreached' | 'unknown';
+
+/** The peer itself probes the backend server before it answers. */
+const responseTimeoutMs = 600;
+
+export const askPeerForBackend = async (gateway: GatewayState, {incarnation}: BackendState): Promise<BackendContact> => {
+	const peer = choosePeer(listPeerCandidates(gateway, new Set()), {ownZone: gateway.settings.instance.availabilityZone, random: gateway.random});
+	if (peer === undefined) {
+		return 'unknown';
+	}
+
+	return await callPeer<BackendContact>(peer.address, {method: backendContactMethod, params: {incarnation}, responseTimeoutMs}) ?? 'unknown';
+};
+
+/** Answers a peer's question. */
+export const probeForPeer = async (gateway: GatewayState, query: unknown): Promise<BackendContact> => {
+	const {incarnation} = backendContactQuery.parse(query);
+	const state = [...gateway.registry.byId.values()].find(candidate => candidate.incarnation === incarnation);
+	if (state === undefined) {
+		return 'unknown';
+	}
+
+	const startedAt = gateway.clocks.steady();
+	if (await canConnect(gateway.registry.openConnection, state.entry.address)) {
+		recordPathSuccess(gateway, incarnation);
+		return 'reached';
+	}
+
+	recordPathFailure(gateway, state, startedAt);
+	return 'unreached';
+};
--- a/packages/gateway/src/peers/gossip.ts
+++ b/packages/gateway/src/peers/gossip.ts
@@ -31,6 +31,9 @@
 /** Interval at which changed limits are reported at the earliest. The end of a limit should be known to hundreds of daemons within a second. */
 const limitReportIntervalMs = 50;
 
+/** A daemon whose rounds begin this late has no processor time left for the calls of others. */
+const busyDelayMs = 100;
+
 /** Peers that were silent for this long are removed, together with the usage they reported. */
 const removeAfterMs = 40_000;
 
@@ -58,7 +61,7 @@
 	const {id: selfId, availabilityZone: ownZone, linkMbps} = gateway.settings.instance;
 	const socket = dgram.createSocket('udp4');
 	const self: GossipMember = {
-		id: selfId, address: gateway.settings.listen.peers, availabilityZone: ownZone, linkMbps,
+		id: selfId, address: gateway.settings.listen.peers, availabilityZone: ownZone, linkMbps, takesCalls: true,
 	};
 	/** Members by address. */
 	const members = new Map<string, GossipMember>([[self.address, self]]);
@@ -86,6 +89,7 @@
 	};
 
 	const memberList: MemberList = {add: addMember, list: () => [...members.values()]};
+	gateway.listMembers = memberList.list;
 	let ownReport = makeReport(gateway, options.getReportInput(memberList));
 	let rounds = 0;
 
@@ -127,7 +131,7 @@
 		hasNewLoads ||= isSum(report) || !needsRelays(members.size);
 		unconfirmed.delete(report.address);
 		members.set(report.address, {
-			id: report.id, address: report.address, availabilityZone: report.availabilityZone, linkMbps: report.linkMbps,
+			id: report.id, address: report.address, availabilityZone: report.availabilityZone, linkMbps: report.linkMbps, takesCalls: report.peerCalls !== undefined,
 		});
 		for (const [digest, incarnations] of Object.entries(report.crashes)) {
 			for (const incarnation of incarnations) {
@@ -224,7 +228,10 @@
 		}
 	};
 
+	let roundDueAt = now() + gossipIntervalMs;
 	const timer = setInterval(() => {
+		gateway.peerCalls.isBusy = now() > roundDueAt + busyDelayMs;
+		roundDueAt = now() + gossipIntervalMs;
 		hasReportedEarly = false;
 		runRound();
 	}, gossipIntervalMs);
--- /dev/null
+++ b/packages/gateway/src/peers/list-peer-candidates.ts
@@ -0,0 +1,31 @@
+/** Lists the daemons through which a call can be sent. */
+import {needsRelays} from '@shallotpass/core/gossip/pick-relays.js';
+import {isSum} from '@shallotpass/core/gossip/gossip-report.js';
+import {type PeerCandidate} from '@shallotpass/core/paths/choose-peer.js';
+import {type GatewayState} from '../gateway-state.js';
+
+/** A daemon whose last report is older than this may be unreachable itself: three gossip rounds. */
+const freshMs = 1000;
+
+/** Lists daemons that are not cut off, know how to serve a peer's call, and were not tried for this call. */
+export const listPeerCandidates = (gateway: GatewayState, triedAddresses: ReadonlySet<string>): PeerCandidate[] => {
+	const now = gateway.clocks.steady();
+	const {sent, avoidedUntil} = gateway.peerCalls;
+	const ownAddress = gateway.settings.listen.peers;
+	const isUsable = (address: string): boolean => address !== ownAddress && !triedAddresses.has(address) && (avoidedUntil.get(address) ?? 0) <= now;
+	const countInFlight = (address: string): number => sent.get(address) ?? 0;
+	const members = gateway.listMembers();
+	if (needsRelays(members.length)) {
+		// Daemons report to relays only, so nothing is known of their load.
+		return members.filter(({address, takesCalls}) => takesCalls === true && isUsable(address))
+			.map(({address, availabilityZone}) => ({
+				address, availabilityZone, room: undefined, inFlight: countInFlight(address),
+			}));
+	}
+
+	return [...gateway.peers.values()]
+		.filter(report => !isSum(report) && report.receivedAt >= now - freshMs && report.peerCalls !== undefined && !report.peerCalls.isCutOff && isUsable(report.address))
+		.map(({address, availabilityZone, peerCalls}) => ({
+			address, availabilityZone, room: peerCalls!.room, inFlight: countInFlight(address),
+		}));
+};
--- a/packages/gateway/src/peers/make-report.ts
+++ b/packages/gateway/src/peers/make-report.ts
@@ -4,7 +4,8 @@
 import {type GossipReport, type StoreVersions} from '@shallotpass/core/gossip/gossip-report.js';
 import {computeDemand} from '@shallotpass/core/quotas/account-bucket.js';
 import {computeSpentSlots} from '@shallotpass/core/quotas/spending.js';
-import {type GatewayState} from '../gateway-state.js';
+import {countPeerCallRoom, type GatewayState} from '../gateway-state.js';
+import {isCutOff} from '../paths/track-paths.js';
 import {reportLimits, reportParticipants} from './share-limits.js';
 
 /** Number of usage windows in a report: the current one and those whose usage report may still be due. */
@@ -25,12 +26,14 @@
 };
 
 export const makeReport = (gateway: GatewayState, {leaseOffset, known}: ReportInput): GossipReport => {
-	const {settings, incarnation, registry, buckets, usage} = gateway;
+	const {settings, incarnation, registry, buckets, usage, paths} = gateway;
 	const now = gateway.clocks.steady();
 	const loads: Array<[string, number[]]> = [];
 	for (const state of registry.byId.values()) {
 		const {tokens, ms} = decayPrefillRecord(state.prefill, now);
-		if (state.running > 0 || ms >= minReportedMs) {
+		// Calls on a lost path are no load.
+		const isUnheard = paths.lostSince !== undefined && state.lastReadAt <= paths.lostSince;
+		if (!isUnheard && (state.running > 0 || ms >= minReportedMs)) {
 			loads.push([state.entry.id, [state.running, ...state.pendingTokens, tokens, ms].map(amount => Math.round(amount))]);
 		}
 	}
@@ -54,6 +57,7 @@
 		trueTime: gateway.clocks.trueTime(),
 		limits: reportLimits(gateway),
 		participants: reportParticipants(gateway),
+		peerCalls: {room: countPeerCallRoom(gateway), isCutOff: isCutOff(gateway)},
 		crashes: Object.fromEntries([...gateway.crashes.crashedIncarnations].slice(-maxReportedCrashes).map(([digest, incarnations]) => [digest, [...incarnations]])),
 	};
 };
--- a/packages/gateway/src/peers/query-peers.ts
+++ b/packages/gateway/src/peers/query-peers.ts
@@ -2,16 +2,14 @@
  * Keeps this daemon's copy of the shared state (configuration, backend servers, members) up to date by querying
  * other daemons by JSON-RPC.
  */
-import http from 'node:http';
 import {type StoreVersions} from '@shallotpass/core/gossip/gossip-report.js';
 import {type GatewayState, peerExpiryMs} from '../gateway-state.js';
-import {peerResponseTimeoutMs} from '../hop-times.js';
-import {parseHostAndPort} from '../host-and-port.js';
 import {pauseFor} from '../pause.js';
 import {applyConfiguration, getConfigurationStaleMs} from '../store/follow-configuration.js';
 import {getDirectoryPollMs} from '../store/follow-directory.js';
+import {callPeer} from './call-peer.js';
 import {
-	ageSharedState, readMessage, type SharedState, type SharedStateOptions, type SharedStateQuery,
+	ageSharedState, type SharedState, type SharedStateOptions, type SharedStateQuery,
 } from './shared-state.js';
 import {isStale, makeSourceLogger} from './store-reading.js';
 
@@ -23,43 +21,8 @@
 /** Share of queries that go to the best source. The rest go to other sources, so that an outdated best source is detected. */
 const bestSourceShare = 0.8;
 
-/** Timeout for the whole body. The list of thousands of backend servers takes several megabytes. */
-const bodyTimeoutMs = 2500;
-
-const queryAgent = new http.Agent({keepAlive: true, maxFreeSockets: 2});
-
-const fetchSharedState = async (address: string, query: SharedStateQuery): Promise<SharedState | undefined> => new Promise(resolve => {
-	const {host, port} = parseHostAndPort(address);
-	const request = http.request({
-		host, port, method: 'POST', path: '/', agent: queryAgent, headers: {'Content-Type': 'application/json'},
-	});
-	const abortRequest = (): void => {
-		request.destroy();
-	};
-
-	let timer = setTimeout(abortRequest, peerResponseTimeoutMs);
-	request.once('error', () => {
-		// A peer that does not respond is skipped. Another one is queried in the next round.
-		resolve(undefined);
-	});
-	request.once('close', () => {
-		clearTimeout(timer);
-	});
-	request.once('response', async response => {
-		clearTimeout(timer);
-		timer = setTimeout(abortRequest, bodyTimeoutMs);
-		try {
-			const reply = JSON.parse(await readMessage(response)) as {result?: SharedState};
-			resolve(reply.result);
-		} catch {
-			// A truncated or invalid response is treated like a missing one.
-			resolve(undefined);
-		}
-	});
-	request.end(JSON.stringify({
-		jsonrpc: '2.0', id: 1, method: 'shared_state', params: query,
-	}));
-});
+const fetchSharedState = async (address: string, query: SharedStateQuery): Promise<SharedState | undefined> =>
+	callPeer<SharedState>(address, {method: 'shared_state', params: query});
 
 /** Renews the age of this daemon's state wherever the peer holds the same state. */
 const confirmFreshness = ({gateway, directory}: SharedStateOptions, known: Omit<StoreVersions, 'members'>, address: string): void => {
--- a/packages/gateway/src/peers/shared-state.ts
+++ b/packages/gateway/src/peers/shared-state.ts
@@ -2,7 +2,6 @@
  * Serves the configuration, the backend servers and the members to other daemons by JSON-RPC. Daemons
  * that do not read the platform's store, or are refused by it, get them this way.
  */
-import {Buffer} from 'node:buffer';
 import http from 'node:http';
 import {JSONRPCServer} from 'json-rpc-2.0';
 import {type ServingConfiguration} from '@shallotpass/core/calls/serving-configuration.js';
@@ -11,13 +10,14 @@
 import {type StoreVersions} from '@shallotpass/core/gossip/gossip-report.js';
 import {type GossipMember} from '@shallotpass/core/gossip/pick-relays.js';
 import {type StoreRole} from '@shallotpass/core/gossip/store-role.js';
+import {peerCallPath} from '../calls/peer-call.js';
+import {servePeerCall} from '../calls/serve-peer-call.js';
+import {backendContactMethod, probeForPeer} from '../paths/ask-peer.js';
 import {type DirectoryFollower} from '../store/follow-directory.js';
 import {type GatewayState} from '../gateway-state.js';
 import {parseHostAndPort} from '../host-and-port.js';
 import {type MemberList} from './join-members.js';
-
-/** Largest message accepted from a peer. A configuration of 350 routes has 100 kB. */
-const maxMessageBytes = 16_777_216;
+import {readMessage} from './read-message.js';
 
 export type SharedStateQuery = {
 	readonly configurationVersion: number;
@@ -79,26 +79,12 @@
 	}),
 });
 
-export const readMessage = async (stream: http.IncomingMessage): Promise<string> => {
-	const chunks: Buffer[] = [];
-	let bytes = 0;
-	for await (const chunk of stream as AsyncIterable<Buffer>) {
-		bytes += chunk.length;
-		if (bytes > maxMessageBytes) {
-			throw new Error('peer message exceeds the size limit');
-		}
-
-		chunks.push(chunk);
-	}
-
-	return Buffer.concat(chunks).toString('utf8');
-};
-
-/** Serves JSON-RPC requests of peers on this daemon's peer address. */
+/** Serves JSON-RPC requests and calls of peers on this daemon's peer address. */
 export const listenForPeers = async (options: SharedStateOptions): Promise<void> => {
 	const {gateway, signal} = options;
 	const rpc = new JSONRPCServer();
 	rpc.addMethod('shared_state', (query: SharedStateQuery) => makeSharedState(options, query));
+	rpc.addMethod(backendContactMethod, async query => probeForPeer(gateway, query));
 	const handleRequest = async (request: http.IncomingMessage, response: http.ServerResponse): Promise<void> => {
 		try {
 			const reply = await rpc.receiveJSON(await readMessage(request));
@@ -110,8 +96,8 @@
 		}
 	};
 
-	const server = http.createServer((request, response) => {
-		void handleRequest(request, response);
+	const server = http.createServer({noDelay: true}, (request, response) => {
+		void (request.url === peerCallPath ? servePeerCall(gateway, request, response) : handleRequest(request, response));
 	});
 	const {host, port} = parseHostAndPort(gateway.settings.listen.peers);
 	await new Promise<void>(resolve => {
--- a/packages/gateway/src/start-gateway.ts
+++ b/packages/gateway/src/start-gateway.ts
@@ -1,9 +1,11 @@
 /** Creates and connects the components of one gateway daemon, and stops them in order. */
 import {randomUUID} from 'node:crypto';
+import {setMaxListeners} from 'node:events';
 import {performance} from 'node:perf_hooks';
 import process from 'node:process';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {initialStoreRole, getMaxRetryPauseMs} from '@shallotpass/core/gossip/store-role.js';
+import {initialPathState} from '@shallotpass/core/paths/path-state.js';
 import {emptyCrashRegister} from '@shallotpass/core/retries/crash-register.js';
 import {type OpenConnection} from './calls/backend-agent.js';
 import {makeBackendRegistry} from './calls/backend-registry.js';
@@ -19,6 +21,7 @@
 import {type GatewaySettings} from './gateway-settings.js';
 import {countDaemons, type GatewayState} from './gateway-state.js';
 import {makeOrderPlanner} from './leader/order-planner.js';
+import {recordPathSuccess, startPathProbes} from './paths/track-paths.js';
 import {startGossip} from './peers/gossip.js';
 import {type PeerQuerier, startPeerQueries} from './peers/query-peers.js';
 import {getStoreVersions, listenForPeers, type SharedStateOptions} from './peers/shared-state.js';
@@ -34,6 +37,9 @@
 /** Interval between `figures` log lines. */
 const figuresIntervalMs = 10_000;
 
+/** Bound of the listeners on the signal that ends all components. More would show a leak. */
+const maxSignalListeners = 30;
+
 /** Idle connections are kept open this long after SIGTERM, so that a response notifies callers of the shutdown. */
 const keepIdleConnectionsMs = 3200;
 
@@ -91,6 +97,13 @@
 	registeredDaemons: undefined,
 	drainingSince: undefined,
 	activeCalls: 0,
+	paths: initialPathState,
+	onPathsLost: new Set(),
+	nextSuspicionAt: 0,
+	peerCalls: {
+		sent: new Map(), received: 0, avoidedUntil: new Map(), unservedUntil: new Map(), isBusy: false,
+	},
+	listMembers: () => [],
 });
 
 const drain = async (state: GatewayState, listener: CallersListener, controller: AbortController): Promise<void> => {
@@ -144,8 +157,14 @@
 		storeCalls.set(topic, (storeCalls.get(topic) ?? 0) + 1);
 	});
 	const state: GatewayState = makeState(options, platform, metrics);
+	state.registry.onConnected = incarnation => {
+		recordPathSuccess(state, incarnation);
+	};
+
 	const controller = new AbortController();
 	const {signal} = controller;
+	// Each component waits on the signal, some of them several times.
+	setMaxListeners(maxSignalListeners, signal);
 	collectProcessMetrics(metrics);
 	const listener = await listenForCallers(state, options.callersServer);
 	const readyServer = await listenForReadinessChecks(state);
@@ -178,6 +197,7 @@
 	});
 	await listenForPeers(sharedStateOptions);
 	components.peerQuerier = startPeerQueries(sharedStateOptions);
+	void startPathProbes(state, signal);
 	logFigures(state, storeCalls, signal);
 	state.log.write('state', 'started', {incarnation: state.incarnation, listen: state.settings.listen, isFirstStart: state.settings.instance.firstStart});
 	return {
--- a/packages/gateway/src/telemetry/gateway-metrics.ts
+++ b/packages/gateway/src/telemetry/gateway-metrics.ts
@@ -23,6 +23,9 @@
 	readonly limitRefusals: Counter<'service'>;
 	readonly limitedBackends: Gauge;
 	readonly peers: Gauge;
+	readonly cutOff: Gauge;
+	readonly peerCallsSent: Counter<'service' | 'outcome'>;
+	readonly peerCallsReceived: Counter<'outcome'>;
 	readonly activeCalls: Gauge;
 };
 
@@ -75,6 +78,13 @@
 			name: 'shallotpass_gateway_limit_refusals_total', help: 'Calls refused because the limits that backend servers state leave no room', labelNames: ['service'], registers,
 		}),
 		limitedBackends: new Gauge({name: 'shallotpass_gateway_limited_backends', help: 'Backend servers that state a limit', registers}),
+		cutOff: new Gauge({name: 'shallotpass_gateway_cut_off', help: '1 while no new connection to any backend server can be opened, otherwise 0', registers}),
+		peerCallsSent: new Counter({
+			name: 'shallotpass_gateway_peer_calls_sent_total', help: 'Calls offered to other daemons by outcome', labelNames: ['service', 'outcome'], registers,
+		}),
+		peerCallsReceived: new Counter({
+			name: 'shallotpass_gateway_peer_calls_received_total', help: 'Calls that other daemons offered to this one by outcome', labelNames: ['outcome'], registers,
+		}),
 		peers: new Gauge({name: 'shallotpass_gateway_peers', help: 'Other daemons that were heard lately', registers}),
 		activeCalls: new Gauge({name: 'shallotpass_gateway_active_calls', help: 'Calls in flight', registers}),
 	};
--- a/packages/gateway/src/telemetry/log-events.ts
+++ b/packages/gateway/src/telemetry/log-events.ts
@@ -43,6 +43,12 @@
 		fields: ['backend', 'offset', 'source', 'keptMs'],
 	},
 	backend_unreachable: {meaning: 'Connections to a backend server fail, it stopped responding, or its address belongs to another one; it gets no calls until the pause has passed', fields: ['backend', 'address', 'reason', 'failures', 'pauseMs']},
+	backend_path_lost: {meaning: 'A backend server is not reached from here, but another daemon reaches it; no call is suspected', fields: ['backend', 'address']},
+	paths_lost: {
+		meaning: 'No new connection to any backend server can be opened from here; calls go through other daemons. `failed`: backend servers tried, `dataMs`: time since data of any was received',
+		fields: ['backends', 'failed', 'firstFailedMs', 'dataMs'],
+	},
+	paths_regained: {meaning: 'Connections to backend servers can be opened again; calls are sent directly', fields: ['lostMs']},
 	backend_limit: {
 		meaning: 'A backend server stated for the first time, changed or ended the calls per second that it takes from all daemons together; without `perSecond` it has ended',
 		fields: ['backend', 'service', 'perSecond', 'before', 'request', 'status', 'peer', 'sentMs', 'share'],
@@ -68,8 +74,14 @@
 	},
 	call_ended: {
 		meaning: 'Outcome of a call',
-		fields: ['request', 'account', 'route', 'service', 'kind', 'outcome', 'detail', 'status', 'tookMs', 'firstMs', 'longestPauseMs', 'configuration', 'configurationAgeMs'],
+		fields: ['request', 'account', 'route', 'service', 'kind', 'outcome', 'detail', 'status', 'tookMs', 'firstMs', 'longestPauseMs', 'configuration', 'configurationAgeMs', 'isFromPeer'],
+	},
+	call_sent_to_peer: {
+		meaning: 'A call was offered to another daemon, as no backend server of its service is reached from here',
+		fields: ['request', 'service', 'peer', 'zone', 'offer', 'result', 'reason', 'tookMs', 'remainingMs', 'isCutOff'],
 	},
+	peer_call_taken: {meaning: 'A call of another daemon is served here', fields: ['request', 'service', 'peer', 'rank', 'remainingMs', 'serving']},
+	peer_call_refused: {meaning: 'A call of another daemon was refused before it was sent to a backend server', fields: ['request', 'result', 'detail', 'serving']},
 	call_moved: {
 		meaning: 'A run was stopped at a leaving backend server; its KV cache was copied to another one, or it continues on the same one',
 		fields: ['request', 'from', 'to', 'outcome', 'reason', 'leavesInMs', 'tookMs'],
