Keep runs of a sound backend server that is silent for a second, and do not suspend it

Cause: silence was taken for a failure of the backend server before it could be one. A backend server is suspended for silence only when calls have got no data from it for that long, given up ones included. Lost paths are found by probes, sooner than by any of these.

--- a/packages/gateway/src/calls/backend-registry.ts
+++ b/packages/gateway/src/calls/backend-registry.ts
@@ -45,6 +45,8 @@
 	failedAt: number;
 	/** When data was last received from it, on the steady clock. */
 	lastReadAt: number;
+	/** When the first call was sent that got no response since data was last received. Earlier than `lastReadAt` if there is none. */
+	firstUnansweredAt: number;
 	/** Send times of the calls without a response, oldest first. */
 	readonly unansweredSince: Map<symbol, number>;
 	/** Whether the store no longer lists it, but its entry may only have expired during an outage. */
@@ -106,6 +108,7 @@
 	failedConnects: 0,
 	failedAt: Number.NEGATIVE_INFINITY,
 	lastReadAt: now,
+	firstUnansweredAt: Number.NEGATIVE_INFINITY,
 	unansweredSince: new Map(),
 	isMissing: false,
 	isGone: false,
@@ -220,6 +223,9 @@
 	return oldestSentAt === undefined ? 0 : now - Math.max(oldestSentAt, state.lastReadAt);
 };
 
+/** Milliseconds for which calls to the backend server have got no data, also those that were given up meanwhile. */
+export const computeUnansweredMs = ({firstUnansweredAt, lastReadAt}: BackendState, now: number): number => firstUnansweredAt > lastReadAt ? now - firstUnansweredAt : 0;
+
 /** Returns the latency model of a backend server, computed from the measurements of all daemons and the model of its service. */
 export const getLatencyModel = (registry: BackendRegistry, state: BackendState, now: number): LatencyModel => {
 	const latencyModel = registry.latencyModels.get(state.entry.service) ?? defaultLatencyModel;
--- a/packages/gateway/src/calls/track-running-call.ts
+++ b/packages/gateway/src/calls/track-running-call.ts
@@ -7,7 +7,12 @@
 /** Counts a call in the load of its backend server until it ends. */
 // eslint-disable-next-line max-params -- the backend server and what the call adds to its load
 export const trackRunningCall = (gateway: GatewayState, rank: number, state: BackendState, uncachedTokens: number, digest: string) => {
+	const now = gateway.clocks.steady();
 	state.running++;
+	if (state.firstUnansweredAt <= state.lastReadAt) {
+		state.firstUnansweredAt = now;
+	}
+
 	state.pendingTokens[rank]! += uncachedTokens;
 	state.runningDigests.add(digest);
 	let isPending = true;
@@ -20,7 +25,7 @@
 	};
 
 	const callKey = Symbol('call');
-	state.unansweredSince.set(callKey, gateway.clocks.steady());
+	state.unansweredSince.set(callKey, now);
 	return {
 		endPending,
 		markAnswered(): void {
--- a/packages/gateway/src/calls/watch-for-silence.ts
+++ b/packages/gateway/src/calls/watch-for-silence.ts
@@ -1,7 +1,8 @@
 /** Watches for backend servers that stop sending data, and for lost paths that nothing else shows. */
+import {soundSilenceMs} from '@shallotpass/core/retries/silence-timeout.js';
 import {type GatewayState} from '../gateway-state.js';
 import {confirmLoss, hasContactSince} from '../paths/track-paths.js';
-import {type BackendState} from './backend-registry.js';
+import {type BackendState, computeUnansweredMs} from './backend-registry.js';
 import {suspendBackend} from './connect-failures.js';
 
 export type SilenceWatchOptions = {
@@ -50,7 +51,11 @@
 			return;
 		}
 
-		suspendBackend(gateway, state, 'silent');
+		// A sound backend server may be silent for a second.
+		if (computeUnansweredMs(state, gateway.clocks.steady()) >= soundSilenceMs) {
+			suspendBackend(gateway, state, 'silent');
+		}
+
 		onSilent();
 	};
 
