--- a/packages/core/src/paths/choose-peer.ts
+++ b/packages/core/src/paths/choose-peer.ts
@@ -11,6 +11,8 @@
 
 export type PeerChoice = {
 	readonly ownZone: string;
+	/** Zones whose daemons could not take a call a moment ago. */
+	readonly avoidedZones?: ReadonlySet<string>;
 	/** Returns a number from 0 up to, but not including, 1. */
 	readonly random: () => number;
 };
@@ -20,12 +22,13 @@
 
 const countFree = ({room, inFlight}: PeerCandidate): number => (room ?? Number.MAX_SAFE_INTEGER) - inFlight;
 
-/** Returns the less busy of two random candidates of the own availability zone, or of the other zones if it has none. */
-export const choosePeer = (candidates: readonly PeerCandidate[], {ownZone, random}: PeerChoice): PeerCandidate | undefined => {
+/** Returns the less busy of two random candidates of the own availability zone, or of the other zones if it has none or is avoided. */
+export const choosePeer = (candidates: readonly PeerCandidate[], {ownZone, avoidedZones, random}: PeerChoice): PeerCandidate | undefined => {
 	const free = candidates.filter(candidate => countFree(candidate) > 0);
-	const near = free.filter(({availabilityZone}) => availabilityZone === ownZone);
-	const pool = near.length > 0 ? near : free;
-	if (pool.length === 0) {
+	const usual = free.filter(({availabilityZone}) => avoidedZones?.has(availabilityZone) !== true);
+	const near = usual.filter(({availabilityZone}) => availabilityZone === ownZone);
+	const pool = [near, usual, free].find(({length}) => length > 0);
+	if (pool === undefined) {
 		return undefined;
 	}
 
--- a/packages/core/src/paths/path-state.ts
+++ b/packages/core/src/paths/path-state.ts
@@ -50,8 +50,8 @@
 	const failures = new Map([...state.failures].filter(([failed, at]) => at > now - failureExpiryMs && known.has(failed)));
 	failures.set(incarnation, startedAt);
 	if (state.lostSince !== undefined) {
-		// A backend server that was reached and fails again shows that the link is unreliable.
-		return {...state, failures, regained: new Set()};
+		// One that was reached and fails again is no sign that the paths are back.
+		return {...state, failures, regained: new Set([...state.regained].filter(reached => reached !== incarnation))};
 	}
 
 	const firstFailedAt = Math.min(...failures.values());
@@ -66,7 +66,7 @@
 	readonly knownCount: number;
 };
 
-/** Records an opened connection. Lost paths are back once two backend servers were reached without a failure between. */
+/** Records an opened connection. Lost paths are back once two backend servers were reached that have not failed again. */
 export const recordConnectSuccess = (state: PathState, {incarnation, now, knownCount}: ConnectSuccess): PathState => {
 	if (state.lostSince === undefined) {
 		return {...state, connectedAt: now, failures: state.failures.size === 0 ? state.failures : new Map()};
--- a/packages/gateway/src/calls/send-to-peer.ts
+++ b/packages/gateway/src/calls/send-to-peer.ts
@@ -1,11 +1,11 @@
 /** Sends a call through another daemon that reaches the backend servers. */
 import http from 'node:http';
 import {isErrorKind} from '@shallotpass/common/error-kinds.js';
-import {choosePeer, type PeerCandidate} from '@shallotpass/core/paths/choose-peer.js';
+import {type PeerCandidate} from '@shallotpass/core/paths/choose-peer.js';
 import {isRepeatable} from '@shallotpass/core/calls/types.js';
 import {type GatewayState} from '../gateway-state.js';
 import {parseHostAndPort} from '../host-and-port.js';
-import {listPeerCandidates} from '../peers/list-peer-candidates.js';
+import {pickPeer} from '../peers/pick-peer.js';
 import {readMessage} from '../peers/read-message.js';
 import {type AdmittedCall, type CallContext} from './admit-call.js';
 import {type Exchange} from './backend-exchange.js';
@@ -206,11 +206,14 @@
 		: {kind: 'may_have_run', reason: `peer_${answer ?? 'without_result'}`};
 };
 
-const recordResult = (gateway: GatewayState, address: string, service: string, result: PeerResult): void => {
+const recordResult = (gateway: GatewayState, {address, availabilityZone, room}: PeerCandidate, service: string, result: PeerResult): void => {
 	const now = gateway.clocks.steady();
-	const {avoidedUntil, unservedUntil} = gateway.peerCalls;
+	const {avoidedUntil, avoidedZonesUntil, unservedUntil} = gateway.peerCalls;
 	if (result.kind === 'unsent' || result.kind === 'may_have_run' || (result.kind === 'refused' && result.isUnfit)) {
 		avoidedUntil.set(address, now + avoidMs);
+		if (room === undefined) {
+			avoidedZonesUntil.set(availabilityZone, now + avoidMs);
+		}
 	} else if (result.kind === 'refused' && result.refusal.kind === 'no_backend') {
 		unservedUntil.set(service, now + unservedMs);
 	}
@@ -226,7 +229,7 @@
 	const {call} = admitted;
 	let refused: PeerResult | undefined;
 	while (canSendToPeer(context, admitted, progress) && !signal.aborted) {
-		const peer = choosePeer(listPeerCandidates(gateway, progress.triedPeers), {ownZone: gateway.settings.instance.availabilityZone, random: gateway.random});
+		const peer = pickPeer(gateway, progress.triedPeers);
 		if (peer === undefined) {
 			break;
 		}
@@ -236,7 +239,7 @@
 		const startedAt = gateway.clocks.steady();
 		// eslint-disable-next-line no-await-in-loop -- peers are asked one after the other
 		const result = await offerToPeer(context, admitted, {peer, possibleRuns: progress.possibleRuns}, signal);
-		recordResult(gateway, peer.address, call.service, result);
+		recordResult(gateway, peer, call.service, result);
 		gateway.metrics.peerCallsSent.inc({service: call.service, outcome: result.kind});
 		gateway.log.write(result.kind === 'answered' ? 'routine' : 'failure', 'call_sent_to_peer', {
 			request: call.id, service: call.service, peer: peer.address, zone: peer.availabilityZone, offer: progress.attempts, result: result.kind,
--- a/packages/gateway/src/gateway-state.ts
+++ b/packages/gateway/src/gateway-state.ts
@@ -45,6 +45,8 @@
 	received: number;
 	/** Until when no calls are sent through a peer that could not take one, by address, on the steady clock. */
 	readonly avoidedUntil: Map<string, number>;
+	/** The same for availability zones, where nothing else tells which of their daemons are cut off. */
+	readonly avoidedZonesUntil: Map<string, number>;
 	/** Until when no peer is asked for a service that none of them could serve, on the steady clock. */
 	readonly unservedUntil: Map<string, number>;
 	/** Whether this daemon's timers run late, so that it takes no calls of peers. */
--- a/packages/gateway/src/paths/ask-peer.ts
+++ b/packages/gateway/src/paths/ask-peer.ts
@@ -1,10 +1,9 @@
 /** Asks another daemon whether it reaches a backend server that this one does not reach. */
 import * as z from 'zod';
-import {choosePeer} from '@shallotpass/core/paths/choose-peer.js';
 import {type BackendState} from '../calls/backend-registry.js';
 import {type GatewayState} from '../gateway-state.js';
 import {callPeer} from '../peers/call-peer.js';
-import {listPeerCandidates} from '../peers/list-peer-candidates.js';
+import {pickPeer} from '../peers/pick-peer.js';
 import {canConnect} from './can-connect.js';
 import {recordPathFailure, recordPathSuccess} from './track-paths.js';
 
@@ -18,7 +17,7 @@
 const responseTimeoutMs = 600;
 
 export const askPeerForBackend = async (gateway: GatewayState, {incarnation}: BackendState): Promise<BackendContact> => {
-	const peer = choosePeer(listPeerCandidates(gateway, new Set()), {ownZone: gateway.settings.instance.availabilityZone, random: gateway.random});
+	const peer = pickPeer(gateway, new Set());
 	if (peer === undefined) {
 		return 'unknown';
 	}
--- a/packages/gateway/src/paths/track-paths.ts
+++ b/packages/gateway/src/paths/track-paths.ts
@@ -7,10 +7,11 @@
 import {pauseFor} from '../pause.js';
 import {canConnect} from './can-connect.js';
 
-/** Interval between probes while the paths are lost. */
-const probeIntervalMs = 400;
+/** Interval between probes while the paths are lost, and how many backend servers are probed: some may have failed themselves. */
+const probeIntervalMs = 500;
+const probesAtOnce = 2;
 
-/** Pause before a second backend server is probed once a first was reached again. */
+/** Pause before further backend servers are probed once one was reached again. */
 const confirmingIntervalMs = 50;
 
 /** Interval between probes that a waiting call may start. Each one opens a connection, which is billed. */
@@ -99,10 +100,10 @@
 	}
 };
 
-/** Picks random backend servers whose failure is not known yet. */
-const pickUntried = (gateway: GatewayState, count: number, excluded: BackendState): BackendState[] => {
-	const untried = [...gateway.registry.byId.values()].filter(state => state !== excluded && !gateway.paths.failures.has(state.incarnation));
-	return Array.from({length: Math.min(count, untried.length)}, () => untried.splice(Math.floor(gateway.random() * untried.length), 1)[0]!);
+/** Picks random backend servers. */
+const pickStates = ({random}: GatewayState, states: readonly BackendState[], count: number): BackendState[] => {
+	const left = [...states];
+	return Array.from({length: Math.min(count, left.length)}, () => left.splice(Math.floor(random() * left.length), 1)[0]!);
 };
 
 /** Number of other backend servers that are probed when one cannot be reached. */
@@ -116,7 +117,8 @@
 	}
 
 	gateway.nextSuspicionAt = now + suspicionIntervalMs;
-	const others = pickUntried(gateway, confirmingProbes, failed);
+	const untried = [...gateway.registry.byId.values()].filter(state => state !== failed && !gateway.paths.failures.has(state.incarnation));
+	const others = pickStates(gateway, untried, confirmingProbes);
 	await Promise.all((isFailureKnown ? others : [failed, ...others]).map(async state => probe(gateway, state)));
 };
 
@@ -134,10 +136,8 @@
 			continue;
 		}
 
-		const states = [...gateway.registry.byId.values()].filter(({incarnation}) => !gateway.paths.regained.has(incarnation));
-		const state = states[Math.floor(gateway.random() * states.length)];
-		if (state !== undefined) {
-			await probe(gateway, state); // eslint-disable-line no-await-in-loop -- one probe at a time
-		}
+		const unreached = [...gateway.registry.byId.values()].filter(({incarnation}) => !gateway.paths.regained.has(incarnation));
+		// eslint-disable-next-line no-await-in-loop -- one round after the other
+		await Promise.all(pickStates(gateway, unreached, probesAtOnce).map(async state => probe(gateway, state)));
 	}
 };
--- a/packages/gateway/src/peers/list-peer-candidates.ts
+++ b/packages/gateway/src/peers/pick-peer.ts
@@ -1,14 +1,14 @@
-/** Lists the daemons through which a call can be sent. */
+/** Picks the daemon through which a call is sent that reaches no backend server from here. */
 import {needsRelays} from '@shallotpass/core/gossip/pick-relays.js';
 import {isSum} from '@shallotpass/core/gossip/gossip-report.js';
-import {type PeerCandidate} from '@shallotpass/core/paths/choose-peer.js';
+import {choosePeer, type PeerCandidate} from '@shallotpass/core/paths/choose-peer.js';
 import {type GatewayState} from '../gateway-state.js';
 
 /** A daemon whose last report is older than this may be unreachable itself: three gossip rounds. */
 const freshMs = 1000;
 
 /** Lists daemons that are not cut off, know how to serve a peer's call, and were not tried for this call. */
-export const listPeerCandidates = (gateway: GatewayState, triedAddresses: ReadonlySet<string>): PeerCandidate[] => {
+const listPeerCandidates = (gateway: GatewayState, triedAddresses: ReadonlySet<string>): PeerCandidate[] => {
 	const now = gateway.clocks.steady();
 	const {sent, avoidedUntil} = gateway.peerCalls;
 	const ownAddress = gateway.settings.listen.peers;
@@ -29,3 +29,9 @@
 			address, availabilityZone, room: peerCalls!.room, inFlight: countInFlight(address),
 		}));
 };
+
+export const pickPeer = (gateway: GatewayState, triedAddresses: ReadonlySet<string>): PeerCandidate | undefined => {
+	const now = gateway.clocks.steady();
+	const avoidedZones = new Set([...gateway.peerCalls.avoidedZonesUntil].filter(([, until]) => until > now).map(([zone]) => zone));
+	return choosePeer(listPeerCandidates(gateway, triedAddresses), {ownZone: gateway.settings.instance.availabilityZone, avoidedZones, random: gateway.random});
+};
--- a/packages/gateway/src/start-gateway.ts
+++ b/packages/gateway/src/start-gateway.ts
@@ -101,7 +101,7 @@
 	onPathsLost: new Set(),
 	nextSuspicionAt: 0,
 	peerCalls: {
-		sent: new Map(), received: 0, avoidedUntil: new Map(), unservedUntil: new Map(), isBusy: false,
+		sent: new Map(), received: 0, avoidedUntil: new Map(), avoidedZonesUntil: new Map(), unservedUntil: new Map(), isBusy: false,
 	},
 	listMembers: () => [],
 });
