Give daemons of the soak links of their own, and cut some of them off from all backend servers

The soak's relays stand before each backend server, for all daemons together, so it could not cut one daemon off. A module that is preloaded into a daemon now leads its connections through a relay a daemon and backend server.

--- a/scripts/soak/src/check-history.test.ts
+++ b/scripts/soak/src/check-history.test.ts
@@ -20,7 +20,7 @@
 });
 
 const makeHistory = (changes: Partial<History> = {}): History => ({
-	calls: [makeCall()], runs: [makeRun()], duties: [], disturbances: [], bans: [], arrivals: [], limits: [], linkDisturbances: [], ownEnds: [], neverReady: [], calmFrom: 9000, hasOnlyPlannedWork: false, ...changes,
+	calls: [makeCall()], runs: [makeRun()], duties: [], disturbances: [], bans: [], arrivals: [], limits: [], linkDisturbances: [], cuts: [], ownEnds: [], neverReady: [], calmFrom: 9000, hasOnlyPlannedWork: false, ...changes,
 });
 
 /** Served calls, so that histories with refused calls still pass the recovery check. */
@@ -37,6 +37,14 @@
 
 const violationCases: ReadonlyArray<{readonly name: string; readonly history: Partial<History>; readonly expected: RegExp}> = [
 	{name: 'a booking that was executed twice', history: {runs: [makeRun(), makeRun({backend: 'app-1'})]}, expected: /ran 2 times/v},
+	{
+		name: 'callers of a daemon that is cut off whose calls are refused',
+		history: {
+			calls: [...servedCalls, ...Array.from({length: 20}, (_value, index) => makeRefusedCall(503, {id: `cut-${index}`, daemon: 'daemon-1', sentAt: 9500}))], runs: servedRuns,
+			cuts: [{daemons: ['daemon-1'], from: 6000, until: 12_000}], calmFrom: 10_000,
+		},
+		expected: /daemon-1 reached no backend server: 0 of 20 calls served/v,
+	},
 	{name: 'a booking that was refused but executed', history: {calls: [makeRefusedCall(503), ...servedCalls], runs: [makeRun(), ...servedRuns]}, expected: /answered 503, but ran/v},
 	{name: 'a success without an execution', history: {runs: []}, expected: /answered 200 without an execution on the backend server/v},
 	{name: 'the answer of another call', history: {calls: [makeCall({end: makeAnswer({requestId: 'c-2'})})]}, expected: /received the answer of another call/v},
--- a/scripts/soak/src/daemon-process.ts
+++ b/scripts/soak/src/daemon-process.ts
@@ -1,14 +1,16 @@
 /** Runs one daemon as a child process with its own settings file. Signals are sent only to processes started here. */
 import {type ChildProcess, spawn} from 'node:child_process';
-import {createWriteStream, writeFileSync} from 'node:fs';
+import {createWriteStream, renameSync, writeFileSync} from 'node:fs';
 import path from 'node:path';
 import process from 'node:process';
 import {stringify} from 'smol-toml';
 import {type GatewaySettings} from '@shallotpass/gateway/gateway-settings.js';
+import {type DaemonLinks} from './daemon-links.js';
 
 const root = path.resolve(import.meta.dirname, '../../..');
 const bundlePath = path.join(root, 'target/shallotpassd.mjs');
 const clockModule = path.join(import.meta.dirname, 'shifted-clock.js');
+const linksModule = path.join(import.meta.dirname, 'daemon-links.js');
 
 /** Delay before a process that exited unexpectedly is restarted, as the platform does. */
 const restartDelayMs = 500;
@@ -24,6 +26,7 @@
 	/** Sends the signal and waits until the process has exited. */
 	readonly end: (signal: 'SIGTERM' | 'SIGKILL') => Promise<void>;
 	readonly setClock: (offsetMs: number) => void;
+	readonly setLinks: (links: DaemonLinks) => void;
 	/** Writes the settings file, either complete or truncated. */
 	readonly writeSettings: (how: 'whole' | 'cut_short', comment?: string) => void;
 };
@@ -38,6 +41,7 @@
 	const {id} = settings.instance;
 	const settingsPath = path.join(folder, `${id}.toml`);
 	const clockPath = path.join(folder, `${id}.clock`);
+	const linksPath = path.join(folder, `${id}.links`);
 	const log = createWriteStream(path.join(folder, `${id}.log`), {flags: 'a'});
 	const text = stringify(convertKeysToSnakeCase(settings));
 	const writeSettings: DaemonProcess['writeSettings'] = (how, comment = '') => {
@@ -60,13 +64,23 @@
 	let isExitExpected = false;
 	let unexpectedExits = 0;
 	let restartTimer: NodeJS.Timeout | undefined;
+	const setLinks: DaemonProcess['setLinks'] = links => {
+		// Replaced as a whole, because the daemon may read it at any time.
+		writeFileSync(`${linksPath}.new`, JSON.stringify(links));
+		renameSync(`${linksPath}.new`, linksPath);
+	};
+
+	setLinks({relays: {}});
 	writeSettings('whole');
 
 	const start = (): void => {
 		isExitExpected = false;
-		const spawned = spawn(process.execPath, ['--import', clockModule, bundlePath], {
-			// eslint-disable-next-line @typescript-eslint/naming-convention -- environment variables
-			env: {...process.env, SHALLOTPASS_CONFIG: settingsPath, SHIFTED_CLOCK_FILE: clockPath},
+		const spawned = spawn(process.execPath, ['--import', clockModule, '--import', linksModule, bundlePath], {
+			env: {
+				...process.env,
+				// eslint-disable-next-line @typescript-eslint/naming-convention -- environment variables
+				SHALLOTPASS_CONFIG: settingsPath, SHIFTED_CLOCK_FILE: clockPath, DAEMON_LINKS_FILE: linksPath,
+			},
 			stdio: ['ignore', 'pipe', 'pipe'],
 		});
 		spawned.stdout.pipe(log, {end: false});
@@ -120,6 +134,7 @@
 			writeFileSync(clockPath, String(offsetMs));
 			sendClockStep();
 		},
+		setLinks,
 		writeSettings,
 	};
 };
--- a/scripts/soak/src/history.ts
+++ b/scripts/soak/src/history.ts
@@ -83,6 +83,14 @@
 	readonly until: number;
 };
 
+/** A period in which daemons reached no backend server by new connections. */
+export type Cut = {
+	readonly daemons: readonly string[];
+	readonly from: number;
+	/** Infinity while it lasts. */
+	until: number;
+};
+
 export type History = {
 	readonly calls: readonly CompletedCall[];
 	readonly runs: readonly BackendRun[];
@@ -92,6 +100,7 @@
 	readonly arrivals: readonly BackendArrival[];
 	readonly limits: readonly BackendLimitSpan[];
 	readonly linkDisturbances: readonly LinkDisturbance[];
+	readonly cuts: readonly Cut[];
 	/** Daemons that exited although the soak neither stopped nor killed them. */
 	readonly ownEnds: readonly string[];
 	/** Daemons that did not become ready after the last fault. */
--- a/scripts/soak/src/inject-fault.ts
+++ b/scripts/soak/src/inject-fault.ts
@@ -7,7 +7,9 @@
 } from '@shallotpass/platform/stand-ins/platform-fixture.js';
 import {shopKey} from '@shallotpass/platform/stand-ins/send-call.js';
 import {type Fault, type LinkFault, type Notice} from './plan-faults.js';
-import {type SoakBackend, type SoakDaemon, type SoakCluster} from './soak-cluster.js';
+import {
+	openLinks, type SoakBackend, type SoakDaemon, type SoakCluster,
+} from './soak-cluster.js';
 
 /** Latency that a slow link adds in each direction. */
 const addedLatencyMs = 150;
@@ -164,6 +166,36 @@
 	}
 };
 
+/** Makes the links of the daemons to all backend servers fail for the given time. Daemons that are cut off already are left as they are. */
+const cutOff = async (cluster: SoakCluster, {daemons: indexes, how, forMs}: Fault & {kind: 'cut_off'}): Promise<void> => {
+	const cutNow = new Set(cluster.cuts.filter(({until}) => until === Infinity).flatMap(({daemons}) => daemons));
+	const daemons = indexes.map(index => cluster.daemons[index]!).filter(({process}) => !cutNow.has(process.id));
+	const cut = {daemons: daemons.map(({process}) => process.id), from: performance.now(), until: Infinity};
+	cluster.cuts.push(cut);
+	for (const {process, links} of daemons) {
+		process.setLinks({failure: how, relays: Object.fromEntries([...links].map(([address, relay]) => [address, relay.address]))});
+		for (const relay of links.values()) {
+			relay.setMode(how === 'refused' ? 'open' : how);
+		}
+	}
+
+	await sleep(forMs);
+	for (const daemon of daemons) {
+		for (const relay of daemon.links.values()) {
+			if (how === 'silent') {
+				// Closes hanging connections so that both ends notice.
+				relay.setMode('cut');
+			}
+
+			relay.setMode('open');
+		}
+
+		openLinks(daemon);
+	}
+
+	cut.until = performance.now();
+};
+
 const applyBackendFault = async (cluster: SoakCluster, fault: Fault & {kind: 'misbehave'}): Promise<void> => {
 	const {standIn} = cluster.backends[fault.backend]!;
 	standIn.failureMode = fault.how;
@@ -259,6 +291,11 @@
 			return;
 		}
 
+		case 'cut_off': {
+			await cutOff(cluster, fault);
+			return;
+		}
+
 		case 'configure': {
 			changeAccountKeys(cluster, fault.hasSecondKey);
 		}
--- a/scripts/soak/src/plan-faults.ts
+++ b/scripts/soak/src/plan-faults.ts
@@ -1,5 +1,6 @@
 /** Plans the faults of a run and their start times, which are determined by the seed. */
 import {makeRandom} from '@shallotpass/core/testing/make-random.js';
+import {type LinkFailure} from './daemon-links.js';
 
 /** Modes of a relay that disrupt its connections, and `slow`, which adds latency. */
 export type LinkFault = 'cut' | 'silent' | 'forgetful' | 'reset' | 'one_way' | 'slow';
@@ -40,6 +41,8 @@
 	| {readonly kind: 'leave'; readonly backend: number; readonly isTold: boolean; readonly forMs: number; readonly notice?: Notice}
 	/** Makes a backend server state that it takes this many calls a second from all daemons together. */
 	| {readonly kind: 'limit'; readonly backend: number; readonly perSecond: number; readonly forMs: number}
+	/** Makes the links of some daemons to all backend servers fail. */
+	| {readonly kind: 'cut_off'; readonly daemons: readonly number[]; readonly how: LinkFailure; readonly forMs: number}
 	/** Writes a new configuration version that contains or lacks the second key. */
 	| {readonly kind: 'configure'; readonly hasSecondKey: boolean};
 
@@ -144,6 +147,32 @@
 	}));
 };
 
+/** Added to the seed, as for notices. */
+const cutSeedOffset = 3_000_000;
+
+const cutFailures: readonly LinkFailure[] = ['silent', 'reset', 'refused'];
+const maxCuts = 2;
+const minCutMs = 3500;
+const maxCutMs = 9000;
+
+/** Plans the cuts of some daemons, at times of all, from all backend servers beside the other faults. */
+const planCuts = ({seed, daemons, forMs}: FaultOptions): PlannedFault[] => {
+	const random = makeRandom(seed + cutSeedOffset);
+	return Array.from({length: Math.floor(random() * (maxCuts + 1))}, () => {
+		const count = 1 + Math.floor(random() * daemons);
+		const first = Math.floor(random() * daemons);
+		return {
+			at: Math.round(random() * forMs),
+			fault: {
+				kind: 'cut_off',
+				daemons: Array.from({length: count}, (_value, index) => (first + index) % daemons),
+				how: cutFailures[Math.floor(random() * cutFailures.length)]!,
+				forMs: Math.round(minCutMs + (random() * (maxCutMs - minCutMs))),
+			},
+		};
+	});
+};
+
 /** Draws the limit that a backend server states after the last fault, when no daemon is excused any more. */
 export const planLimitAfterFaults = ({seed, backends}: Pick<FaultOptions, 'seed' | 'backends'>, forMs: number): Fault => {
 	const random = makeRandom(seed + limitSeedOffset + 1);
@@ -173,6 +202,6 @@
 		}
 	}
 
-	const limits = options.hasOnlyPlannedWork ? [] : planLimits(options);
+	const limits = options.hasOnlyPlannedWork ? [] : [...planLimits(options), ...planCuts(options)];
 	return [...addNotices(planned.toSorted((left, right) => left.at - right.at), options.seed), ...limits];
 };
--- a/scripts/soak/src/run-soak.ts
+++ b/scripts/soak/src/run-soak.ts
@@ -121,6 +121,7 @@
 			arrivals: cluster.backends.flatMap(({standIn}) => standIn.arrivals.map(({id, at}) => ({backend: standIn.id, id, at}))),
 			limits: cluster.limits,
 			linkDisturbances: cluster.linkDisturbances,
+			cuts: cluster.cuts,
 			neverReady,
 			ownEnds: cluster.daemons.filter(({process}) => process.countUnexpectedExits() > 0).map(({process}) => process.id),
 			calmFrom,
--- a/scripts/soak/src/soak-cluster.ts
+++ b/scripts/soak/src/soak-cluster.ts
@@ -8,7 +8,7 @@
 import {type DaemonProcess, makeDaemonProcess} from './daemon-process.js';
 import {eventsPerStream} from './format-events.js';
 import {
-	type Ban, type BackendLimitSpan, type Disturbance, type LinkDisturbance,
+	type Ban, type BackendLimitSpan, type Cut, type Disturbance, type LinkDisturbance,
 } from './history.js';
 
 export type SoakBackend = {
@@ -24,6 +24,8 @@
 	readonly process: DaemonProcess;
 	readonly store: Relay;
 	readonly cloud: Relay;
+	/** Relays of its own links to the backend servers, by the address under which these are announced. */
+	readonly links: ReadonlyMap<string, Relay>;
 	/** Whether a fault currently affects the process. Further faults skip it. */
 	hasActiveFault: boolean;
 };
@@ -36,6 +38,7 @@
 	readonly bans: Ban[];
 	readonly limits: BackendLimitSpan[];
 	readonly linkDisturbances: LinkDisturbance[];
+	readonly cuts: Cut[];
 	version: number;
 	/** Adds a line to the notes, which are written with the history of the run. */
 	readonly addNote: (line: string) => void;
@@ -65,13 +68,20 @@
 	};
 };
 
-const startDaemon = async (fixture: PlatformFixture, index: number, folder: string): Promise<SoakDaemon> => {
+/** Lets the daemon connect to backend servers through its links. */
+export const openLinks = ({process, links}: Pick<SoakDaemon, 'process' | 'links'>): void => {
+	process.setLinks({relays: Object.fromEntries([...links].map(([address, relay]) => [address, relay.address]))});
+};
+
+const startDaemon = async (fixture: PlatformFixture, backends: readonly SoakBackend[], index: number, folder: string): Promise<SoakDaemon> => {
 	const storeRelay = await startRelay(fixture.store.address);
 	const cloudRelay = await startRelay(fixture.cloud.address);
 	const process = makeDaemonProcess(makeSettings(`daemon-${index}`, storeRelay.address, cloudRelay.address), folder);
+	const links = new Map(await Promise.all(backends.map(async ({relay}) => [relay.address, await startRelay(relay.address)] as const)));
+	openLinks({process, links});
 	process.start();
 	return {
-		process, store: storeRelay, cloud: cloudRelay, hasActiveFault: false,
+		process, store: storeRelay, cloud: cloudRelay, links, hasActiveFault: false,
 	};
 };
 
@@ -115,11 +125,11 @@
 	]);
 	const startedDaemons: SoakDaemon[] = [];
 	for (let index = 0; index < daemons; index++) {
-		startedDaemons.push(await startDaemon(fixture, index, folder)); // eslint-disable-line no-await-in-loop -- started in the order of their ids
+		startedDaemons.push(await startDaemon(fixture, backends, index, folder)); // eslint-disable-line no-await-in-loop -- started in the order of their ids
 	}
 
 	const cluster: SoakCluster = {
-		fixture, backends, daemons: startedDaemons, disturbances: [], bans: [], limits: [], linkDisturbances: [], version: 1, addNote,
+		fixture, backends, daemons: startedDaemons, disturbances: [], bans: [], limits: [], linkDisturbances: [], cuts: [], version: 1, addNote,
 	};
 	await waitForReady(cluster);
 	await waitUntil('a daemon holds the lease and calls the cloud', () => fixture.cloud.calls.length > 0);
@@ -133,7 +143,7 @@
 	}));
 	await Promise.all([
 		...cluster.backends.map(async ({relay}) => relay.close()),
-		...cluster.daemons.flatMap(({store: storeRelay, cloud: cloudRelay}) => [storeRelay.close(), cloudRelay.close()]),
+		...cluster.daemons.flatMap(({store: storeRelay, cloud: cloudRelay, links}) => [storeRelay, cloudRelay, ...links.values()]).map(async relay => relay.close()),
 		cluster.fixture.close(),
 	]);
 };
