Send brittle backend servers only calls for which they have a place

Cause: backend servers of a service can now state (`Server-Brittle: N`) that one which turns more than N calls away in a second for want of room falls over, and then let fewer calls wait. No source knew the field: daemons fill a server's queue by reports that are some hundred ms old, all at once, and a rejection only moved the call on. Change: the field is decoded in platform/ from every answer, replies to moves included; one that is not a whole number is logged and changes nothing. It belongs to an incarnation, travels in reports like limits do, at once when it changes, and ends with the first answer without it. From 1.5 s after the first statement the daemons share nine tenths of the places, the rest covers connections that are just opened: a participant holds whole places, weighed like shares of limits, the fewest by any list that some daemon may still know, so that those in use never sum to more than there are; an engine's cache is shared in the same proportion. The copy of a moved run takes a place. A call waits for a place for at most 250 ms or half of the time to its target, then it is refused. A rejection is told to all at once, nobody sends calls for a second, and half of the places come back over 10 s. Weighed against: the rate shares of limits (a rate says nothing of what runs at a time); sending on and counting rejections (N may be 0). The soak makes the servers of a service brittle in half of its runs, and its check counts falls by the users' rule.

--- a/packages/core/src/gossip/filter-loads.ts
+++ b/packages/core/src/gossip/filter-loads.ts
@@ -19,4 +19,5 @@
 	...report,
 	loads: Object.fromEntries(Object.entries(report.loads).filter(([id]) => isWanted(id))),
 	limits: Object.fromEntries(Object.entries(report.limits).filter(([id]) => isWanted(id))),
+	brittle: Object.fromEntries(Object.entries(report.brittle).filter(([id]) => isWanted(id))),
 });
--- a/packages/core/src/gossip/gossip-report.test.ts
+++ b/packages/core/src/gossip/gossip-report.test.ts
@@ -27,6 +27,7 @@
 	trueTime: 1000,
 	crashes: {},
 	limits: {},
+	brittle: {},
 	participants: {},
 });
 
--- a/packages/core/src/gossip/gossip-report.ts
+++ b/packages/core/src/gossip/gossip-report.ts
@@ -5,6 +5,7 @@
  */
 import * as z from 'zod';
 import {mergeParticipants} from '../limits/participants.js';
+import {mergeBrittlenesses, reportedBrittlenessSchema} from '../limits/reported-brittleness.js';
 import {mergeLimits, reportedLimitSchema} from '../limits/reported-limits.js';
 import {toZoneSource} from '../usage/count-starts.js';
 
@@ -65,6 +66,8 @@
 	limits: z.record(z.string(), reportedLimitSchema).default({}),
 	/** Daemons that share the limits of a service's backend servers: id, availability zone and level of each, by service. */
 	participants: z.record(z.string(), z.array(reportedParticipant)).default({}),
+	/** Brittle backend servers, by backend id. Daemons of earlier versions don't report them. */
+	brittle: z.record(z.string(), reportedBrittlenessSchema).default({}),
 	/** What the sender can do for daemons that reach no backend server. Daemons of earlier versions don't report it. */
 	peerCalls: z.object({
 		/** Further calls that it can serve. */
@@ -146,6 +149,7 @@
 	leaseOffset: Math.max(left.leaseOffset, right.leaseOffset),
 	crashes: {...left.crashes, ...right.crashes},
 	limits: mergeLimits(left.limits, right.limits),
+	brittle: mergeBrittlenesses(left.brittle, right.brittle),
 	participants: mergeParticipantLists(left.participants, right.participants),
 });
 
--- a/packages/core/src/limits/plan-sharing.ts
+++ b/packages/core/src/limits/plan-sharing.ts
@@ -59,7 +59,7 @@
 	readonly availabilityZone: string;
 };
 
-type WeighedParticipant = {
+export type WeighedParticipant = {
 	readonly daemon: string;
 	readonly weight: number;
 	/** The smallest come first. With it a daemon is chosen with a chance in proportion to its weight, and the same ones wherever the list is the same. */
@@ -73,11 +73,14 @@
 	return {daemon, weight, order: -Math.log(uniform) / weight};
 };
 
+/** Returns the participants in the order in which they become holders, the same wherever the list is the same. */
+export const computeHoldingOrder = (backend: LimitedBackend, participants: readonly Participant[]): WeighedParticipant[] => participants
+	.map(participant => weighParticipant(backend, participant))
+	.toSorted((left, right) => left.order - right.order || (left.daemon < right.daemon ? -1 : 1));
+
 /** Computes the daemon's part in the limit from one list of participants. */
 export const computeHolding = (backend: LimitedBackend, participants: readonly Participant[], daemon: string, maxHolders: number): Holding => {
-	const holders = participants.map(participant => weighParticipant(backend, participant))
-		.toSorted((left, right) => left.order - right.order || (left.daemon < right.daemon ? -1 : 1))
-		.slice(0, maxHolders);
+	const holders = computeHoldingOrder(backend, participants).slice(0, maxHolders);
 	const position = holders.findIndex(holder => holder.daemon === daemon);
 	const own = holders[position];
 	if (own === undefined) {
--- a/packages/gateway/src/calls/backend-limits.ts
+++ b/packages/gateway/src/calls/backend-limits.ts
@@ -7,16 +7,11 @@
 import {estimateCallRate} from '@shallotpass/core/limits/participants.js';
 import {type Holding, updateHolding} from '@shallotpass/core/limits/plan-sharing.js';
 import {recordWork} from '@shallotpass/core/engines/work-rate.js';
-import {needsRelays} from '@shallotpass/core/gossip/pick-relays.js';
 import {countDaemons, type GatewayState} from '../gateway-state.js';
 import {type StatedLimit} from '../ports.js';
+import {estimatePlaceWait} from './backend-brittleness.js';
 import {type BackendState} from './backend-registry.js';
-
-/** Time within which all daemons know a changed list of participants: three gossip rounds, or four to six through relays. */
-const propagationMs = 1000;
-const relayedPropagationMs = 2000;
-
-export const getPropagationMs = (gateway: GatewayState): number => needsRelays(countDaemons(gateway)) ? relayedPropagationMs : propagationMs;
+import {getPropagationMs} from './limit-propagation.js';
 
 /** Computes this daemon's part in the backend server's limit, from the participants that all daemons know. */
 const getHolding = (gateway: GatewayState, state: BackendState): Holding => {
@@ -135,6 +130,8 @@
 	readonly hasStarted: boolean;
 	/** Number of more urgent ranks for which calls should be left. */
 	readonly moreUrgentRanks: number;
+	/** Tokens that the call may take in an engine's cache. */
+	readonly tokens: number;
 };
 
 export type LimitRoom =
@@ -154,6 +151,11 @@
 
 /** Determines whether the limit of the backend server leaves room for a call of this daemon. */
 export const getLimitRoom = (gateway: GatewayState, state: BackendState, need: LimitNeed): LimitRoom => {
+	const placeWaitMs = estimatePlaceWait(gateway, state, need.tokens);
+	if (placeWaitMs > 0) {
+		return {kind: 'exhausted', waitMs: placeWaitMs, perSecond: state.limit?.statement.perSecond ?? 0};
+	}
+
 	const part = refreshLimit(gateway, state);
 	if (part === undefined) {
 		return unlimitedRoom;
--- a/packages/gateway/src/calls/backend-registry.ts
+++ b/packages/gateway/src/calls/backend-registry.ts
@@ -5,6 +5,7 @@
 import {
 	computeEngineSpeed, emptyPrefillRecord, defaultLatencyModel, emptyPrefillSample, type PrefillSample, type PrefillRecord, decayPrefillRecord, type LatencyModel,
 } from '@shallotpass/core/placement/engine-latency.js';
+import {type Brittleness} from '@shallotpass/core/limits/brittleness.js';
 import {type BackendLimit} from '@shallotpass/core/limits/backend-limit.js';
 import {type KnownHolding} from '@shallotpass/core/limits/plan-sharing.js';
 import {type KnownParts} from '@shallotpass/core/placement/known-parts.js';
@@ -65,6 +66,10 @@
 	readonly runningDigests: Set<string>;
 	/** What it stated about its limit, and what this daemon may send of it. Undefined if it has never stated one. */
 	limit: BackendLimit | undefined;
+	/** What it stated about calls for which it has no room. Undefined if it has never stated that it is brittle. */
+	brittleness: Brittleness | undefined;
+	/** Tokens that the running calls of this daemon may take in its cache. */
+	runningTokens: number;
 	/** This daemon's part in its limit. */
 	holding: KnownHolding | undefined;
 };
@@ -118,6 +123,8 @@
 	knownParts: new Map(),
 	runningDigests: new Set(),
 	limit: undefined,
+	brittleness: undefined,
+	runningTokens: 0,
 	holding: undefined,
 });
 
--- a/packages/gateway/src/calls/call-attempts.ts
+++ b/packages/gateway/src/calls/call-attempts.ts
@@ -4,6 +4,7 @@
 import {type Call, isRepeatable} from '@shallotpass/core/calls/types.js';
 import {takeFromRetryAllowance} from '@shallotpass/core/retries/retry-allowance.js';
 import {type GatewayState} from '../gateway-state.js';
+import {pauseFor} from '../pause.js';
 import {hasContactSince, isCutOff} from '../paths/track-paths.js';
 import {type AdmittedCall, type CallContext} from './admit-call.js';
 import {getLatencyModel, mayReceiveCalls} from './backend-registry.js';
@@ -36,12 +37,14 @@
 	lastFailure: string;
 	/** Addresses of the peers that the call was offered to. */
 	readonly triedPeers: Set<string>;
+	/** Until when the call waits for a place at a brittle backend server, on the steady clock. */
+	placeWaitUntil: number | undefined;
 	/** Whether the last attempt found no path, and no backend server was heard meanwhile. */
 	mayBeCutOff: boolean;
 };
 
 export const makeProgress = (): CallProgress => ({
-	attemptedIncarnations: new Set(), possibleRuns: 0, attempts: 0, hasArrived: false, hasStarted: false, lastFailure: '', triedPeers: new Set(), mayBeCutOff: false,
+	attemptedIncarnations: new Set(), possibleRuns: 0, attempts: 0, hasArrived: false, hasStarted: false, lastFailure: '', triedPeers: new Set(), placeWaitUntil: undefined, mayBeCutOff: false,
 });
 
 /** Outcome of a call, as reported in metrics and logs. */
@@ -77,7 +80,7 @@
 	/** All backend servers are too busy to respond before the deadline; nothing was sent. */
 	| {readonly kind: 'unreachable'; readonly retryAfterS: number}
 	/** All backend servers have stated limits that leave no room; nothing was sent. `waitMs`: estimated time until one has room. */
-	| {readonly kind: 'limited'; readonly waitMs: number; readonly backends: number};
+	| {readonly kind: 'limited'; readonly waitMs: number; readonly backends: number; readonly isBrief: boolean};
 
 const unsentKinds = ['no_backend', 'refused_by_peer', 'unreachable', 'limited'] as const;
 
@@ -123,6 +126,23 @@
 	}
 };
 
+/** Longest time that a call waits for a place, at most a part of the time to its target, and how often it looks. */
+const maxPlaceWaitMs = 250;
+const placeWaitPart = 0.5;
+const placeRetryMs = 15;
+
+/** Waits for a place at a brittle backend server, which must not queue the call itself. Returns whether to look again. */
+const waitForPlace = async ({gateway: {clocks}}: CallContext, call: Call, progress: CallProgress, signal: AbortSignal): Promise<boolean> => {
+	const now = clocks.steady();
+	progress.placeWaitUntil ??= now + Math.min(maxPlaceWaitMs, (call.targetAt - now) * placeWaitPart);
+	if (now >= progress.placeWaitUntil) {
+		return false;
+	}
+
+	await pauseFor(placeRetryMs, signal);
+	return !signal.aborted;
+};
+
 /** Sends the call through a peer that reaches backend servers. Returns undefined if there is none. */
 const sendThroughPeer = async (context: CallContext, admitted: AdmittedCall, progress: CallProgress, signal: AbortSignal): Promise<SendResult | undefined> => {
 	const result = await sendToPeer(context, admitted, progress, signal);
@@ -162,6 +182,10 @@
 	}
 
 	const result = placeCall(context.gateway, admitted.call, progress);
+	if (result.kind === 'limited' && result.isBrief && await waitForPlace(context, admitted.call, progress, signal)) {
+		return sendToBestBackend(context, admitted, progress, signal);
+	}
+
 	if (result.kind === 'limited') {
 		progress.lastFailure = 'the limits of all leave no room';
 		return result;
--- a/packages/gateway/src/calls/move-run.ts
+++ b/packages/gateway/src/calls/move-run.ts
@@ -8,6 +8,7 @@
 import {type GatewayState} from '../gateway-state.js';
 import {pauseFor} from '../pause.js';
 import {type MovedKvCache} from '../ports.js';
+import {observeBrittleness} from './backend-brittleness.js';
 import {observeLimit, takeFromLimit} from './backend-limits.js';
 import {type Placement, placeCall} from './place-call.js';
 import {type BackendState} from './backend-registry.js';
@@ -70,13 +71,17 @@
 	takeFromLimit(gateway, target.state);
 	const startedAt = gateway.clocks.steady();
 	const sentAt = gateway.clocks.trueTime();
-	const {reply, limit} = await gateway.engines.stopAndMove(
+	// The copy takes a place at the other engine.
+	target.state.running++;
+	const {reply, headers} = await gateway.engines.stopAndMove(
 		{address: state.entry.address, agent: state.agent},
 		{callId: call.id, to: target.state.entry.address},
 		{timeoutMs: moveTimeoutMs, signal},
 	);
-	if (limit !== undefined) {
-		observeLimit(gateway, state, limit, {requestId: call.id, sentAt, status: undefined});
+	target.state.running--;
+	if (headers !== undefined) {
+		observeLimit(gateway, state, headers.limit, {requestId: call.id, sentAt, status: undefined});
+		observeBrittleness(gateway, state, headers.brittleness, {requestId: call.id, sentAt, isRejection: false});
 	}
 
 	gateway.log.write(reply.kind === 'moved' ? 'state' : 'failure', 'call_moved', {
--- a/packages/gateway/src/calls/peer-call.ts
+++ b/packages/gateway/src/calls/peer-call.ts
@@ -40,7 +40,6 @@
 	}
 };
 
-/* eslint-disable @typescript-eslint/naming-convention -- names of JSON-RPC */
 const peerCallSchema = z.object({
 	jsonrpc: z.literal('2.0'),
 	method: z.literal(runCallMethod),
@@ -74,7 +73,6 @@
 		}),
 	}),
 });
-/* eslint-enable @typescript-eslint/naming-convention */
 
 export type PeerCallData = z.infer<typeof peerCallSchema>['params'];
 
--- a/packages/gateway/src/calls/place-call.ts
+++ b/packages/gateway/src/calls/place-call.ts
@@ -7,6 +7,7 @@
 import {computeOrderPosition, computeUnreportedMs} from '@shallotpass/core/placement/spread-choices.js';
 import {countDaemons, type GatewayState, peerExpiryMs} from '../gateway-state.js';
 import {isReachable} from '../paths/track-paths.js';
+import {isBrittle} from './backend-brittleness.js';
 import {countMoreUrgentRanks, getLimitRoom, type LimitRoom} from './backend-limits.js';
 import {
 	type BackendState, getLatencyModel, isLimitedToOwnZone, toBackendView,
@@ -59,7 +60,7 @@
 	| {readonly kind: 'placed'; readonly placement: Placement}
 	| {readonly kind: 'none'}
 	/** All available backend servers have stated limits that leave no room. `waitMs`: estimated time until one does. */
-	| {readonly kind: 'limited'; readonly waitMs: number; readonly backends: number};
+	| {readonly kind: 'limited'; readonly waitMs: number; readonly backends: number; /** Whether a place may become free soon. */ readonly isBrief: boolean};
 
 type Candidate = {
 	readonly state: BackendState;
@@ -82,7 +83,7 @@
 
 /** Determines the room at each backend server. Calls are left to more urgent ranks only if no backend server is without a limit. */
 const findRooms = (gateway: GatewayState, call: Call, states: readonly BackendState[], hasStarted: boolean): Candidate[] => {
-	const getRooms = (moreUrgentRanks: number): Candidate[] => states.map(state => ({state, room: getLimitRoom(gateway, state, {hasStarted, moreUrgentRanks})}));
+	const getRooms = (moreUrgentRanks: number): Candidate[] => states.map(state => ({state, room: getLimitRoom(gateway, state, {hasStarted, moreUrgentRanks, tokens: call.promptTokens + call.outputTokens})}));
 	const candidates = getRooms(0);
 	const moreUrgentRanks = countMoreUrgentRanks(gateway, call.service, call.rank);
 	return moreUrgentRanks === 0 || candidates.some(({room}) => room.kind === 'unlimited') ? candidates : getRooms(moreUrgentRanks);
@@ -97,7 +98,9 @@
 	const rooms = findRooms(gateway, call, available, options.hasStarted);
 	const withRoom = rooms.filter(({room}) => room.kind !== 'exhausted');
 	if (rooms.length > 0 && withRoom.length === 0) {
-		return {kind: 'limited', waitMs: estimateWaitMs(rooms), backends: rooms.length};
+		return {
+			kind: 'limited', waitMs: estimateWaitMs(rooms), backends: rooms.length, isBrief: rooms.some(({state}) => isBrittle(state)),
+		};
 	}
 
 	const limitPreferences = new Map(withRoom.map(({state, room}) => [state, room.kind === 'free' ? room.preferenceMs : 0]));
--- a/packages/gateway/src/calls/run-at-backend.ts
+++ b/packages/gateway/src/calls/run-at-backend.ts
@@ -15,6 +15,7 @@
 import {type BackendState, trackedRankCount} from './backend-registry.js';
 import {type Exchange, type IsComplete, sendToBackend} from './backend-exchange.js';
 import {recordBrokenConnection, recordConnectFailure, suspendBackend} from './connect-failures.js';
+import {observeBrittleness} from './backend-brittleness.js';
 import {observeLimit} from './backend-limits.js';
 import {type Placement} from './place-call.js';
 import {trackRunningCall} from './track-running-call.js';
@@ -24,6 +25,9 @@
 /** Timeout of a new connection: a hundred times the latency between availability zones, but less than the target latency of a plain call. */
 export const connectTimeoutMs = 250;
 
+/** Status with which a backend server turns calls away for want of room. */
+const fullStatus = 503;
+
 export type OutgoingRequest = {
 	readonly method: string;
 	readonly path: string;
@@ -110,7 +114,9 @@
 		body: hasBody ? outgoing.body : undefined,
 		connectTimeoutMs,
 	});
-	const trackedCall = trackRunningCall(gateway, rank, state, uncachedTokens, outgoing.digest);
+	const trackedCall = trackRunningCall(gateway, {
+		state, rank, uncachedTokens, tokens: call.promptTokens + call.outputTokens, digest: outgoing.digest,
+	});
 	// If the backend server has sent nothing since, the call may still be under way, and would arrive after a regular close.
 	const abort = (): void => {
 		if (state.lastReadAt <= now) {
@@ -188,6 +194,7 @@
 
 	if (!head.isOtherBackend) {
 		observeLimit(gateway, state, head.limit, {requestId: call.id, sentAt, status: response.statusCode});
+		observeBrittleness(gateway, state, head.brittleness, {requestId: call.id, sentAt, isRejection: head.isNotExecuted && response.statusCode === fullStatus});
 	}
 
 	if (isRefusal) {
--- a/packages/gateway/src/calls/track-running-call.ts
+++ b/packages/gateway/src/calls/track-running-call.ts
@@ -4,11 +4,21 @@
 import {isCutOff} from '../paths/track-paths.js';
 import {type BackendState} from './backend-registry.js';
 
+export type RunningCall = {
+	readonly state: BackendState;
+	readonly rank: number;
+	/** Prompt tokens to prefill. */
+	readonly uncachedTokens: number;
+	/** Tokens that it may take in the cache. */
+	readonly tokens: number;
+	readonly digest: string;
+};
+
 /** Counts a call in the load of its backend server until it ends. */
-// eslint-disable-next-line max-params -- the backend server and what the call adds to its load
-export const trackRunningCall = (gateway: GatewayState, rank: number, state: BackendState, uncachedTokens: number, digest: string) => {
+export const trackRunningCall = (gateway: GatewayState, {state, rank, uncachedTokens, tokens, digest}: RunningCall) => {
 	const now = gateway.clocks.steady();
 	state.running++;
+	state.runningTokens += tokens;
 	if (state.firstUnansweredAt <= state.lastReadAt) {
 		state.firstUnansweredAt = now;
 	}
@@ -40,6 +50,7 @@
 			endPending();
 			state.unansweredSince.delete(callKey);
 			state.running--;
+			state.runningTokens -= tokens;
 			state.runningDigests.delete(digest);
 			state.failureRate = updateFailureRate(state.failureRate, isFailure && !isCutOff(gateway));
 		},
--- a/packages/gateway/src/peers/make-report.ts
+++ b/packages/gateway/src/peers/make-report.ts
@@ -4,6 +4,7 @@
 import {type GossipReport, type StoreVersions} from '@shallotpass/core/gossip/gossip-report.js';
 import {computeDemand} from '@shallotpass/core/quotas/account-bucket.js';
 import {computeSpentSlots} from '@shallotpass/core/quotas/spending.js';
+import {reportBrittleness} from '../calls/backend-brittleness.js';
 import {countPeerCallRoom, type GatewayState} from '../gateway-state.js';
 import {isCutOff} from '../paths/track-paths.js';
 import {reportLimits, reportParticipants} from './share-limits.js';
@@ -56,6 +57,7 @@
 		leaseOffset,
 		trueTime: gateway.clocks.trueTime(),
 		limits: reportLimits(gateway),
+		brittle: reportBrittleness(gateway),
 		participants: reportParticipants(gateway),
 		peerCalls: {room: countPeerCallRoom(gateway), isCutOff: isCutOff(gateway)},
 		crashes: Object.fromEntries([...gateway.crashes.crashedIncarnations].slice(-maxReportedCrashes).map(([digest, incarnations]) => [digest, [...incarnations]])),
--- a/packages/gateway/src/peers/share-limits.ts
+++ b/packages/gateway/src/peers/share-limits.ts
@@ -5,9 +5,11 @@
 import {followParticipants, updateLevel} from '@shallotpass/core/limits/participants.js';
 import {endedLimit, type ReportedLimit, trimLimits} from '@shallotpass/core/limits/reported-limits.js';
 import {
-	adoptStatement, getPropagationMs, hasStatedLimit, refreshLimits,
+	adoptStatement, hasStatedLimit, refreshLimits,
 } from '../calls/backend-limits.js';
+import {adoptBrittleness, isBrittle} from '../calls/backend-brittleness.js';
 import {type BackendState} from '../calls/backend-registry.js';
+import {getPropagationMs} from '../calls/limit-propagation.js';
 import {countDaemons, type GatewayState, type PeerReport} from '../gateway-state.js';
 
 /** Time for which the end of a limit is reported. */
@@ -26,7 +28,7 @@
 };
 
 const listLimitedServices = (gateway: GatewayState): Set<string> =>
-	new Set([...gateway.registry.byId.values()].filter(state => hasStatedLimit(state)).map(({entry}) => entry.service));
+	new Set([...gateway.registry.byId.values()].filter(state => hasStatedLimit(state) || isBrittle(state)).map(({entry}) => entry.service));
 
 /**
  * Updates this daemon's levels, and returns it as a participant of its services. Beyond the number of daemons that report directly
@@ -61,6 +63,13 @@
 			adoptStatement(gateway, state, {perSecond: perSecond === endedLimit ? undefined : perSecond, statedAt}, report.id);
 		}
 	}
+
+	for (const [id, reported] of Object.entries(report.brittle)) {
+		const state = gateway.registry.byId.get(id);
+		if (state !== undefined) {
+			adoptBrittleness(gateway, state, reported, report.id);
+		}
+	}
 };
 
 export type ParticipantsUpdate = {
--- a/packages/gateway/src/ports.ts
+++ b/packages/gateway/src/ports.ts
@@ -94,7 +94,7 @@
 		source: {readonly address: string; readonly agent: Agent},
 		move: {readonly callId: string; readonly to: string},
 		options: CallOptions,
-	) => Promise<{readonly reply: MoveReply; /** Undefined without an answer. */ readonly limit: StatedLimit | undefined}>;
+	) => Promise<{readonly reply: MoveReply; /** Undefined without an answer. */ readonly headers: BackendHeaders | undefined}>;
 };
 
 /** Decodes records written by others. Decoders return undefined for invalid records. */
@@ -135,6 +135,14 @@
 	/** The field is not a decimal number. `text` is its beginning. */
 	| {readonly kind: 'unreadable'; readonly text: string};
 
+/** What an answer states about how the backend server bears calls for which it has no room. */
+export type StatedBrittleness =
+	| {readonly kind: 'sound'}
+	/** It falls over when it has to turn away more calls in a second. */
+	| {readonly kind: 'brittle'; readonly rejections: number}
+	/** The field is not a whole number. `text` is its beginning. */
+	| {readonly kind: 'unreadable'; readonly text: string};
+
 /** Response headers of a backend server that the gateway evaluates. */
 export type BackendHeaders = {
 	readonly requestId: string | undefined;
@@ -145,6 +153,7 @@
 	readonly running: number | undefined;
 	readonly waiting: number | undefined;
 	readonly limit: StatedLimit;
+	readonly brittleness: StatedBrittleness;
 };
 
 /** Conversion of the header fields of callers and backend servers. The gateway itself removes hop-by-hop fields. */
--- a/packages/gateway/src/telemetry/explain-request.ts
+++ b/packages/gateway/src/telemetry/explain-request.ts
@@ -22,6 +22,8 @@
 	'paths_lost',
 	'paths_regained',
 	'backend_limit',
+	'backend_brittle',
+	'backend_rejection',
 	'call_suspected',
 	'limit_reached',
 	'draining',
--- a/packages/gateway/src/telemetry/log-events.ts
+++ b/packages/gateway/src/telemetry/log-events.ts
@@ -55,6 +55,12 @@
 	},
 	backend_limits_reached: {meaning: 'A call was refused because the limits of all backend servers of its service leave no room', fields: ['request', 'service', 'rank', 'backends', 'waitMs', 'retryAfterS']},
 	backend_limit_unreadable: {meaning: 'An answer stated a limit that is not a decimal number; the known limit stays in force', fields: ['backend', 'request', 'text']},
+	backend_brittle: {
+		meaning: 'A backend server stated for the first time, changed or ended how many calls it can turn away in a second before it falls over; without `rejections` it has ended',
+		fields: ['backend', 'service', 'rejections', 'before', 'request', 'peer', 'places'],
+	},
+	backend_brittle_unreadable: {meaning: 'An answer stated a number of rejections that is not a whole number; what is known stays in force', fields: ['backend', 'request', 'text']},
+	backend_rejection: {meaning: 'A brittle backend server turned a call away for want of room; no daemon sends it calls for a second', fields: ['backend', 'request', 'own', 'others', 'places']},
 	directory_from_peer: {meaning: 'A newer directory was received from another daemon', fields: ['next', 'before', 'ageMs', 'address']},
 	peer_joined: {meaning: 'The first report of another daemon, or of the sum of a zone, was received', fields: ['peer', 'address', 'incarnation', 'daemons']},
 	peer_forgotten: {meaning: 'A daemon was removed because it sent no report for too long', fields: ['peer', 'silentMs']},
--- a/scripts/soak/src/check-history.test.ts
+++ b/scripts/soak/src/check-history.test.ts
@@ -20,7 +20,7 @@
 });
 
 const makeHistory = (changes: Partial<History> = {}): History => ({
-	calls: [makeCall()], runs: [makeRun()], duties: [], disturbances: [], bans: [], arrivals: [], limits: [], linkDisturbances: [], cuts: [], ownEnds: [], neverReady: [], calmFrom: 9000, hasOnlyPlannedWork: false, ...changes,
+	calls: [makeCall()], runs: [makeRun()], duties: [], disturbances: [], bans: [], arrivals: [], limits: [], linkDisturbances: [], cuts: [], brittleSpans: [], rejections: [], ownEnds: [], neverReady: [], calmFrom: 9000, hasOnlyPlannedWork: false, ...changes,
 });
 
 /** Served calls, so that histories with refused calls still pass the recovery check. */
@@ -45,6 +45,16 @@
 		},
 		expected: /daemon-1 reached no backend server: 0 of 20 calls served/v,
 	},
+	{
+		name: 'brittle backend servers that fell over too often',
+		history: {
+			brittleSpans: [{
+				backends: ['app-0', 'app-1', 'app-2'], rejections: 1, from: 9000, until: 15_000,
+			}],
+			rejections: [10_000, 10_100, 12_000, 12_100, 14_000, 14_100].map(at => ({backend: 'app-0', id: 'c-1', at})),
+		},
+		expected: /app-0, app-1, app-2 fell over 3 times/v,
+	},
 	{name: 'a booking that was refused but executed', history: {calls: [makeRefusedCall(503), ...servedCalls], runs: [makeRun(), ...servedRuns]}, expected: /answered 503, but ran/v},
 	{name: 'a success without an execution', history: {runs: []}, expected: /answered 200 without an execution on the backend server/v},
 	{name: 'the answer of another call', history: {calls: [makeCall({end: makeAnswer({requestId: 'c-2'})})]}, expected: /received the answer of another call/v},
--- a/scripts/soak/src/check-history.ts
+++ b/scripts/soak/src/check-history.ts
@@ -1,5 +1,6 @@
 /** Checks the recorded history of a run against the gateway's guarantees and describes each violation. */
 import {findCloudRequestViolations} from '@shallotpass/platform/stand-ins/check-cloud-requests.js';
+import {findBrittleViolations} from './check-brittleness.js';
 import {findCutViolations} from './check-cuts.js';
 import {findLimitViolations} from './check-limits.js';
 import {formatExpectedStream} from './format-events.js';
@@ -172,6 +173,7 @@
 		...history.neverReady.map(daemon => `${daemon} did not become ready after the last fault`),
 		...history.ownEnds.map(daemon => `${daemon} exited unexpectedly`),
 		...findLimitViolations(history, (daemon, at) => isDisturbed(history, daemon, at, at)),
+		...findBrittleViolations(history, (daemon, at) => isDisturbed(history, daemon, at, at)),
 		...findCutViolations(history, (daemon, at) => isDisturbed(history, daemon, at, at)),
 		...checkRecovery(history),
 	];
--- a/scripts/soak/src/history.ts
+++ b/scripts/soak/src/history.ts
@@ -83,6 +83,15 @@
 	readonly until: number;
 };
 
+/** A period in which backend servers fell over when they turned more than so many calls away in a second. */
+export type BrittleSpan = {
+	readonly backends: readonly string[];
+	readonly rejections: number;
+	readonly from: number;
+	/** Infinity while it lasts. */
+	until: number;
+};
+
 /** A period in which daemons reached no backend server by new connections. */
 export type Cut = {
 	readonly daemons: readonly string[];
@@ -101,6 +110,9 @@
 	readonly limits: readonly BackendLimitSpan[];
 	readonly linkDisturbances: readonly LinkDisturbance[];
 	readonly cuts: readonly Cut[];
+	readonly brittleSpans: readonly BrittleSpan[];
+	/** Calls that backend servers turned away for want of room. */
+	readonly rejections: readonly BackendArrival[];
 	/** Daemons that exited although the soak neither stopped nor killed them. */
 	readonly ownEnds: readonly string[];
 	/** Daemons that did not become ready after the last fault. */
--- a/scripts/soak/src/inject-fault.ts
+++ b/scripts/soak/src/inject-fault.ts
@@ -3,7 +3,7 @@
 import {type Relay} from '@shallotpass/stand-ins/relay.js';
 import {type BackendStandIn} from '@shallotpass/platform/stand-ins/backend-stand-in.js';
 import {
-	announceBackend, putAccountKeys, secondKey, removeBackend,
+	announceBackend, placesByService, putAccountKeys, secondKey, removeBackend,
 } from '@shallotpass/platform/stand-ins/platform-fixture.js';
 import {shopKey} from '@shallotpass/platform/stand-ins/send-call.js';
 import {type Fault, type LinkFault, type Notice} from './plan-faults.js';
@@ -112,6 +112,9 @@
 		removeBackend(store, backend.standIn);
 	}
 
+	// What it stated belongs to this start.
+	backend.standIn.room = Infinity;
+	backend.standIn.brittle = undefined;
 	const leavingSince = performance.now();
 	await sleep(forMs + boundMarginMs);
 	removeBackend(store, backend.standIn);
@@ -166,6 +169,32 @@
 	}
 };
 
+/** Time from the first statement until the backend servers let no calls wait, and margin for a busy machine. */
+const brittleSettleMs = 3000;
+
+const makeBrittle = async (cluster: SoakCluster, {service, rejections, forMs}: Fault & {kind: 'brittle'}): Promise<void> => {
+	const backends = cluster.backends.filter(backend => backend.service === service && !backend.isLeaving && backend.standIn.brittle === undefined);
+	for (const {standIn} of backends) {
+		standIn.brittle = String(rejections);
+	}
+
+	await sleep(brittleSettleMs + boundMarginMs);
+	for (const {standIn, isLeaving} of backends) {
+		standIn.room = isLeaving ? Infinity : placesByService[service];
+	}
+
+	const span = {
+		backends: backends.map(({standIn}) => standIn.id), rejections, from: performance.now(), until: Infinity,
+	};
+	cluster.brittleSpans.push(span);
+	await sleep(forMs);
+	span.until = performance.now();
+	for (const {standIn} of backends) {
+		standIn.room = Infinity;
+		standIn.brittle = undefined;
+	}
+};
+
 /** Makes the links of the daemons to all backend servers fail for the given time. Daemons that are cut off already are left as they are. */
 const cutOff = async (cluster: SoakCluster, {daemons: indexes, how, forMs}: Fault & {kind: 'cut_off'}): Promise<void> => {
 	const cutNow = new Set(cluster.cuts.filter(({until}) => until === Infinity).flatMap(({daemons}) => daemons));
@@ -291,6 +320,11 @@
 			return;
 		}
 
+		case 'brittle': {
+			await makeBrittle(cluster, fault);
+			return;
+		}
+
 		case 'cut_off': {
 			await cutOff(cluster, fault);
 			return;
--- a/scripts/soak/src/plan-faults.ts
+++ b/scripts/soak/src/plan-faults.ts
@@ -41,6 +41,8 @@
 	| {readonly kind: 'leave'; readonly backend: number; readonly isTold: boolean; readonly forMs: number; readonly notice?: Notice}
 	/** Makes a backend server state that it takes this many calls a second from all daemons together. */
 	| {readonly kind: 'limit'; readonly backend: number; readonly perSecond: number; readonly forMs: number}
+	/** Makes the backend servers of a service state that they fall over when they turn more calls away in a second. */
+	| {readonly kind: 'brittle'; readonly service: 'app' | 'llm'; readonly rejections: number; readonly forMs: number}
 	/** Makes the links of some daemons to all backend servers fail. */
 	| {readonly kind: 'cut_off'; readonly daemons: readonly number[]; readonly how: LinkFailure; readonly forMs: number}
 	/** Writes a new configuration version that contains or lacks the second key. */
@@ -173,6 +175,28 @@
 	});
 };
 
+/** Added to the seed, as for notices. */
+const brittleSeedOffset = 4_000_000;
+
+const brittleShare = 0.5;
+const minBrittleMs = 2000;
+const maxBrittleMs = 6000;
+
+/** Plans that the backend servers of a service are brittle, in some of the runs. */
+const planBrittleness = ({seed, forMs}: FaultOptions): PlannedFault[] => {
+	const random = makeRandom(seed + brittleSeedOffset);
+	if (random() > brittleShare) {
+		return [];
+	}
+
+	return [{
+		at: Math.round(random() * forMs),
+		fault: {
+			kind: 'brittle', service: random() < 0.5 ? 'app' : 'llm', rejections: Math.floor(random() * 3), forMs: Math.round(minBrittleMs + (random() * (maxBrittleMs - minBrittleMs))),
+		},
+	}];
+};
+
 /** Draws the limit that a backend server states after the last fault, when no daemon is excused any more. */
 export const planLimitAfterFaults = ({seed, backends}: Pick<FaultOptions, 'seed' | 'backends'>, forMs: number): Fault => {
 	const random = makeRandom(seed + limitSeedOffset + 1);
@@ -202,6 +226,6 @@
 		}
 	}
 
-	const limits = options.hasOnlyPlannedWork ? [] : [...planLimits(options), ...planCuts(options)];
+	const limits = options.hasOnlyPlannedWork ? [] : [...planLimits(options), ...planCuts(options), ...planBrittleness(options)];
 	return [...addNotices(planned.toSorted((left, right) => left.at - right.at), options.seed), ...limits];
 };
--- a/scripts/soak/src/run-soak.ts
+++ b/scripts/soak/src/run-soak.ts
@@ -122,6 +122,8 @@
 			limits: cluster.limits,
 			linkDisturbances: cluster.linkDisturbances,
 			cuts: cluster.cuts,
+			brittleSpans: cluster.brittleSpans,
+			rejections: cluster.backends.flatMap(({standIn}) => standIn.rejections.map(({id, at}) => ({backend: standIn.id, id, at}))),
 			neverReady,
 			ownEnds: cluster.daemons.filter(({process}) => process.countUnexpectedExits() > 0).map(({process}) => process.id),
 			calmFrom,
--- a/scripts/soak/src/soak-cluster.ts
+++ b/scripts/soak/src/soak-cluster.ts
@@ -8,7 +8,7 @@
 import {type DaemonProcess, makeDaemonProcess} from './daemon-process.js';
 import {eventsPerStream} from './format-events.js';
 import {
-	type Ban, type BackendLimitSpan, type Cut, type Disturbance, type LinkDisturbance,
+	type Ban, type BackendLimitSpan, type BrittleSpan, type Cut, type Disturbance, type LinkDisturbance,
 } from './history.js';
 
 export type SoakBackend = {
@@ -39,6 +39,7 @@
 	readonly limits: BackendLimitSpan[];
 	readonly linkDisturbances: LinkDisturbance[];
 	readonly cuts: Cut[];
+	readonly brittleSpans: BrittleSpan[];
 	version: number;
 	/** Adds a line to the notes, which are written with the history of the run. */
 	readonly addNote: (line: string) => void;
@@ -129,7 +130,7 @@
 	}
 
 	const cluster: SoakCluster = {
-		fixture, backends, daemons: startedDaemons, disturbances: [], bans: [], limits: [], linkDisturbances: [], cuts: [], version: 1, addNote,
+		fixture, backends, daemons: startedDaemons, disturbances: [], bans: [], limits: [], linkDisturbances: [], cuts: [], brittleSpans: [], version: 1, addNote,
 	};
 	await waitForReady(cluster);
 	await waitUntil('a daemon holds the lease and calls the cloud', () => fixture.cloud.calls.length > 0);
