Send a call now and then to a backend server that nobody has heard of lately

Cause: what a daemon knows of a backend server comes from its own answers only. One whose first answer was slow, or that others are preferred to for its prompts or zone, costs more in each choice, and nothing renews the estimate. Class: an estimate without an age. Change: a server of which this daemon has heard nothing for 3 s, and no peer reports load, gets the next first send of a call that may be repeated; at most one such call each 0.5 s a daemon, and the time to the next one doubles up to 24 s while it stays unused. An estimate of plain answers that is over 2 s old is replaced by the next answer, not averaged with it.

--- a/packages/gateway/src/calls/backend-registry.ts
+++ b/packages/gateway/src/calls/backend-registry.ts
@@ -19,6 +19,9 @@
 /** Assumed duration of a plain call until one has been measured. The operators' specifications give 21 to 43 ms. */
 const initialPlainMs = 30;
 
+/** Time without an answer after which a backend server is sent a call to renew what is known of it. */
+export const firstAskAfterMs = 3000;
+
 export type BackendState = {
 	entry: BackendEntry;
 	/** Identifies this start of the backend server: id, start time and address. */
@@ -34,8 +37,9 @@
 	/** Prefill as measured by this daemon, and as reported by the others. */
 	prefill: PrefillRecord;
 	othersPrefill: PrefillSample;
-	/** Average duration of plain calls. */
+	/** Average duration of plain calls, and when it was last renewed, on the steady clock. */
 	plainMs: number;
+	plainAt: number;
 	/** Fraction of recent calls that failed, from 0 to 1. */
 	failureRate: number;
 	/** No call is sent to it before this time on the steady clock. */
@@ -48,6 +52,9 @@
 	lastReadAt: number;
 	/** When the first call was sent that got no response since data was last received. Earlier than `lastReadAt` if there is none. */
 	firstUnansweredAt: number;
+	/** When it was last sent a call because nothing was heard from it, on the steady clock, and the time until the next one. */
+	askedAt: number;
+	askAfterMs: number;
 	/** Send times of the calls without a response, oldest first. */
 	readonly unansweredSince: Map<symbol, number>;
 	/** Whether the store no longer lists it, but its entry may only have expired during an outage. */
@@ -108,12 +115,15 @@
 	prefill: emptyPrefillRecord,
 	othersPrefill: emptyPrefillSample,
 	plainMs: initialPlainMs,
+	plainAt: Number.NEGATIVE_INFINITY,
 	failureRate: 0,
 	suspendedUntil: 0,
 	failedConnects: 0,
 	failedAt: Number.NEGATIVE_INFINITY,
 	lastReadAt: now,
 	firstUnansweredAt: Number.NEGATIVE_INFINITY,
+	askedAt: Number.NEGATIVE_INFINITY,
+	askAfterMs: firstAskAfterMs,
 	unansweredSince: new Map(),
 	isMissing: false,
 	isGone: false,
--- a/packages/gateway/src/calls/place-call.ts
+++ b/packages/gateway/src/calls/place-call.ts
@@ -8,6 +8,7 @@
 import {countDaemons, type GatewayState, peerExpiryMs} from '../gateway-state.js';
 import {isReachable} from '../paths/track-paths.js';
 import {isBrittle} from './backend-brittleness.js';
+import {findUnheard, recordAsk} from './ask-unheard.js';
 import {countMoreUrgentRanks, getLimitRoom, type LimitRoom} from './backend-limits.js';
 import {
 	type BackendState, getLatencyModel, isLimitedToOwnZone, toBackendView,
@@ -128,7 +129,12 @@
 		isStream: isStream(call.repeatability),
 		isPinned: call.repeatability === 'stream_once',
 	};
-	const choice = chooseBackend(views, placedCall, gateway.random);
+	const unheard = findUnheard(gateway, call, candidates, options);
+	const choice = chooseBackend(unheard === undefined ? views : views.filter(({id}) => id === unheard.entry.id), placedCall, gateway.random);
+	if (unheard !== undefined) {
+		recordAsk(gateway, unheard);
+	}
+
 	const state = choice && gateway.registry.byId.get(choice.id);
 	if (choice === undefined || state === undefined) {
 		return {kind: 'none'};
--- a/packages/gateway/src/calls/run-at-backend.ts
+++ b/packages/gateway/src/calls/run-at-backend.ts
@@ -68,6 +68,9 @@
 	}
 };
 
+/** An estimate that no answer has renewed for this long is replaced by the next one. */
+const outdatedAfterMs = 2000;
+
 /** Updates the latency model of the backend server and its service from the time until the response head. */
 const recordLatency = (gateway: GatewayState, call: Call, attempt: {state: BackendState; sentAt: number; workTokens: number}): void => {
 	const {state} = attempt;
@@ -84,7 +87,9 @@
 		return;
 	}
 
-	state.plainMs = updateMovingMean(state.plainMs, Math.max(1, tookMs));
+	const isOutdated = attempt.sentAt > state.plainAt + outdatedAfterMs;
+	state.plainMs = isOutdated ? Math.max(1, tookMs) : updateMovingMean(state.plainMs, Math.max(1, tookMs));
+	state.plainAt = gateway.clocks.steady();
 };
 
 /** Sends the call to the backend server of the placement and waits for the head of the response. */
--- a/packages/gateway/src/gateway-state.ts
+++ b/packages/gateway/src/gateway-state.ts
@@ -76,6 +76,8 @@
 	readonly onPathsLost: Set<() => void>;
 	/** Earliest time of the next probes that confirm a loss, on the steady clock. Written by `confirmLoss`. */
 	nextSuspicionAt: number;
+	/** Earliest time of the next call that renews what is known of a backend server, on the steady clock. Written by calls. */
+	nextAskAt: number;
 	/** Calls that are sent through peers, or served for them. */
 	readonly peerCalls: PeerCalls;
 	/** When the directory was first read, on the steady clock. Written by the directory follower. */
--- a/packages/gateway/src/start-gateway.ts
+++ b/packages/gateway/src/start-gateway.ts
@@ -100,6 +100,7 @@
 	paths: initialPathState,
 	onPathsLost: new Set(),
 	nextSuspicionAt: 0,
+	nextAskAt: 0,
 	peerCalls: {
 		sent: new Map(), received: 0, avoidedUntil: new Map(), avoidedZonesUntil: new Map(), unservedUntil: new Map(), isBusy: false,
 	},
