--- a/packages/gateway/src/calls/run-at-backend.ts
+++ b/packages/gateway/src/calls/run-at-backend.ts
@@ -15,6 +15,7 @@
 import {type BackendState, trackedRankCount} from './backend-registry.js';
 import {type Exchange, type IsComplete, sendToBackend} from './backend-exchange.js';
 import {recordBrokenConnection, recordConnectFailure, suspendBackend} from './connect-failures.js';
+import {observeBrittleness} from './backend-brittleness.js';
 import {observeLimit} from './backend-limits.js';
 import {type Placement} from './place-call.js';
 import {trackRunningCall} from './track-running-call.js';
@@ -24,6 +25,9 @@
 /** Timeout of a new connection: a hundred times the latency between availability zones, but less than the target latency of a plain call. */
 export const connectTimeoutMs = 250;
 
+/** Status with which a backend server turns calls away for want of room. */
+const fullStatus = 503;
+
 export type OutgoingRequest = {
 	readonly method: string;
 	readonly path: string;
@@ -64,6 +68,9 @@
 	}
 };
 
+/** An estimate that no answer has renewed for this long is replaced by the next one. */
+const outdatedAfterMs = 2000;
+
 /** Updates the latency model of the backend server and its service from the time until the response head. */
 const recordLatency = (gateway: GatewayState, call: Call, attempt: {state: BackendState; sentAt: number; workTokens: number}): void => {
 	const {state} = attempt;
@@ -80,7 +87,9 @@
 		return;
 	}
 
-	state.plainMs = updateMovingMean(state.plainMs, Math.max(1, tookMs));
+	const isOutdated = attempt.sentAt > state.plainAt + outdatedAfterMs;
+	state.plainMs = isOutdated ? Math.max(1, tookMs) : updateMovingMean(state.plainMs, Math.max(1, tookMs));
+	state.plainAt = gateway.clocks.steady();
 };
 
 /** Sends the call to the backend server of the placement and waits for the head of the response. */
@@ -110,7 +119,9 @@
 		body: hasBody ? outgoing.body : undefined,
 		connectTimeoutMs,
 	});
-	const trackedCall = trackRunningCall(gateway, rank, state, uncachedTokens, outgoing.digest);
+	const trackedCall = trackRunningCall(gateway, {
+		state, rank, uncachedTokens, tokens: call.promptTokens + call.outputTokens, digest: outgoing.digest,
+	});
 	// If the backend server has sent nothing since, the call may still be under way, and would arrive after a regular close.
 	const abort = (): void => {
 		if (state.lastReadAt <= now) {
@@ -188,6 +199,7 @@
 
 	if (!head.isOtherBackend) {
 		observeLimit(gateway, state, head.limit, {requestId: call.id, sentAt, status: response.statusCode});
+		observeBrittleness(gateway, state, head.brittleness, {requestId: call.id, sentAt, isRejection: head.isNotExecuted && response.statusCode === fullStatus});
 	}
 
 	if (isRefusal) {
