Do not take two backend servers that crash at the same moment for a loss of all paths

Seen in a soak's log: `paths_lost` 5 ms after the first of two refused connections, with data from others 16 ms before. Two engines that crash together would have sent a daemon's calls through peers for half a second. Data counts as arriving for 150 ms now, and then four attempts have to fail, which the three probes after the first failure show at once.

--- a/packages/core/src/paths/path-state.ts
+++ b/packages/core/src/paths/path-state.ts
@@ -24,6 +24,9 @@
 /** Backend servers that have to fail, or to be reached again: a single one may have failed itself. */
 const decisiveCount = 2;
 
+/** Time without data from any backend server after which none counts as answering. */
+const quietMs = 150;
+
 /** Failures older than this say nothing of the present. */
 const failureExpiryMs = 2000;
 
@@ -40,7 +43,7 @@
 
 /**
  * Records a failed attempt. The paths are lost if attempts at two backend servers have failed and none has succeeded
- * since the first, unless data still arrives from others: then attempts at all but `decisiveCount` others have to fail too.
+ * since the first. While data arrives from others it takes four: two may have crashed at the same moment.
  */
 export const recordConnectFailure = (state: PathState, {incarnation, startedAt, now, dataAt, known}: ConnectFailure): PathState => {
 	if (startedAt <= state.connectedAt) {
@@ -54,9 +57,8 @@
 		return {...state, failures, regained: new Set([...state.regained].filter(reached => reached !== incarnation))};
 	}
 
-	const firstFailedAt = Math.min(...failures.values());
-	const needed = Math.min(known.size, dataAt > firstFailedAt ? 2 * decisiveCount : decisiveCount);
-	return {...state, failures, lostSince: failures.size >= needed ? firstFailedAt : undefined};
+	const needed = Math.min(known.size, now < dataAt + quietMs ? 2 * decisiveCount : decisiveCount);
+	return {...state, failures, lostSince: failures.size >= needed ? Math.min(...failures.values()) : undefined};
 };
 
 export type ConnectSuccess = {
--- a/packages/core/src/paths/paths.test.ts
+++ b/packages/core/src/paths/paths.test.ts
@@ -29,6 +29,11 @@
 	assert.equal(fail(fail(two, 'c', answering), 'd', answering).lostSince, 1000);
 });
 
+test('two backend servers that crash at the same moment are no loss', () => {
+	const atOnce = {startedAt: 1000, now: 1005, dataAt: 990};
+	assert.equal(fail(fail(initialPathState, 'a', atOnce), 'b', atOnce).lostSince, undefined);
+});
+
 test('an attempt that began before a connection was opened elsewhere is no evidence', () => {
 	const opened = recordConnectSuccess(initialPathState, {incarnation: 'c', now: 1050, knownCount: 5});
 	assert.equal(fail(fail(opened, 'a'), 'b').lostSince, undefined);
