Count the backend servers that a call has reached behind a peer against its route's attempts

Cause, found by reading: a peer that tried two backend servers and passed on the second's 500 looked like one attempt, so its sender tried again and could reach four where the route allows two. Change: the peer tells in a field of its response how many may have run the call; without it, or when a peer is lost after it confirmed the call, all that were left count. Checked: a test that fails before (a call with max_attempts 2 and four servers that answer 500), the 18 hop tests.

--- a/packages/gateway/src/calls/call-attempts.ts
+++ b/packages/gateway/src/calls/call-attempts.ts
@@ -10,6 +10,7 @@
 import {getLatencyModel, mayReceiveCalls} from './backend-registry.js';
 import {returnToLimit, takeFromLimit} from './backend-limits.js';
 import {recordBrokenConnection} from './connect-failures.js';
+import {setRuns} from './peer-call.js';
 import {type Placement, placeCall} from './place-call.js';
 import {type Refusal} from './refusal.js';
 import {getRetryAllowance, getRetryLimit} from './retry-limits.js';
@@ -147,8 +148,13 @@
 const sendThroughPeer = async (context: CallContext, admitted: AdmittedCall, progress: CallProgress, signal: AbortSignal): Promise<SendResult | undefined> => {
 	const result = await sendToPeer(context, admitted, progress, signal);
 	switch (result?.kind) {
-		case 'answered':
 		case undefined: {
+			return undefined;
+		}
+
+		case 'answered': {
+			// The answer itself is counted where it is forwarded.
+			progress.possibleRuns += (result.runs ?? Math.max(1, admitted.call.maxAttempts - progress.possibleRuns)) - 1;
 			return result;
 		}
 
@@ -165,7 +171,7 @@
 		case 'may_have_run': {
 			progress.lastFailure = result.reason;
 			progress.hasArrived = true;
-			progress.possibleRuns++;
+			progress.possibleRuns = result.isConfirmed ? Math.max(progress.possibleRuns + 1, admitted.call.maxAttempts) : progress.possibleRuns + 1;
 			return result;
 		}
 	}
@@ -290,7 +296,12 @@
 	}
 };
 
-export const recordFirstByte = ({gateway, timing}: CallContext, call: Call): void => {
+/** Records that an answer begins. To be called before its head is sent. */
+export const recordFirstByte = ({gateway, timing, isFromPeer, response}: CallContext, call: Call, progress: CallProgress): void => {
+	if (isFromPeer) {
+		setRuns(response, progress.possibleRuns);
+	}
+
 	const now = gateway.clocks.steady();
 	timing.firstByteAt = now;
 	timing.lastEventAt = now;
--- a/packages/gateway/src/calls/peer-call.ts
+++ b/packages/gateway/src/calls/peer-call.ts
@@ -19,6 +19,9 @@
 /** Response field that tells who answered. It is removed before the response is sent to the caller. */
 export const resultField = 'x-peer-call-result';
 
+/** Response field with the number of backend servers that may have run the call behind the peer. Without it, all that were left may have. */
+export const runsField = 'x-peer-call-runs';
+
 /**
  * `answered`: a backend server. `refused`: the peer, and the call has not run and never will. `unfit`: the same, as the peer is
  * cut off itself, full, leaving or without a configuration. `failed`: the peer, and the call may have run.
@@ -33,6 +36,11 @@
 	response.setHeader(resultField, result);
 };
 
+/** Tells the peer how many backend servers may have run the call so far. To be called before the head of the response is sent. */
+export const setRuns = (response: http.ServerResponse, runs: number): void => {
+	response.setHeader(runsField, String(runs));
+};
+
 /** Sets the result that fits the refusal, before it is sent. */
 export const setRefusalResult = (response: http.ServerResponse, kind: ErrorKind): void => {
 	if (!response.headersSent) {
--- a/packages/gateway/src/calls/send-to-peer.ts
+++ b/packages/gateway/src/calls/send-to-peer.ts
@@ -11,7 +11,7 @@
 import {type Exchange} from './backend-exchange.js';
 import {type CallProgress} from './call-attempts.js';
 import {
-	encodePeerCall, isPeerCallResult, peerCallPath, type PeerCallResult, resultField,
+	encodePeerCall, isPeerCallResult, peerCallPath, type PeerCallResult, resultField, runsField,
 } from './peer-call.js';
 import {type Refusal} from './refusal.js';
 import {type Attempt} from './run-at-backend.js';
@@ -40,26 +40,40 @@
 });
 
 export type PeerResult =
-	| {readonly kind: 'answered'; readonly response: http.IncomingMessage; readonly attempt: Attempt}
+	/** `runs`: backend servers that may have run the call, undefined if it is not known. */
+	| {readonly kind: 'answered'; readonly response: http.IncomingMessage; readonly attempt: Attempt; readonly runs: number | undefined}
 	/** The peer has not run the call and will not. */
 	| {readonly kind: 'refused'; readonly refusal: Refusal; readonly isUnfit: boolean}
 	/** Nothing was sent. */
 	| {readonly kind: 'unsent'; readonly reason: string}
-	| {readonly kind: 'may_have_run'; readonly reason: string};
+	/** `isConfirmed`: whether the peer has confirmed that it received the call. */
+	| {readonly kind: 'may_have_run'; readonly reason: string; readonly isConfirmed: boolean};
 
-/** Removes the field that tells who answered, and returns its value. */
-const takeResult = (response: http.IncomingMessage): PeerCallResult | undefined => {
-	const value = response.headers[resultField];
+/** Removes a field that is not for the caller, and returns its value. */
+const takeField = (response: http.IncomingMessage, name: string): string | undefined => {
+	// Node derives `headers` from the raw list when it is first read.
+	const value = response.headers[name]?.toString();
 	const {rawHeaders} = response;
 	for (let index = rawHeaders.length - 2; index >= 0; index -= 2) {
-		if (rawHeaders[index]!.toLowerCase() === resultField) {
+		if (rawHeaders[index]!.toLowerCase() === name) {
 			rawHeaders.splice(index, 2);
 		}
 	}
 
+	return value;
+};
+
+/** Takes the field that tells who answered. */
+const takeResult = (response: http.IncomingMessage): PeerCallResult | undefined => {
+	const value = takeField(response, resultField);
 	return isPeerCallResult(value) ? value : undefined;
 };
 
+const takeRuns = (response: http.IncomingMessage): number | undefined => {
+	const runs = Number(takeField(response, runsField) ?? Number.NaN);
+	return Number.isInteger(runs) && runs > 0 ? runs : undefined;
+};
+
 const readRefusal = async (response: http.IncomingMessage): Promise<Refusal> => {
 	const retryAfterS = Number(response.headers['retry-after'] ?? Number.NaN);
 	let body: {kind?: unknown; detail?: unknown} = {};
@@ -87,7 +101,7 @@
 
 type Reply =
 	| {readonly kind: 'response'; readonly response: http.IncomingMessage}
-	| {readonly kind: 'failed'; readonly reason: string; readonly isSent: boolean};
+	| {readonly kind: 'failed'; readonly reason: string; readonly isSent: boolean; readonly isConfirmed: boolean};
 
 type PeerExchange = {
 	readonly reply: Promise<Reply>;
@@ -101,6 +115,7 @@
 		agent, host, port, method: 'POST', path: peerCallPath, headers: {'Content-Length': String(message.length)},
 	});
 	let isSent = false;
+	let isConfirmed = false;
 	let hasFailed = false;
 	let reason: string | undefined;
 	let timer: NodeJS.Timeout | undefined;
@@ -120,7 +135,7 @@
 		clearTimeout(timer);
 		request.end(message);
 		if (mayGiveUp) {
-			timer = setTimeout(giveUp('peer_silent'), confirmationTimeoutMs + (message.length / slowestBytesPerMs));
+			timer = setTimeout(giveUp('silent'), confirmationTimeoutMs + (message.length / slowestBytesPerMs));
 		}
 	};
 
@@ -135,6 +150,7 @@
 			socket.once('connect', send);
 		});
 		request.on('information', () => {
+			isConfirmed = true;
 			clearTimeout(timer);
 		});
 		request.on('response', response => {
@@ -144,7 +160,9 @@
 		const fail = (why: string): void => {
 			hasFailed = true;
 			clearTimeout(timer);
-			resolve({kind: 'failed', reason: reason ?? why, isSent});
+			resolve({
+				kind: 'failed', reason: reason ?? why, isSent, isConfirmed,
+			});
 		};
 
 		request.on('error', error => {
@@ -152,7 +170,9 @@
 		});
 		request.on('close', () => {
 			clearTimeout(timer);
-			resolve({kind: 'failed', reason: reason ?? 'closed', isSent});
+			resolve({
+				kind: 'failed', reason: reason ?? 'closed', isSent, isConfirmed,
+			});
 		});
 	});
 	return {
@@ -186,7 +206,8 @@
 	const result = await reply;
 	if (result.kind === 'failed') {
 		end();
-		return result.isSent ? {kind: 'may_have_run', reason: `peer_${result.reason}`} : {kind: 'unsent', reason: `peer_${result.reason}`};
+		const reason = `peer_${result.reason}`;
+		return result.isSent ? {kind: 'may_have_run', reason, isConfirmed: result.isConfirmed} : {kind: 'unsent', reason};
 	}
 
 	const {response} = result;
@@ -196,14 +217,16 @@
 			state: undefined, source: address, exchange, sentAt, end,
 			isComplete: async () => response.complete && !hasFailed(),
 		};
-		return {kind: 'answered', response, attempt};
+		return {
+			kind: 'answered', response, attempt, runs: takeRuns(response),
+		};
 	}
 
 	const refusal = await readRefusal(response);
 	end();
 	return answer === 'refused' || answer === 'unfit'
 		? {kind: 'refused', refusal, isUnfit: answer === 'unfit'}
-		: {kind: 'may_have_run', reason: `peer_${answer ?? 'without_result'}`};
+		: {kind: 'may_have_run', reason: `peer_${answer ?? 'without_result'}`, isConfirmed: true};
 };
 
 const recordResult = (gateway: GatewayState, {address, availabilityZone, room}: PeerCandidate, service: string, result: PeerResult): void => {
--- a/packages/gateway/src/calls/serve-plain.ts
+++ b/packages/gateway/src/calls/serve-plain.ts
@@ -27,7 +27,7 @@
 				continue;
 			}
 
-			recordFirstByte(context, call);
+			recordFirstByte(context, call, progress);
 			// eslint-disable-next-line no-await-in-loop -- attempts run one after another
 			const forwarded = await forwardPlainResponse({
 				response, isComplete: attempt.isComplete, target, method: outgoing.method, isLastOnConnection: () => isDraining(gateway),
--- a/packages/gateway/src/calls/serve-stream.ts
+++ b/packages/gateway/src/calls/serve-stream.ts
@@ -86,8 +86,8 @@
 	} = stream;
 	if (!stream.progress.hasStarted) {
 		stream.progress.hasStarted = true;
+		recordFirstByte(stream.context, call, progress);
 		writeStreamHead(response, target, isDraining(gateway));
-		recordFirstByte(stream.context, call);
 	}
 
 	const {state} = attempt;
