--- a/packages/core/src/limits/brittleness.test.ts
+++ b/packages/core/src/limits/brittleness.test.ts
@@ -3,7 +3,7 @@
 import fc from 'fast-check';
 import {hashText} from '../routing/rank-by-rendezvous.js';
 import {
-	applyBrittleness, type Brittleness, computePauseMs, countOwnPlaces, countUsedPlaces, isInForce, recordRejection, reduceAfterRejection,
+	applyBrittleness, type Brittleness, computePauseMs, countOwnPlaces, countUsedPlaces, isInForce, recordRejection, limitAfterRejection,
 } from './brittleness.js';
 import {type Participant, toParticipant} from './participants.js';
 
@@ -25,9 +25,9 @@
 test('after a rejection nothing is sent for a second, and less for a while', () => {
 	const rejected = recordRejection(makeBrittleness(1, 1000), 5000);
 	assert.equal(computePauseMs(rejected, 5400), 600);
-	assert.equal(reduceAfterRejection(10, rejected, 6000), 5);
-	assert.equal(reduceAfterRejection(10, rejected, 20_000), 10);
-	assert.equal(reduceAfterRejection(1, rejected, 6000), 1);
+	assert.equal(limitAfterRejection(10, rejected, 6000), 5);
+	assert.equal(limitAfterRejection(10, rejected, 20_000), 10);
+	assert.equal(limitAfterRejection(1, rejected, 6000), 1);
 });
 
 const participantArbitrary = fc.record({index: fc.integer({min: 0, max: 40}), level: fc.integer({min: -1, max: 4}), zone: fc.constantFrom('a', 'b', 'c')});
--- a/packages/core/src/limits/brittleness.ts
+++ b/packages/core/src/limits/brittleness.ts
@@ -90,7 +90,7 @@
 	: 0;
 
 /** Counts the places that may be used some time after a rejection. A holder keeps one. */
-export const reduceAfterRejection = (places: number, {rejectedAt}: Brittleness, trueTime: number): number => {
+export const limitAfterRejection = (places: number, {rejectedAt}: Brittleness, trueTime: number): number => {
 	const part = Math.min(1, partAfterRejection + ((1 - partAfterRejection) * Math.max(0, trueTime - rejectedAt) / recoveryMs));
 	return places === 0 ? 0 : Math.max(1, Math.floor(places * part));
 };
--- a/packages/core/src/testing/simulate-cut.ts
+++ b/packages/core/src/testing/simulate-cut.ts
@@ -95,7 +95,7 @@
 	/** Picks a backend server that is not suspended at the daemon. */
 	const pickBackend = ({suspendedUntil}: SimulatedDaemon): number => pickFrom(allBackends.filter(backend => (suspendedUntil.get(backend) ?? 0) <= now));
 
-	const connect = (daemon: SimulatedDaemon, backend: number): boolean => {
+	const openConnection = (daemon: SimulatedDaemon, backend: number): boolean => {
 		const isOpened = !isCutNow(daemon) && isUp(backend) && random() >= plan.lossShare;
 		daemon.paths = isOpened
 			? recordConnectSuccess(daemon.paths, {incarnation: names[backend]!, now, knownCount: plan.backends})
@@ -113,13 +113,13 @@
 	const serveDirectly = (daemon: SimulatedDaemon): boolean => {
 		const backend = pickBackend(daemon);
 		const canUseOpen = random() < 0.5 && isUp(backend) && (!isCutNow(daemon) || plan.hasOpenConnections);
-		if (canUseOpen || connect(daemon, backend)) {
+		if (canUseOpen || openConnection(daemon, backend)) {
 			daemon.dataAt = now;
 			return true;
 		}
 
 		for (let count = 0; count < 3; count++) {
-			connect(daemon, pickFrom(allBackends));
+			openConnection(daemon, pickFrom(allBackends));
 		}
 
 		return false;
@@ -161,14 +161,14 @@
 	const probe = (daemon: SimulatedDaemon): void => {
 		if (daemon.paths.lostSince !== undefined && now >= daemon.nextProbeAt) {
 			for (let count = 0; count < probesAtOnce; count++) {
-				connect(daemon, pickFrom(allBackends.filter(backend => !daemon.paths.regained.has(names[backend]!))));
+				openConnection(daemon, pickFrom(allBackends.filter(backend => !daemon.paths.regained.has(names[backend]!))));
 			}
 
 			daemon.nextProbeAt = now + (daemon.paths.regained.size > 0 ? tickMs : probeIntervalMs);
 		}
 	};
 
-	const judge = (daemon: SimulatedDaemon): void => {
+	const evaluate = (daemon: SimulatedDaemon): void => {
 		const isLost = daemon.paths.lostSince !== undefined;
 		daemon.lostSince = isLost ? daemon.lostSince ?? now : undefined;
 		if (isLost && !cut.has(daemon.index) && now - daemon.lostSince! > falseLossMs) {
@@ -197,7 +197,7 @@
 				}
 			}
 
-			judge(daemon);
+			evaluate(daemon);
 		}
 	}
 
--- a/packages/gateway/src/calls/backend-brittleness.ts
+++ b/packages/gateway/src/calls/backend-brittleness.ts
@@ -1,6 +1,6 @@
 /** Backend servers that fall over when they turn calls away: learns of them from answers and peers, and decides whether a place is free. */
 import {
-	applyBrittleness, type BrittlenessStatement, computePauseMs, countOwnPlaces, countUsedPlaces, isInForce, recordRejection, reduceAfterRejection,
+	applyBrittleness, type BrittlenessStatement, computePauseMs, countOwnPlaces, countUsedPlaces, isInForce, recordRejection, limitAfterRejection,
 } from '@shallotpass/core/limits/brittleness.js';
 import {
 	endedBrittleness, type ReportedBrittleness, type ReportedBrittlenesses, trimBrittlenesses,
@@ -106,6 +106,6 @@
 		now,
 		propagationMs: getPropagationMs(gateway),
 	});
-	const usable = reduceAfterRejection(places, brittleness, trueTime);
+	const usable = limitAfterRejection(places, brittleness, trueTime);
 	return state.running < usable && hasCacheRoom(gateway, state, usable, tokens) ? 0 : placeWaitMs;
 };
--- a/packages/gateway/src/calls/peer-call.ts
+++ b/packages/gateway/src/calls/peer-call.ts
@@ -136,7 +136,7 @@
 const hopMs = 5;
 
 /** Restores the call on this daemon's clock. What the way here took is no longer left; a sender that gave up sends nothing on. */
-export const restoreCall = (gateway: GatewayState, {sentAt, remainingMs, targetMs, call}: PeerCallData): Call => {
+export const makeCallOfPeer = (gateway: GatewayState, {sentAt, remainingMs, targetMs, call}: PeerCallData): Call => {
 	const now = gateway.clocks.steady();
 	const underWayMs = Math.max(0, gateway.clocks.trueTime() - sentAt - clockToleranceMs) + hopMs;
 	return {
--- a/packages/gateway/src/calls/send-to-peer.ts
+++ b/packages/gateway/src/calls/send-to-peer.ts
@@ -186,7 +186,7 @@
 };
 
 /** Offers the call to one peer and waits for the head of the response. */
-const offerToPeer = async (context: CallContext, admitted: AdmittedCall, offer: {peer: PeerCandidate; possibleRuns: number}, signal: AbortSignal): Promise<PeerResult> => {
+const sendToOnePeer = async (context: CallContext, admitted: AdmittedCall, offer: {peer: PeerCandidate; possibleRuns: number}, signal: AbortSignal): Promise<PeerResult> => {
 	const {gateway} = context;
 	const {address} = offer.peer;
 	const message = encodePeerCall(gateway, admitted, offer.possibleRuns);
@@ -261,7 +261,7 @@
 		progress.attempts++;
 		const startedAt = gateway.clocks.steady();
 		// eslint-disable-next-line no-await-in-loop -- peers are asked one after the other
-		const result = await offerToPeer(context, admitted, {peer, possibleRuns: progress.possibleRuns}, signal);
+		const result = await sendToOnePeer(context, admitted, {peer, possibleRuns: progress.possibleRuns}, signal);
 		recordResult(gateway, peer, call.service, result);
 		gateway.metrics.peerCallsSent.inc({service: call.service, outcome: result.kind});
 		gateway.log.write(result.kind === 'answered' ? 'routine' : 'failure', 'call_sent_to_peer', {
--- a/packages/gateway/src/calls/serve-peer-call.ts
+++ b/packages/gateway/src/calls/serve-peer-call.ts
@@ -5,7 +5,7 @@
 import {isCutOff} from '../paths/track-paths.js';
 import {type AdmittedCall, type CallContext} from './admit-call.js';
 import {
-	decodePeerCall, type PeerCallData, type PeerCallResult, restoreCall, setResult,
+	decodePeerCall, type PeerCallData, type PeerCallResult, makeCallOfPeer, setResult,
 } from './peer-call.js';
 import {readRequestBody} from './read-request-body.js';
 import {type Refusal, sendRefusal} from './refusal.js';
@@ -93,7 +93,7 @@
 		return;
 	}
 
-	const call = restoreCall(gateway, data);
+	const call = makeCallOfPeer(gateway, data);
 	if (call.deadline <= call.arrivedAt) {
 		refuse(context, {kind: 'deadline_unreachable', detail: 'The call arrived after its deadline.'}, 'refused');
 		return;
--- a/packages/gateway/src/gateway-state.ts
+++ b/packages/gateway/src/gateway-state.ts
@@ -70,7 +70,7 @@
 	configurationCheckedAt: number;
 	/** Written by the directory follower, calls and gossip. */
 	readonly registry: BackendRegistry;
-	/** Whether connections to backend servers can be opened. Written by `trackPaths`. */
+	/** Whether connections to backend servers can be opened. Written by `track-paths.ts`. */
 	paths: PathState;
 	/** Called when the paths to all backend servers are lost. Written by calls. */
 	readonly onPathsLost: Set<() => void>;
--- a/scripts/soak/src/inject-fault.ts
+++ b/scripts/soak/src/inject-fault.ts
@@ -196,7 +196,7 @@
 };
 
 /** Makes the links of the daemons to all backend servers fail for the given time. Daemons that are cut off already are left as they are. */
-const cutOff = async (cluster: SoakCluster, {daemons: indexes, how, forMs}: Fault & {kind: 'cut_off'}): Promise<void> => {
+const isolateDaemons = async (cluster: SoakCluster, {daemons: indexes, how, forMs}: Fault & {kind: 'cut_off'}): Promise<void> => {
 	const cutNow = new Set(cluster.cuts.filter(({until}) => until === Infinity).flatMap(({daemons}) => daemons));
 	const daemons = indexes.map(index => cluster.daemons[index]!).filter(({process}) => !cutNow.has(process.id));
 	const cut = {daemons: daemons.map(({process}) => process.id), from: performance.now(), until: Infinity};
@@ -326,7 +326,7 @@
 		}
 
 		case 'cut_off': {
-			await cutOff(cluster, fault);
+			await isolateDaemons(cluster, fault);
 			return;
 		}
 
