--- a/packages/gateway/src/calls/peer-call.ts
+++ b/packages/gateway/src/calls/peer-call.ts
@@ -19,6 +19,9 @@
 /** Response field that tells who answered. It is removed before the response is sent to the caller. */
 export const resultField = 'x-peer-call-result';
 
+/** Response field with the number of backend servers that may have run the call behind the peer. Without it, all that were left may have. */
+export const runsField = 'x-peer-call-runs';
+
 /**
  * `answered`: a backend server. `refused`: the peer, and the call has not run and never will. `unfit`: the same, as the peer is
  * cut off itself, full, leaving or without a configuration. `failed`: the peer, and the call may have run.
@@ -33,6 +36,11 @@
 	response.setHeader(resultField, result);
 };
 
+/** Tells the peer how many backend servers may have run the call so far. To be called before the head of the response is sent. */
+export const setRuns = (response: http.ServerResponse, runs: number): void => {
+	response.setHeader(runsField, String(runs));
+};
+
 /** Sets the result that fits the refusal, before it is sent. */
 export const setRefusalResult = (response: http.ServerResponse, kind: ErrorKind): void => {
 	if (!response.headersSent) {
@@ -128,7 +136,7 @@
 const hopMs = 5;
 
 /** Restores the call on this daemon's clock. What the way here took is no longer left; a sender that gave up sends nothing on. */
-export const restoreCall = (gateway: GatewayState, {sentAt, remainingMs, targetMs, call}: PeerCallData): Call => {
+export const makeCallOfPeer = (gateway: GatewayState, {sentAt, remainingMs, targetMs, call}: PeerCallData): Call => {
 	const now = gateway.clocks.steady();
 	const underWayMs = Math.max(0, gateway.clocks.trueTime() - sentAt - clockToleranceMs) + hopMs;
 	return {
