Go on behind a peer after the last event that the sender forwarded

Cause: the call record shows the stream resumed through a peer after its link was lost. The peer's own splitter had seen no event yet; when its first engine refused the call or was not reached, the next attempt was sent with the splitter's last event id, which is none, so the engine began at the first event. Class: a value that arrives from outside is overwritten by the own state that is still empty. Change: without an event of its own a daemon keeps the id that it was sent; moved runs too.

--- a/packages/gateway/src/calls/serve-stream.ts
+++ b/packages/gateway/src/calls/serve-stream.ts
@@ -71,12 +71,15 @@
 	return endWith(forwarded === 'passed' ? {name: 'backend_error'} : makeFailureOutcome(progress));
 };
 
+/** Returns the id after which the stream goes on: of the last event that was forwarded here, or before by the daemon that sent the call. */
+const getLastEventId = ({splitter, outgoing}: StreamState): string | undefined => splitter.getLastEventId() ?? outgoing.lastEventId;
+
 /** Continues the run with the moved KV cache. It is the same run, so the next attempt is not a retry. */
 const resumeMovedRun = (stream: StreamState, moved: MovedRun, stoppedOn: string): NextStep => {
 	stream.splitter.discardPartialEvent();
 	stream.stoppedOn.add(stoppedOn);
 	stream.placements = moved.placements;
-	stream.outgoing = {...stream.outgoing, lastEventId: stream.splitter.getLastEventId(), kvCache: moved.kvCache};
+	stream.outgoing = {...stream.outgoing, lastEventId: getLastEventId(stream), kvCache: moved.kvCache};
 	return {kind: 'try_again', isExempt: true};
 };
 
@@ -190,6 +193,6 @@
 		}
 
 		stream.splitter.discardPartialEvent();
-		stream.outgoing = {...stream.outgoing, lastEventId: stream.splitter.getLastEventId()};
+		stream.outgoing = {...stream.outgoing, lastEventId: getLastEventId(stream)};
 	}
 };
