Expect no calls to be served through a daemon of the soak that is killed

The check counts moments only at which an undisturbed daemon has paths, as the users' rule compares with machines in touch.

--- a/scripts/soak/src/check-cuts.ts
+++ b/scripts/soak/src/check-cuts.ts
@@ -11,16 +11,18 @@
 
 const isServed = ({end}: CompletedCall): boolean => end?.kind === 'answered' && end.status === 200 && end.isWhole;
 
-/** Whether some daemon has had no cut for the whole time before. Calls cannot be served through others while there is none. */
-const hasDaemonWithPaths = ({calls, cuts}: History, at: number): boolean => {
+type IsDisturbed = (daemon: string, at: number) => boolean;
+
+/** Whether some undisturbed daemon has had no cut for the whole time before. Calls cannot be served through others while there is none. */
+const hasDaemonWithPaths = ({calls, cuts}: History, at: number, isDisturbed: IsDisturbed): boolean => {
 	const daemons = new Set(calls.map(({daemon}) => daemon));
 	const cutLately = new Set(cuts.filter(({from, until}) => from <= at && until > at - stableMs).flatMap(cut => cut.daemons));
-	return [...daemons].some(daemon => !cutLately.has(daemon));
+	return [...daemons].some(daemon => !cutLately.has(daemon) && !isDisturbed(daemon, at));
 };
 
-const findCutViolation = (history: History, cut: Cut, isDisturbed: (daemon: string, at: number) => boolean): string | undefined => {
+const findCutViolation = (history: History, cut: Cut, isDisturbed: IsDisturbed): string | undefined => {
 	const inTime = history.calls.filter(({sentAt, daemon}) =>
-		sentAt >= cut.from + stableMs && sentAt < cut.until && !isDisturbed(daemon, sentAt) && hasDaemonWithPaths(history, sentAt));
+		sentAt >= cut.from + stableMs && sentAt < cut.until && !isDisturbed(daemon, sentAt) && hasDaemonWithPaths(history, sentAt, isDisturbed));
 	const cutCalls = inTime.filter(({daemon}) => cut.daemons.includes(daemon));
 	const otherCalls = inTime.filter(({daemon, sentAt}) => !history.cuts.some(({daemons, from, until}) => daemons.includes(daemon) && sentAt >= from && sentAt < until));
 	const served = cutCalls.filter(call => isServed(call)).length;
@@ -32,6 +34,6 @@
 		: undefined;
 };
 
-export const findCutViolations = (history: History, isDisturbed: (daemon: string, at: number) => boolean): string[] => history.cuts
+export const findCutViolations = (history: History, isDisturbed: IsDisturbed): string[] => history.cuts
 	.map(cut => findCutViolation(history, cut, isDisturbed))
 	.filter(violation => violation !== undefined);
--- a/scripts/soak/src/check-history.test.ts
+++ b/scripts/soak/src/check-history.test.ts
@@ -128,12 +128,16 @@
 	});
 }
 
-test('calls are not expected to be served through others while all daemons are cut off', () => {
+test('calls are not expected to be served through others while all daemons are cut off or disturbed', () => {
 	const calls = [...servedCalls, ...Array.from({length: 20}, (_value, index) => makeRefusedCall(503, {id: `cut-${index}`, daemon: 'daemon-1', sentAt: 9500}))];
 	const history = makeHistory({
 		calls, runs: servedRuns, calmFrom: 10_000, cuts: [{daemons: ['daemon-1'], from: 6000, until: 12_000}, {daemons: ['daemon-0'], from: 7000, until: 9900}],
 	});
 	assert.deepEqual(findViolations(history), []);
+	const killed = makeHistory({
+		calls, runs: servedRuns, calmFrom: 10_000, cuts: [{daemons: ['daemon-1'], from: 6000, until: 12_000}], disturbances: [{daemon: 'daemon-0', from: 8000, until: 9000}],
+	});
+	assert.deepEqual(findViolations(killed), []);
 });
 
 test('an execution that resumes with the KV cache of its own call does not count as a second execution', () => {
