Tell what decides a refusal for a limit first, and when known spending falls otherwise than by age

Cause: a recorded line was cut after 200 characters, just before the sum that decides; nothing was written when the sum falls, so forgotten spending and a jump that outruns the reports look the same. No decision is changed.

--- a/packages/gateway/src/calls/take-quota.ts
+++ b/packages/gateway/src/calls/take-quota.ts
@@ -9,7 +9,7 @@
 	computeBucketRefill, computeRemainingBudget, estimateWait, hasBudget, type SpendingView,
 } from '@shallotpass/core/quotas/account-budget.js';
 import {
-	ageSlots, recordSpent, makeSpending, computeSpent, computeSpentSlots, sumSlots,
+	addSlots, ageSlots, recordSpent, makeSpending, computeSpentSlots, sumSlots,
 } from '@shallotpass/core/quotas/spending.js';
 import {countDaemons, type GatewayState, peerExpiryMs} from '../gateway-state.js';
 import {type CallerHeaders} from '../ports.js';
@@ -46,6 +46,34 @@
 	return ageSlots(inherited.spent[account] ?? [], gateway.clocks.trueTime() - inherited.at, settings.bounds.quotaWindowMs);
 };
 
+export type KnownSpending = {
+	/** Cost units spent in each slot of the window on all daemons, newest first. */
+	readonly slots: readonly number[];
+	/** Cost units spent on this daemon. */
+	readonly own: number;
+	/** Cost units spent before the running daemons started. */
+	readonly inherited: number;
+	/** Number of reports of other daemons, or of sums over several, that are counted. */
+	readonly origins: number;
+	/** Age of the oldest of these reports, in milliseconds. */
+	readonly oldestMs: number;
+};
+
+/** Sums what this daemon knows of the account's spending. */
+export const sumKnownSpending = (gateway: GatewayState, account: string): KnownSpending => {
+	const now = gateway.clocks.steady();
+	const own = computeSpentSlots(getSpending(gateway, account), now);
+	const inherited = getInheritedSpending(gateway, account);
+	const activePeers = [...gateway.peers.values()].filter(peer => peer.receivedAt >= now - peerExpiryMs);
+	return {
+		slots: addSlots([own, inherited, ...activePeers.map(peer => peer.spent[account])]),
+		own: sumSlots(own),
+		inherited: sumSlots(inherited),
+		origins: activePeers.length,
+		oldestMs: Math.max(0, ...activePeers.map(({receivedAt}) => now - receivedAt)),
+	};
+};
+
 const makeSpendingView = (gateway: GatewayState, {name, limit, call}: {name: string; limit: AccountLimit; call: LimitedCall}): SpendingView => {
 	const now = gateway.clocks.steady();
 	const {bounds} = gateway.settings;
@@ -56,8 +84,7 @@
 	return {
 		usable: computeUsable(limit, bounds, call),
 		windowMs: bounds.quotaWindowMs,
-		spent: [computeSpentSlots(getSpending(gateway, name), now), getInheritedSpending(gateway, name), ...activePeers.map(peer => peer.spent[name])]
-			.reduce((sum, slots) => sum + sumSlots(slots), 0),
+		spent: sumSlots(sumKnownSpending(gateway, name).slots),
 		ownDemand: bucket === undefined ? 0 : computeDemand(bucket, now),
 		otherDemands: activePeers.map(peer => peer.demands[name] ?? 0),
 		reportingDaemons: daemons,
@@ -98,8 +125,7 @@
 
 	gateway.log.write('failure', 'limit_reached', {
 		request: head.id, account: name, cost, room: Math.round(computeRemainingBudget(view)), level: Math.round(decision.bucket.level),
-		own: Math.round(computeSpent(getSpending(gateway, name), now)), inherited: Math.round(sumSlots(getInheritedSpending(gateway, name))), spent: Math.round(view.spent),
-		usable: Math.round(view.usable), daemons: view.reportingDaemons,
+		asked: Math.round(sumSlots(view.otherDemands)), daemons: view.reportingDaemons,
 	});
 	// Callers that retry at the same time would compete for the same remaining quota.
 	const jitter = 0.75 + (gateway.random() / 2);
--- a/packages/gateway/src/peers/gossip.ts
+++ b/packages/gateway/src/peers/gossip.ts
@@ -27,6 +27,7 @@
 import {makeRelayExchange} from './relay-reports.js';
 import {adoptLimits, updateParticipants} from './share-limits.js';
 import {sumOtherLoads} from './sum-other-loads.js';
+import {makeSpendingWatch} from './watch-spending.js';
 
 /** Interval at which changed limits are reported at the earliest. The end of a limit should be known to hundreds of daemons within a second. */
 const limitReportIntervalMs = 50;
@@ -92,6 +93,7 @@
 	gateway.listMembers = memberList.list;
 	let ownReport = makeReport(gateway, options.getReportInput(memberList));
 	let rounds = 0;
+	const spendingWatch = makeSpendingWatch(gateway);
 
 	const toPeerReport = (report: GossipReport): PeerReport => ({
 		...ageReport(report, gateway.clocks.trueTime()), receivedAt: now(), clockOffset: report.trueTime - now(),
@@ -213,6 +215,7 @@
 		gateway.clocks.applyPeerOffsets(fresh.map(peer => peer.clockOffset));
 		gateway.metrics.peers.set(fresh.reduce((sum, peer) => sum + peer.daemons, 0));
 		sumOtherLoads(gateway);
+		spendingWatch.check();
 		// With relays in use, the total contains this daemon. The active relay makes the total itself.
 		updateParticipants(gateway, {ownReport, isInReports: needsRelays(members.size) && !relayExchange.isActive(), hasPeers: members.size > 1});
 	};
--- a/packages/gateway/src/telemetry/log-events.ts
+++ b/packages/gateway/src/telemetry/log-events.ts
@@ -95,8 +95,16 @@
 	call_suspected: {meaning: 'A backend server terminated while it ran the call', fields: ['digest', 'backend', 'ends']},
 	call_crashed: {meaning: 'Unexpected error while serving a call', fields: ['request', 'error']},
 	limit_reached: {
-		meaning: 'A call was refused because its client account reached its limit',
-		fields: ['request', 'account', 'cost', 'room', 'level', 'own', 'inherited', 'spent', 'usable', 'daemons'],
+		meaning: 'A call was refused because its client account reached its limit. `asked`: cost units a second that other daemons are asked for',
+		fields: ['request', 'account', 'cost', 'room', 'level', 'asked', 'daemons'],
+	},
+	account_near_limit: {
+		meaning: 'What is known to be spent of a client account\'s limit on all daemons, once a second from 0.8 of it; `origins` reports are counted, the oldest was received `oldestMs` ago',
+		fields: ['account', 'spent', 'usable', 'own', 'inherited', 'origins', 'oldestMs'],
+	},
+	spending_fell: {
+		meaning: 'What is known to be spent of a client account\'s limit fell below `expected` otherwise than by age: spending was forgotten',
+		fields: ['account', 'spent', 'expected', 'usable', 'own', 'inherited', 'origins', 'oldestMs'],
 	},
 	request_unreadable: {meaning: 'Data on a connection could not be parsed as a request', fields: ['reason']},
 } as const satisfies Readonly<Record<string, LogEvent>>;
