--- a/packages/core/src/testing/simulate-limit.ts
+++ b/packages/core/src/testing/simulate-limit.ts
@@ -29,10 +29,20 @@
 	readonly lessUrgentFraction?: number;
 	/** When all daemons stop, to restart half a second later. Undefined if they keep running. */
 	readonly stopsAt?: number;
+	/** Daemons that end alone, in the order of time. */
+	readonly ends?: readonly DaemonEnd[];
 	readonly durationMs: number;
 	readonly random: () => number;
 };
 
+export type DaemonEnd = {
+	readonly at: number;
+	/** Which daemon ends, from 0. */
+	readonly daemon: number;
+	/** Time from its end until it runs again. */
+	readonly downMs: number;
+};
+
 export type SimulatedCall = {
 	readonly at: number;
 	readonly cost: number;
@@ -46,8 +56,17 @@
 	/** Last report that the daemon sent. */
 	lastReport: {readonly slots: readonly number[]; readonly demand: number};
 	nextReportAt: number;
+	/** Spending before its start, as of a time. */
+	inherited: {readonly slots: readonly number[]; readonly at: number};
+	/** When its last report was sent. */
+	reportedAt: number;
+	/** Until when it is down. */
+	downUntil: number;
 };
 
+/** Reports of daemons that ended longer ago are no longer counted. */
+const reportExpiryMs = 2500;
+
 /** Interval at which the lease holder writes the spending of all daemons. */
 const writeIntervalMs = 900;
 
@@ -62,6 +81,9 @@
 	bucket: makeBucket(now),
 	lastReport: {slots: [], demand: 0},
 	nextReportAt: now + (simulation.random() * simulation.gossipIntervalMs),
+	inherited: {slots: [], at: 0},
+	reportedAt: now,
+	downUntil: now,
 });
 
 /** Rank of less urgent calls. The others have rank 0. */
@@ -78,13 +100,26 @@
 	const usable = computeMaxUsable(simulation.limit, bounds);
 	let daemons = Array.from({length: simulation.daemons}, () => startDaemon(simulation, 0));
 	let record: {slots: readonly number[]; at: number} = {slots: [], at: 0};
-	let inherited = record;
 	let writtenAt = 0;
 	let hasStopped = false;
 	const calls: SimulatedCall[] = [];
+	const pendingEnds = [...simulation.ends ?? []];
+	/** Reports of daemons that have ended, which the others keep until they expire. */
+	let departed: Daemon[] = [];
+
+	const endDaemons = (now: number): void => {
+		while (pendingEnds[0] !== undefined && pendingEnds[0].at <= now) {
+			const {daemon, downMs} = pendingEnds.shift()!;
+			departed.push(daemons[daemon]!);
+			daemons[daemon] = {...startDaemon(simulation, now + downMs), inherited: record};
+		}
+
+		departed = departed.filter(({reportedAt}) => reportedAt >= now - reportExpiryMs);
+	};
 
 	const sendReport = (daemon: Daemon, now: number): void => {
-		if (now >= daemon.nextReportAt) {
+		if (now >= daemon.nextReportAt && now >= daemon.downUntil) {
+			daemon.reportedAt = now;
 			daemon.lastReport = {slots: computeSpentSlots(daemon.spending, now), demand: computeDemand(daemon.bucket, now)};
 			daemon.nextReportAt += simulation.gossipIntervalMs;
 		}
@@ -107,14 +142,14 @@
 	};
 
 	const viewSpending = (daemon: Daemon, {cost, rank}: LimitedCall, now: number): SpendingView => {
-		const others = daemons.filter(other => other !== daemon);
+		const others = [...daemons.filter(other => other !== daemon), ...departed];
 		return {
 			usable: computeUsable(simulation.limit, bounds, {cost, rank}),
 			windowMs: bounds.quotaWindowMs,
 			spent: sumSlots(addSlots([
 				computeSpentSlots(daemon.spending, now),
 				...others.map(({lastReport}) => lastReport.slots),
-				ageSlots(inherited.slots, now - inherited.at, bounds.quotaWindowMs),
+				ageSlots(daemon.inherited.slots, now - daemon.inherited.at, bounds.quotaWindowMs),
 			])),
 			ownDemand: computeDemand(daemon.bucket, now),
 			otherDemands: others.map(({lastReport}) => lastReport.demand),
@@ -125,7 +160,8 @@
 	};
 
 	const makeCall = (now: number): void => {
-		const daemon = daemons[Math.floor(random() * daemons.length)]!;
+		const running = daemons.filter(({downUntil}) => now >= downUntil);
+		const daemon = running[Math.floor(random() * running.length)]!;
 		const cost = drawCost(simulation);
 		const rank = random() < (simulation.lessUrgentFraction ?? 0) ? lessUrgentRank : 0;
 		daemon.bucket = recordDemand(daemon.bucket, cost, now);
@@ -146,14 +182,15 @@
 	for (let now = 0; now < simulation.durationMs; now += 10) {
 		if (simulation.stopsAt !== undefined && !hasStopped && now >= simulation.stopsAt) {
 			hasStopped = true;
-			inherited = record;
-			daemons = daemons.map(() => startDaemon(simulation, now + restartMs));
+			const inherited = record;
+			daemons = daemons.map(() => ({...startDaemon(simulation, now + restartMs), inherited}));
 		}
 
 		if (hasStopped && now < (simulation.stopsAt ?? 0) + restartMs) {
 			continue;
 		}
 
+		endDaemons(now);
 		for (const daemon of daemons) {
 			sendReport(daemon, now);
 		}
