Keep the limits of client accounts by keepers whose parts cannot sum to more than what is left

What callers saw: one account ran more than its limit, so others waited behind it. Class: what one observer said is forgotten with the observer, and what it has not said yet is taken for nothing.

Change: a ledger by incarnation and slot of true time, merged by the larger amount, so that reports may come twice, late or by another keeper, and outlive who spent. A keeper grants before the others have confirmed it at most its part of what is left. A part is its smallest claim since the last report that all others have confirmed, of the last claims of all; whatever each knows, parts sum to 1 at most (property test). The delay is what was confirmed, no constant. What a silent keeper may still grant is left to it, what a killed one may have granted after its last report counts for a window. A started or woken keeper grants when it has heard the others and they it; meanwhile it asks them. Up to 12 daemons all are keepers, three lead (large calls need a large part); beyond it two of each zone are and the others ask them by datagrams. The record in the store tells apart what was spent and what is expected.

--- a/packages/core/src/gossip/gossip-report.ts
+++ b/packages/core/src/gossip/gossip-report.ts
@@ -40,6 +40,8 @@
 	availabilityZone: z.string(),
 	/** Bandwidth of the sender's network link, in Mbit/s. */
 	linkMbps: z.number(),
+	/** Whether the daemon may keep limits of client accounts. Those of earlier versions count for themselves. */
+	keepsQuotas: z.boolean().optional(),
 	/** Number of daemons that the report covers. */
 	daemons: z.int(),
 	/** Number of daemons in zones that stopped reporting. They may still admit calls that no other daemon counts. */
--- a/packages/core/src/gossip/pick-relays.ts
+++ b/packages/core/src/gossip/pick-relays.ts
@@ -10,6 +10,8 @@
 	readonly linkMbps: number;
 	/** Whether it serves calls that other daemons send. Those of earlier versions don't. */
 	readonly takesCalls?: boolean | undefined;
+	/** Whether it may keep limits of client accounts. Those of earlier versions don't. */
+	readonly keepsQuotas?: boolean | undefined;
 };
 
 /** Up to this number, daemons send their reports directly to all others. */
--- a/packages/core/src/lease/lease.ts
+++ b/packages/core/src/lease/lease.ts
@@ -6,6 +6,7 @@
  * renewal. Other daemons count from the time they saw the record, which is later, and add a margin.
  */
 import * as z from 'zod';
+import {recordedSpendingSchema} from '../quotas/recorded-spending.js';
 
 const windowReport = z.object({
 	window: z.int(),
@@ -34,7 +35,12 @@
 	/** Usage counts by window, daemon incarnation and client account, for windows that are not reported yet. */
 	counted: z.record(z.string(), z.record(z.string(), z.record(z.string(), z.number()))),
 	/** Cost units spent by each client account on all daemons, per slot of the rate limit window, as of the true time `at`. */
-	spent: z.object({at: z.number(), accounts: z.record(z.string(), z.array(z.number()))}),
+	spent: z.object({
+		at: z.number(),
+		accounts: z.record(z.string(), z.array(z.number())),
+		/** The same without what is expected until the next record. Daemons of earlier versions don't write it. */
+		recorded: recordedSpendingSchema.optional(),
+	}),
 });
 
 export type Lease = z.infer<typeof leaseSchema>;
--- /dev/null
+++ b/packages/core/src/quotas/keeper-reserves.ts
@@ -0,0 +1,91 @@
+/**
+ * Reserves: what a keeper leaves to others that it no longer hears. One that is cut off goes on granting its part, and the rest grants
+ * theirs, so that both together keep the limit without a word. One that has ended may have granted something after its last report.
+ */
+import {
+	goneAfterMs, isHeard, type KeeperClock, type KeeperPeer, type KeeperState, type Reserve,
+} from './keeper-state.js';
+import {computeShares} from './keeper-shares.js';
+import {collectKnown} from './known-spending.js';
+import {sumAmounts} from './slot-amounts.js';
+
+/** Whether something is left to a peer: it is not heard and may still grant, or may have granted something before it was replaced. */
+export const isSilent = (peer: KeeperPeer, windowMs: number, clock: KeeperClock): boolean =>
+	!isHeard(peer, clock) && !peer.hasLeft && peer.receivedAt >= clock.steady - (peer.isReplaced ? windowMs : goneAfterMs);
+
+/** Stands for all accounts of which nothing was asked when the peer fell silent. */
+const otherAccounts = '';
+
+const listAccounts = ({demands, peers}: KeeperState): Set<string> =>
+	new Set([otherAccounts, ...demands.keys(), ...[...peers.values()].flatMap(({spent}) => [...spent.keys()])]);
+
+const sumShares = (shares: Iterable<number>): number => {
+	let sum = 0;
+	for (const share of shares) {
+		sum += share;
+	}
+
+	return sum;
+};
+
+/** Computes what is left to each peer that has just fallen silent. */
+const computeReserves = (keeper: KeeperState, account: string, newlySilent: readonly KeeperPeer[], clock: KeeperClock): Map<KeeperPeer, Reserve> => {
+	const peers = [...keeper.peers.values()];
+	const {own, byPeer} = computeShares(keeper, account, peers.filter(peer => newlySilent.includes(peer) || isHeard(peer, clock)), clock);
+	const left = 1 - sumShares(peers.filter(peer => isSilent(peer, keeper.windowMs, clock)).map(({reserves}) => reserves?.get(account)?.share ?? 0));
+	// A part that is not certain to be anybody's may be in use by those that are cut off.
+	const uncertain = Math.max(0, 1 - own - sumShares(byPeer.values()));
+	const cutOff = newlySilent.filter(({isReplaced}) => !isReplaced).length;
+	const known = collectKnown(keeper, account, clock);
+	return new Map(newlySilent.map(peer => {
+		const claimed = byPeer.get(peer.incarnation) ?? 0;
+		return [peer, {share: (claimed + (peer.isReplaced ? 0 : uncertain / cutOff)) * left, known, madeAt: clock.trueTime}];
+	}));
+};
+
+/** Makes reserves for the peers that have fallen silent since the last call, and ends those of peers that are heard again. */
+export const updateReserves = (keeper: KeeperState, clock: KeeperClock): void => {
+	const peers = [...keeper.peers.values()];
+	for (const peer of peers.filter(peer => isHeard(peer, clock))) {
+		peer.reserves = undefined;
+	}
+
+	const newlySilent = peers.filter(peer => peer.reserves === undefined && isSilent(peer, keeper.windowMs, clock));
+	const reserves = new Map(newlySilent.map(peer => [peer, new Map<string, Reserve>()]));
+	for (const account of newlySilent.length > 0 ? listAccounts(keeper) : []) {
+		for (const [peer, reserve] of computeReserves(keeper, account, newlySilent, clock)) {
+			reserves.get(peer)!.set(account, reserve);
+		}
+	}
+
+	for (const [peer, byAccount] of reserves) {
+		peer.reserves = byAccount;
+	}
+};
+
+/** A keeper that never heard others which it expects leaves them their parts for this time after its start. */
+const expectOthersMs = 10_000;
+
+export type ReserveInput = {
+	readonly account: string;
+	/** Maximum that all daemons together may grant within the window. */
+	readonly usable: number;
+	/** Number of keepers that are to be expected, including this one. */
+	readonly expectedKeepers: number;
+};
+
+/** Sums what is left to keepers that are not heard. */
+export const sumReserves = (keeper: KeeperState, {account, usable, expectedKeepers}: ReserveInput, clock: KeeperClock): number => {
+	const peers = [...keeper.peers.values()];
+	let sum = 0;
+	for (const peer of peers.filter(peer => isSilent(peer, keeper.windowMs, clock))) {
+		const reserve = peer.reserves?.get(account) ?? peer.reserves?.get(otherAccounts);
+		if (reserve !== undefined) {
+			const knownSpending = sumAmounts(reserve.known, peer.isReplaced ? reserve.madeAt : clock.trueTime, keeper.windowMs);
+			sum += reserve.share * Math.max(0, usable - knownSpending);
+		}
+	}
+
+	const neverHeard = clock.steady < keeper.startedAt + expectOthersMs ? Math.max(0, expectedKeepers - 1 - peers.length) : 0;
+	return sum + (usable * neverHeard / Math.max(1, expectedKeepers));
+};
--- /dev/null
+++ b/packages/core/src/quotas/settle-keeper.ts
@@ -0,0 +1,65 @@
+/**
+ * Settles a keeper that has started or was suspended: it grants nothing until it knows what the others know, and they know of it. Otherwise each
+ * restart would give an account its limit again.
+ */
+import {type KeeperClock, type KeeperState, listHeardPeers} from './keeper-state.js';
+import {type RecordedSpending, readRecordedSlots} from './recorded-spending.js';
+
+/** A keeper that hears no other one for this time after its start grants its part alone. */
+const introductionMs = 1500;
+
+/** A keeper that sent no report for this long has not run meanwhile. */
+const maxReportPauseMs = 1000;
+
+/** Origin of spending that was read from the store. */
+const recordOrigin = 'record';
+
+/** Adopts recorded spending. Nobody else has it after an end of all daemons at once. */
+const adoptRecord = (keeper: KeeperState, record: RecordedSpending, clock: KeeperClock): void => {
+	const {windowMs, startedAt} = keeper;
+	const endedBy = clock.trueTime - (clock.steady - startedAt);
+	const spent = Object.keys(record.accounts).map(account => [account, readRecordedSlots(record, account, {windowMs, endedBy})] as const);
+	keeper.departed.set(recordOrigin, new Map(spent));
+};
+
+/** Whether the keeper has not run for a while, so that what it knows is old. */
+export const wasPaused = ({reportedAt}: KeeperState, clock: KeeperClock): boolean => clock.steady > reportedAt + maxReportPauseMs;
+
+/** Lets the keeper hear the others before it grants again. */
+export const unsettle = (keeper: KeeperState, clock: KeeperClock): void => {
+	keeper.isSettled = false;
+	keeper.unsettledSince = clock.trueTime;
+	keeper.reportedAt = clock.steady;
+};
+
+export type SettleInput = {
+	/** Spending that the store holds. It is needed only if no other keeper is settled. */
+	readonly record: RecordedSpending | undefined;
+	/** Whether there are other keepers. */
+	readonly hasOthers: boolean;
+};
+
+/** Settles the keeper if all that it hears have heard it since. Returns whether it may grant. */
+export const trySettle = (keeper: KeeperState, {record, hasOthers}: SettleInput, clock: KeeperClock): boolean => {
+	if (keeper.isSettled) {
+		return true;
+	}
+
+	const heard = listHeardPeers(keeper, clock);
+	if (heard.length === 0 && hasOthers && clock.trueTime < keeper.unsettledSince + introductionMs) {
+		return false;
+	}
+
+	const hasHeardAll = heard.every(({hears}) => hears.every(incarnation => incarnation === keeper.incarnation || keeper.peers.has(incarnation)));
+	const isHeardByAll = heard.every(({heardOwn}) => heardOwn !== undefined && heardOwn >= keeper.unsettledSince);
+	if (!hasHeardAll || !isHeardByAll) {
+		return false;
+	}
+
+	if (record !== undefined && !heard.some(({isSettled}) => isSettled)) {
+		adoptRecord(keeper, record, clock);
+	}
+
+	keeper.isSettled = true;
+	return true;
+};
--- a/packages/core/src/testing/simulate-limit.ts
+++ b/packages/core/src/testing/simulate-limit.ts
@@ -1,28 +1,36 @@
 /** Simulates the calls of one client account to several daemons that share its rate limit, in virtual time. */
 import {type AccountLimit} from '../calls/serving-configuration.js';
+import {computeMaxUsable, computeUsable, type LimitBounds} from '../quotas/compute-ceiling.js';
+import {decidePayment} from '../quotas/decide-payment.js';
+import {dropExpiredSpending, makeKeeperReport, mergeKeeperReport} from '../quotas/exchange-keeper-reports.js';
+import {type KeeperReport} from '../quotas/keeper-report.js';
+import {updateReserves} from '../quotas/keeper-reserves.js';
+import {computeAsked} from '../quotas/keeper-shares.js';
 import {
-	type AccountBucket, recordDemand, makeBucket, computeDemand, takeFromBucket,
-} from '../quotas/account-bucket.js';
-import {computeBucketRefill, hasBudget, type SpendingView} from '../quotas/account-budget.js';
-import {
-	computeMaxUsable, computeUsable, type LimitBounds, type LimitedCall,
-} from '../quotas/compute-ceiling.js';
-import {
-	addSlots, ageSlots, recordSpent, makeSpending, predictSlots, computeSpentSlots, type Spending, sumSlots,
-} from '../quotas/spending.js';
+	type KeeperClock, keeperReportIntervalMs, type KeeperState, leadWeight, makeKeeper,
+} from '../quotas/keeper-state.js';
+import {collectKnown} from '../quotas/known-spending.js';
+import {makeRecordedSpending, type RecordedSpending} from '../quotas/recorded-spending.js';
+import {trySettle, unsettle, wasPaused} from '../quotas/settle-keeper.js';
+import {sumAmounts} from '../quotas/slot-amounts.js';
 
 export type LimitSimulation = {
 	readonly daemons: number;
+	/** Number of daemons that are keepers of the account; the others ask them. All by default. */
+	readonly keepers?: number;
 	readonly limit: AccountLimit;
 	readonly bounds: LimitBounds;
-	/** Interval between two gossip reports of a daemon, in milliseconds. */
-	readonly gossipIntervalMs: number;
-	/** Time until all daemons know a report, in milliseconds. */
-	readonly gossipDelayMs: number;
+	/** Longest time that a report is under way, in milliseconds. */
+	readonly maxDelayMs: number;
+	/** Share of the reports that are lost. */
+	readonly lossShare?: number;
 	/** Returns the requested cost units per second at a time. */
 	readonly getRequestedRate: (now: number) => number;
-	/** Mean cost of a call. Costs are exponentially distributed, up to five times the mean. */
+	/** Returns the daemons that callers use at a time, from 0. All by default. */
+	readonly listUsed?: (now: number) => readonly number[];
+	/** Mean cost of a call. Costs are exponentially distributed, up to five times the mean, or all the same. */
 	readonly meanCost: number;
+	readonly hasEqualCosts?: boolean;
 	/** Fraction of the calls that cost only `smallCost`. */
 	readonly smallCallFraction?: number;
 	/** Fraction of the calls that are two ranks less urgent. */
@@ -31,6 +39,10 @@
 	readonly stopsAt?: number;
 	/** Daemons that end alone, in the order of time. */
 	readonly ends?: readonly DaemonEnd[];
+	/** Daemons that stand still for a while. */
+	readonly freezes?: readonly DaemonFreeze[];
+	/** Daemons that do not reach the others for a while. */
+	readonly cuts?: readonly DaemonCut[];
 	readonly durationMs: number;
 	readonly random: () => number;
 };
@@ -41,6 +53,21 @@
 	readonly daemon: number;
 	/** Time from its end until it runs again. */
 	readonly downMs: number;
+	/** Whether it sends a last report. */
+	readonly isPlanned?: boolean;
+};
+
+export type DaemonFreeze = {
+	readonly daemon: number;
+	readonly from: number;
+	readonly until: number;
+};
+
+export type DaemonCut = {
+	/** Daemons on one side of the cut. */
+	readonly daemons: readonly number[];
+	readonly from: number;
+	readonly until: number;
 };
 
 export type SimulatedCall = {
@@ -51,40 +78,41 @@
 };
 
 type Daemon = {
-	spending: Spending;
-	bucket: AccountBucket;
-	/** Last report that the daemon sent. */
-	lastReport: {readonly slots: readonly number[]; readonly demand: number};
+	readonly index: number;
+	keeper: KeeperState;
+	/** Starts of the daemon so far. */
+	starts: number;
 	nextReportAt: number;
-	/** Spending before its start, as of a time. */
-	inherited: {readonly slots: readonly number[]; readonly at: number};
-	/** When its last report was sent. */
-	reportedAt: number;
 	/** Until when it is down. */
 	downUntil: number;
 };
 
-/** Reports of daemons that ended longer ago are no longer counted. */
-const reportExpiryMs = 2500;
+type Message = {
+	readonly from: number;
+	readonly to: number;
+	readonly at: number;
+	readonly report: KeeperReport;
+};
 
 /** Interval at which the lease holder writes the spending of all daemons. */
 const writeIntervalMs = 900;
 
-/** Maximum time until spending is written. The record predicts the spending that far ahead. */
+/** Maximum time until spending is written. The record states what is expected that far ahead. */
 const maxUnwrittenMs = 1200;
 
 /** Time from the stop of all daemons to their restart. */
 const restartMs = 500;
 
-const startDaemon = (simulation: LimitSimulation, now: number): Daemon => ({
-	spending: makeSpending(simulation.bounds.quotaWindowMs),
-	bucket: makeBucket(now),
-	lastReport: {slots: [], demand: 0},
-	nextReportAt: now + (simulation.random() * simulation.gossipIntervalMs),
-	inherited: {slots: [], at: 0},
-	reportedAt: now,
-	downUntil: now,
-});
+/** True time at the start of the simulation. */
+const epochMs = 1_000_000_000;
+
+const account = 'shop';
+
+/** Keepers that one call is offered to. */
+const maxOffers = 4;
+
+/** Number of keepers that grant most, one of each zone. */
+const leadCount = 3;
 
 /** Rank of less urgent calls. The others have rank 0. */
 const lessUrgentRank = 2;
@@ -92,111 +120,172 @@
 /** Cost of a small call, in cost units. */
 export const smallCost = 200;
 
-const drawCost = ({meanCost, smallCallFraction = 0, random}: LimitSimulation): number => random() < smallCallFraction ? smallCost : Math.min(meanCost * 5, -Math.log(1 - random()) * meanCost);
+const stepMs = 10;
+
+/** A keeper that has just started gets an answer within this time. */
+const answerWithinMs = 50;
+
+const toClock = (now: number): KeeperClock => ({steady: now, trueTime: epochMs + now});
+
+const drawCost = ({meanCost, hasEqualCosts = false, smallCallFraction = 0, random}: LimitSimulation): number => {
+	if (hasEqualCosts) {
+		return meanCost;
+	}
+
+	return random() < smallCallFraction ? smallCost : Math.min(meanCost * 5, -Math.log(1 - random()) * meanCost);
+};
 
 /** Simulates the calls in the order of their time and returns which of them were admitted. */
 export const simulateLimit = (simulation: LimitSimulation): SimulatedCall[] => {
-	const {bounds, random} = simulation;
-	const usable = computeMaxUsable(simulation.limit, bounds);
-	let daemons = Array.from({length: simulation.daemons}, () => startDaemon(simulation, 0));
-	let record: {slots: readonly number[]; at: number} = {slots: [], at: 0};
+	const {bounds, random, limit} = simulation;
+	const keeperCount = simulation.keepers ?? simulation.daemons;
+	const startKeeper = (index: number, starts: number, now: number): KeeperState => ({
+		...makeKeeper({
+			id: `d${index}`, incarnation: `d${index}-${starts}`, windowMs: bounds.quotaWindowMs, clock: toClock(now),
+		}),
+		weight: index < leadCount ? leadWeight : 1,
+	});
+	const startDaemon = (index: number, starts: number, now: number): Daemon => ({
+		index, keeper: startKeeper(index, starts, now), starts, nextReportAt: now + (random() * 50), downUntil: now,
+	});
+	const daemons = Array.from({length: simulation.daemons}, (_daemon, index) => startDaemon(index, 1, 0));
+	const keepers = daemons.slice(0, keeperCount);
+	let messages: Message[] = [];
+	let record: RecordedSpending | undefined;
 	let writtenAt = 0;
 	let hasStopped = false;
-	const calls: SimulatedCall[] = [];
 	const pendingEnds = [...simulation.ends ?? []];
-	/** Reports of daemons that have ended, which the others keep until they expire. */
-	let departed: Daemon[] = [];
+	const calls: SimulatedCall[] = [];
+
+	const isFrozen = ({index}: Daemon, now: number): boolean => simulation.freezes?.some(freeze => freeze.daemon === index && now >= freeze.from && now < freeze.until) ?? false;
+	const isRunning = (daemon: Daemon, now: number): boolean => now >= daemon.downUntil && !isFrozen(daemon, now);
+	const isCut = (from: number, to: number, now: number): boolean => simulation.cuts?.some(cut => now >= cut.from && now < cut.until && cut.daemons.includes(from) !== cut.daemons.includes(to)) ?? false;
+
+	const sendReport = ({index, keeper}: Daemon, now: number, isLeaving = false): void => {
+		const report = {...makeKeeperReport(keeper, {address: `d${index}`, availabilityZone: 'a'}, toClock(now)), isLeaving};
+		for (const other of keepers) {
+			if (other.index !== index && !isCut(index, other.index, now) && random() >= (simulation.lossShare ?? 0)) {
+				messages.push({
+					from: index, to: other.index, at: now + (random() * simulation.maxDelayMs), report,
+				});
+			}
+		}
+	};
 
 	const endDaemons = (now: number): void => {
 		while (pendingEnds[0] !== undefined && pendingEnds[0].at <= now) {
-			const {daemon, downMs} = pendingEnds.shift()!;
-			departed.push(daemons[daemon]!);
-			daemons[daemon] = {...startDaemon(simulation, now + downMs), inherited: record};
+			const {daemon: index, downMs, isPlanned} = pendingEnds.shift()!;
+			const daemon = daemons[index]!;
+			if (isPlanned === true) {
+				sendReport(daemon, now, true);
+			}
+
+			restart(daemon, now + downMs);
 		}
+	};
 
-		departed = departed.filter(({reportedAt}) => reportedAt >= now - reportExpiryMs);
+	const restart = (daemon: Daemon, at: number): void => {
+		daemon.starts++;
+		daemon.keeper = startKeeper(daemon.index, daemon.starts, at);
+		daemon.nextReportAt = at + (random() * 50);
+		daemon.downUntil = at;
 	};
 
-	const sendReport = (daemon: Daemon, now: number): void => {
-		if (now >= daemon.nextReportAt && now >= daemon.downUntil) {
-			daemon.reportedAt = now;
-			daemon.lastReport = {slots: computeSpentSlots(daemon.spending, now), demand: computeDemand(daemon.bucket, now)};
-			daemon.nextReportAt += simulation.gossipIntervalMs;
+	const deliverReports = (now: number): void => {
+		const later: Message[] = [];
+		for (const message of messages) {
+			const daemon = daemons[message.to]!;
+			if (message.at > now || isFrozen(daemon, now)) {
+				later.push(message);
+			} else if (now >= daemon.downUntil) {
+				const isAnswerWanted = mergeKeeperReport(daemon.keeper, message.report, toClock(now));
+				daemon.nextReportAt = isAnswerWanted ? Math.min(daemon.nextReportAt, now + answerWithinMs) : daemon.nextReportAt;
+			}
+		}
+
+		messages = later;
+	};
+
+	const settle = ({keeper}: Daemon, now: number): boolean => {
+		if (wasPaused(keeper, toClock(now))) {
+			unsettle(keeper, toClock(now));
+		}
+
+		return trySettle(keeper, {record: hasStopped ? record : undefined, hasOthers: keeperCount > 1}, toClock(now));
+	};
+
+	const runRound = (daemon: Daemon, now: number): void => {
+		if (now >= daemon.nextReportAt && isRunning(daemon, now)) {
+			settle(daemon, now);
+			dropExpiredSpending(daemon.keeper, toClock(now));
+			updateReserves(daemon.keeper, toClock(now));
+			sendReport(daemon, now);
+			daemon.nextReportAt = now + keeperReportIntervalMs;
 		}
 	};
 
 	const writeRecord = (now: number): void => {
-		if (now < writtenAt + writeIntervalMs) {
+		if (now < writtenAt + writeIntervalMs || hasStopped) {
 			return;
 		}
 
 		writtenAt = now;
-		const slots = addSlots(daemons.map(({lastReport}) => lastReport.slots));
-		const demand = daemons.reduce((sum, {lastReport}) => sum + lastReport.demand, 0);
-		record = {
-			slots: predictSlots({
-				slots, demand, usable, aheadMs: maxUnwrittenMs, windowMs: bounds.quotaWindowMs,
-			}),
-			at: now + maxUnwrittenMs,
-		};
+		const clock = toClock(now);
+		const {keeper} = keepers[0]!;
+		const known = collectKnown(keeper, account, clock);
+		let demand = 0;
+		for (const {keeper} of keepers) {
+			demand += computeAsked(keeper, account, clock);
+		}
+
+		const left = computeMaxUsable(limit, bounds) - sumAmounts(known, clock.trueTime, bounds.quotaWindowMs);
+		record = makeRecordedSpending(new Map([[account, {known, demand, left}]]), {at: clock.trueTime, windowMs: bounds.quotaWindowMs, expectedMs: maxUnwrittenMs});
 	};
 
-	const viewSpending = (daemon: Daemon, {cost, rank}: LimitedCall, now: number): SpendingView => {
-		const others = [...daemons.filter(other => other !== daemon), ...departed];
-		return {
-			usable: computeUsable(simulation.limit, bounds, {cost, rank}),
-			windowMs: bounds.quotaWindowMs,
-			spent: sumSlots(addSlots([
-				computeSpentSlots(daemon.spending, now),
-				...others.map(({lastReport}) => lastReport.slots),
-				ageSlots(daemon.inherited.slots, now - daemon.inherited.at, bounds.quotaWindowMs),
-			])),
-			ownDemand: computeDemand(daemon.bucket, now),
-			otherDemands: others.map(({lastReport}) => lastReport.demand),
-			reportingDaemons: daemons.length,
-			silentDaemons: 0,
-			gossipDelayMs: simulation.gossipDelayMs,
-		};
+	const listOffers = (daemon: Daemon, now: number): Daemon[] => {
+		const others = keepers.filter(other => other !== daemon && isRunning(other, now) && !isCut(daemon.index, other.index, now) && settle(other, now));
+		const first = daemon.index < keeperCount ? [daemon] : [];
+		const leads = others.filter(({index}) => index < leadCount);
+		const start = daemon.index % Math.max(1, leads.length);
+		return [...first.filter(own => settle(own, now)), ...leads.slice(start), ...leads.slice(0, start)].slice(0, maxOffers);
 	};
 
 	const makeCall = (now: number): void => {
-		const running = daemons.filter(({downUntil}) => now >= downUntil);
-		const daemon = running[Math.floor(random() * running.length)]!;
-		const cost = drawCost(simulation);
-		const rank = random() < (simulation.lessUrgentFraction ?? 0) ? lessUrgentRank : 0;
-		daemon.bucket = recordDemand(daemon.bucket, cost, now);
-		const view = viewSpending(daemon, {cost, rank}, now);
-		const decision = takeFromBucket(daemon.bucket, {
-			cost, now, isUnrestricted: hasBudget(view, cost), refill: computeBucketRefill(view), random,
-		});
-		daemon.bucket = decision.bucket;
-		if (decision.isAdmitted) {
-			recordSpent(daemon.spending, cost, now);
+		const used = simulation.listUsed?.(now) ?? daemons.map(({index}) => index);
+		const running = used.map(index => daemons[index]!).filter(daemon => isRunning(daemon, now));
+		const daemon = running[Math.floor(random() * running.length)];
+		if (daemon === undefined) {
+			return;
 		}
 
+		const cost = drawCost(simulation);
+		const rank = random() < (simulation.lessUrgentFraction ?? 0) ? lessUrgentRank : 0;
+		const usable = computeUsable(limit, bounds, {cost, rank});
+		const isAdmitted = listOffers(daemon, now).some(({keeper}, index) => decidePayment(keeper, {
+			account, cost, usable, expectedKeepers: keeperCount, isFirstAsked: index === 0,
+		}, toClock(now)).isGranted);
 		calls.push({
-			at: now, cost, rank, isAdmitted: decision.isAdmitted,
+			at: now, cost, rank, isAdmitted,
 		});
 	};
 
-	for (let now = 0; now < simulation.durationMs; now += 10) {
+	for (let now = 0; now < simulation.durationMs; now += stepMs) {
 		if (simulation.stopsAt !== undefined && !hasStopped && now >= simulation.stopsAt) {
 			hasStopped = true;
-			const inherited = record;
-			daemons = daemons.map(() => ({...startDaemon(simulation, now + restartMs), inherited}));
-		}
-
-		if (hasStopped && now < (simulation.stopsAt ?? 0) + restartMs) {
-			continue;
+			messages = [];
+			for (const daemon of daemons) {
+				restart(daemon, now + restartMs);
+			}
 		}
 
 		endDaemons(now);
-		for (const daemon of daemons) {
-			sendReport(daemon, now);
+		deliverReports(now);
+		for (const daemon of keepers) {
+			runRound(daemon, now);
 		}
 
 		writeRecord(now);
-		const chance = simulation.getRequestedRate(now) / simulation.meanCost / 100;
+		const chance = simulation.getRequestedRate(now) / simulation.meanCost * stepMs / 1000;
 		for (let left = chance; left > 0; left--) {
 			if (random() < left) {
 				makeCall(now);
--- a/packages/gateway/src/calls/admit-call.ts
+++ b/packages/gateway/src/calls/admit-call.ts
@@ -9,11 +9,11 @@
 import {isRefusedForCrashes} from '@shallotpass/core/retries/crash-register.js';
 import {hashText, hashText64} from '@shallotpass/core/routing/rank-by-rendezvous.js';
 import {type GatewayState} from '../gateway-state.js';
+import {takeQuota} from '../quotas/take-quota.js';
 import {type CallerHeaders} from '../ports.js';
 import {readRequestBody} from './read-request-body.js';
 import {type Refusal} from './refusal.js';
 import {type OutgoingRequest} from './run-at-backend.js';
-import {takeQuota} from './take-quota.js';
 
 /** Milliseconds subtracted from the caller's timeout, so that the response arrives before the caller stops waiting. */
 const deadlineMarginMs = 20;
@@ -177,9 +177,11 @@
 		return refuse('request_suspended', 'This request has ended the backend servers that ran it.', suspendedRetryAfterS);
 	}
 
-	const quotaRefusal = account && takeQuota(gateway, account, {head, rank: target.route.rank});
+	const quotaRefusal = account && await takeQuota(gateway, account, {id: head.id, tokens: (head.promptTokens ?? 0) + (head.outputTokens ?? 0), rank: target.route.rank});
 	if (quotaRefusal) {
-		return refuse('rate_limited', `The client account ${account.name} is over its limit.`, quotaRefusal.retryAfterS);
+		return quotaRefusal.isOverLimit
+			? refuse('rate_limited', `The client account ${account.name} is over its limit.`, quotaRefusal.retryAfterS)
+			: refuse('over_capacity', `No daemon that keeps the limit of the client account ${account.name} answers.`, quotaRefusal.retryAfterS);
 	}
 
 	return {
--- a/packages/gateway/src/gateway-state.ts
+++ b/packages/gateway/src/gateway-state.ts
@@ -1,10 +1,9 @@
 /** State shared by the components of one gateway daemon. The comments of mutable fields name the components that write them. */
-import {type AccountBucket} from '@shallotpass/core/quotas/account-bucket.js';
 import {type CrashRegister} from '@shallotpass/core/retries/crash-register.js';
 import {type GossipMember} from '@shallotpass/core/gossip/pick-relays.js';
 import {type GossipReport} from '@shallotpass/core/gossip/gossip-report.js';
 import {type ParticipantHistory} from '@shallotpass/core/limits/participants.js';
-import {type Spending} from '@shallotpass/core/quotas/spending.js';
+import {type RecordedSpending} from '@shallotpass/core/quotas/recorded-spending.js';
 import {type IndexedConfiguration} from '@shallotpass/core/calls/index-configuration.js';
 import {type WorkRate} from '@shallotpass/core/engines/work-rate.js';
 import {type RetryAllowance} from '@shallotpass/core/retries/retry-allowance.js';
@@ -16,6 +15,7 @@
 import {type GatewayMetrics} from './telemetry/gateway-metrics.js';
 import {type GatewaySettings} from './gateway-settings.js';
 import {type Engines, type WireFormat} from './ports.js';
+import {type QuotaState} from './quotas/quota-state.js';
 
 /** Latest report of another daemon, or of a relay on behalf of several daemons. */
 export type PeerReport = GossipReport & {
@@ -84,12 +84,10 @@
 	directoryReadAt: number | undefined;
 	/** Written by the directory follower. */
 	directoryStatus: DirectoryStatus;
-	/** Quota buckets by account. Written by calls. */
-	readonly buckets: Map<string, AccountBucket>;
-	/** Spending within the quota window, by account. Written by calls. */
-	readonly spending: Map<string, Spending>;
-	/** Spending of accounts in each slot of the quota window before this daemon started, as of the true time `at`. Written by the lease record. */
-	inherited: {readonly spent: Readonly<Record<string, readonly number[]>>; readonly at: number} | undefined;
+	/** This daemon's part in keeping the limits of client accounts. */
+	readonly quota: QuotaState;
+	/** Spending of accounts before this daemon started, as the store holds it. Written by the lease record. */
+	inherited: RecordedSpending | undefined;
 	/** Whether the earlier spending of accounts has been loaded, or cannot be loaded. Written by the leader task. */
 	isSpendingLoaded: boolean;
 	/** Start of this process, on the steady clock. */
--- a/packages/gateway/src/leader/collect-usage.ts
+++ b/packages/gateway/src/leader/collect-usage.ts
@@ -1,10 +1,16 @@
 /** Collects the usage and spending of all daemons for the lease record, from this daemon's own counts and the reports of its peers. */
 import {type Lease} from '@shallotpass/core/lease/lease.js';
-import {computeDemand} from '@shallotpass/core/quotas/account-bucket.js';
+import {computeAsked} from '@shallotpass/core/quotas/keeper-shares.js';
+import {collectKnown} from '@shallotpass/core/quotas/known-spending.js';
+import {
+	type AccountFigures, convertEvenSlots, makeRecordedSpending, readRecordedSlots,
+} from '@shallotpass/core/quotas/recorded-spending.js';
+import {type SlotAmounts, sumAmounts} from '@shallotpass/core/quotas/slot-amounts.js';
 import {computeMaxUsable} from '@shallotpass/core/quotas/compute-ceiling.js';
 import {predictSlots, computeSpentSlots} from '@shallotpass/core/quotas/spending.js';
 import {mergeUsage, type UsageTable} from '@shallotpass/core/usage/count-starts.js';
 import {type GatewayState} from '../gateway-state.js';
+import {readKeeperClock} from '../quotas/quota-state.js';
 
 /**
  * Longest delay between a call and the record that includes it: 0.3 s for the peer reports and 0.9 s for the renewal of the lease.
@@ -22,38 +28,70 @@
 	return table;
 };
 
-/**
- * Computes what each account has spent on all daemons, for each slot of the quota window. The result is projected `recordDelayMs`
- * ahead, because a record written now may remain the newest one until then.
- */
-export const projectSpending = (gateway: GatewayState): Lease['spent'] => {
+type AccountSlots = Record<string, number[]>;
+
+/** Sums what each account has spent on all daemons in each slot of the quota window, by the reports of gossip. */
+const sumReportedSlots = (gateway: GatewayState): AccountSlots => {
 	const now = gateway.clocks.steady();
-	const slotsByAccount: Record<string, number[]> = {};
-	const ownSlots = Object.fromEntries([...gateway.spending].map(([account, spending]) => [account, computeSpentSlots(spending, now).map(cost => Math.round(cost))]));
+	const ownSlots = Object.fromEntries([...gateway.quota.keeper.payments].map(([account, spending]) => [account, computeSpentSlots(spending, now).map(cost => Math.round(cost))]));
+	const sums: AccountSlots = {};
 	for (const spent of [ownSlots, ...[...gateway.peers.values()].map(peer => peer.spent)]) {
 		for (const [account, slots] of Object.entries(spent)) {
-			slotsByAccount[account] = slots.map((cost, index) => cost + (slotsByAccount[account]?.[index] ?? 0));
+			sums[account] = slots.map((cost, index) => cost + (sums[account]?.[index] ?? 0));
 		}
 	}
 
-	const demandByAccount = new Map<string, number>();
-	const reportedDemands = [
-		...[...gateway.buckets].map(([account, bucket]) => [account, computeDemand(bucket, now)] as const),
-		...[...gateway.peers.values()].flatMap(peer => Object.entries(peer.demands)),
-	];
-	for (const [account, demand] of reportedDemands) {
-		demandByAccount.set(account, (demandByAccount.get(account) ?? 0) + demand);
+	return sums;
+};
+
+/** Sums the cost units per second that are asked for each account at all daemons. */
+const sumDemands = (gateway: GatewayState): Map<string, number> => {
+	const {quota: {keeper}, clocks, peers} = gateway;
+	const clock = readKeeperClock(clocks);
+	const demands = new Map([...keeper.demands.keys()].map(account => [account, computeAsked(keeper, account, clock)]));
+	for (const [account, demand] of [...peers.values()].flatMap(peer => Object.entries(peer.demands))) {
+		demands.set(account, (demands.get(account) ?? 0) + demand);
 	}
 
+	return demands;
+};
+
+/** Returns what is known of the account: by a keeper from reports of keepers, by other daemons from those of gossip, whichever knows more. */
+const collectAccount = (gateway: GatewayState, account: string, slots: readonly number[]): SlotAmounts => {
+	const {quota: {keeper}, clocks} = gateway;
+	const clock = readKeeperClock(clocks);
+	const kept = collectKnown(keeper, account, clock);
+	const converted = convertEvenSlots({at: clock.trueTime, accounts: {[account]: slots}}, keeper.windowMs);
+	const reported = readRecordedSlots(converted, account, {windowMs: keeper.windowMs, endedBy: clock.trueTime});
+	const sum = (amounts: SlotAmounts): number => sumAmounts(amounts, clock.trueTime, keeper.windowMs);
+	return sum(kept) >= sum(reported) ? kept : reported;
+};
+
+/**
+ * Computes what each account has spent on all daemons, for the record that they read after an end of all. It is projected `recordDelayMs`
+ * ahead, because a record written now may remain the newest one until then.
+ */
+export const projectSpending = (gateway: GatewayState): Lease['spent'] => {
 	const {bounds} = gateway.settings;
+	const {trueTime} = readKeeperClock(gateway.clocks);
+	const slotsByAccount = sumReportedSlots(gateway);
+	const demands = sumDemands(gateway);
+	const figures = new Map<string, AccountFigures>();
 	for (const {name, limit} of gateway.configuration?.configuration.accounts ?? []) {
-		const slots = slotsByAccount[name];
-		if (limit !== undefined && slots !== undefined) {
-			slotsByAccount[name] = predictSlots({
-				slots, demand: demandByAccount.get(name) ?? 0, usable: computeMaxUsable(limit, bounds), aheadMs: recordDelayMs, windowMs: bounds.quotaWindowMs,
-			}).map(cost => Math.round(cost));
+		const slots = slotsByAccount[name] ?? [];
+		if (limit === undefined || limit.perSecond <= 0) {
+			continue;
 		}
+
+		const usable = computeMaxUsable(limit, bounds);
+		const demand = demands.get(name) ?? 0;
+		const known = collectAccount(gateway, name, slots);
+		figures.set(name, {known, demand, left: usable - sumAmounts(known, trueTime, bounds.quotaWindowMs)});
+		slotsByAccount[name] = predictSlots({
+			slots, demand, usable, aheadMs: recordDelayMs, windowMs: bounds.quotaWindowMs,
+		}).map(cost => Math.round(cost));
 	}
 
-	return {at: Math.round(gateway.clocks.trueTime() + recordDelayMs), accounts: slotsByAccount};
+	const recorded = makeRecordedSpending(figures, {at: Math.round(trueTime), windowMs: bounds.quotaWindowMs, expectedMs: recordDelayMs});
+	return {at: Math.round(trueTime + recordDelayMs), accounts: slotsByAccount, recorded};
 };
--- a/packages/gateway/src/leader/lease-record.ts
+++ b/packages/gateway/src/leader/lease-record.ts
@@ -6,6 +6,7 @@
 import {
 	getFencingToken, type Lease, leaseSchema, canActOnLease, type StoredLease,
 } from '@shallotpass/core/lease/lease.js';
+import {convertEvenSlots} from '@shallotpass/core/quotas/recorded-spending.js';
 import {type GatewayState} from '../gateway-state.js';
 import {type Platform} from '../ports.js';
 
@@ -66,7 +67,7 @@
 	 */
 	const inheritSpending = (lease: Lease): void => {
 		if (lease.incarnation !== gateway.incarnation) {
-			gateway.inherited = {spent: lease.spent.accounts, at: lease.spent.at};
+			gateway.inherited = lease.spent.recorded ?? convertEvenSlots(lease.spent, gateway.settings.bounds.quotaWindowMs);
 		}
 	};
 
--- a/packages/gateway/src/peers/gossip.ts
+++ b/packages/gateway/src/peers/gossip.ts
@@ -4,9 +4,6 @@
  * since the next one repeats everything. Members discover each other through the platform's store, and
  * later through the reports they receive.
  */
-import {Buffer} from 'node:buffer';
-import dgram from 'node:dgram';
-import {createJSONRPCNotification} from 'json-rpc-2.0';
 import {
 	isSum, type GossipReport, gossipReportSchema, type StoreVersions,
 } from '@shallotpass/core/gossip/gossip-report.js';
@@ -17,8 +14,8 @@
 import * as z from 'zod';
 import {type GatewayState, type PeerReport, peerExpiryMs} from '../gateway-state.js';
 import {gossipIntervalMs} from '../hop-times.js';
-import {parseHostAndPort} from '../host-and-port.js';
 import {type Platform} from '../ports.js';
+import {type Datagrams} from './datagrams.js';
 import {deleteBefore} from './delete-before.js';
 import {makeStoreRoleFinder} from './find-store-role.js';
 import {joinMembers, type MemberList} from './join-members.js';
@@ -27,7 +24,6 @@
 import {makeRelayExchange} from './relay-reports.js';
 import {adoptLimits, updateParticipants} from './share-limits.js';
 import {sumOtherLoads} from './sum-other-loads.js';
-import {makeSpendingWatch} from './watch-spending.js';
 
 /** Interval at which changed limits are reported at the earliest. The end of a limit should be known to hundreds of daemons within a second. */
 const limitReportIntervalMs = 50;
@@ -38,11 +34,12 @@
 /** Peers that were silent for this long are removed, together with the usage they reported. */
 const removeAfterMs = 40_000;
 
-const messageSchema = z.object({params: z.array(gossipReportSchema)});
+const reportsSchema = z.array(gossipReportSchema);
 
 export type GossipOptions = {
 	readonly gateway: GatewayState;
 	readonly platform: Platform;
+	readonly datagrams: Datagrams;
 	readonly getReportInput: (members: MemberList) => ReportInput;
 	/** Called with the store versions that a peer reports, and the peer's address. */
 	readonly onStoreVersions: (known: StoreVersions, address: string) => void;
@@ -50,19 +47,18 @@
 };
 
 export type GossipTask = {
+	readonly self: GossipMember;
 	/** Returns whether this daemon reads the store for the others, or which daemons it queries instead. */
 	readonly getStoreRole: () => StoreRole;
 	readonly members: MemberList;
 };
 
 /** Sends and receives reports until the signal is aborted. */
-export const startGossip = async (options: GossipOptions): Promise<GossipTask> => {
-	const {gateway, signal} = options;
-	const {host, port} = parseHostAndPort(gateway.settings.listen.peers);
+export const startGossip = (options: GossipOptions): GossipTask => {
+	const {gateway, datagrams, signal} = options;
 	const {id: selfId, availabilityZone: ownZone, linkMbps} = gateway.settings.instance;
-	const socket = dgram.createSocket('udp4');
 	const self: GossipMember = {
-		id: selfId, address: gateway.settings.listen.peers, availabilityZone: ownZone, linkMbps, takesCalls: true,
+		id: selfId, address: gateway.settings.listen.peers, availabilityZone: ownZone, linkMbps, takesCalls: true, keepsQuotas: true,
 	};
 	/** Members by address. */
 	const members = new Map<string, GossipMember>([[self.address, self]]);
@@ -93,7 +89,6 @@
 	gateway.listMembers = memberList.list;
 	let ownReport = makeReport(gateway, options.getReportInput(memberList));
 	let rounds = 0;
-	const spendingWatch = makeSpendingWatch(gateway);
 
 	const toPeerReport = (report: GossipReport): PeerReport => ({
 		...ageReport(report, gateway.clocks.trueTime()), receivedAt: now(), clockOffset: report.trueTime - now(),
@@ -116,9 +111,7 @@
 	};
 
 	const sendReport = (address: string, report: GossipReport): void => {
-		const message = Buffer.from(JSON.stringify(createJSONRPCNotification('gossip', [report])));
-		const target = parseHostAndPort(address);
-		socket.send(message, target.port, target.host);
+		datagrams.notify(address, 'gossip', [report]);
 	};
 
 	const relayExchange = makeRelayExchange({
@@ -133,7 +126,7 @@
 		hasNewLoads ||= isSum(report) || !needsRelays(members.size);
 		unconfirmed.delete(report.address);
 		members.set(report.address, {
-			id: report.id, address: report.address, availabilityZone: report.availabilityZone, linkMbps: report.linkMbps, takesCalls: report.peerCalls !== undefined,
+			id: report.id, address: report.address, availabilityZone: report.availabilityZone, linkMbps: report.linkMbps, takesCalls: report.peerCalls !== undefined, keepsQuotas: report.keepsQuotas,
 		});
 		for (const [digest, incarnations] of Object.entries(report.crashes)) {
 			for (const incarnation of incarnations) {
@@ -152,28 +145,16 @@
 		relayExchange.handleReport(report, ownReport);
 	};
 
-	socket.on('message', message => {
-		try {
-			const parsed = messageSchema.safeParse(JSON.parse(message.toString('utf8')));
-			if (parsed.success) {
-				for (const report of parsed.data.params) {
-					handleReport(report);
-				}
-
-				if (hasNewLoads) {
-					hasNewLoads = false;
-					sumOtherLoads(gateway);
-				}
-			}
-		} catch (error) {
-			gateway.log.write('failure', 'gossip_unreadable', {error: String(error)});
+	datagrams.handle('gossip', parameters => {
+		const parsed = reportsSchema.safeParse(parameters);
+		for (const report of parsed.data ?? []) {
+			handleReport(report);
+		}
+
+		if (hasNewLoads) {
+			hasNewLoads = false;
+			sumOtherLoads(gateway);
 		}
-	});
-	socket.on('error', error => {
-		gateway.log.write('failure', 'peer_socket_failed', {error: error.message});
-	});
-	await new Promise<void>(resolve => {
-		socket.bind({address: host, port}, resolve);
 	});
 
 	const removeSilentPeers = (): void => {
@@ -215,7 +196,6 @@
 		gateway.clocks.applyPeerOffsets(fresh.map(peer => peer.clockOffset));
 		gateway.metrics.peers.set(fresh.reduce((sum, peer) => sum + peer.daemons, 0));
 		sumOtherLoads(gateway);
-		spendingWatch.check();
 		// With relays in use, the total contains this daemon. The active relay makes the total itself.
 		updateParticipants(gateway, {ownReport, isInReports: needsRelays(members.size) && !relayExchange.isActive(), hasPeers: members.size > 1});
 	};
@@ -242,7 +222,6 @@
 	signal.addEventListener('abort', () => {
 		clearInterval(timer);
 		clearInterval(limitTimer);
-		socket.close();
 	}, {once: true});
 
 	for (const address of gateway.settings.peers.seeds) {
@@ -264,5 +243,5 @@
 	void joinMembers({
 		gateway, platform: options.platform, self, members: memberList, getStoreRole, signal,
 	});
-	return {getStoreRole, members: memberList};
+	return {self, getStoreRole, members: memberList};
 };
--- a/packages/gateway/src/peers/make-report.ts
+++ b/packages/gateway/src/peers/make-report.ts
@@ -2,7 +2,7 @@
 import {decayPrefillRecord} from '@shallotpass/core/placement/engine-latency.js';
 import {computeWorkRate} from '@shallotpass/core/engines/work-rate.js';
 import {type GossipReport, type StoreVersions} from '@shallotpass/core/gossip/gossip-report.js';
-import {computeDemand} from '@shallotpass/core/quotas/account-bucket.js';
+import {computeAsked} from '@shallotpass/core/quotas/keeper-shares.js';
 import {computeSpentSlots} from '@shallotpass/core/quotas/spending.js';
 import {reportBrittleness} from '../calls/backend-brittleness.js';
 import {countPeerCallRoom, type GatewayState} from '../gateway-state.js';
@@ -27,7 +27,7 @@
 };
 
 export const makeReport = (gateway: GatewayState, {leaseOffset, known}: ReportInput): GossipReport => {
-	const {settings, incarnation, registry, buckets, usage, paths} = gateway;
+	const {settings, incarnation, registry, usage, paths, quota: {keeper}} = gateway;
 	const now = gateway.clocks.steady();
 	const loads: Array<[string, number[]]> = [];
 	for (const state of registry.byId.values()) {
@@ -46,11 +46,12 @@
 		address: settings.listen.peers,
 		availabilityZone: settings.instance.availabilityZone,
 		linkMbps: settings.instance.linkMbps,
+		keepsQuotas: true,
 		daemons: 1,
 		silentDaemons: 0,
 		known,
-		demands: roundAmounts([...buckets].map(([account, bucket]) => [account, computeDemand(bucket, now)] as const)),
-		spent: Object.fromEntries([...gateway.spending].map(([account, spending]) => [account, computeSpentSlots(spending, now).map(cost => Math.round(cost))])),
+		demands: roundAmounts([...keeper.demands.keys()].map(account => [account, computeAsked(keeper, account, {steady: now, trueTime: gateway.clocks.trueTime()})] as const)),
+		spent: Object.fromEntries([...keeper.payments].map(([account, spending]) => [account, computeSpentSlots(spending, now).map(cost => Math.round(cost))])),
 		loads: Object.fromEntries(loads),
 		usage: Object.fromEntries(windows.map(([window, counts]) => [window, {[incarnation]: counts}])),
 		work: roundAmounts([...gateway.workRates].map(([service, rate]) => [service, computeWorkRate(rate, now)] as const)),
--- a/packages/gateway/src/start-gateway.ts
+++ b/packages/gateway/src/start-gateway.ts
@@ -22,11 +22,14 @@
 import {countDaemons, type GatewayState} from './gateway-state.js';
 import {makeOrderPlanner} from './leader/order-planner.js';
 import {recordPathSuccess, startPathProbes} from './paths/track-paths.js';
+import {openDatagrams} from './peers/datagrams.js';
 import {startGossip} from './peers/gossip.js';
 import {type PeerQuerier, startPeerQueries} from './peers/query-peers.js';
 import {getStoreVersions, listenForPeers, type SharedStateOptions} from './peers/shared-state.js';
 import {isServedByPeers} from './peers/store-reading.js';
 import {type Platform, type Topic} from './ports.js';
+import {startKeeperExchange} from './quotas/keeper-exchange.js';
+import {makeQuotaState} from './quotas/quota-state.js';
 
 /** Interval between checks for calls in flight while the daemon drains. */
 const drainPollMs = 100;
@@ -63,10 +66,12 @@
 	readonly stop: () => void;
 };
 
-const makeState = ({settings, log, openConnection}: GatewayOptions, platform: Platform, metrics: GatewayState['metrics']): GatewayState => ({
+type Identity = Pick<GatewayState, 'incarnation' | 'clocks'>;
+
+const makeState = ({settings, log, openConnection}: GatewayOptions, platform: Platform, {metrics, ...identity}: Identity & Pick<GatewayState, 'metrics'>): GatewayState => ({
 	settings,
-	incarnation: randomUUID(),
-	clocks: makeClocks(),
+	...identity,
+	quota: makeQuotaState({settings, ...identity}),
 	log,
 	metrics,
 	wire: platform.wire,
@@ -79,8 +84,6 @@
 	directoryStatus: {
 		offset: 0, source: 'store', confirmedAt: Number.NEGATIVE_INFINITY, storeAnsweredAt: Number.NEGATIVE_INFINITY,
 	},
-	buckets: new Map(),
-	spending: new Map(),
 	inherited: undefined,
 	isSpendingLoaded: false,
 	startedAt: performance.now(),
@@ -157,7 +160,7 @@
 		metrics.storeCalls.inc({topic, outcome});
 		storeCalls.set(topic, (storeCalls.get(topic) ?? 0) + 1);
 	});
-	const state: GatewayState = makeState(options, platform, metrics);
+	const state: GatewayState = makeState(options, platform, {incarnation: randomUUID(), clocks: makeClocks(), metrics});
 	state.registry.onConnected = incarnation => {
 		recordPathSuccess(state, incarnation);
 	};
@@ -177,13 +180,17 @@
 	const directory = followDirectory({
 		gateway: state, platform, isPaused, getMaxRetryDelayMs, signal,
 	});
-	const gossip = await startGossip({
-		gateway: state, platform, signal,
+	const datagrams = await openDatagrams(state, signal);
+	const gossip = startGossip({
+		gateway: state, platform, datagrams, signal,
 		getReportInput: members => ({leaseOffset: components.leaderTask?.getLeaseOffset() ?? -1, known: getStoreVersions({gateway: state, directory, members})}),
 		onStoreVersions(known, address) {
 			components.peerQuerier?.handleStoreVersions(known, address);
 		},
 	});
+	startKeeperExchange({
+		gateway: state, datagrams, self: gossip.self, signal,
+	});
 	components.leaderTask = startLeaderTask({
 		gateway: state, platform, planOrders: orderPlanner.planOrders, onCloudAnswer() {
 			lastAnswerAt.set('cloud', performance.now());
--- a/packages/gateway/src/telemetry/gateway-metrics.ts
+++ b/packages/gateway/src/telemetry/gateway-metrics.ts
@@ -21,6 +21,7 @@
 	readonly cloudRequests: Counter<'duty' | 'outcome'>;
 	readonly directoryAge: Gauge;
 	readonly limitRefusals: Counter<'service'>;
+	readonly quotaAsks: Counter<'outcome'>;
 	readonly limitedBackends: Gauge;
 	readonly peers: Gauge;
 	readonly cutOff: Gauge;
@@ -77,6 +78,9 @@
 		limitRefusals: new Counter({
 			name: 'shallotpass_gateway_limit_refusals_total', help: 'Calls refused because the limits that backend servers state leave no room', labelNames: ['service'], registers,
 		}),
+		quotaAsks: new Counter({
+			name: 'shallotpass_gateway_quota_asks_total', help: 'Questions to other daemons that keep the limits of client accounts, by answer', labelNames: ['outcome'], registers,
+		}),
 		limitedBackends: new Gauge({name: 'shallotpass_gateway_limited_backends', help: 'Backend servers that state a limit', registers}),
 		cutOff: new Gauge({name: 'shallotpass_gateway_cut_off', help: '1 while no new connection to any backend server can be opened, otherwise 0', registers}),
 		peerCallsSent: new Counter({
--- a/packages/gateway/src/telemetry/log-events.ts
+++ b/packages/gateway/src/telemetry/log-events.ts
@@ -95,16 +95,21 @@
 	call_suspected: {meaning: 'A backend server terminated while it ran the call', fields: ['digest', 'backend', 'ends']},
 	call_crashed: {meaning: 'Unexpected error while serving a call', fields: ['request', 'error']},
 	limit_reached: {
-		meaning: 'A call was refused because its client account reached its limit. `asked`: cost units a second that other daemons are asked for',
-		fields: ['request', 'account', 'cost', 'room', 'level', 'asked', 'daemons'],
+		meaning: 'A call, or a further run of it, was refused because its client account reached its limit: `room` is the most that a keeper could grant, a `share` of what is left of `usable` after `known`',
+		fields: ['request', 'account', 'cost', 'room', 'known', 'usable', 'share'],
 	},
+	quota_unknown: {meaning: 'A call was refused because no daemon that keeps the limit of its client account could be asked', fields: ['request', 'account', 'cost', 'isKeeper', 'isSettled']},
+	quota_keeper: {meaning: 'This daemon keeps limits of client accounts from now on, with this weight, or with weight 0 no longer', fields: ['weight', 'leads', 'others']},
+	quota_keeper_silent: {meaning: 'A daemon that keeps limits did not answer; it is not asked for a while', fields: ['keeper', 'address', 'account', 'error']},
+	quotas_settled: {meaning: 'This daemon knows what was spent before and grants from now on; `hasRecord`: from the store, as no other daemon knew it', fields: ['keepers', 'tookMs', 'hasRecord']},
+	quotas_unsettled: {meaning: 'This daemon did not run for a while and must hear the other keepers before it grants', fields: ['pausedMs']},
 	account_near_limit: {
-		meaning: 'What is known to be spent of a client account\'s limit on all daemons, once a second from 0.8 of it; `origins` reports are counted, the oldest was received `oldestMs` ago',
-		fields: ['account', 'spent', 'usable', 'own', 'inherited', 'origins', 'oldestMs'],
+		meaning: 'What is known to be spent of a client account\'s limit on all daemons, once a second from 0.8 of it. `unconfirmed`: granted here and not known to all others; `reserved`: left to keepers that are not heard; `origins`: other incarnations that are counted',
+		fields: ['account', 'known', 'usable', 'own', 'unconfirmed', 'reserved', 'share', 'heard', 'origins'],
 	},
 	spending_fell: {
-		meaning: 'What is known to be spent of a client account\'s limit fell below `expected` otherwise than by age: spending was forgotten',
-		fields: ['account', 'spent', 'expected', 'usable', 'own', 'inherited', 'origins', 'oldestMs'],
+		meaning: 'What is known to be spent of a client account\'s limit fell otherwise than by age: spending was forgotten',
+		fields: ['account', 'fell', 'known', 'usable', 'own', 'unconfirmed', 'reserved', 'share', 'heard', 'origins'],
 	},
 	request_unreadable: {meaning: 'Data on a connection could not be parsed as a request', fields: ['reason']},
 } as const satisfies Readonly<Record<string, LogEvent>>;
