Pay for each further run of a call from the limit of its account

What was seen: backend servers that run a call and lose 3 in 10 answers ran 427 and 426 calls of an account in a window where 363 are allowed. Cause: the quota was taken once a call, its repeats ran unpaid. A run that finds no room is not sent: the caller gets the failure that it would get without a further attempt, a leaving engine keeps its run. Ruled out: charging without refusing; the limit would have no bound.

--- a/packages/gateway/src/calls/call-attempts.ts
+++ b/packages/gateway/src/calls/call-attempts.ts
@@ -6,6 +6,7 @@
 import {type GatewayState} from '../gateway-state.js';
 import {pauseFor} from '../pause.js';
 import {hasContactSince, isCutOff} from '../paths/track-paths.js';
+import {payForRun} from '../quotas/pay-for-run.js';
 import {type AdmittedCall, type CallContext} from './admit-call.js';
 import {getLatencyModel, mayReceiveCalls} from './backend-registry.js';
 import {returnToLimit, takeFromLimit} from './backend-limits.js';
@@ -60,8 +61,8 @@
 	? {name: 'backend_failed', refusal: {kind: 'backend_failed', detail: `The backend server failed: ${progress.lastFailure}.`}}
 	: {name: 'no_backend', refusal: {kind: 'no_backend', detail: `No backend server took the call: ${progress.lastFailure}.`, retryAfterS: 0.2}};
 
-/** Whether a further attempt is allowed. Takes a retry from the limit if the call has reached a backend server. */
-export const takeRetry = (gateway: GatewayState, call: Call, progress: CallProgress): boolean => {
+/** Whether a further attempt is allowed. Takes a retry from the limit if the call has reached a backend server, and pays for a further run. */
+export const takeRetry = async (gateway: GatewayState, call: Call, progress: CallProgress): Promise<boolean> => {
 	if (progress.attempts >= maxAttemptsPerCall) {
 		return false;
 	}
@@ -70,7 +71,8 @@
 		return false;
 	}
 
-	return !progress.hasArrived || takeFromRetryAllowance(getRetryAllowance(gateway, call.service), getRetryLimit(gateway), gateway.clocks.steady());
+	const isWithinLimit = !progress.hasArrived || takeFromRetryAllowance(getRetryAllowance(gateway, call.service), getRetryLimit(gateway), gateway.clocks.steady());
+	return isWithinLimit && (progress.possibleRuns === 0 || payForRun(gateway, call));
 };
 
 export type SendResult =
--- a/packages/gateway/src/calls/move-run.ts
+++ b/packages/gateway/src/calls/move-run.ts
@@ -7,6 +7,7 @@
 import {takeFromRetryAllowance} from '@shallotpass/core/retries/retry-allowance.js';
 import {type GatewayState} from '../gateway-state.js';
 import {pauseFor} from '../pause.js';
+import {payForRun} from '../quotas/pay-for-run.js';
 import {type MovedKvCache} from '../ports.js';
 import {observeBrittleness} from './backend-brittleness.js';
 import {observeLimit, takeFromLimit} from './backend-limits.js';
@@ -66,6 +67,10 @@
 		return undefined;
 	}
 
+	if (!await payForRun(gateway, call)) {
+		return undefined;
+	}
+
 	const target = result.placement;
 	// The room must still be there when the KV cache has been copied.
 	takeFromLimit(gateway, target.state);
--- a/packages/gateway/src/calls/serve-plain.ts
+++ b/packages/gateway/src/calls/serve-plain.ts
@@ -21,7 +21,8 @@
 			const {response, attempt} = result;
 			progress.possibleRuns++;
 			progress.hasArrived = true;
-			if (isServerError(response) && isRepeatable(call.repeatability) && takeRetry(gateway, call, progress)) {
+			// eslint-disable-next-line no-await-in-loop -- attempts run one after another
+			if (isServerError(response) && isRepeatable(call.repeatability) && await takeRetry(gateway, call, progress)) {
 				progress.lastFailure = `status ${response.statusCode ?? 0}`;
 				discardResponse(response, attempt);
 				continue;
@@ -45,7 +46,8 @@
 			}
 		}
 
-		if (signal.aborted || !takeRetry(gateway, call, progress)) {
+		// eslint-disable-next-line no-await-in-loop -- attempts run one after another
+		if (signal.aborted || !await takeRetry(gateway, call, progress)) {
 			return makeFailureOutcome(progress);
 		}
 	}
--- a/packages/gateway/src/calls/serve-stream.ts
+++ b/packages/gateway/src/calls/serve-stream.ts
@@ -53,7 +53,7 @@
 const forwardErrorResponse = async (stream: StreamState, {response, attempt}: AnsweredAttempt): Promise<NextStep> => {
 	const {context: {gateway, response: target}, call, progress} = stream;
 	const status = response.statusCode ?? 0;
-	if (isRepeatable(call.repeatability) && isServerError(response) && takeRetry(gateway, call, progress)) {
+	if (isRepeatable(call.repeatability) && isServerError(response) && await takeRetry(gateway, call, progress)) {
 		progress.lastFailure = `status ${status}`;
 		discardResponse(response, attempt);
 		return {kind: 'try_again', isExempt: true};
@@ -188,7 +188,8 @@
 			continue;
 		}
 
-		if (signal.aborted || !takeRetry(context.gateway, stream.call, stream.progress)) {
+		// eslint-disable-next-line no-await-in-loop -- attempts run one after another
+		if (signal.aborted || !await takeRetry(context.gateway, stream.call, stream.progress)) {
 			return makeStreamFailureOutcome(stream);
 		}
 
