Leave a silent keeper what it may grant by what it knows, from the moment at which it is silent

Three faults of the mend: a part's certain claim left out the peer that had just fallen silent; the reserve was made in the next round, up to 0.3 s after the peer no longer counted; and it was computed from what this keeper knows, while the silent one grants by what it knew itself. Now shares are computed for the peers that are passed in, reserves are made with the decision, from the peer's own payments and from what it has surely heard of the others.

--- a/packages/core/src/quotas/decide-payment.ts
+++ b/packages/core/src/quotas/decide-payment.ts
@@ -6,7 +6,7 @@
 import {
 	findConfirmedUntil, type KeeperClock, type KeeperState, listHeardPeers,
 } from './keeper-state.js';
-import {type ReserveInput, sumReserves} from './keeper-reserves.js';
+import {type ReserveInput, sumReserves, updateReserves} from './keeper-reserves.js';
 import {computeShares, recordAsked} from './keeper-shares.js';
 import {makeSpending, recordSpent} from './spending.js';
 
@@ -31,9 +31,10 @@
 
 export const computeStanding = (keeper: KeeperState, input: StandingInput, clock: KeeperClock): Standing => {
 	const {account, usable, foreign = 0} = input;
-	const {own: share} = computeShares(keeper, account, listHeardPeers(keeper, clock), clock);
+	const heard = listHeardPeers(keeper, clock);
+	const {own: share} = computeShares(keeper, account, heard);
 	const known = sumOthers(keeper, account, clock) + sumOwn(keeper, account, clock) + foreign;
-	const unconfirmed = sumOwnSince(keeper, account, clock, findConfirmedUntil(keeper, clock));
+	const unconfirmed = sumOwnSince(keeper, account, clock, findConfirmedUntil(heard));
 	const reserved = sumReserves(keeper, input, clock);
 	const left = usable - (known - unconfirmed) - reserved;
 	return {
@@ -58,6 +59,7 @@
 		recordAsked(keeper, account, cost, clock);
 	}
 
+	updateReserves(keeper, clock);
 	const standing = computeStanding(keeper, input, clock);
 	const isGranted = cost <= standing.room;
 	if (isGranted) {
--- a/packages/core/src/quotas/exchange-keeper-reports.ts
+++ b/packages/core/src/quotas/exchange-keeper-reports.ts
@@ -56,7 +56,7 @@
 };
 
 const makePeer = ({id, incarnation, address, availabilityZone}: KeeperReport): KeeperPeer => ({
-	id, incarnation, address, availabilityZone, receivedAt: 0, madeAt: Number.NEGATIVE_INFINITY, isSettled: false, hasLeft: false, isReplaced: false, heardOwn: undefined, hears: [], spent: new Map(), claim: {weight: 0, demands: {}}, reserves: undefined,
+	id, incarnation, address, availabilityZone, receivedAt: 0, madeAt: Number.NEGATIVE_INFINITY, isSettled: false, hasLeft: false, isReplaced: false, heardOwn: undefined, hears: [], heardUntil: Number.NEGATIVE_INFINITY, spent: new Map(), claim: {weight: 0, demands: {}}, reserves: undefined,
 });
 
 /** Takes over what the peer says about itself, unless a later report has arrived before. */
@@ -71,6 +71,7 @@
 	peer.hasLeft = report.isLeaving;
 	peer.heardOwn = report.heard[ownIncarnation] ?? peer.heardOwn;
 	peer.hears = Object.keys(report.heard);
+	peer.heardUntil = Math.min(report.madeAt, ...Object.values(report.heard));
 	peer.claim = {weight: report.weight, demands: Object.fromEntries(Object.entries(report.accounts).map(([account, {demand}]) => [account, demand]))};
 };
 
--- a/packages/core/src/quotas/keeper-reserves.ts
+++ b/packages/core/src/quotas/keeper-reserves.ts
@@ -6,7 +6,7 @@
 	goneAfterMs, isHeard, type KeeperClock, type KeeperPeer, type KeeperState, type Reserve,
 } from './keeper-state.js';
 import {computeShares} from './keeper-shares.js';
-import {collectKnown} from './known-spending.js';
+import {collectKnownTo} from './known-spending.js';
 import {sumAmounts} from './slot-amounts.js';
 
 /** Whether something is left to a peer: it is not heard and may still grant, or may have granted something before it was replaced. */
@@ -31,15 +31,14 @@
 /** Computes what is left to each peer that has just fallen silent. */
 const computeReserves = (keeper: KeeperState, account: string, newlySilent: readonly KeeperPeer[], clock: KeeperClock): Map<KeeperPeer, Reserve> => {
 	const peers = [...keeper.peers.values()];
-	const {own, byPeer} = computeShares(keeper, account, peers.filter(peer => newlySilent.includes(peer) || isHeard(peer, clock)), clock);
+	const {own, byPeer} = computeShares(keeper, account, peers.filter(peer => newlySilent.includes(peer) || isHeard(peer, clock)));
 	const left = 1 - sumShares(peers.filter(peer => isSilent(peer, keeper.windowMs, clock)).map(({reserves}) => reserves?.get(account)?.share ?? 0));
 	// A part that is not certain to be anybody's may be in use by those that are cut off.
 	const uncertain = Math.max(0, 1 - own - sumShares(byPeer.values()));
 	const cutOff = newlySilent.filter(({isReplaced}) => !isReplaced).length;
-	const known = collectKnown(keeper, account, clock);
 	return new Map(newlySilent.map(peer => {
 		const claimed = byPeer.get(peer.incarnation) ?? 0;
-		return [peer, {share: (claimed + (peer.isReplaced ? 0 : uncertain / cutOff)) * left, known, madeAt: clock.trueTime}];
+		return [peer, {share: (claimed + (peer.isReplaced ? 0 : uncertain / cutOff)) * left, known: collectKnownTo(keeper, account, peer, clock), madeAt: peer.madeAt}];
 	}));
 };
 
--- a/packages/core/src/quotas/keeper-shares.ts
+++ b/packages/core/src/quotas/keeper-shares.ts
@@ -31,11 +31,11 @@
 
 const toAccountClaim = ({weight, demands}: Claim, account: string): AccountClaim => ({weight, demand: demands[account] ?? 0});
 
-/** Returns the smallest of this keeper's claims that some peers may still count. */
-const findCertainClaim = (keeper: KeeperState, account: string, clock: KeeperClock): AccountClaim => {
-	const confirmedUntil = findConfirmedUntil(keeper, clock);
-	const last = keeper.reported.at(-1);
-	const counted = keeper.reported.filter(({madeAt}) => madeAt >= Math.min(confirmedUntil, last?.madeAt ?? 0)).map(claim => toAccountClaim(claim, account));
+/** Returns the smallest of this keeper's claims that some of the peers may still count. */
+const findCertainClaim = ({reported}: KeeperState, account: string, peers: readonly KeeperPeer[]): AccountClaim => {
+	const confirmedUntil = findConfirmedUntil(peers);
+	const last = reported.at(-1);
+	const counted = reported.filter(({madeAt}) => madeAt >= Math.min(confirmedUntil, last?.madeAt ?? 0)).map(claim => toAccountClaim(claim, account));
 	return {
 		weight: counted.length === 0 ? 0 : Math.min(...counted.map(({weight}) => weight)),
 		demand: counted.length === 0 ? 0 : Math.min(...counted.map(({demand}) => demand)),
@@ -50,7 +50,7 @@
 };
 
 /** Computes the parts of this keeper and of the given peers. */
-export const computeShares = (keeper: KeeperState, account: string, peers: readonly KeeperPeer[], clock: KeeperClock): Shares => {
+export const computeShares = (keeper: KeeperState, account: string, peers: readonly KeeperPeer[]): Shares => {
 	const last = keeper.reported.at(-1);
 	const others = new Map(peers.map(({incarnation, claim}) => [incarnation, toAccountClaim(claim, account)]));
 	const all = [last === undefined ? {weight: 0, demand: 0} : toAccountClaim(last, account), ...others.values()];
@@ -67,7 +67,7 @@
 	};
 
 	return {
-		own: toShare(findCertainClaim(keeper, account, clock)),
+		own: toShare(findCertainClaim(keeper, account, peers)),
 		byPeer: new Map([...others].map(([incarnation, claim]) => [incarnation, toShare(claim)])),
 	};
 };
--- a/packages/core/src/quotas/keeper-state.ts
+++ b/packages/core/src/quotas/keeper-state.ts
@@ -14,7 +14,7 @@
 export type Reserve = {
 	/** Part of what was left of the limit when it was last heard. */
 	readonly share: number;
-	/** Spending that was known then, and the true time of it. */
+	/** Spending that it knew then for certain, and the true time at which it was last heard. */
 	readonly known: SlotAmounts;
 	readonly madeAt: number;
 };
@@ -51,6 +51,8 @@
 	heardOwn: number | undefined;
 	/** Incarnations that it hears. */
 	hears: readonly string[];
+	/** True time up to which it has heard all of them. */
+	heardUntil: number;
 	readonly spent: SpentByAccount;
 	/** What its last report claims. */
 	claim: Claim;
@@ -126,9 +128,9 @@
 
 export const listHeardPeers = ({peers}: KeeperState, clock: KeeperClock): KeeperPeer[] => [...peers.values()].filter(peer => isHeard(peer, clock));
 
-/** Returns the true time up to which all heard peers know what this keeper reported. Infinity if there are none. */
-export const findConfirmedUntil = (keeper: KeeperState, clock: KeeperClock): number => {
+/** Returns the true time up to which all of the peers know what this keeper reported. Infinity if there are none. */
+export const findConfirmedUntil = (peers: readonly KeeperPeer[]): number => {
 	// One that has just started and has not heard this keeper grants nothing yet.
-	const confirmations = listHeardPeers(keeper, clock).flatMap(({heardOwn}) => heardOwn ?? []);
+	const confirmations = peers.flatMap(({heardOwn}) => heardOwn ?? []);
 	return Math.min(Infinity, ...confirmations);
 };
--- a/packages/core/src/quotas/known-spending.ts
+++ b/packages/core/src/quotas/known-spending.ts
@@ -1,5 +1,5 @@
 /** What a keeper knows of the spending of an account. The known spending of a past moment never falls but by age. */
-import {type KeeperClock, type KeeperState} from './keeper-state.js';
+import {type KeeperClock, type KeeperPeer, type KeeperState} from './keeper-state.js';
 import {
 	addToSlot, type SlotAmounts, sumAmounts, toSlot,
 } from './slot-amounts.js';
@@ -32,6 +32,13 @@
 	return known;
 };
 
+/** Returns what the peer surely knew when it made its last report, by slot: what it granted, and what others did until it last heard all of them. */
+export const collectKnownTo = (keeper: KeeperState, account: string, peer: KeeperPeer, clock: KeeperClock): SlotAmounts => {
+	const granted = peer.spent.get(account) ?? new Map<number, number>();
+	const firstUncertain = toSlot(peer.heardUntil, keeper.windowMs);
+	return new Map([...collectKnown(keeper, account, clock)].map(([slot, amount]) => [slot, slot < firstUncertain ? amount : granted.get(slot) ?? 0]));
+};
+
 /** Sums what other daemons are known to have spent within the window. */
 export const sumOthers = (keeper: KeeperState, account: string, clock: KeeperClock): number => {
 	let sum = 0;
--- a/packages/core/src/quotas/quota-bound.test.ts
+++ b/packages/core/src/quotas/quota-bound.test.ts
@@ -59,3 +59,64 @@
 	}))));
 	assert.deepEqual(listExceeded(cases), []);
 });
+
+test('reports that are late or lost let no account have more than its limit', () => {
+	const cases = [2, 9, 12].flatMap(daemons => [{maxDelayMs: 700}, {maxDelayMs: 100, lossShare: 0.3}, {maxDelayMs: 1500, lossShare: 0.1}].flatMap(links => [1.5, 24].flatMap(times => [1, 2].map(seed => ({
+		name: `${daemons} daemons, delay ${links.maxDelayMs}, ${times} times, seed ${seed}`,
+		calls: simulate(daemons, seed, {...links, getRequestedRate: now => limit.perSecond * (now < 5000 ? 0 : times)}),
+	})))));
+	assert.deepEqual(listExceeded(cases), []);
+});
+
+test('at the largest size no jump gives an account more than its limit', () => {
+	const cases = [1.5, 100].flatMap(times => [1, 2].map(seed => ({
+		name: `870 daemons, ${times} times, seed ${seed}`,
+		calls: simulate(870, seed, {keepers: 32, durationMs: 12_000, getRequestedRate: now => limit.perSecond * (now < 2000 ? 0 : times)}),
+	})));
+	assert.deepEqual(listExceeded(cases), []);
+});
+
+test('daemons that are cut off from each other, frozen or woken grant only their parts of a limit', () => {
+	const cuts = [[0], [0, 1, 2], [0, 1, 2, 3, 4]].map(cutOff => ({what: `${cutOff.length} cut off`, more: {cuts: [{daemons: cutOff, from: 9000, until: 15_000}]}}));
+	const freezes = [[8], [0, 4]].map(frozen => ({what: `${frozen.length} frozen`, more: {freezes: frozen.map(daemon => ({daemon, from: 9000, until: 13_000}))}}));
+	const cases = [...cuts, ...freezes].flatMap(({what, more}) => [3, 12].flatMap(times => seeds.slice(0, 4).map(seed => ({
+		name: `${what}, ${times} times, seed ${seed}`,
+		calls: simulate(9, seed, {...more, meanCost: 4000, durationMs: 24_000, getRequestedRate: now => limit.perSecond * (now < 6000 ? 0.3 : times)}),
+	}))));
+	assert.deepEqual(listExceeded(cases), []);
+});
+
+/** Counts the refused calls of an account that stays below its limit. */
+const countRefused = (daemons: number, more: Partial<LimitSimulation>): number => seeds.map(seed => simulate(daemons, seed, {
+	meanCost: 2000, getRequestedRate: now => limit.perSecond * (now < 2000 ? 0 : 0.9), ...more,
+})).flat().filter(({isAdmitted}) => !isAdmitted).length;
+
+test('an account below its limit is refused nothing, however its callers are spread', () => {
+	for (const daemons of [3, 9, 68]) {
+		assert.equal(countRefused(daemons, {}), 0, `${daemons} daemons`);
+		assert.equal(countRefused(daemons, {listUsed: () => [daemons - 1]}), 0, `one of ${daemons} daemons`);
+	}
+
+	assert.equal(countRefused(9, {listUsed: now => [now < 9000 ? 0 : 8]}), 0, 'callers that move');
+});
+
+test('an account below its limit is refused nothing while daemons restart', () => {
+	for (const count of [1, 4, 9]) {
+		const ends = Array.from({length: count}, (_end, daemon) => ({
+			at: 10_000, daemon, downMs: 500, isPlanned: true,
+		}));
+		assert.equal(countRefused(9, {ends, listUsed: now => now < 10_000 || now > 12_000 ? [0, 1, 2, 3, 4, 5, 6, 7, 8] : [4, 5, 6, 7, 8]}), 0, `${count} of 9`);
+	}
+});
+
+test('an account above its limit uses nearly all of it', () => {
+	for (const [daemons, part] of [[3, 0.9], [9, 0.9], [12, 0.9], [68, 0.8]] as const) {
+		for (const times of [1.5, 6]) {
+			const admitted = seeds.map(seed => simulate(daemons, seed, {meanCost: 4000, durationMs: 30_000, getRequestedRate: () => limit.perSecond * times})
+				.reduce((sum, {at, cost, isAdmitted}) => sum + (isAdmitted && at >= 14_000 ? cost : 0), 0) / 2);
+			const least = part * Math.min(times * 8 * limit.perSecond, (8 * limit.perSecond) + limit.burst);
+			const mean = admitted.reduce((sum, cost) => sum + cost, 0) / seeds.length;
+			assert.ok(mean >= least, `${daemons} daemons, ${times} times: ${Math.round(mean)} of ${least}`);
+		}
+	}
+});
--- a/packages/core/src/quotas/quotas.test.ts
+++ b/packages/core/src/quotas/quotas.test.ts
@@ -58,7 +58,7 @@
 			let sum = 0;
 			for (const keeper of keepers) {
 				const isSettled = trySettle(keeper, {record: undefined, hasOthers: count > 1}, toClock(now));
-				sum += isSettled ? computeShares(keeper, 'shop', [...keeper.peers.values()], toClock(now)).own : 0;
+				sum += isSettled ? computeShares(keeper, 'shop', [...keeper.peers.values()]).own : 0;
 			}
 
 			assert.ok(sum <= 1 + 1e-9, `${sum} at ${now}`);
--- a/packages/core/src/quotas/slot-amounts.ts
+++ b/packages/core/src/quotas/slot-amounts.ts
@@ -4,7 +4,7 @@
  */
 
 /** A slot leaves the window as a whole, so up to one slot more than the window is counted. */
-export const slotsPerWindow = 16;
+export const slotsPerWindow = 32;
 
 /** Amounts by the number of their slot. */
 export type SlotAmounts = Map<number, number>;
--- a/packages/core/src/testing/simulate-limit.ts
+++ b/packages/core/src/testing/simulate-limit.ts
@@ -122,6 +122,9 @@
 
 const stepMs = 10;
 
+/** A call waits this long at most for a keeper that grants. */
+const maxWaitMs = 500;
+
 /** A keeper that has just started gets an answer within this time. */
 const answerWithinMs = 50;
 
@@ -250,6 +253,9 @@
 		return [...first.filter(own => settle(own, now)), ...leads.slice(start), ...leads.slice(0, start)].slice(0, maxOffers);
 	};
 
+	/** Calls that wait for a keeper that grants, as after a restart of all. */
+	let waiting: Array<() => boolean> = [];
+
 	const makeCall = (now: number): void => {
 		const used = simulation.listUsed?.(now) ?? daemons.map(({index}) => index);
 		const running = used.map(index => daemons[index]!).filter(daemon => isRunning(daemon, now));
@@ -261,15 +267,30 @@
 		const cost = drawCost(simulation);
 		const rank = random() < (simulation.lessUrgentFraction ?? 0) ? lessUrgentRank : 0;
 		const usable = computeUsable(limit, bounds, {cost, rank});
-		const isAdmitted = listOffers(daemon, now).some(({keeper}, index) => decidePayment(keeper, {
-			account, cost, usable, expectedKeepers: keeperCount, isFirstAsked: index === 0,
-		}, toClock(now)).isGranted);
-		calls.push({
-			at: now, cost, rank, isAdmitted,
-		});
+		const startedAt = now;
+		const offer = (now: number): boolean => {
+			const offers = listOffers(daemon, now);
+			if (offers.length === 0 && now < startedAt + maxWaitMs) {
+				return false;
+			}
+
+			const isAdmitted = offers.some(({keeper}, index) => decidePayment(keeper, {
+				account, cost, usable, expectedKeepers: keeperCount, isFirstAsked: index === 0,
+			}, toClock(now)).isGranted);
+			calls.push({
+				at: now, cost, rank, isAdmitted,
+			});
+			return true;
+		};
+
+		if (!offer(now)) {
+			waiting.push(() => offer(currentTime));
+		}
 	};
 
+	let currentTime = 0;
 	for (let now = 0; now < simulation.durationMs; now += stepMs) {
+		currentTime = now;
 		if (simulation.stopsAt !== undefined && !hasStopped && now >= simulation.stopsAt) {
 			hasStopped = true;
 			messages = [];
@@ -285,6 +306,7 @@
 		}
 
 		writeRecord(now);
+		waiting = waiting.filter(offerAgain => !offerAgain());
 		const chance = simulation.getRequestedRate(now) / simulation.meanCost * stepMs / 1000;
 		for (let left = chance; left > 0; left--) {
 			if (random() < left) {
