--- a/packages/gateway/src/quotas/take-quota.ts
+++ b/packages/gateway/src/quotas/take-quota.ts
@@ -84,12 +84,16 @@
 		.filter(({address}) => (quota.avoidedUntil.get(address) ?? 0) <= clocks.steady());
 };
 
+type Offer =
+	| {readonly kind: 'granted'; readonly keeper: string}
+	| Refused;
+
 /** Offers the call to this daemon's own part, then to other keepers. Returns undefined if no keeper could be asked. */
-const offer = async (gateway: GatewayState, ask: QuotaAsk, cost: number): Promise<QuotaAnswer | undefined> => {
+const offer = async (gateway: GatewayState, ask: QuotaAsk, cost: number): Promise<Offer | undefined> => {
 	let best: Refused | undefined;
 	const own = grantCost(gateway, ask);
 	if (own.kind === 'granted') {
-		return own;
+		return {kind: 'granted', keeper: gateway.settings.instance.id};
 	}
 
 	let isFirstAsked = own.kind === 'unfit';
@@ -97,7 +101,7 @@
 	for (const keeper of listOthers(gateway).slice(0, maxOffers - Number(own.kind === 'refused'))) {
 		const answer = await askKeeper(gateway, keeper, {...ask, isFirstAsked}, cost); // eslint-disable-line no-await-in-loop -- one after the other, as the first usually grants
 		if (answer.kind === 'granted') {
-			return answer;
+			return {kind: 'granted', keeper: keeper.id};
 		}
 
 		isFirstAsked &&= answer.kind === 'unfit';
@@ -142,5 +146,12 @@
 		return {retryAfterS: minRetryAfterS, isOverLimit: false};
 	}
 
-	return answer.kind === 'refused' ? refuseOverLimit(gateway, name, call, answer) : undefined;
+	if (answer.kind === 'refused') {
+		return refuseOverLimit(gateway, name, call, answer);
+	}
+
+	gateway.log.write('routine', 'quota_granted', {
+		request: call.id, account: name, cost, keeper: answer.keeper,
+	});
+	return undefined;
 };
--- a/packages/gateway/src/quotas/watch-spending.ts
+++ b/packages/gateway/src/quotas/watch-spending.ts
@@ -6,7 +6,7 @@
 import {computeStanding} from '@shallotpass/core/quotas/decide-payment.js';
 import {isHeard} from '@shallotpass/core/quotas/keeper-state.js';
 import {collectKnown, sumOwn} from '@shallotpass/core/quotas/known-spending.js';
-import {type SlotAmounts, sumAmounts} from '@shallotpass/core/quotas/slot-amounts.js';
+import {dropExpiredSlots, type SlotAmounts, sumAmounts} from '@shallotpass/core/quotas/slot-amounts.js';
 import {type GatewayState} from '../gateway-state.js';
 import {readKeeperClock} from './quota-state.js';
 
@@ -43,8 +43,9 @@
 		const clock = readKeeperClock(gateway.clocks);
 		const amounts = collectKnown(keeper, account, clock);
 		const known = sumAmounts(amounts, clock.trueTime, keeper.windowMs);
-		const inWindow = (slots: SlotAmounts): SlotAmounts => new Map([...slots].filter(([slot]) => sumAmounts(new Map([[slot, 1]]), clock.trueTime, keeper.windowMs) > 0));
-		const fell = sumFalls(inWindow(knownBefore.get(account) ?? new Map<number, number>()), amounts);
+		const before: SlotAmounts = new Map(knownBefore.get(account));
+		dropExpiredSlots(before, clock.trueTime, keeper.windowMs);
+		const fell = sumFalls(before, amounts);
 		knownBefore.set(account, amounts);
 		const peers = [...keeper.peers.values()];
 		const isNear = known >= usable * nearLimitPart && clock.steady >= (reportAt.get(account) ?? 0);
--- a/packages/gateway/src/telemetry/log-events.ts
+++ b/packages/gateway/src/telemetry/log-events.ts
@@ -98,6 +98,7 @@
 		meaning: 'A call, or a further run of it, was refused because its client account reached its limit: `room` is the most that a keeper could grant, a `share` of what is left of `usable` after `known`',
 		fields: ['request', 'account', 'cost', 'room', 'known', 'usable', 'share'],
 	},
+	quota_granted: {meaning: 'The cost of a run was granted by this keeper of limits', fields: ['request', 'account', 'cost', 'keeper']},
 	quota_unknown: {meaning: 'A call was refused because no daemon that keeps the limit of its client account could be asked', fields: ['request', 'account', 'cost', 'isKeeper', 'isSettled']},
 	quota_keeper: {meaning: 'This daemon keeps limits of client accounts from now on, with this weight, or with weight 0 no longer', fields: ['weight', 'leads', 'others']},
 	quota_keeper_silent: {meaning: 'A daemon that keeps limits did not answer; it is not asked for a while', fields: ['keeper', 'address', 'account', 'error']},
