Let the soak press on an account with a limit, and lose datagrams between daemons

The soak checked no quota. Datagrams between daemons are lost (up to 6 in 10) or split groups of daemons for 1 to 7 s. Plans of known seeds keep their other faults. The check is tested with a history of 300 runs where 220 are allowed.

--- a/scripts/soak/src/check-brittleness.ts
+++ b/scripts/soak/src/check-brittleness.ts
@@ -25,7 +25,7 @@
 };
 
 const findBrittleViolation = (history: History, span: BrittleSpan, isDisturbed: (daemon: string, at: number) => boolean): string | undefined => {
-	const daemonsById = new Map(history.calls.map(({id, daemon}) => [id, daemon]));
+	const daemonsById = new Map([...history.calls, ...history.limitedCalls].map(({id, daemon}) => [id, daemon]));
 	const counted = history.rejections.filter(({backend, id, at}) => span.backends.includes(backend) && at >= span.from && at < span.until && !isDisturbed(daemonsById.get(id) ?? '', at));
 	const falls = span.backends.reduce((sum, backend) => sum + countFalls(counted.filter(rejection => rejection.backend === backend), span.rejections), 0);
 	return falls > allowedFalls + (span.backends.length * allowedFallsPerBackend)
--- a/scripts/soak/src/check-history.test.ts
+++ b/scripts/soak/src/check-history.test.ts
@@ -20,7 +20,7 @@
 });
 
 const makeHistory = (changes: Partial<History> = {}): History => ({
-	calls: [makeCall()], runs: [makeRun()], duties: [], disturbances: [], bans: [], arrivals: [], limits: [], linkDisturbances: [], cuts: [], brittleSpans: [], rejections: [], ownEnds: [], neverReady: [], calmFrom: 9000, hasOnlyPlannedWork: false, ...changes,
+	calls: [makeCall()], limitedCalls: [], runs: [makeRun()], duties: [], disturbances: [], bans: [], arrivals: [], limits: [], linkDisturbances: [], cuts: [], brittleSpans: [], rejections: [], ownEnds: [], neverReady: [], calmFrom: 9000, hasOnlyPlannedWork: false, ...changes,
 });
 
 /** Served calls, so that histories with refused calls still pass the recovery check. */
@@ -35,7 +35,11 @@
 	assert.deepEqual(findViolations(makeHistory({calls: [stream], runs: [makeRun({backend: 'engine-0', service: 'llm', path: '/ask/a'})]})), []);
 });
 
+const limitedCalls = Array.from({length: 300}, (_value, index) => makeCall({id: `l-${index}`, route: 'read', sentAt: 10_000 + (index * 20)}));
+const limitedRuns = limitedCalls.map(({id, sentAt}) => makeRun({id, account: 'bazaar', at: sentAt + 5}));
+
 const violationCases: ReadonlyArray<{readonly name: string; readonly history: Partial<History>; readonly expected: RegExp}> = [
+	{name: 'an account that runs more than its limit', history: {limitedCalls, runs: [makeRun(), ...limitedRuns]}, expected: /300 runs of the account bazaar in the window from 10000, 220 allowed/v},
 	{name: 'a booking that was executed twice', history: {runs: [makeRun(), makeRun({backend: 'app-1'})]}, expected: /ran 2 times/v},
 	{
 		name: 'callers of a daemon that is cut off whose calls are refused',
--- a/scripts/soak/src/check-history.ts
+++ b/scripts/soak/src/check-history.ts
@@ -4,6 +4,7 @@
 import {findCutViolations} from './check-cuts.js';
 import {findLimitViolations} from './check-limits.js';
 import {formatExpectedStream} from './format-events.js';
+import {findQuotaViolations} from './limited-account.js';
 import {
 	type CallOutcome, type CompletedCall, type History, type BackendRun,
 } from './history.js';
@@ -160,7 +161,7 @@
 /** Returns a description of each violation in the history. */
 export const findViolations = (history: History): string[] => {
 	const runsById = groupById(history.runs);
-	const sentIds = new Set(history.calls.map(call => call.id));
+	const sentIds = new Set([...history.calls, ...history.limitedCalls].map(call => call.id));
 	const unrequested = [...runsById.keys()].filter(id => !sentIds.has(id)).map(id => `${id}: ran, but no caller sent it`);
 	const callViolations = history.calls.flatMap(call => checkCall(history, call, runsById.get(call.id) ?? []));
 	const callsOverLimit = history.calls.filter(call => (runsById.get(call.id) ?? []).filter(run => run.memory === undefined).length > (maxAttemptsByRoute[call.route] ?? 0));
@@ -175,6 +176,7 @@
 		...findLimitViolations(history, (daemon, at) => isDisturbed(history, daemon, at, at)),
 		...findBrittleViolations(history, (daemon, at) => isDisturbed(history, daemon, at, at)),
 		...findCutViolations(history, (daemon, at) => isDisturbed(history, daemon, at, at)),
+		...findQuotaViolations(history),
 		...checkRecovery(history),
 	];
 };
--- a/scripts/soak/src/check-limits.ts
+++ b/scripts/soak/src/check-limits.ts
@@ -7,7 +7,7 @@
 
 /** Returns a description of the worst violation of each span in which a backend server stated a limit. */
 export const findLimitViolations = (history: History, isDisturbed: (daemon: string, at: number) => boolean): string[] => {
-	const daemonsById = new Map(history.calls.map(({id, daemon}) => [id, daemon]));
+	const daemonsById = new Map([...history.calls, ...history.limitedCalls].map(({id, daemon}) => [id, daemon]));
 	return history.limits.flatMap(span => {
 		const isHeldUp = (at: number): boolean => history.linkDisturbances.some(({backend, from, until}) => backend === span.backend && at >= from && at <= until + heldUpMs);
 		const calls = history.arrivals
--- a/scripts/soak/src/daemon-links.ts
+++ b/scripts/soak/src/daemon-links.ts
@@ -1,7 +1,8 @@
 /**
  * Preloaded into a daemon to give it a link of its own to each backend server. Connections to a backend server go through the
- * relay that the file named by DAEMON_LINKS_FILE assigns to it, and new ones fail as the file says.
+ * relay that the file named by DAEMON_LINKS_FILE assigns to it, and new ones fail as the file says. Datagrams to other daemons are lost as a file beside it says.
  */
+import dgram from 'node:dgram';
 import {readFileSync} from 'node:fs';
 import net from 'node:net';
 import process from 'node:process';
@@ -15,6 +16,18 @@
 	readonly relays: Readonly<Record<string, string>>;
 };
 
+export type DatagramFaults = {
+	/** Share of the datagrams that are lost. */
+	readonly lossShare: number;
+	/** Hosts that no datagram reaches. */
+	readonly unreachable: readonly string[];
+};
+
+export const noDatagramFaults: DatagramFaults = {lossShare: 0, unreachable: []};
+
+/** Path of the file with the datagram faults, beside that of the links. */
+export const toDatagramFaultsPath = (path: string): string => `${path}.datagrams`;
+
 const linksPath = process.env.DAEMON_LINKS_FILE;
 
 /** Nothing listens on this port. */
@@ -48,4 +61,28 @@
 	}
 };
 
-net.connect = connectByLink as typeof net.connect;
+/** The file is read again after this time. */
+const rereadFaultsMs = 50;
+
+let datagramFaults = noDatagramFaults;
+let rereadAt = 0;
+
+const readDatagramFaults = (): DatagramFaults => {
+	if (linksPath !== undefined && performance.now() >= rereadAt) {
+		rereadAt = performance.now() + rereadFaultsMs;
+		datagramFaults = JSON.parse(readFileSync(toDatagramFaultsPath(linksPath), 'utf8')) as DatagramFaults;
+	}
+
+	return datagramFaults;
+};
+
+if (linksPath !== undefined) {
+	net.connect = connectByLink as typeof net.connect;
+	const sendDirectly = dgram.Socket.prototype.send as (this: dgram.Socket, message: Uint8Array, port: number, address: string) => void;
+	dgram.Socket.prototype.send = function (this: dgram.Socket, message: Uint8Array, port: number, address: string): void {
+		const {lossShare, unreachable} = readDatagramFaults();
+		if (!unreachable.includes(address) && Math.random() >= lossShare) {
+			sendDirectly.call(this, message, port, address);
+		}
+	} as dgram.Socket['send'];
+}
--- a/scripts/soak/src/daemon-process.ts
+++ b/scripts/soak/src/daemon-process.ts
@@ -5,7 +5,9 @@
 import process from 'node:process';
 import {stringify} from 'smol-toml';
 import {type GatewaySettings} from '@shallotpass/gateway/gateway-settings.js';
-import {type DaemonLinks} from './daemon-links.js';
+import {
+	type DaemonLinks, type DatagramFaults, noDatagramFaults, toDatagramFaultsPath,
+} from './daemon-links.js';
 
 const root = path.resolve(import.meta.dirname, '../../..');
 const bundlePath = path.join(root, 'target/shallotpassd.mjs');
@@ -27,6 +29,7 @@
 	readonly end: (signal: 'SIGTERM' | 'SIGKILL') => Promise<void>;
 	readonly setClock: (offsetMs: number) => void;
 	readonly setLinks: (links: DaemonLinks) => void;
+	readonly setDatagramFaults: (faults: DatagramFaults) => void;
 	/** Writes the settings file, either complete or truncated. */
 	readonly writeSettings: (how: 'whole' | 'cut_short', comment?: string) => void;
 };
@@ -64,13 +67,22 @@
 	let isExitExpected = false;
 	let unexpectedExits = 0;
 	let restartTimer: NodeJS.Timeout | undefined;
+	/** Replaces a file as a whole, because the daemon may read it at any time. */
+	const replaceFile = (path: string, content: unknown): void => {
+		writeFileSync(`${path}.new`, JSON.stringify(content));
+		renameSync(`${path}.new`, path);
+	};
+
 	const setLinks: DaemonProcess['setLinks'] = links => {
-		// Replaced as a whole, because the daemon may read it at any time.
-		writeFileSync(`${linksPath}.new`, JSON.stringify(links));
-		renameSync(`${linksPath}.new`, linksPath);
+		replaceFile(linksPath, links);
+	};
+
+	const setDatagramFaults: DaemonProcess['setDatagramFaults'] = faults => {
+		replaceFile(toDatagramFaultsPath(linksPath), faults);
 	};
 
 	setLinks({relays: {}});
+	setDatagramFaults(noDatagramFaults);
 	writeSettings('whole');
 
 	const start = (): void => {
@@ -135,6 +147,7 @@
 			sendClockStep();
 		},
 		setLinks,
+		setDatagramFaults,
 		writeSettings,
 	};
 };
--- a/scripts/soak/src/history.ts
+++ b/scripts/soak/src/history.ts
@@ -102,6 +102,8 @@
 
 export type History = {
 	readonly calls: readonly CompletedCall[];
+	/** Calls of the account that exceeds its limit. */
+	readonly limitedCalls: readonly CompletedCall[];
 	readonly runs: readonly BackendRun[];
 	readonly duties: readonly CloudRequest[];
 	readonly disturbances: readonly Disturbance[];
--- a/scripts/soak/src/inject-fault.ts
+++ b/scripts/soak/src/inject-fault.ts
@@ -6,6 +6,8 @@
 	announceBackend, placesByService, putAccountKeys, secondKey, removeBackend,
 } from '@shallotpass/platform/stand-ins/platform-fixture.js';
 import {shopKey} from '@shallotpass/platform/stand-ins/send-call.js';
+import {noDatagramFaults} from './daemon-links.js';
+import {limitedTenant} from './limited-account.js';
 import {type Fault, type LinkFault, type Notice} from './plan-faults.js';
 import {
 	openLinks, type SoakBackend, type SoakDaemon, type SoakCluster,
@@ -156,7 +158,7 @@
 /** Writes a new configuration version with or without the second key. A ban of the second key from an earlier version ends now. */
 const changeAccountKeys = (cluster: SoakCluster, hasSecondKey: boolean): void => {
 	cluster.version++;
-	putAccountKeys(cluster.fixture.store, cluster.version, hasSecondKey ? [shopKey, secondKey] : [shopKey]);
+	putAccountKeys(cluster.fixture.store, cluster.version, hasSecondKey ? [shopKey, secondKey] : [shopKey], [limitedTenant]);
 	const now = performance.now();
 	for (const ban of cluster.bans.filter(({kind, until}) => kind === 'key' && until === Number.POSITIVE_INFINITY)) {
 		cluster.bans[cluster.bans.indexOf(ban)] = {...ban, until: now};
@@ -225,6 +227,25 @@
 	cut.until = performance.now();
 };
 
+/** Lets datagrams between daemons be lost for the given time. */
+const loseDatagrams = async (cluster: SoakCluster, {daemons: indexes, lossShare, isSplit, forMs}: Fault & {kind: 'lose_datagrams'}): Promise<void> => {
+	const inside = indexes.map(index => cluster.daemons[index]!);
+	const outside = cluster.daemons.filter(daemon => !inside.includes(daemon));
+	const toHosts = (daemons: readonly SoakDaemon[]): string[] => daemons.map(({process}) => process.settings.listen.peers.split(':')[0]!);
+	for (const {process} of inside) {
+		process.setDatagramFaults({lossShare, unreachable: isSplit ? toHosts(outside) : []});
+	}
+
+	for (const {process} of isSplit ? outside : []) {
+		process.setDatagramFaults({lossShare: 0, unreachable: toHosts(inside)});
+	}
+
+	await sleep(forMs);
+	for (const {process} of cluster.daemons) {
+		process.setDatagramFaults(noDatagramFaults);
+	}
+};
+
 const applyBackendFault = async (cluster: SoakCluster, fault: Fault & {kind: 'misbehave'}): Promise<void> => {
 	const {standIn} = cluster.backends[fault.backend]!;
 	standIn.failureMode = fault.how;
@@ -330,6 +351,11 @@
 			return;
 		}
 
+		case 'lose_datagrams': {
+			await recordDisturbance(cluster, undefined, async () => loseDatagrams(cluster, fault));
+			return;
+		}
+
 		case 'configure': {
 			changeAccountKeys(cluster, fault.hasSecondKey);
 		}
--- a/scripts/soak/src/plan-faults.ts
+++ b/scripts/soak/src/plan-faults.ts
@@ -45,6 +45,8 @@
 	| {readonly kind: 'brittle'; readonly service: 'app' | 'llm'; readonly rejections: number; readonly forMs: number}
 	/** Makes the links of some daemons to all backend servers fail. */
 	| {readonly kind: 'cut_off'; readonly daemons: readonly number[]; readonly how: LinkFailure; readonly forMs: number}
+	/** Loses datagrams that some daemons send to others, or if split all between them and the rest. */
+	| {readonly kind: 'lose_datagrams'; readonly daemons: readonly number[]; readonly lossShare: number; readonly isSplit: boolean; readonly forMs: number}
 	/** Writes a new configuration version that contains or lacks the second key. */
 	| {readonly kind: 'configure'; readonly hasSecondKey: boolean};
 
@@ -197,6 +199,33 @@
 	}];
 };
 
+/** Added to the seed, as for notices. */
+const datagramSeedOffset = 5_000_000;
+
+const maxDatagramFaults = 2;
+const minDatagramFaultMs = 1000;
+const maxDatagramFaultMs = 7000;
+const maxLossShare = 0.6;
+
+/** Plans that datagrams between daemons are lost. */
+const planDatagramFaults = ({seed, daemons, forMs}: FaultOptions): PlannedFault[] => {
+	const random = makeRandom(seed + datagramSeedOffset);
+	return Array.from({length: Math.floor(random() * (maxDatagramFaults + 1))}, () => {
+		const count = 1 + Math.floor(random() * Math.max(1, daemons - 1));
+		const first = Math.floor(random() * daemons);
+		return {
+			at: Math.round(random() * forMs),
+			fault: {
+				kind: 'lose_datagrams',
+				daemons: Array.from({length: count}, (_value, index) => (first + index) % daemons),
+				lossShare: random() * maxLossShare,
+				isSplit: random() < 0.5,
+				forMs: Math.round(minDatagramFaultMs + (random() * (maxDatagramFaultMs - minDatagramFaultMs))),
+			},
+		};
+	});
+};
+
 /** Draws the limit that a backend server states after the last fault, when no daemon is excused any more. */
 export const planLimitAfterFaults = ({seed, backends}: Pick<FaultOptions, 'seed' | 'backends'>, forMs: number): Fault => {
 	const random = makeRandom(seed + limitSeedOffset + 1);
@@ -226,6 +255,6 @@
 		}
 	}
 
-	const limits = options.hasOnlyPlannedWork ? [] : [...planLimits(options), ...planCuts(options), ...planBrittleness(options)];
+	const limits = options.hasOnlyPlannedWork ? [] : [...planLimits(options), ...planCuts(options), ...planBrittleness(options), ...planDatagramFaults(options)];
 	return [...addNotices(planned.toSorted((left, right) => left.at - right.at), options.seed), ...limits];
 };
--- a/scripts/soak/src/run-soak.ts
+++ b/scripts/soak/src/run-soak.ts
@@ -3,6 +3,7 @@
 import path from 'node:path';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {makeRandom} from '@shallotpass/core/testing/make-random.js';
+import {limitedCallers, runLimitedCaller} from './limited-account.js';
 import {runCaller} from './run-caller.js';
 import {findViolations} from './check-history.js';
 import {type CompletedCall, type History, type BackendRun} from './history.js';
@@ -31,6 +32,9 @@
 	readonly faults: number;
 };
 
+/** Added to the seeds of the callers that exceed their limit. */
+const limitedSeedOffset = 500;
+
 /** Time allowed for recovery after the last fault, as in the users' requirements. */
 const recoveryMs = 12_000;
 
@@ -103,6 +107,9 @@
 		const callerRuns = Array.from({length: options.callers}, async (_value, index) => runCaller({
 			cluster, name: `caller-${index}`, random: makeRandom((options.seed * 1000) + index), signal: callersController.signal, isLimitedToFirstKey: () => isFaultFree,
 		}));
+		const limitedRuns = Array.from({length: limitedCallers}, async (_value, index) => runLimitedCaller({
+			cluster, name: `limited-${index}`, random: makeRandom((options.seed * 1000) + limitedSeedOffset + index), signal: callersController.signal,
+		}));
 		const faultCount = await injectFaults(cluster, options);
 		const neverReady = await waitForReady(cluster);
 		await recover(cluster, options);
@@ -112,8 +119,10 @@
 		callersController.abort();
 		const callsByCaller = await Promise.all(callerRuns);
 		const calls: CompletedCall[] = callsByCaller.flat();
+		const limitedCallsByCaller = await Promise.all(limitedRuns);
 		const history: History = {
 			calls,
+			limitedCalls: limitedCallsByCaller.flat(),
 			runs: listRuns(cluster),
 			duties: cluster.fixture.cloud.calls,
 			disturbances: cluster.disturbances,
--- a/scripts/soak/src/soak-cluster.ts
+++ b/scripts/soak/src/soak-cluster.ts
@@ -3,10 +3,11 @@
 import {type Relay, startRelay} from '@shallotpass/stand-ins/relay.js';
 import {type BackendStandIn} from '@shallotpass/platform/stand-ins/backend-stand-in.js';
 import {
-	announceBackend, makeSettings, type PlatformFixture, startPlatformFixture, waitUntil,
+	announceBackend, makeConfiguration, makeSettings, type PlatformFixture, startPlatformFixture, waitUntil,
 } from '@shallotpass/platform/stand-ins/platform-fixture.js';
 import {type DaemonProcess, makeDaemonProcess} from './daemon-process.js';
 import {eventsPerStream} from './format-events.js';
+import {limitedTenant} from './limited-account.js';
 import {
 	type Ban, type BackendLimitSpan, type BrittleSpan, type Cut, type Disturbance, type LinkDisturbance,
 } from './history.js';
@@ -119,7 +120,10 @@
 };
 
 export const startSoakCluster = async ({daemons, folder, addNote}: SoakClusterOptions): Promise<SoakCluster> => {
-	const fixture = await startPlatformFixture({daemons: 0, engines: engineCount, apps: appCount});
+	const configuration = makeConfiguration(1);
+	const fixture = await startPlatformFixture({
+		daemons: 0, engines: engineCount, apps: appCount, configuration: {...configuration, tenants: [...configuration.tenants, limitedTenant]},
+	});
 	const backends = await Promise.all([
 		...fixture.engines.map(async standIn => addBackend(fixture, standIn, 'llm')),
 		...fixture.apps.map(async standIn => addBackend(fixture, standIn, 'app')),
