Run no call whose caller left while its quota was asked for

What was seen: nothing yet; found by reading the new wait for a keeper. A caller that leaves before the call is admitted closes a response that nobody listens to, so the call was sent to a backend server. Cause: the close was watched from admission on. Change: a call whose response is closed by then is not run. Also: a keeper that leaves questions unanswered is avoided for 1.5 s, doubled up to 12 s; a daemon that has just started expects as many keepers as it knows members, and two until it has read them, so that one that is cut off at its start takes no more than its part.

--- a/packages/gateway/src/calls/serve-call.ts
+++ b/packages/gateway/src/calls/serve-call.ts
@@ -54,6 +54,11 @@
 		}
 	};
 
+	// Its connection may have closed while it was admitted.
+	if (response.destroyed) {
+		return {name: 'caller_left'};
+	}
+
 	response.once('close', onClose);
 	const timer = setTimeout(() => {
 		controller.abort();
--- a/packages/gateway/src/quotas/keeper-exchange.ts
+++ b/packages/gateway/src/quotas/keeper-exchange.ts
@@ -76,6 +76,9 @@
 		const areAllKeepers = !needsRelays(members.length);
 		const aliveAddresses = new Set(members.filter(member => isAlive(member, areAllKeepers)).map(({address}) => address));
 		quota.keepers = pickKeepers(members, address => aliveAddresses.has(address));
+		const known = quota.keepers.leads.length + quota.keepers.others.length;
+		// Until the members are read from the store there may be others.
+		quota.expectedKeepers = Math.max(known, areAllKeepers ? members.length : 0, gateway.registeredDaemons === undefined ? 2 : 1);
 		const isLead = quota.keepers.leads.some(({address}) => address === self.address);
 		const isKeeper = isLead || quota.keepers.others.some(({address}) => address === self.address);
 		const weight = isLead ? leadWeight : Number(isKeeper);
--- a/packages/gateway/src/quotas/quota-state.ts
+++ b/packages/gateway/src/quotas/quota-state.ts
@@ -13,8 +13,12 @@
 	keepers: Keepers;
 	/** Whether this daemon keeps limits. Written by the keeper exchange. */
 	isKeeper: boolean;
-	/** Keepers that do not answer, with the time until which they are not asked, on the steady clock. Written by calls. */
+	/** Number of keepers that are to be expected, including this one. Written by the keeper exchange. */
+	expectedKeepers: number;
+	/** Keepers that do not answer, by address, with the time until which they are not asked, on the steady clock. Written by calls. */
 	readonly avoidedUntil: Map<string, number>;
+	/** How many questions in a row a keeper left unanswered, by address. Written by calls. */
+	readonly unanswered: Map<string, number>;
 	/** Keepers that had no room, by account and address, with the answer and the time until which it holds. Written by calls. */
 	readonly refusals: Map<string, {readonly answer: QuotaAnswer & {readonly kind: 'refused'}; readonly until: number}>;
 	/** Asks the keepers; set by the keeper exchange. */
@@ -35,7 +39,9 @@
 	}),
 	keepers: {leads: [], others: []},
 	isKeeper: false,
+	expectedKeepers: 1,
 	avoidedUntil: new Map(),
+	unanswered: new Map(),
 	refusals: new Map(),
 	ask: undefined,
 });
--- a/packages/gateway/src/quotas/take-quota.ts
+++ b/packages/gateway/src/quotas/take-quota.ts
@@ -12,8 +12,9 @@
 /** Keepers that one call is offered to. */
 const maxOffers = 4;
 
-/** A keeper that does not answer is not asked for the first time, one that keeps no limits for the second. */
+/** A keeper that does not answer is not asked for this time, doubled with each further question; one that keeps no limits for the last of these times. */
 const avoidSilentMs = 1500;
+const maxAvoidSilentMs = 12_000;
 const avoidUnfitMs = 150;
 
 /** A refusal also holds for larger calls within this time, so that an account far over its limit costs few messages. */
@@ -54,6 +55,7 @@
 	try {
 		const answer = quotaAnswerSchema.parse(await quota.ask!(keeper, ask));
 		metrics.quotaAsks.inc({outcome: answer.kind});
+		quota.unanswered.delete(keeper.address);
 		if (answer.kind === 'refused') {
 			quota.refusals.set(key, {answer, until: clocks.steady() + keepRefusalMs});
 		}
@@ -68,7 +70,9 @@
 		gateway.log.write('failure', 'quota_keeper_silent', {
 			keeper: keeper.id, address: keeper.address, account: ask.account, error: String(error),
 		});
-		quota.avoidedUntil.set(keeper.address, clocks.steady() + avoidSilentMs);
+		const unanswered = (quota.unanswered.get(keeper.address) ?? 0) + 1;
+		quota.unanswered.set(keeper.address, unanswered);
+		quota.avoidedUntil.set(keeper.address, clocks.steady() + Math.min(maxAvoidSilentMs, avoidSilentMs * (2 ** (unanswered - 1))));
 		return {kind: 'unfit'};
 	}
 };
