Let several keepers pay together for a call that none of them has room for

Cause: a call must fit into one keeper's part. Change: when all that were asked refuse and their rooms together suffice, each is asked for its part. What is granted in vain counts as spent.

--- a/packages/core/src/quotas/quota-bound.test.ts
+++ b/packages/core/src/quotas/quota-bound.test.ts
@@ -5,6 +5,7 @@
 	type DaemonEnd, type LimitSimulation, type SimulatedCall, simulateLimit,
 } from '../testing/simulate-limit.js';
 import {computeCeiling} from './compute-ceiling.js';
+import {splitCost} from './split-cost.js';
 
 const bounds = {quotaWindowMs: 8000, quotaOvershoot: 0.1, quotaSlack: 140_000};
 const limit = {
@@ -131,3 +132,12 @@
 		}
 	}
 });
+
+test('a call that is too large for the part of each keeper is paid by several', () => {
+	const large = {meanCost: 11_000, durationMs: 30_000, getRequestedRate: (now: number) => now < 2000 ? 0 : limit.perSecond * 0.9};
+	const calls = seeds.flatMap(seed => simulate(9, seed, large));
+	const refused = calls.filter(({isAdmitted}) => !isAdmitted);
+	assert.ok(refused.length < calls.length / 200, `${refused.length} of ${calls.length}`);
+	assert.deepEqual(splitCost(90, [50, 20, 40]), [45, 9, 36]);
+	assert.equal(splitCost(100, [50, 20, 40]), undefined);
+});
--- a/packages/core/src/testing/simulate-limit.ts
+++ b/packages/core/src/testing/simulate-limit.ts
@@ -13,6 +13,7 @@
 import {makeRecordedSpending, type RecordedSpending} from '../quotas/recorded-spending.js';
 import {trySettle, unsettle, wasPaused} from '../quotas/settle-keeper.js';
 import {sumAmounts} from '../quotas/slot-amounts.js';
+import {splitCost} from '../quotas/split-cost.js';
 
 export type LimitSimulation = {
 	readonly daemons: number;
@@ -253,6 +254,24 @@
 		return [...first.filter(own => settle(own, now)), ...leads.slice(start), ...leads.slice(0, start)].slice(0, maxOffers);
 	};
 
+	const offerCost = (offers: readonly Daemon[], {cost, usable}: {readonly cost: number; readonly usable: number}, now: number): boolean => {
+		const pay = ({keeper}: Daemon, amount: number, isFirstAsked: boolean) => decidePayment(keeper, {
+			account, cost: amount, usable, expectedKeepers: keeperCount, isFirstAsked,
+		}, toClock(now));
+		const rooms: number[] = [];
+		for (const [index, daemon] of offers.entries()) {
+			const {isGranted, room} = pay(daemon, cost, index === 0);
+			if (isGranted) {
+				return true;
+			}
+
+			rooms.push(room);
+		}
+
+		const amounts = splitCost(cost, rooms);
+		return amounts?.every((amount, index) => amount === 0 || pay(offers[index]!, amount, false).isGranted) ?? false;
+	};
+
 	/** Calls that wait for a keeper that grants, as after a restart of all. */
 	let waiting: Array<() => boolean> = [];
 
@@ -274,9 +293,7 @@
 				return false;
 			}
 
-			const isAdmitted = offers.some(({keeper}, index) => decidePayment(keeper, {
-				account, cost, usable, expectedKeepers: keeperCount, isFirstAsked: index === 0,
-			}, toClock(now)).isGranted);
+			const isAdmitted = offerCost(offers, {cost, usable}, now);
 			calls.push({
 				at: now, cost, rank, isAdmitted,
 			});
--- a/packages/gateway/src/quotas/grant-cost.ts
+++ b/packages/gateway/src/quotas/grant-cost.ts
@@ -17,6 +17,8 @@
 	rank: z.number(),
 	/** Whether no other keeper was asked before. */
 	isFirstAsked: z.boolean(),
+	/** Cost units to grant, if several keepers pay for the call together. Otherwise its whole cost. */
+	amount: z.number().positive().optional(),
 });
 
 export type QuotaAsk = z.infer<typeof quotaAskSchema>;
@@ -100,7 +102,7 @@
 });
 
 /** Grants the cost of a call if this daemon's part of the limit has room for it. */
-export const grantCost = (gateway: GatewayState, {account, tokens, rank, isFirstAsked}: QuotaAsk): QuotaAnswer => {
+export const grantCost = (gateway: GatewayState, {account, tokens, rank, isFirstAsked, amount}: QuotaAsk): QuotaAnswer => {
 	const {quota: {keeper, expectedKeepers}, settings: {bounds}} = gateway;
 	const limit = gateway.configuration?.accountsByName.get(account)?.limit;
 	if (limit === undefined || !settle(gateway)) {
@@ -110,7 +112,7 @@
 	const cost = computeCost(limit, tokens);
 	const usable = computeUsable(limit, bounds, {cost, rank});
 	const decision = decidePayment(keeper, {
-		account, usable, cost, isFirstAsked, expectedKeepers, foreign: sumForeignSpending(gateway, account),
+		account, usable, cost: amount ?? cost, isFirstAsked, expectedKeepers, foreign: sumForeignSpending(gateway, account),
 	}, readKeeperClock(gateway.clocks));
 	return decision.isGranted ? {kind: 'granted'} : toAnswer(decision, {cost, usable, windowMs: bounds.quotaWindowMs});
 };
--- a/packages/gateway/src/quotas/take-quota.ts
+++ b/packages/gateway/src/quotas/take-quota.ts
@@ -3,6 +3,7 @@
 import {type Account} from '@shallotpass/core/calls/serving-configuration.js';
 import {type GossipMember} from '@shallotpass/core/gossip/pick-relays.js';
 import {listKeepersToAsk} from '@shallotpass/core/quotas/pick-keepers.js';
+import {splitCost} from '@shallotpass/core/quotas/split-cost.js';
 import {hashText} from '@shallotpass/core/routing/rank-by-rendezvous.js';
 import {type GatewayState} from '../gateway-state.js';
 import {
@@ -92,6 +93,34 @@
 	| {readonly kind: 'granted'; readonly keeper: string}
 	| Refused;
 
+/** A keeper that was asked, `undefined` for this daemon itself, and the room that it stated. */
+type AskedKeeper = {
+	readonly keeper: GossipMember | undefined;
+	readonly room: number;
+};
+
+/** Lets several keepers pay together for a call that is too large for each of them. */
+const offerParts = async (gateway: GatewayState, ask: QuotaAsk, cost: number, asked: readonly AskedKeeper[]): Promise<Offer | undefined> => {
+	const amounts = splitCost(cost, asked.map(({room}) => room));
+	const payers: string[] = [];
+	for (const [index, {keeper}] of amounts === undefined ? [] : asked.entries()) {
+		const amount = amounts![index]!;
+		if (amount === 0) {
+			continue;
+		}
+
+		const part = {...ask, isFirstAsked: false, amount};
+		const answer = keeper === undefined ? grantCost(gateway, part) : await askKeeper(gateway, keeper, part, amount); // eslint-disable-line no-await-in-loop -- if one refuses, the others need not pay
+		if (answer.kind !== 'granted') {
+			return undefined;
+		}
+
+		payers.push(keeper?.id ?? gateway.settings.instance.id);
+	}
+
+	return payers.length > 0 ? {kind: 'granted', keeper: payers.join(' ')} : undefined;
+};
+
 /** Offers the call to this daemon's own part, then to other keepers. Returns undefined if no keeper could be asked. */
 const offer = async (gateway: GatewayState, ask: QuotaAsk, cost: number): Promise<Offer | undefined> => {
 	let best: Refused | undefined;
@@ -102,17 +131,22 @@
 
 	let isFirstAsked = own.kind === 'unfit';
 	best = own.kind === 'refused' ? own : undefined;
+	const asked: AskedKeeper[] = own.kind === 'refused' ? [{keeper: undefined, room: own.room}] : [];
 	for (const keeper of listOthers(gateway).slice(0, maxOffers - Number(own.kind === 'refused'))) {
 		const answer = await askKeeper(gateway, keeper, {...ask, isFirstAsked}, cost); // eslint-disable-line no-await-in-loop -- one after the other, as the first usually grants
 		if (answer.kind === 'granted') {
 			return {kind: 'granted', keeper: keeper.id};
 		}
 
+		if (answer.kind === 'refused') {
+			asked.push({keeper, room: answer.room});
+		}
+
 		isFirstAsked &&= answer.kind === 'unfit';
 		best = answer.kind === 'refused' && (best === undefined || answer.waitMs < best.waitMs) ? answer : best;
 	}
 
-	return best;
+	return await offerParts(gateway, ask, cost, asked) ?? best;
 };
 
 const refuseOverLimit = (gateway: GatewayState, account: string, {id}: QuotaCall, refused: Refused): QuotaRefusal => {
