Count what a killed keeper may have granted after its last report, in the ledger

Causes: what a killed keeper granted after its last report (up to 8 runs) was reserved by each keeper for itself, so keepers that started later knew nothing of it, while the others reserved up to a third of the limit for nine; a restarted daemon's earlier address stayed a member, so nine daemons became more than twelve; ended incarnations were taken for keepers that are still expected. Now the loss is counted once, at most what was asked of the keeper in four reports, under its incarnation in the slot after its last report, and is told with the ledger. A daemon has one address. spending_fell no longer counts what leaves the oldest slot.

--- a/packages/core/src/quotas/decide-payment.ts
+++ b/packages/core/src/quotas/decide-payment.ts
@@ -6,6 +6,7 @@
 import {
 	findConfirmedUntil, type KeeperClock, type KeeperState, listHeardPeers,
 } from './keeper-state.js';
+import {countLosses} from './count-losses.js';
 import {type ReserveInput, sumReserves, updateReserves} from './keeper-reserves.js';
 import {computeShares, recordAsked} from './keeper-shares.js';
 import {makeSpending, recordSpent} from './spending.js';
@@ -25,6 +26,8 @@
 };
 
 export type StandingInput = ReserveInput & {
+	/** The same for calls of any kind. */
+	readonly maxUsable: number;
 	/** Spending known from daemons that are no keepers, as those of earlier versions. */
 	readonly foreign?: number;
 };
@@ -60,6 +63,7 @@
 	}
 
 	updateReserves(keeper, clock);
+	countLosses(keeper, account, input.maxUsable, clock);
 	const standing = computeStanding(keeper, input, clock);
 	const isGranted = cost <= standing.room;
 	if (isGranted) {
--- a/packages/core/src/quotas/exchange-keeper-reports.ts
+++ b/packages/core/src/quotas/exchange-keeper-reports.ts
@@ -56,7 +56,7 @@
 };
 
 const makePeer = ({id, incarnation, address, availabilityZone}: KeeperReport): KeeperPeer => ({
-	id, incarnation, address, availabilityZone, receivedAt: 0, madeAt: Number.NEGATIVE_INFINITY, isSettled: false, hasLeft: false, isReplaced: false, heardOwn: undefined, hears: [], heardUntil: Number.NEGATIVE_INFINITY, spent: new Map(), claim: {weight: 0, demands: {}}, reserves: undefined,
+	id, incarnation, address, availabilityZone, receivedAt: 0, madeAt: Number.NEGATIVE_INFINITY, isSettled: false, hasLeft: false, isReplaced: false, lossCounted: new Set(), heardOwn: undefined, hears: [], heardUntil: Number.NEGATIVE_INFINITY, spent: new Map(), claim: {weight: 0, demands: {}}, reserves: undefined,
 });
 
 /** Takes over what the peer says about itself, unless a later report has arrived before. */
--- a/packages/core/src/quotas/keeper-reserves.ts
+++ b/packages/core/src/quotas/keeper-reserves.ts
@@ -1,6 +1,6 @@
 /**
  * Reserves: what a keeper leaves to others that it no longer hears. One that is cut off goes on granting its part, and the rest grants
- * theirs, so that both together keep the limit without a word. One that has ended may have granted something after its last report.
+ * theirs, so that both together keep the limit without a word.
  */
 import {
 	goneAfterMs, isHeard, type KeeperClock, type KeeperPeer, type KeeperState, type Reserve,
@@ -9,9 +9,9 @@
 import {collectKnownTo} from './known-spending.js';
 import {sumAmounts} from './slot-amounts.js';
 
-/** Whether something is left to a peer: it is not heard and may still grant, or may have granted something before it was replaced. */
-export const isSilent = (peer: KeeperPeer, windowMs: number, clock: KeeperClock): boolean =>
-	!isHeard(peer, clock) && !peer.hasLeft && peer.receivedAt >= clock.steady - (peer.isReplaced ? windowMs : goneAfterMs);
+/** Whether something is left to a peer: it is not heard and may still grant. */
+export const isSilent = (peer: KeeperPeer, clock: KeeperClock): boolean =>
+	!isHeard(peer, clock) && !peer.hasLeft && !peer.isReplaced && peer.receivedAt >= clock.steady - goneAfterMs;
 
 /** Stands for all accounts of which nothing was asked when the peer fell silent. */
 const otherAccounts = '';
@@ -32,13 +32,12 @@
 const computeReserves = (keeper: KeeperState, account: string, newlySilent: readonly KeeperPeer[], clock: KeeperClock): Map<KeeperPeer, Reserve> => {
 	const peers = [...keeper.peers.values()];
 	const {own, byPeer} = computeShares(keeper, account, peers.filter(peer => newlySilent.includes(peer) || isHeard(peer, clock)));
-	const left = 1 - sumShares(peers.filter(peer => isSilent(peer, keeper.windowMs, clock)).map(({reserves}) => reserves?.get(account)?.share ?? 0));
+	const left = 1 - sumShares(peers.filter(peer => isSilent(peer, clock)).map(({reserves}) => reserves?.get(account)?.share ?? 0));
 	// A part that is not certain to be anybody's may be in use by those that are cut off.
 	const uncertain = Math.max(0, 1 - own - sumShares(byPeer.values()));
-	const cutOff = newlySilent.filter(({isReplaced}) => !isReplaced).length;
 	return new Map(newlySilent.map(peer => {
-		const claimed = byPeer.get(peer.incarnation) ?? 0;
-		return [peer, {share: (claimed + (peer.isReplaced ? 0 : uncertain / cutOff)) * left, known: collectKnownTo(keeper, account, peer, clock), madeAt: peer.madeAt}];
+		const share = (byPeer.get(peer.incarnation) ?? 0) + (uncertain / newlySilent.length);
+		return [peer, {share: share * left, known: collectKnownTo(keeper, account, peer, clock)}];
 	}));
 };
 
@@ -49,7 +48,7 @@
 		peer.reserves = undefined;
 	}
 
-	const newlySilent = peers.filter(peer => peer.reserves === undefined && isSilent(peer, keeper.windowMs, clock));
+	const newlySilent = peers.filter(peer => peer.reserves === undefined && isSilent(peer, clock));
 	const reserves = new Map(newlySilent.map(peer => [peer, new Map<string, Reserve>()]));
 	for (const account of newlySilent.length > 0 ? listAccounts(keeper) : []) {
 		for (const [peer, reserve] of computeReserves(keeper, account, newlySilent, clock)) {
@@ -77,14 +76,13 @@
 export const sumReserves = (keeper: KeeperState, {account, usable, expectedKeepers}: ReserveInput, clock: KeeperClock): number => {
 	const peers = [...keeper.peers.values()];
 	let sum = 0;
-	for (const peer of peers.filter(peer => isSilent(peer, keeper.windowMs, clock))) {
+	for (const peer of peers.filter(peer => isSilent(peer, clock))) {
 		const reserve = peer.reserves?.get(account) ?? peer.reserves?.get(otherAccounts);
 		if (reserve !== undefined) {
-			const knownSpending = sumAmounts(reserve.known, peer.isReplaced ? reserve.madeAt : clock.trueTime, keeper.windowMs);
-			sum += reserve.share * Math.max(0, usable - knownSpending);
+			sum += reserve.share * Math.max(0, usable - sumAmounts(reserve.known, clock.trueTime, keeper.windowMs));
 		}
 	}
 
-	const neverHeard = clock.steady < keeper.startedAt + expectOthersMs ? Math.max(0, expectedKeepers - 1 - peers.length) : 0;
+	const neverHeard = clock.steady < keeper.startedAt + expectOthersMs ? Math.max(0, expectedKeepers - 1 - peers.filter(({hasLeft, isReplaced}) => !hasLeft && !isReplaced).length) : 0;
 	return sum + (usable * neverHeard / Math.max(1, expectedKeepers));
 };
--- a/packages/core/src/quotas/keeper-state.ts
+++ b/packages/core/src/quotas/keeper-state.ts
@@ -14,9 +14,8 @@
 export type Reserve = {
 	/** Part of what was left of the limit when it was last heard. */
 	readonly share: number;
-	/** Spending that it knew then for certain, and the true time at which it was last heard. */
+	/** Spending that it knew then for certain. */
 	readonly known: SlotAmounts;
-	readonly madeAt: number;
 };
 
 /** What a keeper reports of itself, by which the limits are divided. */
@@ -45,8 +44,10 @@
 	isSettled: boolean;
 	/** Whether it ended with a last report, so that everything that it granted is known. */
 	hasLeft: boolean;
-	/** Whether another incarnation of the daemon has been heard. */
+	/** Whether another incarnation of the daemon has been heard, so that this one has ended. */
 	isReplaced: boolean;
+	/** Accounts for which it is counted what it may have granted after its last report. */
+	readonly lossCounted: Set<string>;
 	/** `madeAt` of the last report of this keeper that it has received. Undefined if none. */
 	heardOwn: number | undefined;
 	/** Incarnations that it hears. */
--- a/packages/core/src/testing/simulate-limit.ts
+++ b/packages/core/src/testing/simulate-limit.ts
@@ -1,6 +1,7 @@
 /** Simulates the calls of one client account to several daemons that share its rate limit, in virtual time. */
 import {type AccountLimit} from '../calls/serving-configuration.js';
 import {computeMaxUsable, computeUsable, type LimitBounds} from '../quotas/compute-ceiling.js';
+import {countLosses} from '../quotas/count-losses.js';
 import {decidePayment} from '../quotas/decide-payment.js';
 import {dropExpiredSpending, makeKeeperReport, mergeKeeperReport} from '../quotas/exchange-keeper-reports.js';
 import {type KeeperReport} from '../quotas/keeper-report.js';
@@ -223,6 +224,7 @@
 			settle(daemon, now);
 			dropExpiredSpending(daemon.keeper, toClock(now));
 			updateReserves(daemon.keeper, toClock(now));
+			countLosses(daemon.keeper, account, computeMaxUsable(limit, bounds), toClock(now));
 			sendReport(daemon, now);
 			daemon.nextReportAt = now + keeperReportIntervalMs;
 		}
@@ -256,7 +258,7 @@
 
 	const offerCost = (offers: readonly Daemon[], {cost, usable}: {readonly cost: number; readonly usable: number}, now: number): boolean => {
 		const pay = ({keeper}: Daemon, amount: number, isFirstAsked: boolean) => decidePayment(keeper, {
-			account, cost: amount, usable, expectedKeepers: keeperCount, isFirstAsked,
+			account, cost: amount, usable, maxUsable: computeMaxUsable(limit, bounds), expectedKeepers: keeperCount, isFirstAsked,
 		}, toClock(now));
 		const rooms: number[] = [];
 		for (const [index, daemon] of offers.entries()) {
--- a/packages/gateway/src/peers/gossip.ts
+++ b/packages/gateway/src/peers/gossip.ts
@@ -73,8 +73,22 @@
 	let hasHeardAgain = false;
 	const now = (): number => gateway.clocks.steady();
 
+	/** Removes other addresses of the daemon, at which it ran before. */
+	const removeEarlierAddresses = ({id, address}: GossipMember): void => {
+		for (const member of members.values()) {
+			if (member.id === id && member.address !== address) {
+				members.delete(member.address);
+				unconfirmed.delete(member.address);
+			}
+		}
+	};
+
+	/** Whether the daemon is heard at another address than that of the member, which is then an earlier one. */
+	const isHeardElsewhere = ({id, address}: GossipMember): boolean =>
+		id === selfId || [...gateway.peers.values()].some(peer => peer.id === id && !isSum(peer) && peer.address !== address && peer.receivedAt >= now() - peerExpiryMs);
+
 	const addMember = (member: GossipMember): void => {
-		if (member.address === self.address) {
+		if (member.address === self.address || isHeardElsewhere(member)) {
 			return;
 		}
 
@@ -125,9 +139,14 @@
 
 		hasNewLoads ||= isSum(report) || !needsRelays(members.size);
 		unconfirmed.delete(report.address);
-		members.set(report.address, {
+		const member: GossipMember = {
 			id: report.id, address: report.address, availabilityZone: report.availabilityZone, linkMbps: report.linkMbps, takesCalls: report.peerCalls !== undefined, keepsQuotas: report.keepsQuotas,
-		});
+		};
+		members.set(report.address, member);
+		if (!isSum(report)) {
+			removeEarlierAddresses(member);
+		}
+
 		for (const [digest, incarnations] of Object.entries(report.crashes)) {
 			for (const incarnation of incarnations) {
 				gateway.crashes = recordCrash(gateway.crashes, digest, incarnation, now());
--- a/packages/gateway/src/quotas/grant-cost.ts
+++ b/packages/gateway/src/quotas/grant-cost.ts
@@ -1,6 +1,6 @@
 /** Grants the cost of a call as a keeper of its account's limit, for this daemon's own calls and those of others. */
 import {type AccountLimit} from '@shallotpass/core/calls/serving-configuration.js';
-import {computeUsable} from '@shallotpass/core/quotas/compute-ceiling.js';
+import {computeMaxUsable, computeUsable} from '@shallotpass/core/quotas/compute-ceiling.js';
 import {decidePayment, type Standing} from '@shallotpass/core/quotas/decide-payment.js';
 import {estimateWait} from '@shallotpass/core/quotas/estimate-wait.js';
 import {sumSlots} from '@shallotpass/core/quotas/spending.js';
@@ -112,7 +112,7 @@
 	const cost = computeCost(limit, tokens);
 	const usable = computeUsable(limit, bounds, {cost, rank});
 	const decision = decidePayment(keeper, {
-		account, usable, cost: amount ?? cost, isFirstAsked, expectedKeepers, foreign: sumForeignSpending(gateway, account),
+		account, usable, maxUsable: computeMaxUsable(limit, bounds), cost: amount ?? cost, isFirstAsked, expectedKeepers, foreign: sumForeignSpending(gateway, account),
 	}, readKeeperClock(gateway.clocks));
 	return decision.isGranted ? {kind: 'granted'} : toAnswer(decision, {cost, usable, windowMs: bounds.quotaWindowMs});
 };
--- a/packages/gateway/src/quotas/watch-spending.ts
+++ b/packages/gateway/src/quotas/watch-spending.ts
@@ -3,10 +3,13 @@
  * than the window. If it falls otherwise, spending is forgotten and accounts get more than their limit.
  */
 import {computeMaxUsable} from '@shallotpass/core/quotas/compute-ceiling.js';
+import {countLosses} from '@shallotpass/core/quotas/count-losses.js';
 import {computeStanding} from '@shallotpass/core/quotas/decide-payment.js';
 import {isHeard} from '@shallotpass/core/quotas/keeper-state.js';
 import {collectKnown, sumOwn} from '@shallotpass/core/quotas/known-spending.js';
-import {dropExpiredSlots, type SlotAmounts, sumAmounts} from '@shallotpass/core/quotas/slot-amounts.js';
+import {
+	dropExpiredSlots, type SlotAmounts, slotsPerWindow, sumAmounts,
+} from '@shallotpass/core/quotas/slot-amounts.js';
 import {type GatewayState} from '../gateway-state.js';
 import {readKeeperClock} from './quota-state.js';
 
@@ -41,10 +44,12 @@
 	const check = (account: string, usable: number): void => {
 		const {keeper} = gateway.quota;
 		const clock = readKeeperClock(gateway.clocks);
+		countLosses(keeper, account, usable, clock);
 		const amounts = collectKnown(keeper, account, clock);
 		const known = sumAmounts(amounts, clock.trueTime, keeper.windowMs);
 		const before: SlotAmounts = new Map(knownBefore.get(account));
-		dropExpiredSlots(before, clock.trueTime, keeper.windowMs);
+		// What this keeper granted leaves its slot one by one.
+		dropExpiredSlots(before, clock.trueTime + (keeper.windowMs / slotsPerWindow), keeper.windowMs);
 		const fell = sumFalls(before, amounts);
 		knownBefore.set(account, amounts);
 		const peers = [...keeper.peers.values()];
@@ -54,7 +59,9 @@
 			return;
 		}
 
-		const standing = computeStanding(keeper, {account, usable, expectedKeepers: peers.length + 1}, clock);
+		const standing = computeStanding(keeper, {
+			account, usable, maxUsable: usable, expectedKeepers: gateway.quota.expectedKeepers,
+		}, clock);
 		const figures = {
 			account,
 			known: Math.round(known),
