Keep the places of silent keepers, and take no part of keepers that were never heard

Causes: beyond twelve daemons a daemon judged keepers by reports that it gets only as a keeper itself, so others looked silent; under lost datagrams it replaced them, formed a group of two, which the others never heard, and both groups granted the whole limit for good. At its start each daemon knew only itself and granted alone.

--- a/packages/core/src/quotas/keeper-reserves.ts
+++ b/packages/core/src/quotas/keeper-reserves.ts
@@ -61,28 +61,23 @@
 	}
 };
 
-/** A keeper that never heard others which it expects leaves them their parts for this time after its start. */
-const expectOthersMs = 10_000;
-
 export type ReserveInput = {
 	readonly account: string;
 	/** Maximum that all daemons together may grant within the window. */
 	readonly usable: number;
-	/** Number of keepers that are to be expected, including this one. */
-	readonly expectedKeepers: number;
+	/** Part of the limit that belongs to keepers which were never heard. */
+	readonly unheardShare: number;
 };
 
 /** Sums what is left to keepers that are not heard. */
-export const sumReserves = (keeper: KeeperState, {account, usable, expectedKeepers}: ReserveInput, clock: KeeperClock): number => {
-	const peers = [...keeper.peers.values()];
-	let sum = 0;
-	for (const peer of peers.filter(peer => isSilent(peer, clock))) {
-		const reserve = peer.reserves?.get(account) ?? peer.reserves?.get(otherAccounts);
+export const sumReserves = (keeper: KeeperState, {account, usable, unheardShare}: ReserveInput, clock: KeeperClock): number => {
+	let sum = usable * unheardShare;
+	for (const peer of keeper.peers.values()) {
+		const reserve = isSilent(peer, clock) ? peer.reserves?.get(account) ?? peer.reserves?.get(otherAccounts) : undefined;
 		if (reserve !== undefined) {
 			sum += reserve.share * Math.max(0, usable - sumAmounts(reserve.known, clock.trueTime, keeper.windowMs));
 		}
 	}
 
-	const neverHeard = clock.steady < keeper.startedAt + expectOthersMs ? Math.max(0, expectedKeepers - 1 - peers.filter(({hasLeft, isReplaced}) => !hasLeft && !isReplaced).length) : 0;
-	return sum + (usable * neverHeard / Math.max(1, expectedKeepers));
+	return sum;
 };
--- a/packages/core/src/quotas/pick-keepers.ts
+++ b/packages/core/src/quotas/pick-keepers.ts
@@ -1,5 +1,6 @@
 /** Selects the daemons that keep the limits of client accounts. All daemons select the same ones without coordination, but for moments in which they know different members. */
 import {type GossipMember, needsRelays, rankByBandwidth} from '../gossip/pick-relays.js';
+import {leadWeight} from './keeper-state.js';
 
 export type Keepers = {
 	/** Keepers that grant most. */
@@ -11,15 +12,15 @@
 /** Leads of all zones together, at least. One of them may end. */
 const minLeads = 3;
 
-export const pickKeepers = (members: readonly GossipMember[], isAlive: (address: string) => boolean): Keepers => {
+/** Picks from the members that have not gone. Those that are merely silent keep their places, so that two groups that do not hear each other do not both replace the other's keepers. */
+export const pickKeepers = (members: readonly GossipMember[]): Keepers => {
 	const zones = [...new Set(members.map(({availabilityZone}) => availabilityZone))];
 	const leadsPerZone = Math.ceil(minLeads / Math.max(1, zones.length));
 	const areAllKeepers = !needsRelays(members.length);
 	const leads: GossipMember[] = [];
 	const others: GossipMember[] = [];
 	for (const zone of zones) {
-		const alive = members.filter(({availabilityZone, address}) => availabilityZone === zone && isAlive(address));
-		const ranked = alive.length === 0 ? [] : rankByBandwidth(`limits ${zone}`, alive);
+		const ranked = rankByBandwidth(`limits ${zone}`, members.filter(({availabilityZone}) => availabilityZone === zone));
 		leads.push(...ranked.slice(0, leadsPerZone));
 		others.push(...ranked.slice(leadsPerZone, areAllKeepers ? undefined : leadsPerZone + 1));
 	}
@@ -27,6 +28,23 @@
 	return {leads, others};
 };
 
+/** Picks the leads from the keepers that are heard: a keeper of a zone whose lead is silent takes its place. */
+export const pickActiveLeads = ({leads, others}: Keepers, isActive: (address: string) => boolean): GossipMember[] => {
+	const all = [...leads, ...others];
+	const zones = [...new Set(all.map(({availabilityZone}) => availabilityZone))];
+	return zones.flatMap(zone => {
+		const inZone = all.filter(({availabilityZone, address}) => availabilityZone === zone && isActive(address));
+		return inZone.slice(0, leads.filter(({availabilityZone}) => availabilityZone === zone).length);
+	});
+};
+
+/** Computes the part of the limit that belongs to keepers which were never heard. */
+export const computeUnheardShare = ({leads, others}: Keepers, wasHeard: (address: string) => boolean): number => {
+	const countUnheard = (keepers: readonly GossipMember[]): number => keepers.filter(({address}) => !wasHeard(address)).length;
+	const unheard = (countUnheard(leads) * leadWeight) + countUnheard(others);
+	return unheard / Math.max(1, (leads.length * leadWeight) + others.length);
+};
+
 export type KeeperOrder = {
 	/** The daemon that asks. */
 	readonly self: GossipMember;
--- a/packages/core/src/quotas/quotas.test.ts
+++ b/packages/core/src/quotas/quotas.test.ts
@@ -186,7 +186,7 @@
 	const [keeper] = makeKeepers(1);
 	report(keeper!, 0);
 	const input = {
-		account: 'shop', usable: 1000, maxUsable: 1000, expectedKeepers: 1, isFirstAsked: true,
+		account: 'shop', usable: 1000, maxUsable: 1000, unheardShare: 0, isFirstAsked: true,
 	};
 	assert.equal(decidePayment(keeper!, {...input, cost: 1001}, toClock(0)).isGranted, false);
 	assert.equal(decidePayment(keeper!, {...input, cost: 1000}, toClock(0)).isGranted, true);
@@ -230,7 +230,7 @@
 	}
 
 	const getRoom = (keeper: KeeperState) => computeStanding(keeper, {
-		account: 'shop', usable: 900, maxUsable: 900, expectedKeepers: 3,
+		account: 'shop', usable: 900, maxUsable: 900, unheardShare: 0,
 	}, toClock(3000));
 	recordAsked(keepers[0]!, 'shop', 1, toClock(3000));
 	const both = [keepers[0]!, keepers[1]!].map(keeper => getRoom(keeper).room);
--- a/packages/gateway/src/quotas/grant-cost.ts
+++ b/packages/gateway/src/quotas/grant-cost.ts
@@ -64,7 +64,7 @@
 /** Settles this daemon as a keeper if it can. Returns whether it may grant. */
 export const settle = (gateway: GatewayState): boolean => {
 	const {quota, clocks, settings} = gateway;
-	const {keeper, expectedKeepers} = quota;
+	const {keeper, hasOtherKeepers} = quota;
 	const clock = readKeeperClock(clocks);
 	if (!quota.isKeeper || !gateway.isSpendingLoaded) {
 		return false;
@@ -80,7 +80,7 @@
 	const {inherited} = gateway;
 	const isSettled = trySettle(keeper, {
 		record: isFirstTime ? inherited : undefined,
-		hasOthers: expectedKeepers > 1,
+		hasOthers: hasOtherKeepers,
 	}, clock);
 	if (isSettled && !wasSettled) {
 		gateway.log.write('state', 'quotas_settled', {keepers: keeper.peers.size + 1, tookMs: Math.round(clock.trueTime - keeper.unsettledSince), hasRecord: keeper.departed.has('record')});
@@ -103,7 +103,7 @@
 
 /** Grants the cost of a call if this daemon's part of the limit has room for it. */
 export const grantCost = (gateway: GatewayState, {account, tokens, rank, isFirstAsked, amount}: QuotaAsk): QuotaAnswer => {
-	const {quota: {keeper, expectedKeepers}, settings: {bounds}} = gateway;
+	const {quota: {keeper, unheardShare}, settings: {bounds}} = gateway;
 	const limit = gateway.configuration?.accountsByName.get(account)?.limit;
 	if (limit === undefined || !settle(gateway)) {
 		return {kind: 'unfit'};
@@ -112,7 +112,7 @@
 	const cost = computeCost(limit, tokens);
 	const usable = computeUsable(limit, bounds, {cost, rank});
 	const decision = decidePayment(keeper, {
-		account, usable, maxUsable: computeMaxUsable(limit, bounds), cost: amount ?? cost, isFirstAsked, expectedKeepers, foreign: sumForeignSpending(gateway, account),
+		account, usable, maxUsable: computeMaxUsable(limit, bounds), cost: amount ?? cost, isFirstAsked, unheardShare, foreign: sumForeignSpending(gateway, account),
 	}, readKeeperClock(gateway.clocks));
 	return decision.isGranted ? {kind: 'granted'} : toAnswer(decision, {cost, usable, windowMs: bounds.quotaWindowMs});
 };
--- a/packages/gateway/src/quotas/keeper-exchange.ts
+++ b/packages/gateway/src/quotas/keeper-exchange.ts
@@ -2,14 +2,16 @@
  * Exchanges reports with the other keepers of account limits, and answers daemons that ask for the cost of a call. Up to the number
  * of daemons that report directly to each other all of them are keepers; beyond it two of each zone are.
  */
-import {type GossipMember, needsRelays} from '@shallotpass/core/gossip/pick-relays.js';
+import {type GossipMember} from '@shallotpass/core/gossip/pick-relays.js';
 import {dropExpiredSpending, makeKeeperReport, mergeKeeperReport} from '@shallotpass/core/quotas/exchange-keeper-reports.js';
 import {keeperReportSchema} from '@shallotpass/core/quotas/keeper-report.js';
 import {updateReserves} from '@shallotpass/core/quotas/keeper-reserves.js';
-import {isHeard, keeperReportIntervalMs, leadWeight} from '@shallotpass/core/quotas/keeper-state.js';
-import {pickKeepers} from '@shallotpass/core/quotas/pick-keepers.js';
+import {
+	goneAfterMs, isHeard, type KeeperPeer, keeperReportIntervalMs, leadWeight,
+} from '@shallotpass/core/quotas/keeper-state.js';
+import {computeUnheardShare, pickActiveLeads, pickKeepers} from '@shallotpass/core/quotas/pick-keepers.js';
 import {unsettle} from '@shallotpass/core/quotas/settle-keeper.js';
-import {type GatewayState, peerExpiryMs} from '../gateway-state.js';
+import {type GatewayState} from '../gateway-state.js';
 import {type Datagrams} from '../peers/datagrams.js';
 import {grantCost, quotaAskSchema, settle} from './grant-cost.js';
 import {readKeeperClock} from './quota-state.js';
@@ -21,9 +23,6 @@
 /** Time until a keeper has answered. A busy one takes some ten milliseconds. */
 const askTimeoutMs = 120;
 
-/** A member that is expected as a keeper and was not heard for this long is taken for ended. */
-const expectKeeperMs = 3000;
-
 export type KeeperExchangeOptions = {
 	readonly gateway: GatewayState;
 	readonly datagrams: Datagrams;
@@ -36,54 +35,45 @@
 	const {quota, clocks} = gateway;
 	const {keeper} = quota;
 	const spendingWatch = makeSpendingWatch(gateway);
-	/** Since when members are expected as keepers, by address, on the steady clock. */
-	const expectedSince = new Map<string, number>();
+	/** When members were first known, by address, on the steady clock. */
+	const knownSince = new Map<string, number>();
 	/** When this daemon last was a keeper. Its spending then is reported until it has left the window. */
 	let keptAt = Number.NEGATIVE_INFINITY;
 	let disagreements = clocks.countDisagreements();
 
-	const isHeardDirectly = (address: string): boolean => {
-		const since = clocks.steady() - peerExpiryMs;
-		return [...gateway.peers.values()].some(peer => peer.address === address && peer.keepsQuotas === true && peer.receivedAt >= since);
-	};
+	const listPeersAt = (address: string): KeeperPeer[] => [...keeper.peers.values()].filter(peer => peer.address === address);
 
-	/** Whether a member that has sent no report as a keeper may be one. */
-	const isExpected = ({address, keepsQuotas}: GossipMember, areAllKeepers: boolean): boolean => {
-		if (areAllKeepers) {
-			return isHeardDirectly(address);
-		}
+	const isHeardByGossip = (address: string): boolean => [...gateway.peers.values()].some(peer => peer.address === address);
 
-		const since = expectedSince.get(address) ?? clocks.steady();
-		expectedSince.set(address, since);
-		return keepsQuotas === true && (!quota.isKeeper || clocks.steady() < since + expectKeeperMs);
+	/** Whether a member that keeps no silence for a moment only: a keeper has not heard it, or it has left questions unanswered, for long. */
+	const hasGone = (address: string): boolean => {
+		const now = clocks.steady();
+		const since = knownSince.get(address) ?? now;
+		knownSince.set(address, since);
+		const unanswered = quota.unanswered.get(address);
+		const isUnanswered = unanswered !== undefined && unanswered.since < now - goneAfterMs;
+		const isUnheard = quota.isKeeper && listPeersAt(address).length === 0 && since < now - goneAfterMs;
+		return (isUnanswered || isUnheard) && !isHeardByGossip(address);
 	};
 
-	const isAlive = (member: GossipMember, areAllKeepers: boolean): boolean => {
-		if (member.address === self.address) {
-			return gateway.drainingSince === undefined;
-		}
+	const listMembers = (): GossipMember[] => gateway.listMembers().filter(({address, keepsQuotas}) => address === self.address || (keepsQuotas === true && !hasGone(address)));
 
-		if ((quota.avoidedUntil.get(member.address) ?? 0) > clocks.steady()) {
-			return false;
-		}
-
-		const known = [...keeper.peers.values()].filter(({address}) => address === member.address);
-		return known.length === 0 ? isExpected(member, areAllKeepers) : known.some(peer => isHeard(peer, readKeeperClock(clocks)));
-	};
+	const isActive = (address: string): boolean => address === self.address
+		? gateway.drainingSince === undefined
+		: listPeersAt(address).some(peer => isHeard(peer, readKeeperClock(clocks)));
 
 	const updateKeepers = (): void => {
-		const members = [...gateway.listMembers()];
-		const areAllKeepers = !needsRelays(members.length);
-		const aliveAddresses = new Set(members.filter(member => isAlive(member, areAllKeepers)).map(({address}) => address));
-		quota.keepers = pickKeepers(members, address => aliveAddresses.has(address));
-		const known = quota.keepers.leads.length + quota.keepers.others.length;
+		const members = listMembers();
+		quota.keepers = pickKeepers(members);
+		const {leads, others} = quota.keepers;
 		// Until the members are read from the store there may be others.
-		quota.expectedKeepers = Math.max(known, areAllKeepers ? members.length : 0, gateway.registeredDaemons === undefined ? 2 : 1);
-		const isLead = quota.keepers.leads.some(({address}) => address === self.address);
-		const isKeeper = isLead || quota.keepers.others.some(({address}) => address === self.address);
+		quota.hasOtherKeepers = leads.length + others.length > 1 || gateway.registeredDaemons === undefined;
+		quota.unheardShare = computeUnheardShare(quota.keepers, address => address === self.address || listPeersAt(address).length > 0);
+		const isKeeper = gateway.drainingSince === undefined && [...leads, ...others].some(({address}) => address === self.address);
+		const isLead = isKeeper && pickActiveLeads(quota.keepers, isActive).some(({address}) => address === self.address);
 		const weight = isLead ? leadWeight : Number(isKeeper);
 		if (weight !== keeper.weight || isKeeper !== quota.isKeeper) {
-			gateway.log.write('state', 'quota_keeper', {weight, leads: quota.keepers.leads.map(({id}) => id), others: quota.keepers.others.length});
+			gateway.log.write('state', 'quota_keeper', {weight, leads: leads.map(({id}) => id), others: others.length});
 		}
 
 		if (isKeeper && !quota.isKeeper) {
@@ -101,10 +91,10 @@
 		}
 
 		const report = {...makeKeeperReport(keeper, self, readKeeperClock(clocks)), isLeaving: !quota.isKeeper};
-		const keepers = [...quota.keepers.leads, ...quota.keepers.others];
 		const since = clocks.steady() - keeper.windowMs;
 		const heard = [...keeper.peers.values()].filter(({receivedAt, hasLeft}) => !hasLeft && receivedAt >= since);
-		const addresses = new Set([...keepers, ...heard].map(({address}) => address));
+		// Silent keepers get reports as well: after a cut, somebody has to be heard first.
+		const addresses = new Set([...quota.keepers.leads, ...quota.keepers.others, ...heard].map(({address}) => address));
 		addresses.delete(self.address);
 		for (const address of addresses) {
 			datagrams.notify(address, 'quota_report', report);
--- a/packages/gateway/src/quotas/quota-state.ts
+++ b/packages/gateway/src/quotas/quota-state.ts
@@ -11,14 +11,16 @@
 	readonly keeper: KeeperState;
 	/** The daemons that keep limits, as far as this one knows. Written by the keeper exchange. */
 	keepers: Keepers;
+	/** Part of the limits that belongs to keepers which this one never heard. Written by the keeper exchange. */
+	unheardShare: number;
 	/** Whether this daemon keeps limits. Written by the keeper exchange. */
 	isKeeper: boolean;
-	/** Number of keepers that are to be expected, including this one. Written by the keeper exchange. */
-	expectedKeepers: number;
+	/** Whether there may be other keepers. Written by the keeper exchange. */
+	hasOtherKeepers: boolean;
 	/** Keepers that do not answer, by address, with the time until which they are not asked, on the steady clock. Written by calls. */
 	readonly avoidedUntil: Map<string, number>;
-	/** How many questions in a row a keeper left unanswered, by address. Written by calls. */
-	readonly unanswered: Map<string, number>;
+	/** How many questions in a row a keeper left unanswered, and when it left the first one, by address. Written by calls. */
+	readonly unanswered: Map<string, {readonly count: number; readonly since: number}>;
 	/** Keepers that had no room, by account and address, with the answer and the time until which it holds. Written by calls. */
 	readonly refusals: Map<string, {readonly answer: QuotaAnswer & {readonly kind: 'refused'}; readonly until: number}>;
 	/** Asks the keepers; set by the keeper exchange. */
@@ -39,7 +41,8 @@
 	}),
 	keepers: {leads: [], others: []},
 	isKeeper: false,
-	expectedKeepers: 1,
+	unheardShare: 0,
+	hasOtherKeepers: true,
 	avoidedUntil: new Map(),
 	unanswered: new Map(),
 	refusals: new Map(),
--- a/packages/gateway/src/quotas/take-quota.ts
+++ b/packages/gateway/src/quotas/take-quota.ts
@@ -71,9 +71,9 @@
 		gateway.log.write('failure', 'quota_keeper_silent', {
 			keeper: keeper.id, address: keeper.address, account: ask.account, error: String(error),
 		});
-		const unanswered = (quota.unanswered.get(keeper.address) ?? 0) + 1;
-		quota.unanswered.set(keeper.address, unanswered);
-		quota.avoidedUntil.set(keeper.address, clocks.steady() + Math.min(maxAvoidSilentMs, avoidSilentMs * (2 ** (unanswered - 1))));
+		const {count, since} = quota.unanswered.get(keeper.address) ?? {count: 0, since: clocks.steady()};
+		quota.unanswered.set(keeper.address, {count: count + 1, since});
+		quota.avoidedUntil.set(keeper.address, clocks.steady() + Math.min(maxAvoidSilentMs, avoidSilentMs * (2 ** count)));
 		return {kind: 'unfit'};
 	}
 };
--- a/packages/gateway/src/quotas/watch-spending.ts
+++ b/packages/gateway/src/quotas/watch-spending.ts
@@ -60,7 +60,7 @@
 		}
 
 		const standing = computeStanding(keeper, {
-			account, usable, maxUsable: usable, expectedKeepers: gateway.quota.expectedKeepers,
+			account, usable, maxUsable: usable, unheardShare: gateway.quota.unheardShare,
 		}, clock);
 		const figures = {
 			account,
