--- a/packages/gateway/src/calls/retry-limits.test.ts
+++ b/packages/gateway/src/calls/retry-limits.test.ts
@@ -21,6 +21,7 @@
 	registeredDaemons,
 	peers: new Map(Array.from({length: heard}, (_value, index) => [String(index), heardPeer])),
 	allowances: new Map(),
+	daemonCounts: [],
 } as unknown as GatewayState);
 
 /** Retries until the daemon's allowance is used up. */
--- a/packages/gateway/src/gateway-state.ts
+++ b/packages/gateway/src/gateway-state.ts
@@ -6,6 +6,7 @@
 import {type RecordedSpending} from '@shallotpass/core/quotas/recorded-spending.js';
 import {type IndexedConfiguration} from '@shallotpass/core/calls/index-configuration.js';
 import {type WorkRate} from '@shallotpass/core/engines/work-rate.js';
+import {type DaemonCounts} from '@shallotpass/core/retries/sharing-daemons.js';
 import {type RetryAllowance} from '@shallotpass/core/retries/retry-allowance.js';
 import {type UsageTally} from '@shallotpass/core/usage/count-starts.js';
 import {type PathState} from '@shallotpass/core/paths/path-state.js';
@@ -94,6 +95,8 @@
 	readonly startedAt: number;
 	/** Retry allowances by service. Written by calls. */
 	readonly allowances: Map<string, RetryAllowance>;
+	/** Numbers of daemons within the window of the retry limit. Written by `countSharingDaemons`. */
+	daemonCounts: DaemonCounts;
 	/** Started calls by usage window and account. Written by calls. */
 	readonly usage: UsageTally;
 	/** Backend servers that crashed while running a request, by digest of the request. Written by calls and gossip. */
--- a/packages/gateway/src/start-gateway.ts
+++ b/packages/gateway/src/start-gateway.ts
@@ -88,6 +88,7 @@
 	isSpendingLoaded: false,
 	startedAt: performance.now(),
 	allowances: new Map(),
+	daemonCounts: [],
 	usage: new Map(),
 	crashes: emptyCrashRegister,
 	workRates: new Map(),
