Keep own claims as long as a peer may count them, and end no daemon by a late report

Found by reading. A peer that hears this keeper no longer, but is heard, confirms nothing; claims older than 3 s were dropped, though the peer may still count them. The first report of an incarnation that arrives late marked the one that had replaced it as ended; now the newest report of a daemon tells which of its incarnations runs (test).

--- a/packages/core/src/quotas/exchange-keeper-reports.ts
+++ b/packages/core/src/quotas/exchange-keeper-reports.ts
@@ -2,7 +2,7 @@
 import {type KeeperReport} from './keeper-report.js';
 import {collectOwn} from './known-spending.js';
 import {
-	goneAfterMs, isHeard, keepClaimsMs, type KeeperClock, type KeeperPeer, type KeeperState, listHeardPeers, type SpentByAccount,
+	goneAfterMs, isHeard, type KeeperClock, type KeeperPeer, type KeeperState, listHeardPeers, type SpentByAccount,
 } from './keeper-state.js';
 import {computeAsked} from './keeper-shares.js';
 import {
@@ -32,7 +32,7 @@
 	const unheard = [...keeper.peers].filter(([, peer]) => !isHeard(peer, clock)).map(([origin, {spent}]) => [origin, spent] as const);
 	const departed = [...unheard, ...keeper.departed].map(([origin, spent]) => [origin, encodeSpent(spent, windowMs, clock.trueTime)] as const);
 	const claim = {weight, demands: Object.fromEntries(Object.entries(accounts).map(([account, {demand}]) => [account, demand])), madeAt: clock.trueTime};
-	keeper.reported = [...keeper.reported.filter(({madeAt}) => madeAt >= clock.trueTime - keepClaimsMs), claim];
+	keeper.reported = [...keeper.reported.filter(({madeAt}) => madeAt >= clock.trueTime - goneAfterMs), claim];
 	keeper.reportedAt = clock.steady;
 	return {
 		id,
@@ -84,20 +84,23 @@
 	return spent;
 };
 
+/** Marks all incarnations of a daemon but the one with the newest report as ended. A late report of an ended one changes nothing. */
+const markReplaced = ({peers}: KeeperState, id: string): void => {
+	const lives = [...peers.values()].filter(peer => peer.id === id);
+	const newestAt = Math.max(...lives.map(({madeAt}) => madeAt));
+	for (const peer of lives) {
+		peer.isReplaced = peer.madeAt < newestAt;
+	}
+};
+
 /** Merges a report of another keeper. Returns whether the peer waits for an answer, as it has just started and has not heard this keeper. */
 export const mergeKeeperReport = (keeper: KeeperState, report: KeeperReport, clock: KeeperClock): boolean => {
 	if (report.incarnation === keeper.incarnation) {
 		return false;
 	}
 
-	const known = keeper.peers.get(report.incarnation);
-	const peer = known ?? makePeer(report);
+	const peer = keeper.peers.get(report.incarnation) ?? makePeer(report);
 	keeper.peers.set(report.incarnation, peer);
-	const earlier = known === undefined ? [...keeper.peers.values()].filter(other => other.id === report.id && other !== peer) : [];
-	for (const other of earlier) {
-		other.isReplaced = true;
-	}
-
 	// What was told of it before it was heard here.
 	for (const [account, amounts] of keeper.departed.get(report.incarnation) ?? []) {
 		peer.spent.set(account, amounts);
@@ -105,6 +108,7 @@
 
 	keeper.departed.delete(report.incarnation);
 	updatePeer(peer, report, keeper.incarnation, clock);
+	markReplaced(keeper, report.id);
 	const isDated = Math.abs(report.madeAt - clock.trueTime) <= maxClockDifferenceMs;
 	const newestSlot = toSlot(isDated ? report.madeAt : clock.trueTime, keeper.windowMs);
 	for (const [account, {spent}] of Object.entries(report.accounts)) {
--- a/packages/core/src/quotas/keeper-ledger.test.ts
+++ b/packages/core/src/quotas/keeper-ledger.test.ts
@@ -131,3 +131,16 @@
 	assert.equal(sum(10_600), 300 + 450);
 	assert.equal(sum(12_000), 300 + 900);
 });
+
+test('a late report of an ended incarnation does not end the one that replaced it', () => {
+	const watched = startKeeper(9, 1);
+	const first = startKeeper(1, 1);
+	const early = report(first, 1000);
+	const late = report(first, 1300);
+	const second = startKeeper(1, 2, 1500);
+	mergeKeeperReport(watched, early, toClock(1000));
+	mergeKeeperReport(watched, report(second, 1600), toClock(1600));
+	mergeKeeperReport(watched, late, toClock(1700));
+	const ended = [...watched.peers].map(([incarnation, {isReplaced}]) => [incarnation, isReplaced]);
+	assert.deepEqual(ended, [['d1-1', true], ['d1-2', false]]);
+});
--- a/packages/core/src/quotas/keeper-state.ts
+++ b/packages/core/src/quotas/keeper-state.ts
@@ -114,9 +114,6 @@
 /** A keeper that was not heard for this long may be cut off. Its part is left to it. */
 export const silentAfterMs = 1200;
 
-/** Own claims are kept for this time. Older ones are confirmed, or their peers are silent. */
-export const keepClaimsMs = 3000;
-
 /** A silent keeper is taken for ended after this time, and its part is used. */
 export const goneAfterMs = 40_000;
 
