Let a started keeper wait for those that it has never heard, instead of refusing by their parts

A keeper that had heard one of five others was settled, left the parts of the four to them, of the whole limit instead of what was left, and refused for want of room. Now it is settled when it has heard all that it expects, or after 1 s; their parts are of what is left; a call waits up to 0.8 s for a keeper that grants.

--- a/packages/core/src/quotas/keeper-reserves.ts
+++ b/packages/core/src/quotas/keeper-reserves.ts
@@ -6,7 +6,7 @@
 	goneAfterMs, isHeard, type KeeperClock, type KeeperPeer, type KeeperState, type Reserve,
 } from './keeper-state.js';
 import {computeShares} from './keeper-shares.js';
-import {collectKnownTo} from './known-spending.js';
+import {collectKnownTo, sumOthers} from './known-spending.js';
 import {sumAmounts} from './slot-amounts.js';
 
 /** Whether something is left to a peer: it is not heard and may still grant. */
@@ -71,7 +71,7 @@
 
 /** Sums what is left to keepers that are not heard. */
 export const sumReserves = (keeper: KeeperState, {account, usable, unheardShare}: ReserveInput, clock: KeeperClock): number => {
-	let sum = usable * unheardShare;
+	let sum = unheardShare * Math.max(0, usable - sumOthers(keeper, account, clock));
 	for (const peer of keeper.peers.values()) {
 		const reserve = isSilent(peer, clock) ? peer.reserves?.get(account) ?? peer.reserves?.get(otherAccounts) : undefined;
 		if (reserve !== undefined) {
--- a/packages/core/src/quotas/settle-keeper.ts
+++ b/packages/core/src/quotas/settle-keeper.ts
@@ -5,8 +5,8 @@
 import {type KeeperClock, type KeeperState, listHeardPeers} from './keeper-state.js';
 import {type RecordedSpending, readRecordedSlots} from './recorded-spending.js';
 
-/** A keeper that hears no other one for this time after its start grants its part alone. */
-const introductionMs = 1500;
+/** A keeper waits this long for others that it has never heard before it grants. */
+const introductionMs = 1000;
 
 /** A keeper that sent no report for this long has not run meanwhile. */
 const maxReportPauseMs = 1000;
@@ -35,18 +35,18 @@
 export type SettleInput = {
 	/** Spending that the store holds. It is needed only if no other keeper is settled. */
 	readonly record: RecordedSpending | undefined;
-	/** Whether there are other keepers. */
-	readonly hasOthers: boolean;
+	/** Whether there are other keepers that it has never heard. */
+	readonly hasUnheard: boolean;
 };
 
 /** Settles the keeper if all that it hears have heard it since. Returns whether it may grant. */
-export const trySettle = (keeper: KeeperState, {record, hasOthers}: SettleInput, clock: KeeperClock): boolean => {
+export const trySettle = (keeper: KeeperState, {record, hasUnheard}: SettleInput, clock: KeeperClock): boolean => {
 	if (keeper.isSettled) {
 		return true;
 	}
 
 	const heard = listHeardPeers(keeper, clock);
-	if (heard.length === 0 && hasOthers && clock.trueTime < keeper.unsettledSince + introductionMs) {
+	if (hasUnheard && clock.trueTime < keeper.unsettledSince + introductionMs) {
 		return false;
 	}
 
--- a/packages/core/src/testing/simulate-limit.ts
+++ b/packages/core/src/testing/simulate-limit.ts
@@ -211,12 +211,24 @@
 		messages = later;
 	};
 
+	const computeUnheard = ({id, peers}: KeeperState): number => {
+		const heard = new Set([id, ...[...peers.values()].map(peer => peer.id)]);
+		let unheard = 0;
+		let all = 0;
+		for (const {keeper} of keepers) {
+			unheard += heard.has(keeper.id) ? 0 : keeper.weight;
+			all += keeper.weight;
+		}
+
+		return unheard / all;
+	};
+
 	const settle = ({keeper}: Daemon, now: number): boolean => {
 		if (wasPaused(keeper, toClock(now))) {
 			unsettle(keeper, toClock(now));
 		}
 
-		return trySettle(keeper, {record: hasStopped ? record : undefined, hasOthers: keeperCount > 1}, toClock(now));
+		return trySettle(keeper, {record: hasStopped ? record : undefined, hasUnheard: computeUnheard(keeper) > 0}, toClock(now));
 	};
 
 	const runRound = (daemon: Daemon, now: number): void => {
@@ -256,18 +268,6 @@
 		return [...first.filter(own => settle(own, now)), ...leads.slice(start), ...leads.slice(0, start)].slice(0, maxOffers);
 	};
 
-	const computeUnheard = ({id, peers}: KeeperState): number => {
-		const heard = new Set([id, ...[...peers.values()].map(peer => peer.id)]);
-		let unheard = 0;
-		let all = 0;
-		for (const {keeper} of keepers) {
-			unheard += heard.has(keeper.id) ? 0 : keeper.weight;
-			all += keeper.weight;
-		}
-
-		return unheard / all;
-	};
-
 	const offerCost = (offers: readonly Daemon[], {cost, usable}: {readonly cost: number; readonly usable: number}, now: number): boolean => {
 		const pay = ({keeper}: Daemon, amount: number, isFirstAsked: boolean) => decidePayment(keeper, {
 			account, cost: amount, usable, maxUsable: computeMaxUsable(limit, bounds), unheardShare: computeUnheard(keeper), isFirstAsked,
--- a/packages/gateway/src/quotas/grant-cost.ts
+++ b/packages/gateway/src/quotas/grant-cost.ts
@@ -64,7 +64,7 @@
 /** Settles this daemon as a keeper if it can. Returns whether it may grant. */
 export const settle = (gateway: GatewayState): boolean => {
 	const {quota, clocks, settings} = gateway;
-	const {keeper, hasOtherKeepers} = quota;
+	const {keeper, hasUnheardKeepers} = quota;
 	const clock = readKeeperClock(clocks);
 	if (!quota.isKeeper || !gateway.isSpendingLoaded) {
 		return false;
@@ -80,7 +80,7 @@
 	const {inherited} = gateway;
 	const isSettled = trySettle(keeper, {
 		record: isFirstTime ? inherited : undefined,
-		hasOthers: hasOtherKeepers,
+		hasUnheard: hasUnheardKeepers,
 	}, clock);
 	if (isSettled && !wasSettled) {
 		gateway.log.write('state', 'quotas_settled', {keepers: keeper.peers.size + 1, tookMs: Math.round(clock.trueTime - keeper.unsettledSince), hasRecord: keeper.departed.has('record')});
--- a/packages/gateway/src/quotas/keeper-exchange.ts
+++ b/packages/gateway/src/quotas/keeper-exchange.ts
@@ -66,9 +66,9 @@
 		const members = listMembers();
 		quota.keepers = pickKeepers(members);
 		const {leads, others} = quota.keepers;
-		// Until the members are read from the store there may be others.
-		quota.hasOtherKeepers = leads.length + others.length > 1 || gateway.registeredDaemons === undefined;
 		quota.unheardShare = computeUnheardShare(quota.keepers, address => address === self.address || listPeersAt(address).length > 0);
+		// Until the members are read from the store there may be others.
+		quota.hasUnheardKeepers = quota.unheardShare > 0 || (gateway.registeredDaemons === undefined && keeper.peers.size === 0);
 		const isKeeper = gateway.drainingSince === undefined && [...leads, ...others].some(({address}) => address === self.address);
 		const isLead = isKeeper && pickActiveLeads(quota.keepers, isActive).some(({address}) => address === self.address);
 		const weight = isLead ? leadWeight : Number(isKeeper);
--- a/packages/gateway/src/quotas/quota-state.ts
+++ b/packages/gateway/src/quotas/quota-state.ts
@@ -15,8 +15,8 @@
 	unheardShare: number;
 	/** Whether this daemon keeps limits. Written by the keeper exchange. */
 	isKeeper: boolean;
-	/** Whether there may be other keepers. Written by the keeper exchange. */
-	hasOtherKeepers: boolean;
+	/** Whether there may be keepers which this one never heard. Written by the keeper exchange. */
+	hasUnheardKeepers: boolean;
 	/** Keepers that do not answer, by address, with the time until which they are not asked, on the steady clock. Written by calls. */
 	readonly avoidedUntil: Map<string, number>;
 	/** How many questions in a row a keeper left unanswered, and when it left the first one, by address. Written by calls. */
@@ -42,7 +42,7 @@
 	keepers: {leads: [], others: []},
 	isKeeper: false,
 	unheardShare: 0,
-	hasOtherKeepers: true,
+	hasUnheardKeepers: true,
 	avoidedUntil: new Map(),
 	unanswered: new Map(),
 	refusals: new Map(),
--- a/packages/gateway/src/quotas/take-quota.ts
+++ b/packages/gateway/src/quotas/take-quota.ts
@@ -22,7 +22,7 @@
 const keepRefusalMs = 100;
 
 /** When no keeper is ready, as after a restart of all, a call waits for one at most this long. */
-const maxWaitMs = 500;
+const maxWaitMs = 800;
 const waitPollMs = 25;
 
 /** Lower bound of Retry-After, in seconds. */
