Settle a started keeper with those that it hears, and report each 50 ms until then

Now a keeper is settled with those that it hears, leaves the unheard their parts of what is left, and within its first second refuses nothing for their sake while others are starting; reports come each 50 ms until then.

--- a/packages/core/src/quotas/settle-keeper.ts
+++ b/packages/core/src/quotas/settle-keeper.ts
@@ -5,9 +5,13 @@
 import {type KeeperClock, type KeeperState, listHeardPeers} from './keeper-state.js';
 import {type RecordedSpending, readRecordedSlots} from './recorded-spending.js';
 
-/** A keeper waits this long for others that it has never heard before it grants. */
+/** A keeper waits this long for others that it has never heard. */
 const introductionMs = 1000;
 
+/** Whether the keeper has started so lately that others may still be starting as well. Until then it refuses nothing for the sake of their parts. */
+export const isIntroducing = (keeper: KeeperState, hasUnheard: boolean, clock: KeeperClock): boolean =>
+	clock.trueTime < keeper.unsettledSince + introductionMs && (hasUnheard || listHeardPeers(keeper, clock).some(({isSettled}) => !isSettled));
+
 /** A keeper that sent no report for this long has not run meanwhile. */
 const maxReportPauseMs = 1000;
 
@@ -46,7 +50,7 @@
 	}
 
 	const heard = listHeardPeers(keeper, clock);
-	if (hasUnheard && clock.trueTime < keeper.unsettledSince + introductionMs) {
+	if (heard.length === 0 && isIntroducing(keeper, hasUnheard, clock)) {
 		return false;
 	}
 
--- a/packages/gateway/src/quotas/grant-cost.ts
+++ b/packages/gateway/src/quotas/grant-cost.ts
@@ -4,7 +4,9 @@
 import {decidePayment, type Standing} from '@shallotpass/core/quotas/decide-payment.js';
 import {estimateWait} from '@shallotpass/core/quotas/estimate-wait.js';
 import {sumSlots} from '@shallotpass/core/quotas/spending.js';
-import {trySettle, unsettle, wasPaused} from '@shallotpass/core/quotas/settle-keeper.js';
+import {
+	isIntroducing, trySettle, unsettle, wasPaused,
+} from '@shallotpass/core/quotas/settle-keeper.js';
 import * as z from 'zod';
 import {type GatewayState, peerExpiryMs} from '../gateway-state.js';
 import {readKeeperClock} from './quota-state.js';
@@ -103,7 +105,7 @@
 
 /** Grants the cost of a call if this daemon's part of the limit has room for it. */
 export const grantCost = (gateway: GatewayState, {account, tokens, rank, isFirstAsked, amount}: QuotaAsk): QuotaAnswer => {
-	const {quota: {keeper, unheardShare}, settings: {bounds}} = gateway;
+	const {quota: {keeper, unheardShare, hasUnheardKeepers}, settings: {bounds}} = gateway;
 	const limit = gateway.configuration?.accountsByName.get(account)?.limit;
 	if (limit === undefined || !settle(gateway)) {
 		return {kind: 'unfit'};
@@ -114,5 +116,11 @@
 	const decision = decidePayment(keeper, {
 		account, usable, maxUsable: computeMaxUsable(limit, bounds), cost: amount ?? cost, isFirstAsked, unheardShare, foreign: sumForeignSpending(gateway, account),
 	}, readKeeperClock(gateway.clocks));
-	return decision.isGranted ? {kind: 'granted'} : toAnswer(decision, {cost, usable, windowMs: bounds.quotaWindowMs});
+	if (decision.isGranted) {
+		return {kind: 'granted'};
+	}
+
+	return isIntroducing(keeper, hasUnheardKeepers, readKeeperClock(gateway.clocks))
+		? {kind: 'unfit'}
+		: toAnswer(decision, {cost, usable, windowMs: bounds.quotaWindowMs});
 };
--- a/packages/gateway/src/quotas/keeper-exchange.ts
+++ b/packages/gateway/src/quotas/keeper-exchange.ts
@@ -10,7 +10,7 @@
 	goneAfterMs, isHeard, type KeeperPeer, keeperReportIntervalMs, leadWeight,
 } from '@shallotpass/core/quotas/keeper-state.js';
 import {computeUnheardShare, pickActiveLeads, pickKeepers} from '@shallotpass/core/quotas/pick-keepers.js';
-import {unsettle} from '@shallotpass/core/quotas/settle-keeper.js';
+import {isIntroducing, unsettle} from '@shallotpass/core/quotas/settle-keeper.js';
 import {type GatewayState} from '../gateway-state.js';
 import {type Datagrams} from '../peers/datagrams.js';
 import {grantCost, quotaAskSchema, settle} from './grant-cost.js';
@@ -20,6 +20,9 @@
 /** A keeper that has just started gets an answer within this time. */
 const answerWithinMs = 20;
 
+/** Interval of reports until the daemon is settled. */
+const startIntervalMs = 50;
+
 /** Time until a keeper has answered. A busy one takes some ten milliseconds. */
 const askTimeoutMs = 120;
 
@@ -136,8 +139,15 @@
 	quota.ask = async (peer, ask) => datagrams.request(peer.address, 'ask_quota', ask, askTimeoutMs);
 	runRound();
 	const timer = setInterval(runRound, keeperReportIntervalMs);
+	// Callers wait while a daemon that has started gets to know the others.
+	const startTimer = setInterval(() => {
+		if (quota.isKeeper && (!keeper.isSettled || isIntroducing(keeper, quota.hasUnheardKeepers, readKeeperClock(clocks)))) {
+			runRound();
+		}
+	}, startIntervalMs);
 	signal.addEventListener('abort', () => {
 		clearInterval(timer);
+		clearInterval(startTimer);
 		clearTimeout(answerTimer);
 	}, {once: true});
 };
