--- a/packages/gateway/src/quotas/keeper-exchange.ts
+++ b/packages/gateway/src/quotas/keeper-exchange.ts
@@ -48,7 +48,7 @@
 
 	const isHeardByGossip = (address: string): boolean => [...gateway.peers.values()].some(peer => peer.address === address);
 
-	/** Whether a member that keeps no silence for a moment only: a keeper has not heard it, or it has left questions unanswered, for long. */
+	/** Whether a member has ended for good: as a keeper it was not heard, or it has left questions unanswered, for long. */
 	const hasGone = (address: string): boolean => {
 		const now = clocks.steady();
 		const since = knownSince.get(address) ?? now;
--- a/packages/gateway/src/telemetry/log-events.test.ts
+++ b/packages/gateway/src/telemetry/log-events.test.ts
@@ -25,3 +25,16 @@
 		assert.ok(meaning.length > 10);
 	}
 });
+
+test('what decides a refusal for a limit stands within the first 200 characters of its line', () => {
+	// Guards against a record of cut lines that does not tell why a call was refused.
+	const [, , cost, room, known, usable] = logEvents.limit_reached.fields;
+	const decisive = {
+		request: '24d9da7730b03aba', account: 'ximu504', [cost]: 11_328, [room]: -56_483, [known]: 1_032_731, [usable]: 1_282_500,
+	};
+	assert.deepEqual(Object.keys(decisive), logEvents.limit_reached.fields.slice(0, 6));
+	const line = JSON.stringify({
+		level: 'warn', time: 1_796_340_635_127, instance: 'front-bystrica-b-16', event: 'limit_reached', ...decisive,
+	});
+	assert.ok(line.length <= 200, String(line.length));
+});
