--- a/packages/gateway/src/quotas/take-quota.ts
+++ b/packages/gateway/src/quotas/take-quota.ts
@@ -29,7 +29,7 @@
 const refuseOverLimit = (gateway: GatewayState, account: string, {id}: QuotaCall, refused: Refused): QuotaRefusal => {
 	const {cost, room, known, usable, share, waitMs} = refused;
 	gateway.log.write('failure', 'limit_reached', {
-		request: id, account, cost, room: Math.round(room), known: Math.round(known), usable: Math.round(usable), share: Number(share.toFixed(3)),
+		request: id, account, cost, room: Math.round(room), known: Math.round(known), share: Number(share.toFixed(3)), usable: Math.round(usable),
 	});
 	// Callers that retry at the same time would compete for the same remaining quota.
 	const jitter = 0.75 + (gateway.random() / 2);
--- a/packages/gateway/src/telemetry/log-events.ts
+++ b/packages/gateway/src/telemetry/log-events.ts
@@ -96,7 +96,7 @@
 	call_crashed: {meaning: 'Unexpected error while serving a call', fields: ['request', 'error']},
 	limit_reached: {
 		meaning: 'A call, or a further run of it, was refused because its client account reached its limit: `room` is the most that a keeper could grant, a `share` of what is left of `usable` after `known`',
-		fields: ['request', 'account', 'cost', 'room', 'known', 'usable', 'share'],
+		fields: ['request', 'account', 'cost', 'room', 'known', 'share', 'usable'],
 	},
 	quota_granted: {meaning: 'The cost of a run was granted by this keeper of limits', fields: ['request', 'account', 'cost', 'keeper']},
 	quota_unknown: {meaning: 'A call was refused because no daemon that keeps the limit of its client account could be asked', fields: ['request', 'account', 'cost', 'isKeeper', 'isSettled']},
