--- a/scripts/soak/src/limited-account.ts
+++ b/scripts/soak/src/limited-account.ts
@@ -1,6 +1,7 @@
 /** An account with a limit that its callers exceed by turns, and the check that backend servers ran no more of its calls than the limit allows. */
 import http from 'node:http';
 import {setTimeout as sleep} from 'node:timers/promises';
+import {makeLimitedTenant} from '@shallotpass/platform/stand-ins/platform-fixture.js';
 import {sendCall} from '@shallotpass/platform/stand-ins/send-call.js';
 import {type BackendRun, type CompletedCall, type History} from './history.js';
 import {type SoakCluster} from './soak-cluster.js';
@@ -18,12 +19,10 @@
 /** Calls that may run within any window. */
 const allowedRuns = ((perSecond * windowMs / 1000) + burst) * (1 + overshoot);
 
-/* eslint-disable @typescript-eslint/naming-convention -- names of the wire format */
 /** The account as it stands in the configuration. */
-export const limitedTenant = {
-	name: limitedAccount, api_keys: [limitedKey], unit: 'requests', plain_tokens: 1, rate_per_s: perSecond, burst,
-};
-/* eslint-enable @typescript-eslint/naming-convention */
+export const limitedTenant = makeLimitedTenant({
+	name: limitedAccount, key: limitedKey, perSecond, burst,
+});
 
 /** What the callers together ask for, as multiples of the limit. One after the other is drawn. */
 const demands = [0.3, 1, 3, 10];
