--- a/packages/core/src/quotas/decide-payment.ts
+++ b/packages/core/src/quotas/decide-payment.ts
@@ -26,7 +26,7 @@
 };
 
 export type StandingInput = ReserveInput & {
-	/** The same for calls of any kind. */
+	/** Maximum that may be granted within the window for calls of any kind. */
 	readonly maxUsable: number;
 	/** Spending known from daemons that are no keepers, as those of earlier versions. */
 	readonly foreign?: number;
