--- a/packages/core/src/quotas/compute-ceiling.ts
+++ b/packages/core/src/quotas/compute-ceiling.ts
@@ -9,7 +9,7 @@
 	readonly quotaSlack: number;
 };
 
-/** Part of the ceiling that daemons grant. The rest covers calls that are admitted at random and reports that are lost. */
+/** Part of the ceiling that daemons grant. The rest covers clocks that differ, by which grants leave the window early. */
 const usablePart = 0.95;
 
 /** The same for small calls, so that the long prompts of an account do not block its cheap calls. */
