Log what a broken connection says of its backend server, with the parts of the prompt

Change: connection_broken with request, finding (reachable, paths_lost, reached_by_peer, crashed), time since the head of the answer, and parts; explain shows it. No decision changes.

--- a/packages/gateway/src/calls/call-attempts.ts
+++ b/packages/gateway/src/calls/call-attempts.ts
@@ -292,9 +292,9 @@
 };
 
 /** Records that a response broke off. What a peer's connection does says nothing about a backend server. */
-export const recordBrokenAttempt = (gateway: GatewayState, {state}: Attempt, digest: string): void => {
+export const recordBrokenAttempt = (gateway: GatewayState, {state, answeredAt}: Attempt, {call, outgoing: {digest}}: AdmittedCall): void => {
 	if (state !== undefined) {
-		void recordBrokenConnection(gateway, state, digest);
+		void recordBrokenConnection(gateway, state, {call, digest, answeredAt});
 	}
 };
 
--- a/packages/gateway/src/calls/run-at-backend.ts
+++ b/packages/gateway/src/calls/run-at-backend.ts
@@ -54,6 +54,8 @@
 	readonly exchange: Omit<Exchange, 'result'>;
 	readonly isComplete: IsComplete;
 	readonly sentAt: number;
+	/** When the head of the answer was received, on the steady clock. */
+	readonly answeredAt: number;
 	/** Stops counting the call as running; called when the response has ended. */
 	readonly end: (isFailure: boolean) => void;
 };
@@ -168,7 +170,7 @@
 		if (result.isConnectFailure && !isAborted) {
 			recordConnectFailure(gateway, state, {reason: result.reason, startedAt: now});
 		} else if (!isAborted && !isLate) {
-			void recordBrokenConnection(gateway, state, outgoing.digest);
+			void recordBrokenConnection(gateway, state, {call, digest: outgoing.digest, answeredAt: undefined});
 		}
 
 		if (result.delivery === 'unsent') {
@@ -220,7 +222,7 @@
 	gateway.metrics.attempts.inc({service: call.service, outcome: (response.statusCode ?? 0) < 500 ? 'answered' : 'failed'});
 	return {
 		kind: 'answered', response, attempt: {
-			state, source: state.entry.id, exchange, isComplete, sentAt: now, end,
+			state, source: state.entry.id, exchange, isComplete, sentAt: now, answeredAt: state.lastReadAt, end,
 		},
 	};
 };
--- a/packages/gateway/src/calls/serve-plain.ts
+++ b/packages/gateway/src/calls/serve-plain.ts
@@ -39,7 +39,7 @@
 			}
 
 			attempt.exchange.abort();
-			recordBrokenAttempt(gateway, attempt, outgoing.digest);
+			recordBrokenAttempt(gateway, attempt, admitted);
 			progress.lastFailure = `the answer broke off at ${attempt.source}`;
 			if (forwarded === 'broken_midway') {
 				return {name: 'broken_midway', detail: progress.lastFailure};
--- a/packages/gateway/src/calls/serve-stream.ts
+++ b/packages/gateway/src/calls/serve-stream.ts
@@ -128,7 +128,7 @@
 	}
 
 	stream.limitWaitUntil = gateway.clocks.steady() + limitWaitMs;
-	recordBrokenAttempt(gateway, attempt, stream.outgoing.digest);
+	recordBrokenAttempt(gateway, attempt, stream);
 	progress.lastFailure = `the stream from ${attempt.source} was interrupted`;
 	return retryStep;
 };
--- a/packages/gateway/src/telemetry/explain-request.ts
+++ b/packages/gateway/src/telemetry/explain-request.ts
@@ -19,6 +19,7 @@
 	'backend_restarted',
 	'backend_unreachable',
 	'backend_path_lost',
+	'connection_broken',
 	'paths_lost',
 	'paths_regained',
 	'backend_limit',
--- a/packages/gateway/src/telemetry/log-events.ts
+++ b/packages/gateway/src/telemetry/log-events.ts
@@ -43,6 +43,10 @@
 		fields: ['backend', 'offset', 'source', 'keptMs'],
 	},
 	backend_unreachable: {meaning: 'Connections to a backend server fail, it stopped responding, or its address belongs to another one; it gets no calls until the pause has passed', fields: ['backend', 'address', 'reason', 'failures', 'pauseMs']},
+	connection_broken: {
+		meaning: 'The connection of a call broke, `answeredMs` after the head of its answer if there was one. `finding`: what that says about the backend server',
+		fields: ['request', 'backend', 'finding', 'answeredMs', 'parts'],
+	},
 	backend_path_lost: {meaning: 'A backend server is not reached from here, but another daemon reaches it; no call is suspected', fields: ['backend', 'address']},
 	paths_lost: {
 		meaning: 'No new connection to any backend server can be opened from here; calls go through other daemons. `failed`: backend servers tried, `dataMs`: time since data of any was received',
