Keep evidence of crashes by the parts of prompts, for and against, and refuse what it convicts

What callers saw: requests that share one part of their prompts, no two alike, ended engine after engine, and the whole route failed with them.

Cause: a crash was recorded against the digest of the whole request, a key that never came again; every call in flight was blamed alike and nothing was ever said for one; sums of zones kept one side's crashes of a digest; none was recorded while a daemon took its paths for lost; a stream that broke went to the next engine within milliseconds. Class: blame kept by a key that never comes again, with evidence against it only. Ruled out: late reports alone (one daemon that sees everything broke the rule as well).

Change: packages/core/src/crashes holds a ledger by shared part and by request: the incarnations that ended at the beginning of an answer, and answers that were survived. Merging is idempotent and commutative. A score in the order of time convicts at three deaths of two requests; survivals take off, several deaths at one moment count little, a part that comes always with another is refused with it only, prompts of one account convict no other, and a death that a convicted part explains does not count against what was beside it. Daemons tell each other within 50 ms, relays pass it on at once, a daemon with data of an engine after its death refutes it, and the lease record keeps verdicts for daemons that all restart. Checked at admission, before each send, for moved runs and for peers. A call with a part that was never answered waits 400 ms after its engine ended, and is not sent on if the part was on another one. Lost paths no longer hide a crash that a peer confirms.

--- /dev/null
+++ b/packages/core/src/crashes/reported-evidence.ts
@@ -0,0 +1,119 @@
+/** Evidence in gossip reports, and in the lease record. It is bounded, so that control stays small while many parts are suspected. */
+import * as z from 'zod';
+import {getSlot, listDeaths, mergeEvidence} from './crash-evidence.js';
+import {
+	adoptEvidence, type CrashLedger, listVerdicts, refuteDeath,
+} from './crash-ledger.js';
+import {type CrashDeath, type CrashEvidence, type CrashVerdict} from './types.js';
+
+/** Most entries of a report, and of a sum. */
+const maxChangedEntries = 6;
+const maxConvictedEntries = 16;
+
+/** Most deaths, slots of survivals and survivals of a slot in an entry. */
+const maxReportedDeaths = 6;
+const maxReportedSlots = 6;
+const maxReportedSurvivals = 3;
+
+/** Most refuted deaths of a report, and for how long refutations and changed evidence are reported. */
+const maxRefuted = 8;
+const reportChangesMs = 1500;
+
+/** Incarnation, true time, account, request, and 1 if the answer had begun. */
+const reportedDeathSchema = z.tuple([z.int(), z.number(), z.int(), z.int(), z.int()]);
+
+export const reportedEvidenceSchema = z.object({
+	kind: z.enum(['part', 'request']),
+	key: z.string(),
+	deaths: z.array(reportedDeathSchema),
+	/** Slots with the hashes of some survivals. */
+	survivals: z.array(z.tuple([z.int(), z.array(z.int())])),
+});
+
+export type ReportedEvidence = z.infer<typeof reportedEvidenceSchema>;
+
+export const reportedCrashesSchema = z.object({
+	entries: z.array(reportedEvidenceSchema),
+	/** Incarnations that were taken for dead and are not, with the true time of the death. */
+	refuted: z.array(z.tuple([z.int(), z.number()])),
+});
+
+export type ReportedCrashes = z.infer<typeof reportedCrashesSchema>;
+
+export const noReportedCrashes: ReportedCrashes = {entries: [], refuted: []};
+
+const toReportedDeath = ({incarnation, at, account, request, hasBegun}: CrashDeath): ReportedEvidence['deaths'][number] => [incarnation, Math.round(at), account, request, hasBegun ? 1 : 0];
+
+/** Survivals before the first of the reported deaths add nothing to those after it. */
+const toReportedEvidence = (kind: ReportedEvidence['kind'], key: string, evidence: CrashEvidence): ReportedEvidence => {
+	const deaths = listDeaths(evidence).slice(-maxReportedDeaths);
+	const slots = [...evidence.survivals].toSorted(([left], [right]) => left - right);
+	const since = getSlot(deaths[0]?.at ?? 0) - 1;
+	const survivals = slots.filter(([slot]) => slot >= since).slice(-maxReportedSlots);
+	return {
+		kind, key, deaths: deaths.map(death => toReportedDeath(death)),
+		survivals: survivals.map(([slot, hashes]) => [slot, hashes.slice(0, maxReportedSurvivals)]),
+	};
+};
+
+const toEvidence = ({deaths, survivals}: ReportedEvidence): CrashEvidence => ({
+	deaths: new Map(deaths.map(([incarnation, at, account, request, hasBegun]) => [incarnation, {
+		incarnation, at, account, request, hasBegun: hasBegun === 1,
+	}])),
+	survivals: new Map(survivals),
+});
+
+const reportVerdicts = (ledger: CrashLedger, verdicts: readonly CrashVerdict[]): ReportedEvidence[] => verdicts.slice(0, maxConvictedEntries).flatMap(({kind, keys}) => keys.flatMap(key => {
+	const entry = ledger[kind].suspected.get(key);
+	return entry === undefined ? [] : [toReportedEvidence(kind, key, entry.evidence)];
+}));
+
+/** Lists what is suspected and has changed lately: first what is on most deaths. */
+const reportChanges = (ledger: CrashLedger, now: number): ReportedEvidence[] => (['part', 'request'] as const)
+	.flatMap(kind => [...ledger[kind].suspected].map(([key, entry]) => ({kind, key, ...entry})))
+	.filter(({changedAt}) => changedAt >= now - reportChangesMs)
+	.toSorted((left, right) => right.evidence.deaths.size - left.evidence.deaths.size || right.changedAt - left.changedAt)
+	.slice(0, maxChangedEntries)
+	.map(({kind, key, evidence}) => toReportedEvidence(kind, key, evidence));
+
+/** Returns what to report: changes at once, and with `hasVerdicts` all verdicts, for daemons that have started since. `now` is on the steady clock. */
+export const reportCrashes = (ledger: CrashLedger, {now, hasVerdicts}: {readonly now: number; readonly hasVerdicts: boolean}): ReportedCrashes => ({
+	entries: mergeEntries(reportChanges(ledger, now), hasVerdicts ? reportVerdicts(ledger, listVerdicts(ledger)) : []),
+	refuted: now < ledger.refutedAt + reportChangesMs ? [...ledger.refuted].slice(-maxRefuted) : [],
+});
+
+/** Returns the evidence of all verdicts, to be kept outside of the daemons. */
+export const recordVerdicts = (ledger: CrashLedger): ReportedEvidence[] => reportVerdicts(ledger, listVerdicts(ledger));
+
+const mergeEntries = (left: readonly ReportedEvidence[], right: readonly ReportedEvidence[]): ReportedEvidence[] => {
+	const merged = new Map<string, ReportedEvidence>();
+	for (const entry of [...left, ...right]) {
+		const id = `${entry.kind}:${entry.key}`;
+		const known = merged.get(id);
+		merged.set(id, known === undefined ? entry : toReportedEvidence(entry.kind, entry.key, mergeEvidence(toEvidence(known), toEvidence(entry))));
+	}
+
+	return [...merged.values()];
+};
+
+/** Merges the reports of two daemons for the sum of a relay. */
+export const mergeReportedCrashes = (left: ReportedCrashes, right: ReportedCrashes): ReportedCrashes => ({
+	entries: mergeEntries(left.entries, right.entries)
+		.toSorted((first, second) => second.deaths.length - first.deaths.length)
+		.slice(0, maxChangedEntries + maxConvictedEntries),
+	refuted: [...new Map([...left.refuted, ...right.refuted])].slice(-maxRefuted),
+});
+
+/** Adopts what another daemon reports. Returns whether something was new. */
+export const adoptReportedCrashes = (ledger: CrashLedger, {entries, refuted}: ReportedCrashes, now: number): boolean => {
+	let hasNew = false;
+	for (const entry of entries) {
+		hasNew = adoptEvidence(ledger, {kind: entry.kind, key: entry.key, evidence: toEvidence(entry)}, now) || hasNew;
+	}
+
+	for (const [incarnation, at] of refuted) {
+		hasNew = refuteDeath(ledger, incarnation, at, now) || hasNew;
+	}
+
+	return hasNew;
+};
--- /dev/null
+++ b/packages/core/src/crashes/weigh-evidence.ts
@@ -0,0 +1,91 @@
+/**
+ * Weighs the evidence about one part or one request: a score that each death raises and each survival lowers, in the order of time.
+ * A part that crashes every backend server has no survivals. One that many sound requests share has many between any two deaths,
+ * so that deaths of other causes never add up.
+ */
+import {countSurvivals, getSlotStart, listDeaths} from './crash-evidence.js';
+import {type CrashDeath, type CrashEvidence, type EvidenceKind} from './types.js';
+
+/** Score from which requests are refused. One death may be a coincidence of a request, two of a part. */
+export const convictingScore = {part: 3, request: 2} as const satisfies Record<EvidenceKind, number>;
+
+/** Score below which a verdict ends. */
+const liftingScore = 0.5;
+
+/** What a survival takes off: a part that crashes every second backend server still gains. */
+const survivalWeight = 0.25;
+
+/** Lowest score. What survived before the first death is worth one death. */
+const minScore = -1;
+
+/** Highest score. The survivals that are kept suffice to lift it, as those between earlier deaths may be forgotten. */
+const maxScore = 4;
+
+/** Requests whose deaths come this close together from several others have lost their backend servers by one cause, such as a zone without power. */
+const massDeathMs = 150;
+const massDeathCount = 3;
+const massDeathWeight = 1.5;
+
+export type Weighing = {
+	readonly score: number;
+	readonly isConvicted: boolean;
+	/** By how much deaths outweigh survivals. The cause has few survivals, and what was beside it has few deaths. */
+	readonly excess: number;
+	/** The deaths that were counted, oldest first. */
+	readonly deaths: readonly CrashDeath[];
+};
+
+type WeighedEvent = {readonly at: number; readonly change: number};
+
+/** Groups deaths that come close together. */
+const groupDeaths = (deaths: readonly CrashDeath[]): CrashDeath[][] => {
+	const groups: CrashDeath[][] = [];
+	for (const death of deaths) {
+		const group = groups.at(-1);
+		if (group === undefined || death.at > group[0]!.at + massDeathMs) {
+			groups.push([death]);
+		} else {
+			group.push(death);
+		}
+	}
+
+	return groups;
+};
+
+const listDeathEvents = (kind: EvidenceKind, deaths: readonly CrashDeath[]): WeighedEvent[] => {
+	if (kind === 'request') {
+		// A request runs on one backend server after the other, so no single cause takes several from it.
+		return deaths.map(({at}) => ({at, change: 1}));
+	}
+
+	return groupDeaths(deaths).map(group => {
+		const requests = new Set(group.map(({request}) => request));
+		return {at: group[0]!.at, change: requests.size >= massDeathCount ? massDeathWeight : group.length};
+	});
+};
+
+const listSurvivalEvents = ({survivals}: CrashEvidence): WeighedEvent[] =>
+	[...survivals].map(([slot, hashes]) => ({at: getSlotStart(slot), change: -survivalWeight * hashes.length}));
+
+export type WeighingOptions = {
+	readonly kind: EvidenceKind;
+	/** Whether the death of an incarnation counts. */
+	readonly isCounted: (incarnation: number) => boolean;
+};
+
+export const weighEvidence = (evidence: CrashEvidence, {kind, isCounted}: WeighingOptions): Weighing => {
+	const deaths = listDeaths(evidence).filter(({incarnation}) => isCounted(incarnation));
+	// One request may hold other causes than the part.
+	const mayBeConvicted = kind === 'request' || new Set(deaths.map(({request}) => request)).size > 1;
+	const events = [...listSurvivalEvents(evidence), ...listDeathEvents(kind, deaths)].toSorted((left, right) => left.at - right.at);
+	let score = 0;
+	let isConvicted = false;
+	for (const {change} of events) {
+		score = Math.min(maxScore, Math.max(minScore, score + change));
+		isConvicted = isConvicted ? score >= liftingScore : score >= convictingScore[kind];
+	}
+
+	return {
+		score, isConvicted: isConvicted && mayBeConvicted, deaths, excess: deaths.length - (countSurvivals(evidence) / 2),
+	};
+};
--- a/packages/core/src/gossip/gossip-report.test.ts
+++ b/packages/core/src/gossip/gossip-report.test.ts
@@ -26,6 +26,7 @@
 	leaseOffset: index === 3 ? 12 : -1,
 	trueTime: 1000,
 	crashes: {},
+	crashEvidence: {entries: [], refuted: []},
 	limits: {},
 	brittle: {},
 	participants: {},
--- a/packages/core/src/gossip/gossip-report.ts
+++ b/packages/core/src/gossip/gossip-report.ts
@@ -4,6 +4,7 @@
  * daemon doesn't grow with the number of daemons.
  */
 import * as z from 'zod';
+import {mergeReportedCrashes, noReportedCrashes, reportedCrashesSchema} from '../crashes/reported-evidence.js';
 import {mergeParticipants} from '../limits/participants.js';
 import {mergeBrittlenesses, reportedBrittlenessSchema} from '../limits/reported-brittleness.js';
 import {mergeLimits, reportedLimitSchema} from '../limits/reported-limits.js';
@@ -62,8 +63,10 @@
 	leaseOffset: z.number(),
 	/** The sender's true time, which daemons synchronize with each other, in milliseconds since the epoch. */
 	trueTime: z.number(),
-	/** Incarnations of backend servers that crashed while they ran a request, by the request's digest. */
+	/** Always empty. Daemons of earlier versions require it. */
 	crashes: z.record(z.string(), z.array(z.string())),
+	/** Evidence about requests that may crash backend servers. Daemons of earlier versions don't report it. */
+	crashEvidence: reportedCrashesSchema.default(noReportedCrashes),
 	/** What backend servers state about their limits, by backend id. Daemons of earlier versions don't report it. */
 	limits: z.record(z.string(), reportedLimitSchema).default({}),
 	/** Daemons that share the limits of a service's backend servers: id, availability zone and level of each, by service. */
@@ -149,7 +152,7 @@
 	usage: mergeUsageSources(left.usage, right.usage),
 	work: addAmounts(left.work, right.work),
 	leaseOffset: Math.max(left.leaseOffset, right.leaseOffset),
-	crashes: {...left.crashes, ...right.crashes},
+	crashEvidence: mergeReportedCrashes(left.crashEvidence, right.crashEvidence),
 	limits: mergeLimits(left.limits, right.limits),
 	brittle: mergeBrittlenesses(left.brittle, right.brittle),
 	participants: mergeParticipantLists(left.participants, right.participants),
--- a/packages/core/src/lease/lease.test.ts
+++ b/packages/core/src/lease/lease.test.ts
@@ -22,7 +22,7 @@
 
 test('a restarted process takes over its own lease at once, so a restart of all daemons leaves no gap', () => {
 	const lease: Lease = {
-		holder: 'front-a-1', holderAddress: '10.1.0.1:7500', incarnation: 'life-1', fence: 3, reports: [], orders: [], counted: {}, spent: {at: 0, accounts: {}},
+		holder: 'front-a-1', holderAddress: '10.1.0.1:7500', incarnation: 'life-1', fence: 3, reports: [], orders: [], counted: {}, spent: {at: 0, accounts: {}}, convicted: [],
 	};
 	const restarted = {holder: 'front-a-1', holderAddress: '10.1.0.1:7500', incarnation: 'life-2'};
 	assert.equal(isLeaseFree(lease, restarted), true);
--- a/packages/core/src/lease/lease.ts
+++ b/packages/core/src/lease/lease.ts
@@ -6,6 +6,7 @@
  * renewal. Other daemons count from the time they saw the record, which is later, and add a margin.
  */
 import * as z from 'zod';
+import {reportedEvidenceSchema} from '../crashes/reported-evidence.js';
 import {recordedSpendingSchema} from '../quotas/recorded-spending.js';
 
 const windowReport = z.object({
@@ -41,6 +42,8 @@
 		/** The same without what is expected until the next record. Daemons of earlier versions don't write it. */
 		recorded: recordedSpendingSchema.optional(),
 	}),
+	/** Evidence of what crashes backend servers. Without it, daemons that all restart at once would let each crash some again. */
+	convicted: z.array(reportedEvidenceSchema).default([]),
 });
 
 export type Lease = z.infer<typeof leaseSchema>;
--- a/packages/gateway/src/calls/admit-call.ts
+++ b/packages/gateway/src/calls/admit-call.ts
@@ -6,8 +6,8 @@
 import {findRoute, type IndexedConfiguration, pickService} from '@shallotpass/core/calls/index-configuration.js';
 import {type Account, type Route} from '@shallotpass/core/calls/serving-configuration.js';
 import {type Call} from '@shallotpass/core/calls/types.js';
-import {isRefusedForCrashes} from '@shallotpass/core/retries/crash-register.js';
 import {hashText, hashText64} from '@shallotpass/core/routing/rank-by-rendezvous.js';
+import {findCrashRefusal} from '../crashes/check-verdict.js';
 import {type GatewayState} from '../gateway-state.js';
 import {takeQuota} from '../quotas/take-quota.js';
 import {type CallerHeaders} from '../ports.js';
@@ -27,9 +27,6 @@
 /** Resolution of the traffic split between the services of a route. */
 const trafficSplitSteps = 10_000;
 
-/** Retry-After in seconds for a request that crashes backend servers. Such a request stays blocked for minutes. */
-const suspendedRetryAfterS = 30;
-
 export type CallContext = {
 	readonly gateway: GatewayState;
 	readonly request: http.IncomingMessage;
@@ -173,8 +170,10 @@
 	const {account} = target;
 	const method = request.method ?? 'GET';
 	const digest = hashText64(`${account?.name ?? ''}\n${method}\n${path}\n${bodyResult.body.toString('latin1')}`).toString(16);
-	if (isRefusedForCrashes(gateway.crashes, digest)) {
-		return refuse('request_suspended', 'This request has ended the backend servers that ran it.', suspendedRetryAfterS);
+	const call = makeCall(context, target, arrivedAt);
+	const crashRefusal = findCrashRefusal(gateway, {call, outgoing: {digest}});
+	if (crashRefusal) {
+		return new RefusedCall(crashRefusal);
 	}
 
 	const quotaRefusal = account && await takeQuota(gateway, account, {id: head.id, tokens: (head.promptTokens ?? 0) + (head.outputTokens ?? 0), rank: target.route.rank});
@@ -185,7 +184,7 @@
 	}
 
 	return {
-		call: makeCall(context, target, arrivedAt),
+		call,
 		outgoing: {
 			method, path, callerFields: request.rawHeaders, body: bodyResult.body, digest, lastEventId: undefined,
 		},
--- a/packages/gateway/src/calls/call-attempts.ts
+++ b/packages/gateway/src/calls/call-attempts.ts
@@ -3,6 +3,7 @@
 import {computeRetryAfter} from '@shallotpass/core/admission/compute-retry-after.js';
 import {type Call, isRepeatable} from '@shallotpass/core/calls/types.js';
 import {takeFromRetryAllowance} from '@shallotpass/core/retries/retry-allowance.js';
+import {findCrashRefusal, mayRunAgain} from '../crashes/check-verdict.js';
 import {type GatewayState} from '../gateway-state.js';
 import {pauseFor} from '../pause.js';
 import {hasContactSince, isCutOff} from '../paths/track-paths.js';
@@ -43,10 +44,12 @@
 	placeWaitUntil: number | undefined;
 	/** Whether the last attempt found no path, and no backend server was heard meanwhile. */
 	mayBeCutOff: boolean;
+	/** Whether the backend server of the last attempt ended under it. Undefined if its connection has not broken. */
+	hasCrashed: Promise<boolean> | undefined;
 };
 
 export const makeProgress = (): CallProgress => ({
-	attemptedIncarnations: new Set(), possibleRuns: 0, attempts: 0, hasArrived: false, hasStarted: false, lastFailure: '', triedPeers: new Set(), placeWaitUntil: undefined, mayBeCutOff: false,
+	attemptedIncarnations: new Set(), possibleRuns: 0, attempts: 0, hasArrived: false, hasStarted: false, lastFailure: '', triedPeers: new Set(), placeWaitUntil: undefined, mayBeCutOff: false, hasCrashed: undefined,
 });
 
 /** Outcome of a call, as reported in metrics and logs. */
@@ -62,7 +65,8 @@
 	: {name: 'no_backend', refusal: {kind: 'no_backend', detail: `No backend server took the call: ${progress.lastFailure}.`, retryAfterS: 0.2}};
 
 /** Whether a further attempt is allowed. Takes a retry from the limit if the call has reached a backend server, and pays for a further run. */
-export const takeRetry = async (gateway: GatewayState, call: Call, progress: CallProgress): Promise<boolean> => {
+export const takeRetry = async ({gateway}: CallContext, admitted: AdmittedCall, progress: CallProgress, signal: AbortSignal): Promise<boolean> => {
+	const {call} = admitted;
 	if (progress.attempts >= maxAttemptsPerCall) {
 		return false;
 	}
@@ -71,6 +75,10 @@
 		return false;
 	}
 
+	if (progress.hasCrashed !== undefined && !await mayRunAgain(gateway, admitted, progress.hasCrashed, signal)) {
+		return false;
+	}
+
 	const isWithinLimit = !progress.hasArrived || takeFromRetryAllowance(getRetryAllowance(gateway, call.service), getRetryLimit(gateway), gateway.clocks.steady());
 	return isWithinLimit && (progress.possibleRuns === 0 || payForRun(gateway, call));
 };
@@ -80,12 +88,14 @@
 	| {readonly kind: 'no_backend'}
 	/** No backend server is reached from here, and a peer has refused the call; it was not run. */
 	| {readonly kind: 'refused_by_peer'; readonly refusal: Refusal}
+	/** Calls like this one crash backend servers; nothing was sent. */
+	| {readonly kind: 'suspended'; readonly refusal: Refusal}
 	/** All backend servers are too busy to respond before the deadline; nothing was sent. */
 	| {readonly kind: 'unreachable'; readonly retryAfterS: number}
 	/** All backend servers have stated limits that leave no room; nothing was sent. `waitMs`: estimated time until one has room. */
 	| {readonly kind: 'limited'; readonly waitMs: number; readonly backends: number; readonly isBrief: boolean};
 
-const unsentKinds = ['no_backend', 'refused_by_peer', 'unreachable', 'limited'] as const;
+const unsentKinds = ['no_backend', 'refused_by_peer', 'suspended', 'unreachable', 'limited'] as const;
 
 export type UnsentResult = SendResult & {readonly kind: (typeof unsentKinds)[number]};
 
@@ -118,6 +128,10 @@
 			return progress.possibleRuns > 0 ? makeFailureOutcome(progress) : {name: 'refused_by_peer', refusal: result.refusal};
 		}
 
+		case 'suspended': {
+			return progress.possibleRuns > 0 ? makeFailureOutcome(progress) : {name: 'suspended', refusal: result.refusal};
+		}
+
 		case 'limited': {
 			return progress.possibleRuns > 0 ? makeFailureOutcome(progress) : refuseForLimits(context, call, result);
 		}
@@ -179,8 +193,19 @@
 	}
 };
 
+/** Returns the result of a call that must not reach a backend server any more, as others like it have crashed some since it was admitted. */
+export const findSuspension = ({gateway}: CallContext, admitted: AdmittedCall): UnsentResult | undefined => {
+	const refusal = findCrashRefusal(gateway, admitted);
+	return refusal && {kind: 'suspended', refusal};
+};
+
 /** Sends the call to the best backend server that it has not been sent to yet, or through a peer if none is reached from here. */
 export const sendToBestBackend = async (context: CallContext, admitted: AdmittedCall, progress: CallProgress, signal: AbortSignal): Promise<SendResult> => {
+	const suspension = findSuspension(context, admitted);
+	if (suspension) {
+		return suspension;
+	}
+
 	if (progress.mayBeCutOff) {
 		progress.mayBeCutOff = false;
 		const sent = await sendThroughPeer(context, admitted, progress, signal);
@@ -275,6 +300,7 @@
 		progress.possibleRuns++;
 	}
 
+	progress.hasCrashed = result.kind === 'may_have_run' ? result.hasCrashed : undefined;
 	progress.mayBeCutOff = result.kind !== 'answered' && (result.kind === 'may_have_run' || !result.hasArrived) && !hasContactSince(gateway, startedAt);
 
 	return result;
@@ -292,10 +318,8 @@
 };
 
 /** Records that a response broke off. What a peer's connection does says nothing about a backend server. */
-export const recordBrokenAttempt = (gateway: GatewayState, {state, answeredAt}: Attempt, {call, outgoing: {digest}}: AdmittedCall): void => {
-	if (state !== undefined) {
-		void recordBrokenConnection(gateway, state, {call, digest, answeredAt});
-	}
+export const recordBrokenAttempt = (gateway: GatewayState, {state, answeredAt}: Attempt, admitted: AdmittedCall, progress: CallProgress): void => {
+	progress.hasCrashed = state && recordBrokenConnection(gateway, state, {sent: admitted, answeredAt});
 };
 
 /** Records that an answer begins. To be called before its head is sent. */
--- a/packages/gateway/src/calls/connect-failures.ts
+++ b/packages/gateway/src/calls/connect-failures.ts
@@ -1,6 +1,7 @@
 /** Records failed and broken connections to backend servers. */
-import {type Call} from '@shallotpass/core/calls/types.js';
-import {recordCrash} from '@shallotpass/core/retries/crash-register.js';
+import {setTimeout as sleep} from 'node:timers/promises';
+import {isAtBeginning, recordCrash, refuteCrash} from '../crashes/record-evidence.js';
+import {type SentCall} from '../crashes/request-traits.js';
 import {type GatewayState} from '../gateway-state.js';
 import {askPeerForBackend} from '../paths/ask-peer.js';
 import {canConnect} from '../paths/can-connect.js';
@@ -32,49 +33,70 @@
 
 /** A call whose connection broke. */
 export type BrokenCall = {
-	readonly call: Call;
-	readonly digest: string;
+	readonly sent: SentCall;
 	/** When the head of its answer was received, on the steady clock. Undefined if there was none. */
 	readonly answeredAt: number | undefined;
 };
 
 /** What a broken connection says about its backend server. */
-type BreakFinding = 'reachable' | 'paths_lost' | 'reached_by_peer' | 'crashed';
+type BreakFinding = 'reachable' | 'leaving' | 'paths_lost' | 'reached_by_peer' | 'crashed';
 
-const logBreak = (gateway: GatewayState, state: BackendState, {call, answeredAt}: BrokenCall, finding: BreakFinding): void => {
+const logBreak = (gateway: GatewayState, state: BackendState, {sent: {call}, answeredAt}: BrokenCall, finding: BreakFinding): void => {
 	gateway.log.write('state', 'connection_broken', {
 		request: call.id, backend: state.entry.id, finding, answeredMs: answeredAt === undefined ? undefined : Math.round(gateway.clocks.steady() - answeredAt),
 		parts: call.promptParts.map(({id}) => id).join(','),
 	});
 };
 
-/**
- * Handles a connection that broke during a call. If no new connection can be opened from here and from another daemon, the
- * backend server has crashed and the call may be the cause, so its digest is recorded.
- */
-export const recordBrokenConnection = async (gateway: GatewayState, state: BackendState, broken: BrokenCall): Promise<void> => {
+/** Longest time that a crash waits for the word of a peer before others are told of it. */
+const peerWordMs = 150;
+
+const waitForPeer = async (): Promise<'slow'> => sleep(peerWordMs, 'slow' as const);
+
+/** Finds out what a broken connection says about the backend server. */
+const findCause = async (gateway: GatewayState, state: BackendState, {sent, answeredAt}: BrokenCall): Promise<BreakFinding> => {
 	const startedAt = gateway.clocks.steady();
+	const mayBeCause = isAtBeginning(gateway, answeredAt);
 	if (await canConnect(gateway.registry.openConnection, state.entry.address)) {
 		recordPathSuccess(gateway, state.incarnation);
-		logBreak(gateway, state, broken, 'reachable');
-		return;
+		return 'reachable';
+	}
+
+	const isPathLost = recordPathFailure(gateway, state, startedAt);
+	if (!isPathLost) {
+		suspendBackend(gateway, state, 'ended_during_a_call');
+		void confirmLoss(gateway, state, true);
 	}
 
-	if (recordPathFailure(gateway, state, startedAt)) {
-		logBreak(gateway, state, broken, 'paths_lost');
-		return;
+	if (state.leavingSince !== undefined) {
+		return 'leaving';
 	}
 
-	suspendBackend(gateway, state, 'ended_during_a_call');
-	void confirmLoss(gateway, state, true);
-	if (await askPeerForBackend(gateway, state) === 'reached') {
+	const asked = askPeerForBackend(gateway, state);
+	// The next request like it may follow within milliseconds, so a peer that is slow to answer is not waited for.
+	const soonKnown = isPathLost ? await asked : await Promise.race([asked, waitForPeer()]);
+	// Backend servers that end one after the other look like lost paths from here.
+	const mayHaveCrashed = soonKnown === 'unreached' || (!isPathLost && soonKnown !== 'reached');
+	if (mayHaveCrashed && mayBeCause) {
+		recordCrash(gateway, state, sent, answeredAt);
+	}
+
+	const contact = await asked;
+	if (contact === 'reached') {
+		refuteCrash(gateway, state);
+		return isPathLost ? 'paths_lost' : 'reached_by_peer';
+	}
+
+	return mayHaveCrashed ? 'crashed' : 'paths_lost';
+};
+
+/** Handles a connection that broke during a call. Resolves with whether the backend server has crashed, for all that is known. */
+export const recordBrokenConnection = async (gateway: GatewayState, state: BackendState, broken: BrokenCall): Promise<boolean> => {
+	const finding = await findCause(gateway, state, broken);
+	if (finding === 'reached_by_peer') {
 		gateway.log.write('state', 'backend_path_lost', {backend: state.entry.id, address: state.entry.address});
-		logBreak(gateway, state, broken, 'reached_by_peer');
-		return;
 	}
 
-	logBreak(gateway, state, broken, 'crashed');
-	const {digest} = broken;
-	gateway.crashes = recordCrash(gateway.crashes, digest, state.incarnation, gateway.clocks.steady());
-	gateway.log.write('state', 'call_suspected', {digest, backend: state.entry.id, ends: gateway.crashes.crashedIncarnations.get(digest)?.length});
+	logBreak(gateway, state, broken, finding);
+	return finding === 'crashed';
 };
--- a/packages/gateway/src/calls/run-at-backend.ts
+++ b/packages/gateway/src/calls/run-at-backend.ts
@@ -44,7 +44,8 @@
 	| {readonly kind: 'answered'; readonly response: http.IncomingMessage; readonly attempt: Attempt}
 	/** The backend server has not run the call and will not run it. */
 	| {readonly kind: 'not_run'; readonly reason: string; readonly hasArrived: boolean}
-	| {readonly kind: 'may_have_run'; readonly reason: string};
+	/** `hasCrashed`: whether the backend server has ended. Undefined if the call was given up here. */
+	| {readonly kind: 'may_have_run'; readonly reason: string; readonly hasCrashed?: Promise<boolean>};
 
 export type Attempt = {
 	/** Undefined if the call was sent through a peer. */
@@ -169,10 +170,12 @@
 		gateway.metrics.attempts.inc({service: call.service, outcome: result.delivery === 'unsent' ? 'unsent' : 'broken'});
 		if (result.isConnectFailure && !isAborted) {
 			recordConnectFailure(gateway, state, {reason: result.reason, startedAt: now});
-		} else if (!isAborted && !isLate) {
-			void recordBrokenConnection(gateway, state, {call, digest: outgoing.digest, answeredAt: undefined});
 		}
 
+		const hasCrashed = result.isConnectFailure || isAborted || isLate
+			? undefined
+			: recordBrokenConnection(gateway, state, {sent: {call, outgoing}, answeredAt: undefined});
+
 		if (result.delivery === 'unsent') {
 			return {kind: 'not_run', reason: result.reason, hasArrived: false};
 		}
@@ -181,7 +184,7 @@
 			recordUsage(gateway, call, false);
 		}
 
-		return {kind: 'may_have_run', reason: isLate ? 'backend_left' : (isSilent ? 'silent' : result.reason)};
+		return {kind: 'may_have_run', reason: isLate ? 'backend_left' : (isSilent ? 'silent' : result.reason), ...(hasCrashed !== undefined && {hasCrashed})};
 	}
 
 	const {response, isComplete} = result;
--- a/packages/gateway/src/calls/serve-peer-call.ts
+++ b/packages/gateway/src/calls/serve-peer-call.ts
@@ -1,6 +1,6 @@
 /** Serves calls that other daemons send because they reach no backend server themselves. */
 import type http from 'node:http';
-import {isRefusedForCrashes} from '@shallotpass/core/retries/crash-register.js';
+import {findCrashRefusal} from '../crashes/check-verdict.js';
 import {countPeerCallRoom, type GatewayState, maxPeerCalls} from '../gateway-state.js';
 import {isCutOff} from '../paths/track-paths.js';
 import {type AdmittedCall, type CallContext} from './admit-call.js';
@@ -99,8 +99,9 @@
 		return;
 	}
 
-	if (isRefusedForCrashes(gateway.crashes, data.outgoing.digest)) {
-		refuse(context, {kind: 'request_suspended', detail: 'This request has ended the backend servers that ran it.'}, 'refused');
+	const crashRefusal = findCrashRefusal(gateway, {call, outgoing: data.outgoing});
+	if (crashRefusal) {
+		refuse(context, crashRefusal, 'refused');
 		return;
 	}
 
--- a/packages/gateway/src/calls/serve-plain.ts
+++ b/packages/gateway/src/calls/serve-plain.ts
@@ -1,5 +1,6 @@
 /** Serves plain calls, which have a single response, with retries on other backend servers. */
 import {isRepeatable} from '@shallotpass/core/calls/types.js';
+import {trackSurvival} from '../crashes/record-evidence.js';
 import {type AdmittedCall, type CallContext} from './admit-call.js';
 import {
 	type CallOutcome, discardResponse, isDraining, isServerError, isUnsent, makeFailureOutcome, makeProgress, makeUnsentOutcome, recordBrokenAttempt, recordFirstByte, sendToBestBackend, takeRetry,
@@ -22,7 +23,7 @@
 			progress.possibleRuns++;
 			progress.hasArrived = true;
 			// eslint-disable-next-line no-await-in-loop -- attempts run one after another
-			if (isServerError(response) && isRepeatable(call.repeatability) && await takeRetry(gateway, call, progress)) {
+			if (isServerError(response) && isRepeatable(call.repeatability) && await takeRetry(context, admitted, progress, signal)) {
 				progress.lastFailure = `status ${response.statusCode ?? 0}`;
 				discardResponse(response, attempt);
 				continue;
@@ -35,11 +36,12 @@
 			});
 			attempt.end(forwarded !== 'passed' || isServerError(response));
 			if (forwarded === 'passed') {
+				trackSurvival(gateway, attempt.state, admitted, attempt.answeredAt).onWhole();
 				return {name: isServerError(response) ? 'backend_error' : 'served'};
 			}
 
 			attempt.exchange.abort();
-			recordBrokenAttempt(gateway, attempt, admitted);
+			recordBrokenAttempt(gateway, attempt, admitted, progress);
 			progress.lastFailure = `the answer broke off at ${attempt.source}`;
 			if (forwarded === 'broken_midway') {
 				return {name: 'broken_midway', detail: progress.lastFailure};
@@ -47,7 +49,7 @@
 		}
 
 		// eslint-disable-next-line no-await-in-loop -- attempts run one after another
-		if (signal.aborted || !await takeRetry(gateway, call, progress)) {
+		if (signal.aborted || !await takeRetry(context, admitted, progress, signal)) {
 			return makeFailureOutcome(progress);
 		}
 	}
--- a/packages/gateway/src/calls/serve-stream.ts
+++ b/packages/gateway/src/calls/serve-stream.ts
@@ -1,10 +1,11 @@
 /** Serves streams: forwards their events and, where possible, continues them on another backend server. */
 import {isRepeatable} from '@shallotpass/core/calls/types.js';
 import {streamStallTimeoutMs} from '@shallotpass/core/retries/silence-timeout.js';
+import {trackSurvival} from '../crashes/record-evidence.js';
 import {pauseFor} from '../pause.js';
 import {type AdmittedCall, type CallContext} from './admit-call.js';
 import {
-	type CallOutcome, type CallProgress, discardResponse, isDraining, isServerError, isUnsent, makeFailureOutcome, makeProgress, makeUnsentOutcome, recordBrokenAttempt, recordEvents, recordFirstByte,
+	type CallOutcome, type CallProgress, discardResponse, findSuspension, isDraining, isServerError, isUnsent, makeFailureOutcome, makeProgress, makeUnsentOutcome, recordBrokenAttempt, recordEvents, recordFirstByte,
 	type SendResult, sendToBestBackend, sendToPlacement, takeRetry,
 } from './call-attempts.js';
 import {type EventSplitter, makeEventSplitter} from './event-splitter.js';
@@ -53,7 +54,7 @@
 const forwardErrorResponse = async (stream: StreamState, {response, attempt}: AnsweredAttempt): Promise<NextStep> => {
 	const {context: {gateway, response: target}, call, progress} = stream;
 	const status = response.statusCode ?? 0;
-	if (isRepeatable(call.repeatability) && isServerError(response) && await takeRetry(gateway, call, progress)) {
+	if (isRepeatable(call.repeatability) && isServerError(response) && await takeRetry(stream.context, stream, progress, stream.signal)) {
 		progress.lastFailure = `status ${status}`;
 		discardResponse(response, attempt);
 		return {kind: 'try_again', isExempt: true};
@@ -94,6 +95,7 @@
 	}
 
 	const {state} = attempt;
+	const survival = trackSurvival(gateway, state, stream, attempt.answeredAt);
 	const departure = state === undefined || stream.stoppedOn.has(state.incarnation)
 		? inactiveWatch
 		: watchDeparture({
@@ -108,12 +110,14 @@
 				state.lastReadAt = gateway.clocks.steady();
 			}
 
+			survival.onData();
 			recordEvents(stream.context);
 		},
 	});
 	const moved = await departure.finish();
 	attempt.end(forwarded === 'broken' && moved === undefined && !signal.aborted);
 	if (forwarded === 'complete') {
+		survival.onWhole();
 		target.end();
 		return endWith({name: 'served'});
 	}
@@ -128,7 +132,7 @@
 	}
 
 	stream.limitWaitUntil = gateway.clocks.steady() + limitWaitMs;
-	recordBrokenAttempt(gateway, attempt, stream);
+	recordBrokenAttempt(gateway, attempt, stream, progress);
 	progress.lastFailure = `the stream from ${attempt.source} was interrupted`;
 	return retryStep;
 };
@@ -140,6 +144,11 @@
 		return sendToBestBackend(context, {call, outgoing}, progress, signal);
 	}
 
+	const suspension = findSuspension(context, stream);
+	if (suspension) {
+		return suspension;
+	}
+
 	stream.placements = remainingPlacements;
 	return sendToPlacement(context, {call, outgoing}, placement, progress, signal);
 };
@@ -189,7 +198,7 @@
 		}
 
 		// eslint-disable-next-line no-await-in-loop -- attempts run one after another
-		if (signal.aborted || !await takeRetry(context.gateway, stream.call, stream.progress)) {
+		if (signal.aborted || !await takeRetry(context, stream, stream.progress, signal)) {
 			return makeStreamFailureOutcome(stream);
 		}
 
--- /dev/null
+++ b/packages/gateway/src/crashes/check-verdict.ts
@@ -0,0 +1,50 @@
+/** Keeps calls from backend servers that would crash there. */
+import {
+	findVerdict, getEvidence, isUnproven, listSharedParts,
+} from '@shallotpass/core/crashes/crash-ledger.js';
+import {type Refusal} from '../calls/refusal.js';
+import {type GatewayState} from '../gateway-state.js';
+import {pauseFor} from '../pause.js';
+import {describeVerdict} from './announce-verdicts.js';
+import {type SentCall, toRequestTraits} from './request-traits.js';
+
+/** Retry-After in seconds. What crashes backend servers stays blocked for hours. */
+const suspendedRetryAfterS = 30;
+
+/** Time after a crash in which the crashes that other daemons have seen become known here. */
+const suspicionPauseMs = 400;
+
+/** Deaths of one part from which an unproven call is not sent on after its own backend server ended. */
+const suspiciousDeaths = 2;
+
+/** Returns the refusal of a call for which there is a verdict. Nothing of it may have run. */
+export const findCrashRefusal = (gateway: GatewayState, sent: SentCall): Refusal | undefined => {
+	const verdict = findVerdict(gateway.crashes, toRequestTraits(sent));
+	if (verdict === undefined) {
+		return undefined;
+	}
+
+	gateway.metrics.crashRefusals.inc({kind: verdict.kind});
+	gateway.log.write('failure', 'refused_for_crashes', {
+		request: sent.call.id, on: describeVerdict(verdict), ends: verdict.deaths.length, score: verdict.score, account: sent.call.account,
+	});
+	const what = verdict.kind === 'part' ? `A part of the prompt (${verdict.keys.join(', ')})` : 'This request';
+	return {kind: 'request_suspended', detail: `${what} has ended ${verdict.deaths.length} backend servers.`, retryAfterS: suspendedRetryAfterS};
+};
+
+/**
+ * Whether a call may be sent on after its backend server ended. A call with a part that has never been answered may be the cause,
+ * so it waits for what other daemons have seen, and ends if that part was on another backend server that ended.
+ */
+export const mayRunAgain = async (gateway: GatewayState, sent: SentCall, hasCrashed: Promise<boolean>, signal: AbortSignal): Promise<boolean> => {
+	const traits = toRequestTraits(sent);
+	if (!isUnproven(gateway.crashes, traits) || !await hasCrashed) {
+		return true;
+	}
+
+	await pauseFor(suspicionPauseMs, signal);
+	return !listSharedParts(traits.partIds).some(id => {
+		const evidence = getEvidence(gateway.crashes, 'part', id);
+		return evidence?.survivals.size === 0 && evidence.deaths.size >= suspiciousDeaths;
+	});
+};
--- a/packages/gateway/src/gateway-state.ts
+++ b/packages/gateway/src/gateway-state.ts
@@ -1,5 +1,6 @@
 /** State shared by the components of one gateway daemon. The comments of mutable fields name the components that write them. */
-import {type CrashRegister} from '@shallotpass/core/retries/crash-register.js';
+import {type CrashLedger} from '@shallotpass/core/crashes/crash-ledger.js';
+import {type CrashVerdict} from '@shallotpass/core/crashes/types.js';
 import {type GossipMember} from '@shallotpass/core/gossip/pick-relays.js';
 import {type GossipReport} from '@shallotpass/core/gossip/gossip-report.js';
 import {type ParticipantHistory} from '@shallotpass/core/limits/participants.js';
@@ -99,8 +100,12 @@
 	daemonCounts: DaemonCounts;
 	/** Started calls by usage window and account. Written by calls. */
 	readonly usage: UsageTally;
-	/** Backend servers that crashed while running a request, by digest of the request. Written by calls and gossip. */
-	crashes: CrashRegister;
+	/** Evidence about requests that may crash backend servers. Written by calls and gossip. */
+	readonly crashes: CrashLedger;
+	/** Whether a backend server ended that no report of this daemon contains yet. Written by calls and gossip. */
+	hasUnreportedCrashes: boolean;
+	/** Verdicts that were logged, by name. Written by `announceVerdicts`. */
+	announcedVerdicts: ReadonlyMap<string, CrashVerdict>;
 	/** Rate of prompt tokens to prefill, by service. Written by calls. */
 	readonly workRates: Map<string, WorkRate>;
 	/** Rate of the calls that callers send, by service. Written by calls. */
--- a/packages/gateway/src/leader/leader-task.ts
+++ b/packages/gateway/src/leader/leader-task.ts
@@ -3,6 +3,7 @@
  * cloud API: usage reports and backend server orders. Each report and order is stored in the lease record before it
  * is sent to the cloud API, so that a successor sends the same values.
  */
+import {recordVerdicts} from '@shallotpass/core/crashes/reported-evidence.js';
 import {
 	type BackendOrder, getFencingToken, isLeaseFree, type Lease, type LeaseCandidate, type LeaseObservation, listDueWindows, canTakeLease, releasedIncarnation, observeLease, addReport,
 } from '@shallotpass/core/lease/lease.js';
@@ -35,8 +36,8 @@
 /** After this time without a report from a lease holder, the lease is read from the store. Reports arrive three times a second. */
 const holderTimeoutMs = 1200;
 
-const emptyLeaseData: Pick<Lease, 'reports' | 'orders' | 'counted' | 'spent'> = {
-	reports: [], orders: [], counted: {}, spent: {at: 0, accounts: {}},
+const emptyLeaseData: Pick<Lease, 'reports' | 'orders' | 'counted' | 'spent' | 'convicted'> = {
+	reports: [], orders: [], counted: {}, spent: {at: 0, accounts: {}}, convicted: [],
 };
 
 const hasSameOrders = (left: readonly BackendOrder[], right: readonly BackendOrder[]): boolean => {
@@ -101,7 +102,7 @@
 		// A successor can take the lease without waiting for it to expire.
 		const {lease} = held.stored;
 		await writeLease({
-			...lease, incarnation: releasedIncarnation, counted: mergeUsage(lease.counted, collectUsage(gateway)), spent: projectSpending(gateway),
+			...lease, incarnation: releasedIncarnation, counted: mergeUsage(lease.counted, collectUsage(gateway)), spent: projectSpending(gateway), convicted: recordVerdicts(gateway.crashes),
 		});
 		record.markLost('the daemon is draining');
 	};
@@ -120,6 +121,7 @@
 			fence: getFencingToken(held.stored),
 			counted: dropEarlierWindows(mergeUsage(planned.counted, collectUsage(gateway)), lastReportedWindow + 1),
 			spent: projectSpending(gateway),
+			convicted: recordVerdicts(gateway.crashes),
 		});
 	};
 
--- a/packages/gateway/src/leader/lease-record.ts
+++ b/packages/gateway/src/leader/lease-record.ts
@@ -7,6 +7,7 @@
 	getFencingToken, type Lease, leaseSchema, canActOnLease, type StoredLease,
 } from '@shallotpass/core/lease/lease.js';
 import {convertEvenSlots} from '@shallotpass/core/quotas/recorded-spending.js';
+import {adoptCrashes} from '../crashes/share-evidence.js';
 import {type GatewayState} from '../gateway-state.js';
 import {type Platform} from '../ports.js';
 
@@ -62,11 +63,12 @@
 	const {steady, countDisagreements} = gateway.clocks;
 
 	/**
-	 * Takes over the spending of accounts from the record. After a restart of all daemons at once no daemon
-	 * has it in memory, and every account would get its whole limit again.
+	 * Takes over the spending of accounts and what crashes backend servers from the record. After a restart of all daemons at once no
+	 * daemon has it in memory: every account would get its whole limit again, and every such request some backend servers.
 	 */
-	const inheritSpending = (lease: Lease): void => {
+	const inheritKnowledge = (lease: Lease): void => {
 		if (lease.incarnation !== gateway.incarnation) {
+			adoptCrashes(gateway, {entries: lease.convicted, refuted: []});
 			gateway.inherited = lease.spent.recorded ?? convertEvenSlots(lease.spent, gateway.settings.bounds.quotaWindowMs);
 		}
 	};
@@ -88,7 +90,7 @@
 			return {kind: 'none'};
 		}
 
-		inheritSpending(lease.data);
+		inheritKnowledge(lease.data);
 		return {kind: 'stands', stored: {lease: lease.data, offset: record.offset}};
 	};
 
--- a/packages/gateway/src/peers/gossip.ts
+++ b/packages/gateway/src/peers/gossip.ts
@@ -10,8 +10,8 @@
 import {ageReport} from '@shallotpass/core/gossip/age-report.js';
 import {type GossipMember, needsRelays} from '@shallotpass/core/gossip/pick-relays.js';
 import {type StoreRole} from '@shallotpass/core/gossip/store-role.js';
-import {recordCrash} from '@shallotpass/core/retries/crash-register.js';
 import * as z from 'zod';
+import {adoptCrashes, maintainCrashes} from '../crashes/share-evidence.js';
 import {type GatewayState, type PeerReport, peerExpiryMs} from '../gateway-state.js';
 import {gossipIntervalMs} from '../hop-times.js';
 import {type Platform} from '../ports.js';
@@ -25,8 +25,11 @@
 import {adoptLimits, updateParticipants} from './share-limits.js';
 import {sumOtherLoads} from './sum-other-loads.js';
 
-/** Interval at which changed limits are reported at the earliest. The end of a limit should be known to hundreds of daemons within a second. */
-const limitReportIntervalMs = 50;
+/** Interval at which crashes and changed limits are reported at the earliest. They should be known to hundreds of daemons within a second. */
+const earlyReportIntervalMs = 50;
+
+/** Rounds from one report of all verdicts on what crashes backend servers to the next, for daemons that have started since. */
+const verdictRoundInterval = 7;
 
 /** A daemon whose rounds begin this late has no processor time left for the calls of others. */
 const busyDelayMs = 100;
@@ -40,7 +43,7 @@
 	readonly gateway: GatewayState;
 	readonly platform: Platform;
 	readonly datagrams: Datagrams;
-	readonly getReportInput: (members: MemberList) => ReportInput;
+	readonly getReportInput: (members: MemberList) => Omit<ReportInput, 'repeatsVerdicts'>;
 	/** Called with the store versions that a peer reports, and the peer's address. */
 	readonly onStoreVersions: (known: StoreVersions, address: string) => void;
 	readonly signal: AbortSignal;
@@ -101,8 +104,9 @@
 
 	const memberList: MemberList = {add: addMember, list: () => [...members.values()]};
 	gateway.listMembers = memberList.list;
-	let ownReport = makeReport(gateway, options.getReportInput(memberList));
 	let rounds = 0;
+	const makeOwnReport = (): GossipReport => makeReport(gateway, {...options.getReportInput(memberList), repeatsVerdicts: rounds % verdictRoundInterval === 0});
+	let ownReport = makeOwnReport();
 
 	const toPeerReport = (report: GossipReport): PeerReport => ({
 		...ageReport(report, gateway.clocks.trueTime()), receivedAt: now(), clockOffset: report.trueTime - now(),
@@ -147,11 +151,7 @@
 			removeEarlierAddresses(member);
 		}
 
-		for (const [digest, incarnations] of Object.entries(report.crashes)) {
-			for (const incarnation of incarnations) {
-				gateway.crashes = recordCrash(gateway.crashes, digest, incarnation, now());
-			}
-		}
+		adoptCrashes(gateway, report.crashEvidence);
 
 		if (!needsRelays(members.size)) {
 			if (!isSum(report)) {
@@ -204,7 +204,9 @@
 		gateway.unreportedLimits.areOwn = false;
 		gateway.unreportedLimits.areFromPeers = false;
 		removeSilentPeers();
-		ownReport = makeReport(gateway, options.getReportInput(memberList));
+		gateway.hasUnreportedCrashes = false;
+		maintainCrashes(gateway);
+		ownReport = makeOwnReport();
 		if (needsRelays(members.size)) {
 			relayExchange.sendReports(ownReport);
 		} else {
@@ -221,9 +223,14 @@
 
 	let hasReportedEarly = false;
 
-	/** Reports changed limits before the next round: those that were stated here, and those that a relay passes on. Once a round, as limits may change with every answer. */
-	const reportLimitsEarly = (): void => {
+	/** Reports crashes and changed limits before the next round: those that were seen here, and those that a relay passes on. Limits once a round, as they may change with every answer. */
+	const reportEarly = (): void => {
 		const {areOwn, areFromPeers} = gateway.unreportedLimits;
+		if (gateway.hasUnreportedCrashes) {
+			runRound();
+			return;
+		}
+
 		if (!hasReportedEarly && (areOwn || (areFromPeers && relayExchange.isActive()))) {
 			hasReportedEarly = true;
 			runRound();
@@ -237,10 +244,10 @@
 		hasReportedEarly = false;
 		runRound();
 	}, gossipIntervalMs);
-	const limitTimer = setInterval(reportLimitsEarly, limitReportIntervalMs);
+	const earlyTimer = setInterval(reportEarly, earlyReportIntervalMs);
 	signal.addEventListener('abort', () => {
 		clearInterval(timer);
-		clearInterval(limitTimer);
+		clearInterval(earlyTimer);
 	}, {once: true});
 
 	for (const address of gateway.settings.peers.seeds) {
--- a/packages/gateway/src/peers/make-report.ts
+++ b/packages/gateway/src/peers/make-report.ts
@@ -1,4 +1,5 @@
 /** Builds the gossip report of this daemon. */
+import {reportCrashes} from '@shallotpass/core/crashes/reported-evidence.js';
 import {decayPrefillRecord} from '@shallotpass/core/placement/engine-latency.js';
 import {computeWorkRate} from '@shallotpass/core/engines/work-rate.js';
 import {type GossipReport, type StoreVersions} from '@shallotpass/core/gossip/gossip-report.js';
@@ -12,9 +13,6 @@
 /** Number of usage windows in a report: the current one and those whose usage report may still be due. */
 const reportedWindowCount = 3;
 
-/** Maximum number of requests in a report that recently crashed backend servers. Such a request is usually sent again within seconds. */
-const maxReportedCrashes = 20;
-
 /** Minimum measured prefill time. Shorter measurements are too inaccurate to report a backend server's speed. */
 const minReportedMs = 10;
 
@@ -24,9 +22,11 @@
 export type ReportInput = {
 	readonly leaseOffset: number;
 	readonly known: StoreVersions;
+	/** Whether the report contains verdicts that were reported before. */
+	readonly repeatsVerdicts: boolean;
 };
 
-export const makeReport = (gateway: GatewayState, {leaseOffset, known}: ReportInput): GossipReport => {
+export const makeReport = (gateway: GatewayState, {leaseOffset, known, repeatsVerdicts}: ReportInput): GossipReport => {
 	const {settings, incarnation, registry, usage, paths, quota: {keeper}} = gateway;
 	const now = gateway.clocks.steady();
 	const loads: Array<[string, number[]]> = [];
@@ -61,6 +61,7 @@
 		brittle: reportBrittleness(gateway),
 		participants: reportParticipants(gateway),
 		peerCalls: {room: countPeerCallRoom(gateway), isCutOff: isCutOff(gateway)},
-		crashes: Object.fromEntries([...gateway.crashes.crashedIncarnations].slice(-maxReportedCrashes).map(([digest, incarnations]) => [digest, [...incarnations]])),
+		crashes: {},
+		crashEvidence: reportCrashes(gateway.crashes, {now, hasVerdicts: repeatsVerdicts}),
 	};
 };
--- a/packages/gateway/src/start-gateway.ts
+++ b/packages/gateway/src/start-gateway.ts
@@ -6,7 +6,7 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import {initialStoreRole, getMaxRetryPauseMs} from '@shallotpass/core/gossip/store-role.js';
 import {initialPathState} from '@shallotpass/core/paths/path-state.js';
-import {emptyCrashRegister} from '@shallotpass/core/retries/crash-register.js';
+import {makeCrashLedger} from '@shallotpass/core/crashes/crash-ledger.js';
 import {type OpenConnection} from './calls/backend-agent.js';
 import {makeBackendRegistry} from './calls/backend-registry.js';
 import {type CallersListener, listenForCallers, listenForReadinessChecks} from './calls/callers-listener.js';
@@ -90,7 +90,9 @@
 	allowances: new Map(),
 	daemonCounts: [],
 	usage: new Map(),
-	crashes: emptyCrashRegister,
+	crashes: makeCrashLedger(),
+	hasUnreportedCrashes: false,
+	announcedVerdicts: new Map(),
 	workRates: new Map(),
 	callRates: new Map(),
 	rankTimes: new Map(),
--- a/packages/gateway/src/telemetry/explain-request.ts
+++ b/packages/gateway/src/telemetry/explain-request.ts
@@ -26,6 +26,8 @@
 	'backend_brittle',
 	'backend_rejection',
 	'call_suspected',
+	'crash_verdict',
+	'crash_verdict_lifted',
 	'limit_reached',
 	'account_near_limit',
 	'spending_fell',
--- a/packages/gateway/src/telemetry/gateway-metrics.ts
+++ b/packages/gateway/src/telemetry/gateway-metrics.ts
@@ -23,6 +23,8 @@
 	readonly limitRefusals: Counter<'service'>;
 	readonly quotaAsks: Counter<'outcome'>;
 	readonly limitedBackends: Gauge;
+	readonly crashVerdicts: Gauge;
+	readonly crashRefusals: Counter<'kind'>;
 	readonly peers: Gauge;
 	readonly cutOff: Gauge;
 	readonly peerCallsSent: Counter<'service' | 'outcome'>;
@@ -75,6 +77,12 @@
 				this.set(getDirectoryAgeMs() / 1000);
 			},
 		}),
+		crashVerdicts: new Gauge({
+			name: 'shallotpass_gateway_crash_verdicts', help: 'Parts of prompts and requests that are kept from backend servers as they crash them', registers,
+		}),
+		crashRefusals: new Counter({
+			name: 'shallotpass_gateway_crash_refusals_total', help: 'Calls refused because they would crash backend servers, by what the verdict is on', labelNames: ['kind'], registers,
+		}),
 		limitRefusals: new Counter({
 			name: 'shallotpass_gateway_limit_refusals_total', help: 'Calls refused because the limits that backend servers state leave no room', labelNames: ['service'], registers,
 		}),
--- a/packages/gateway/src/telemetry/log-events.ts
+++ b/packages/gateway/src/telemetry/log-events.ts
@@ -96,7 +96,13 @@
 		meaning: 'A run was stopped at a leaving backend server; its KV cache was copied to another one, or it continues on the same one',
 		fields: ['request', 'from', 'to', 'outcome', 'reason', 'leavesInMs', 'tookMs'],
 	},
-	call_suspected: {meaning: 'A backend server terminated while it ran the call', fields: ['digest', 'backend', 'ends']},
+	call_suspected: {meaning: 'A backend server ended while the answer of the call was at its beginning; the parts of its prompt, and the request, are suspected', fields: ['request', 'backend', 'parts', 'hasBegun', 'digest']},
+	crash_verdict: {
+		meaning: 'Requests with these parts, or this request, are kept from backend servers from now on, as so many have ended under them; `isOneAccount`: those of one client account only',
+		fields: ['on', 'ends', 'score', 'isOneAccount', 'backends'],
+	},
+	crash_verdict_lifted: {meaning: 'The verdict has ended: such requests were answered since, the deaths had another cause, or an operator has cleared them', fields: ['on']},
+	refused_for_crashes: {meaning: 'A call was refused, or not sent on, because of a verdict', fields: ['request', 'on', 'ends', 'score', 'account']},
 	call_crashed: {meaning: 'Unexpected error while serving a call', fields: ['request', 'error']},
 	limit_reached: {
 		meaning: 'A call, or a further run of it, was refused because its client account reached its limit: `room` is the most that a keeper could grant, a `share` of what is left of `usable` after `known`',
