--- a/packages/core/src/crashes/crash-evidence.ts
+++ b/packages/core/src/crashes/crash-evidence.ts
@@ -60,9 +60,19 @@
 export const withDeath = (evidence: CrashEvidence, death: CrashDeath): CrashEvidence =>
 	mergeEvidence(evidence, {deaths: new Map([[death.incarnation, death]]), survivals: new Map()});
 
-/** `answer`: hash that tells the answer from others. */
-export const withSurvival = (evidence: CrashEvidence, {answer, at}: {readonly answer: number; readonly at: number}): CrashEvidence =>
-	mergeEvidence(evidence, {deaths: new Map(), survivals: new Map([[getSlot(at), [answer]]])});
+/** An answer that a backend server survived. */
+export type Survival = {
+	/** Hash that tells the answer from others. */
+	readonly answer: number;
+	/** True time. */
+	readonly at: number;
+};
+
+export const withSurvival = (evidence: CrashEvidence, {answer, at}: Survival): CrashEvidence => {
+	const known = evidence.survivals.get(getSlot(at));
+	const isFull = known?.length === maxSurvivalsPerSlot && known.at(-1)! <= answer;
+	return isFull ? evidence : mergeEvidence(evidence, {deaths: new Map(), survivals: new Map([[getSlot(at), [answer]]])});
+};
 
 export const countSurvivals = ({survivals}: CrashEvidence): number => {
 	let count = 0;
--- a/packages/core/src/crashes/crash-ledger.ts
+++ b/packages/core/src/crashes/crash-ledger.ts
@@ -3,7 +3,7 @@
  * changed in place, as it holds an entry for each part of the prompts that are served; its entries are immutable.
  */
 import {
-	countSurvivals, emptyEvidence, hasSameEvidence, mergeEvidence, withDeath, withSurvival,
+	countSurvivals, emptyEvidence, hasSameEvidence, mergeEvidence, type Survival, withDeath, withSurvival,
 } from './crash-evidence.js';
 import {findVerdicts} from './find-verdicts.js';
 import {
@@ -45,7 +45,7 @@
 	refutedAt: number;
 	/** Parts and digests of requests that an operator has cleared. */
 	cleared: ReadonlySet<string>;
-	/** Undefined while they have to be found again. */
+	/** Undefined while they have to be found again: after each change of deaths, and at times for survivals, which come with most calls. */
 	verdicts: readonly CrashVerdict[] | undefined;
 };
 
@@ -92,9 +92,13 @@
 	if (evidence.deaths.size > 0) {
 		const known = entries.suspected.get(key);
 		entries.sound.delete(key);
-		entries.suspected.set(key, {evidence, changedAt: known?.evidence.deaths === evidence.deaths ? known.changedAt : now});
-		ledger.verdicts = undefined;
-		evictSuspected(ledger, entries);
+		const hasSameDeaths = known?.evidence.deaths === evidence.deaths;
+		entries.suspected.set(key, {evidence, changedAt: hasSameDeaths ? known.changedAt : now});
+		if (!hasSameDeaths) {
+			ledger.verdicts = undefined;
+			evictSuspected(ledger, entries);
+		}
+
 		return;
 	}
 
@@ -116,9 +120,14 @@
 	}
 };
 
-/** Records for the request and its parts that an answer began and its backend server survived it. */
-export const recordSurvival = (ledger: CrashLedger, traits: RequestTraits, survival: {readonly answer: number; readonly at: number}, now: number): void => {
+/** Records for the parts, and for a suspected request, that an answer began and its backend server survived it. */
+export const recordSurvival = (ledger: CrashLedger, traits: RequestTraits, survival: Survival, now: number): void => {
 	for (const [kind, key] of listKeys(traits)) {
+		// Most requests never come again.
+		if (kind === 'request' && !ledger.request.suspected.has(key)) {
+			continue;
+		}
+
 		setEvidence(ledger, {kind, key, now}, withSurvival(getEvidence(ledger, kind, key) ?? emptyEvidence, survival));
 	}
 };
@@ -177,14 +186,17 @@
 
 const isExpired = ({deaths}: CrashEvidence, before: number): boolean => [...deaths.values()].every(({at}) => at < before);
 
-/** Forgets deaths that are too old to say anything. `trueTime` is the current true time. */
+/** Forgets deaths that are too old to say anything, and lets verdicts be found again. `trueTime` is the current true time. */
 export const removeOldEvidence = (ledger: CrashLedger, trueTime: number): void => {
+	ledger.verdicts = undefined;
 	const convicted = new Set(listVerdicts(ledger).flatMap(({keys}) => keys));
+	let hasRemoved = false;
+	const before = {suspicion: trueTime - suspicionMs, verdict: trueTime - verdictMs};
 	for (const {suspected} of [ledger.part, ledger.request]) {
 		for (const [key, {evidence}] of suspected) {
-			if (isExpired(evidence, trueTime - (convicted.has(key) ? verdictMs : suspicionMs))) {
+			if (isExpired(evidence, convicted.has(key) ? before.verdict : before.suspicion)) {
 				suspected.delete(key);
-				ledger.verdicts = undefined;
+				hasRemoved = true;
 			}
 		}
 	}
@@ -194,6 +206,10 @@
 			ledger.refuted.delete(incarnation);
 		}
 	}
+
+	if (hasRemoved) {
+		ledger.verdicts = undefined;
+	}
 };
 
 /** Lists all deaths that are known. */
--- a/packages/core/src/crashes/find-verdicts.ts
+++ b/packages/core/src/crashes/find-verdicts.ts
@@ -2,7 +2,7 @@
  * Finds the parts and requests that are kept from backend servers. Many requests are on a backend server that crashes, and only one of
  * them is the cause: a death that a convicted part explains does not count against the others.
  */
-import {weighEvidence, type Weighing} from './weigh-evidence.js';
+import {convictingScore, weighEvidence, type Weighing} from './weigh-evidence.js';
 import {type CrashDeath, type CrashEvidence, type CrashVerdict} from './types.js';
 
 export type EvidenceByKey = ReadonlyMap<string, CrashEvidence>;
@@ -22,6 +22,17 @@
 const compareWeighed = (left: Weighed, right: Weighed): number =>
 	(right.excess - left.excess) || (countBegun(right.deaths) - countBegun(left.deaths)) || (left.key < right.key ? -1 : 1);
 
+const findWorst = (weighed: readonly Weighed[]): Weighed | undefined => {
+	let worst: Weighed | undefined;
+	for (const candidate of weighed) {
+		if (candidate.isConvicted && (worst === undefined || compareWeighed(candidate, worst) < 0)) {
+			worst = candidate;
+		}
+	}
+
+	return worst;
+};
+
 const hasSameDeaths = (left: Weighed, right: Weighed): boolean =>
 	left.excess === right.excess && left.deaths.length === right.deaths.length && left.deaths.every(({incarnation}, index) => right.deaths[index]!.incarnation === incarnation);
 
@@ -35,32 +46,33 @@
 	kind, keys: [first, ...others].map(({key}) => key), account: findOnlyAccount(first.deaths), deaths: first.deaths, score: first.score,
 });
 
-const weighAll = (evidence: EvidenceByKey, kind: CrashVerdict['kind'], isCounted: (incarnation: number) => boolean): Weighed[] =>
-	[...evidence].map(([key, known]) => ({key, ...weighEvidence(known, {kind, isCounted})})).filter(({isConvicted}) => isConvicted).toSorted(compareWeighed);
+const isExplainedBy = ({deaths}: Weighed, explaining: readonly CrashDeath[]): boolean =>
+	deaths.some(({incarnation}) => explaining.some(death => death.incarnation === incarnation));
 
-export const findVerdicts = ({parts, requests, refuted}: KnownEvidence): CrashVerdict[] => {
-	const explained = new Set<number>();
+/** Finds the verdicts of one kind, the worst first. Deaths that they explain are added to `explained`. */
+const findVerdictsOfKind = (kind: CrashVerdict['kind'], evidence: EvidenceByKey, {refuted, explained}: {readonly refuted: KnownEvidence['refuted']; readonly explained: Set<number>}): CrashVerdict[] => {
 	const isCounted = (incarnation: number): boolean => !refuted.has(incarnation) && !explained.has(incarnation);
+	const weigh = (key: string): Weighed => ({key, ...weighEvidence(evidence.get(key)!, {kind, isCounted})});
 	const verdicts: CrashVerdict[] = [];
-	const explain = ({deaths}: CrashVerdict): void => {
-		for (const {incarnation} of deaths) {
-			explained.add(incarnation);
+	let weighed = [...evidence].filter(([, {deaths}]) => deaths.size >= convictingScore[kind]).map(([key]) => weigh(key));
+	for (;;) {
+		const worst = findWorst(weighed);
+		if (worst === undefined) {
+			return verdicts;
 		}
-	};
-
-	for (const kind of ['part', 'request'] as const) {
-		const evidence = kind === 'part' ? parts : requests;
-		for (;;) {
-			const [worst, ...others] = weighAll(evidence, kind, isCounted);
-			if (worst === undefined) {
-				break;
-			}
 
-			const verdict = toVerdict(kind, worst, kind === 'part' ? others.filter(other => hasSameDeaths(worst, other)) : []);
-			verdicts.push(verdict);
-			explain(verdict);
+		const beside = kind === 'part' ? weighed.filter(other => other !== worst && other.isConvicted && hasSameDeaths(worst, other)) : [];
+		const verdict = toVerdict(kind, worst, beside);
+		verdicts.push(verdict);
+		for (const {incarnation} of verdict.deaths) {
+			explained.add(incarnation);
 		}
+
+		weighed = weighed.filter(({key}) => !verdict.keys.includes(key)).map(other => isExplainedBy(other, verdict.deaths) ? weigh(other.key) : other);
 	}
+};
 
-	return verdicts;
+export const findVerdicts = ({parts, requests, refuted}: KnownEvidence): CrashVerdict[] => {
+	const known = {refuted, explained: new Set<number>()};
+	return [...findVerdictsOfKind('part', parts, known), ...findVerdictsOfKind('request', requests, known)];
 };
--- a/packages/core/src/testing/simulate-crashing-parts.ts
+++ b/packages/core/src/testing/simulate-crashing-parts.ts
@@ -1,6 +1,6 @@
 /** Simulates, in virtual time, daemons and backend servers that end under prompts with some parts, and of other causes. */
 import {
-	findVerdict, makeCrashLedger, recordDeath, recordSurvival, type CrashLedger, type RequestTraits,
+	findVerdict, makeCrashLedger, recordDeath, recordSurvival, removeOldEvidence, type CrashLedger, type RequestTraits,
 } from '../crashes/crash-ledger.js';
 import {
 	adoptReportedCrashes, mergeReportedCrashes, noReportedCrashes, reportCrashes, type ReportedCrashes,
@@ -150,6 +150,12 @@
 		const isRound = now % roundMs === 0;
 		const senders = isRound ? ledgers.keys() : [...dirtySince].filter(([, since]) => now >= since + earlyReportMs).map(([daemon]) => daemon);
 		const isRelayed = needsRelays(plan.daemons);
+		if (isRound) {
+			for (const ledger of ledgers) {
+				removeOldEvidence(ledger, now);
+			}
+		}
+
 		let sum = noReportedCrashes;
 		for (const daemon of senders) {
 			dirtySince.delete(daemon);
--- a/packages/gateway/src/crashes/announce-verdicts.ts
+++ b/packages/gateway/src/crashes/announce-verdicts.ts
@@ -12,6 +12,13 @@
 	return [...registry.byId.values()].filter(({incarnationHash}) => hashes.has(incarnationHash)).map(({entry}) => entry.id);
 };
 
+/** Lifts the verdicts on what an operator has cleared in the settings. */
+export const clearParts = (gateway: GatewayState): void => {
+	gateway.crashes.cleared = new Set(gateway.settings.crashes.cleared);
+	gateway.crashes.verdicts = undefined;
+	announceVerdicts(gateway);
+};
+
 /** Logs the verdicts that are new or have ended since the last call. */
 export const announceVerdicts = (gateway: GatewayState): void => {
 	const current = new Map(listVerdicts(gateway.crashes).map(verdict => [describeVerdict(verdict), verdict]));
--- a/packages/gateway/src/crashes/check-verdict.ts
+++ b/packages/gateway/src/crashes/check-verdict.ts
@@ -1,6 +1,6 @@
 /** Keeps calls from backend servers that would crash there. */
 import {
-	findVerdict, getEvidence, isUnproven, listSharedParts,
+	findVerdict, getEvidence, isUnproven, listSharedParts, listVerdicts,
 } from '@shallotpass/core/crashes/crash-ledger.js';
 import {type Refusal} from '../calls/refusal.js';
 import {type GatewayState} from '../gateway-state.js';
@@ -19,7 +19,7 @@
 
 /** Returns the refusal of a call for which there is a verdict. Nothing of it may have run. */
 export const findCrashRefusal = (gateway: GatewayState, sent: SentCall): Refusal | undefined => {
-	const verdict = findVerdict(gateway.crashes, toRequestTraits(sent));
+	const verdict = listVerdicts(gateway.crashes).length === 0 ? undefined : findVerdict(gateway.crashes, toRequestTraits(sent));
 	if (verdict === undefined) {
 		return undefined;
 	}
--- a/packages/gateway/src/crashes/record-evidence.ts
+++ b/packages/gateway/src/crashes/record-evidence.ts
@@ -21,7 +21,7 @@
 	recordDeath(gateway.crashes, traits, {
 		incarnation: state.incarnationHash, at: gateway.clocks.trueTime(), request: hashText(traits.digest), hasBegun: answeredAt !== undefined,
 	}, gateway.clocks.steady());
-	gateway.hasUnreportedCrashes = true;
+	gateway.unreportedCrashes.areOwn = true;
 	gateway.log.write('state', 'call_suspected', {
 		request: sent.call.id, backend: state.entry.id, parts: listSharedParts(traits.partIds).join(','), hasBegun: answeredAt !== undefined, digest: traits.digest,
 	});
@@ -31,7 +31,7 @@
 /** Takes back that a backend server ended, as another daemon reaches it. */
 export const refuteCrash = (gateway: GatewayState, {incarnationHash}: BackendState): void => {
 	refuteDeath(gateway.crashes, incarnationHash, gateway.clocks.trueTime(), gateway.clocks.steady());
-	gateway.hasUnreportedCrashes = true;
+	gateway.unreportedCrashes.areOwn = true;
 	announceVerdicts(gateway);
 };
 
--- a/packages/gateway/src/crashes/share-evidence.ts
+++ b/packages/gateway/src/crashes/share-evidence.ts
@@ -1,8 +1,7 @@
 /** Exchanges evidence about requests that may crash backend servers with other daemons. */
 import {listDeathsOf, removeOldEvidence} from '@shallotpass/core/crashes/crash-ledger.js';
 import {adoptReportedCrashes, type ReportedCrashes} from '@shallotpass/core/crashes/reported-evidence.js';
-import {needsRelays} from '@shallotpass/core/gossip/pick-relays.js';
-import {countDaemons, type GatewayState} from '../gateway-state.js';
+import {type GatewayState} from '../gateway-state.js';
 import {announceVerdicts} from './announce-verdicts.js';
 import {refuteCrash} from './record-evidence.js';
 
@@ -10,10 +9,13 @@
 const earliestDataMs = 300;
 const latestDataMs = 1200;
 
-/** Adopts what another daemon reports. Relays pass it on at once. */
+/** Deaths that may still be refuted by data: a report takes up to a second. */
+const recentDeathMs = 4000;
+
+/** Adopts what another daemon reports. A relay passes it on at once. */
 export const adoptCrashes = (gateway: GatewayState, reported: ReportedCrashes): void => {
 	if (adoptReportedCrashes(gateway.crashes, reported, gateway.clocks.steady())) {
-		gateway.hasUnreportedCrashes ||= needsRelays(countDaemons(gateway));
+		gateway.unreportedCrashes.areFromPeers = true;
 		announceVerdicts(gateway);
 	}
 };
@@ -21,7 +23,8 @@
 /** Takes back deaths of backend servers that have answered since, as when the daemon that noticed them had lost its paths. */
 const refuteByData = (gateway: GatewayState): void => {
 	const lag = gateway.clocks.trueTime() - gateway.clocks.steady();
-	const deathTimes = new Map([...listDeathsOf(gateway.crashes)].map(({incarnation, at}) => [incarnation, at]));
+	const since = gateway.clocks.trueTime() - recentDeathMs;
+	const deathTimes = new Map([...listDeathsOf(gateway.crashes)].filter(({at}) => at > since).map(({incarnation, at}) => [incarnation, at]));
 	if (deathTimes.size === 0) {
 		return;
 	}
--- a/packages/gateway/src/gateway-settings.ts
+++ b/packages/gateway/src/gateway-settings.ts
@@ -26,6 +26,9 @@
 	cloud: z.object({
 		address: z.union([address, z.literal('')]).describe('Address of the cloud API; empty if there is none'),
 	}),
+	crashes: z.object({
+		cleared: z.array(z.string()).default([]).describe('Parts of prompts, or digests of requests, that are served although backend servers ended under them'),
+	}).default({cleared: []}),
 	bounds: z.object({
 		drainMs: z.number().positive().describe('Time for which a leaving backend server may still get calls, in ms'),
 		graceMs: z.number().positive().describe('Time from SIGTERM to SIGKILL, in ms'),
--- a/packages/gateway/src/gateway-state.ts
+++ b/packages/gateway/src/gateway-state.ts
@@ -102,8 +102,8 @@
 	readonly usage: UsageTally;
 	/** Evidence about requests that may crash backend servers. Written by calls and gossip. */
 	readonly crashes: CrashLedger;
-	/** Whether a backend server ended that no report of this daemon contains yet. Written by calls and gossip. */
-	hasUnreportedCrashes: boolean;
+	/** Whether crashes are known that no report of this daemon contains yet: seen here, or learned from a peer. Written by calls and gossip. */
+	readonly unreportedCrashes: {areOwn: boolean; areFromPeers: boolean};
 	/** Verdicts that were logged, by name. Written by `announceVerdicts`. */
 	announcedVerdicts: ReadonlyMap<string, CrashVerdict>;
 	/** Rate of prompt tokens to prefill, by service. Written by calls. */
--- a/packages/gateway/src/peers/gossip.ts
+++ b/packages/gateway/src/peers/gossip.ts
@@ -204,7 +204,8 @@
 		gateway.unreportedLimits.areOwn = false;
 		gateway.unreportedLimits.areFromPeers = false;
 		removeSilentPeers();
-		gateway.hasUnreportedCrashes = false;
+		gateway.unreportedCrashes.areOwn = false;
+		gateway.unreportedCrashes.areFromPeers = false;
 		maintainCrashes(gateway);
 		ownReport = makeOwnReport();
 		if (needsRelays(members.size)) {
@@ -225,13 +226,13 @@
 
 	/** Reports crashes and changed limits before the next round: those that were seen here, and those that a relay passes on. Limits once a round, as they may change with every answer. */
 	const reportEarly = (): void => {
-		const {areOwn, areFromPeers} = gateway.unreportedLimits;
-		if (gateway.hasUnreportedCrashes) {
+		const shouldReport = ({areOwn, areFromPeers}: {readonly areOwn: boolean; readonly areFromPeers: boolean}): boolean => areOwn || (areFromPeers && relayExchange.isActive());
+		if (shouldReport(gateway.unreportedCrashes)) {
 			runRound();
 			return;
 		}
 
-		if (!hasReportedEarly && (areOwn || (areFromPeers && relayExchange.isActive()))) {
+		if (!hasReportedEarly && shouldReport(gateway.unreportedLimits)) {
 			hasReportedEarly = true;
 			runRound();
 		}
--- a/packages/gateway/src/start-gateway.ts
+++ b/packages/gateway/src/start-gateway.ts
@@ -21,6 +21,7 @@
 import {type GatewaySettings} from './gateway-settings.js';
 import {countDaemons, type GatewayState} from './gateway-state.js';
 import {makeOrderPlanner} from './leader/order-planner.js';
+import {clearParts} from './crashes/announce-verdicts.js';
 import {recordPathSuccess, startPathProbes} from './paths/track-paths.js';
 import {openDatagrams} from './peers/datagrams.js';
 import {startGossip} from './peers/gossip.js';
@@ -91,7 +92,7 @@
 	daemonCounts: [],
 	usage: new Map(),
 	crashes: makeCrashLedger(),
-	hasUnreportedCrashes: false,
+	unreportedCrashes: {areOwn: false, areFromPeers: false},
 	announcedVerdicts: new Map(),
 	workRates: new Map(),
 	callRates: new Map(),
@@ -168,6 +169,7 @@
 		recordPathSuccess(state, incarnation);
 	};
 
+	clearParts(state);
 	const controller = new AbortController();
 	const {signal} = controller;
 	// Each component waits on the signal, some of them several times.
@@ -216,6 +218,7 @@
 		drain: async () => drain(state, listener, controller),
 		reload(settings) {
 			state.settings = {...settings, listen: state.settings.listen, instance: state.settings.instance};
+			clearParts(state);
 			state.log.write('state', 'settings_taken', {bounds: settings.bounds, store: settings.store.address});
 		},
 		stop() {
