Let no answer look whole that ended with the process of its backend server

What callers saw: an answer without a length or chunks ends with its connection. When the process of its backend server ended between two events, or within a plain body, the end was a regular one, and the caller got a shorter answer as whole.

Cause: the end of such an answer was told from a reset only. Change: after an answer that ended with its connection, the backend server is asked whether it takes a new one; if not, the answer is broken, and a stream that may goes on elsewhere. One connection for each such answer, none for others. Relays of tests pass resets on as resets, not as regular ends.

What is left: a process that is back at its address within milliseconds, or an engine that breaks off between events and lives on, cannot be told from a whole one.

--- a/packages/gateway/src/calls/backend-exchange.ts
+++ b/packages/gateway/src/calls/backend-exchange.ts
@@ -36,6 +36,8 @@
 	readonly body: Buffer | undefined;
 	/** Timeout for opening a new connection. */
 	readonly connectTimeoutMs: number;
+	/** Whether the backend server takes new connections. Asked after an answer that ends with its connection, which looks whole if the process ended midway. */
+	readonly canConnect?: () => Promise<boolean>;
 };
 
 /** Sends a call. There is no built-in deadline: the sender calls `abort` when the deadline passes. */
@@ -99,7 +101,9 @@
 						await nextTurn();
 					}
 
-					return response.complete && !hasFailed && !hasConnectionFailed(socket);
+					const isWhole = response.complete && !hasFailed && !hasConnectionFailed(socket);
+					const hasEndedWithConnection = isCloseDelimited(response) && socket?.readableEnded === true;
+					return isWhole && (!hasEndedWithConnection || options.canConnect === undefined || options.canConnect());
 				},
 			});
 		});
--- a/packages/gateway/src/calls/run-at-backend.ts
+++ b/packages/gateway/src/calls/run-at-backend.ts
@@ -11,6 +11,7 @@
 import {computeSilenceTimeout} from '@shallotpass/core/retries/silence-timeout.js';
 import {getWindowIndex, recordStart} from '@shallotpass/core/usage/count-starts.js';
 import {type GatewayState} from '../gateway-state.js';
+import {canConnect} from '../paths/can-connect.js';
 import {type MovedKvCache} from '../ports.js';
 import {type BackendState, trackedRankCount} from './backend-registry.js';
 import {type Exchange, type IsComplete, sendToBackend} from './backend-exchange.js';
@@ -123,6 +124,7 @@
 		connectTimeoutMs,
 	});
 	const trackedCall = trackRunningCall(gateway, {
+		canConnect: async () => canConnect(gateway.registry.openConnection, state.entry.address),
 		state, rank, uncachedTokens, tokens: call.promptTokens + call.outputTokens, digest: outgoing.digest,
 	});
 	// If the backend server has sent nothing since, the call may still be under way, and would arrive after a regular close.
--- a/packages/stand-ins/src/relay.ts
+++ b/packages/stand-ins/src/relay.ts
@@ -67,7 +67,12 @@
 			}
 
 			// As in a network, what was sent before a regular end still arrives, and a reset discards it.
-			const heldMs = hadError ? 0 : heldUntil - performance.now();
+			const heldMs = heldUntil - performance.now();
+			if (hadError) {
+				to.resetAndDestroy();
+				return;
+			}
+
 			if (heldMs <= 0) {
 				to.destroy();
 				return;
