Try what was convicted ever less often, and let the soak crash engines by a part of prompts

Cause: three engines ended within half a second of the start, before anything was answered; the sound part stood on all three, the cause of two of them was known to one daemon alone, whose datagrams were lost and which was killed. A verdict had no way out, since nothing that is refused can be answered.

Change: single trials by one daemon, picked by rendezvous: 4 s after the third death, 8 s after the fourth, then a minute, ten, an hour, six hours. Four answers after the last death end a verdict. What is suspected is repeated in each seventh round for a minute, parts before requests, for daemons that were cut off.

--- a/packages/core/src/crashes/crash-ledger.test.ts
+++ b/packages/core/src/crashes/crash-ledger.test.ts
@@ -5,6 +5,7 @@
 import {
 	adoptEvidence, findVerdict, isUnproven, listVerdicts, makeCrashLedger, recordDeath, recordSurvival, refuteDeath, removeOldEvidence, type CrashLedger, type RequestTraits,
 } from './crash-ledger.js';
+import {planTrial} from './plan-trial.js';
 import {adoptReportedCrashes, recordVerdicts, reportCrashes} from './reported-evidence.js';
 import {type CrashDeath, type CrashEvidence} from './types.js';
 
@@ -110,6 +111,26 @@
 	assert.equal(isRefused(ledger, ['cut-off']), false);
 });
 
+test('a sound part that was on each server that ended is served again after some trials, and one that ends the next is tried ever less', () => {
+	const ledger = makeCrashLedger();
+	endUnder(ledger, ['shared'], {from: 1, count: 3});
+	const [verdict] = listVerdicts(ledger);
+	assert.equal(planTrial(verdict!), 1500 + 4000);
+	for (let answer = 0; answer < 4; answer++) {
+		recordSurvival(ledger, makeTraits(10 + answer, ['shared']), {answer, at: 5500 + (500 * answer)}, 0);
+		removeOldEvidence(ledger, 6000);
+		assert.equal(isRefused(ledger, ['shared']), answer < 3);
+	}
+
+	endUnder(ledger, ['bad'], {from: 21, count: 3});
+	const trialDelays = Array.from({length: 6}, (_value, index) => {
+		endUnder(ledger, ['bad'], {from: 24 + index, count: 1});
+		const worst = listVerdicts(ledger).find(({keys}) => keys.includes('bad'))!;
+		return planTrial(worst) - worst.deaths.at(-1)!.at;
+	});
+	assert.deepEqual(trialDelays, [8000, 60_000, 600_000, 3_600_000, 6 * 3_600_000, 6 * 3_600_000]);
+});
+
 test('a flood of new parts evicts no verdict, and the verdict outlives an hour', () => {
 	const ledger = makeCrashLedger();
 	endUnder(ledger, ['bad'], {from: 1, count: 3});
--- a/packages/core/src/crashes/crash-model.test.ts
+++ b/packages/core/src/crashes/crash-model.test.ts
@@ -32,6 +32,9 @@
 	['it crashes every second time', {crashShare: 0.5}],
 	['six backend servers end of other causes meanwhile', {otherDeaths: [300, 900, 1500, 2100, 2700, 3300].map(at => ({at, count: 1}))}],
 	['each request of the route has the part', {soundPerSecond: 0}],
+	['nothing was ever answered before, and all backend servers end at once', {
+		daemons: 3, backends: 3, beforeMs: 0, lossShare: 0.4, crashingPrompts: [['all', 'bad']], makeSoundPrompt: () => ['all'],
+	}],
 ];
 
 for (const [name, changes] of crashingCases) {
--- a/packages/core/src/crashes/reported-evidence.ts
+++ b/packages/core/src/crashes/reported-evidence.ts
@@ -6,9 +6,9 @@
 } from './crash-ledger.js';
 import {type CrashDeath, type CrashEvidence, type CrashVerdict} from './types.js';
 
-/** Most entries of a report, and of a sum. */
-const maxChangedEntries = 6;
-const maxConvictedEntries = 16;
+/** Most entries that have changed, and most that are repeated: verdicts, and what else was on the same backend servers. */
+const maxChangedEntries = 8;
+const maxRepeatedEntries = 16;
 
 /** Most deaths, slots of survivals and survivals of a slot in an entry. */
 const maxReportedDeaths = 6;
@@ -19,6 +19,9 @@
 const maxRefuted = 8;
 const reportChangesMs = 1500;
 
+/** Time for which what is suspected is repeated, for daemons that were cut off meanwhile. */
+const repeatSuspicionsMs = 60_000;
+
 /** Incarnation, true time, account, request, and 1 if the answer had begun. */
 const reportedDeathSchema = z.tuple([z.int(), z.number(), z.int(), z.int(), z.int()]);
 
@@ -63,22 +66,25 @@
 	survivals: new Map(survivals),
 });
 
-const reportVerdicts = (ledger: CrashLedger, verdicts: readonly CrashVerdict[]): ReportedEvidence[] => verdicts.slice(0, maxConvictedEntries).flatMap(({kind, keys}) => keys.flatMap(key => {
+const reportVerdicts = (ledger: CrashLedger, verdicts: readonly CrashVerdict[]): ReportedEvidence[] => verdicts.slice(0, maxRepeatedEntries).flatMap(({kind, keys}) => keys.flatMap(key => {
 	const entry = ledger[kind].suspected.get(key);
 	return entry === undefined ? [] : [toReportedEvidence(kind, key, entry.evidence)];
 }));
 
-/** Lists what is suspected and has changed lately: first what is on most deaths. */
-const reportChanges = (ledger: CrashLedger, now: number): ReportedEvidence[] => (['part', 'request'] as const)
-	.flatMap(kind => [...ledger[kind].suspected].map(([key, entry]) => ({kind, key, ...entry})))
-	.filter(({changedAt}) => changedAt >= now - reportChangesMs)
-	.toSorted((left, right) => right.evidence.deaths.size - left.evidence.deaths.size || right.changedAt - left.changedAt)
-	.slice(0, maxChangedEntries)
+/** Lists what has changed since: parts before requests, and first what is on most deaths. */
+const reportSuspected = (ledger: CrashLedger, since: number, count: number): ReportedEvidence[] => (['part', 'request'] as const)
+	.flatMap(kind => [...ledger[kind].suspected]
+		.filter(([, {changedAt}]) => changedAt >= since)
+		.toSorted(([, left], [, right]) => right.evidence.deaths.size - left.evidence.deaths.size || right.changedAt - left.changedAt)
+		.map(([key, {evidence}]) => ({kind, key, evidence})))
+	.slice(0, count)
 	.map(({kind, key, evidence}) => toReportedEvidence(kind, key, evidence));
 
-/** Returns what to report: changes at once, and with `hasVerdicts` all verdicts, for daemons that have started since. `now` is on the steady clock. */
+/** Returns what to report: changes at once, and with `hasVerdicts` also verdicts and what else was suspected lately, for daemons that have started or were cut off since. `now` is on the steady clock. */
 export const reportCrashes = (ledger: CrashLedger, {now, hasVerdicts}: {readonly now: number; readonly hasVerdicts: boolean}): ReportedCrashes => ({
-	entries: mergeEntries(reportChanges(ledger, now), hasVerdicts ? reportVerdicts(ledger, listVerdicts(ledger)) : []),
+	entries: hasVerdicts
+		? mergeEntries(reportVerdicts(ledger, listVerdicts(ledger)), reportSuspected(ledger, now - repeatSuspicionsMs, maxRepeatedEntries))
+		: reportSuspected(ledger, now - reportChangesMs, maxChangedEntries),
 	refuted: now < ledger.refutedAt + reportChangesMs ? [...ledger.refuted].slice(-maxRefuted) : [],
 });
 
@@ -100,7 +106,7 @@
 export const mergeReportedCrashes = (left: ReportedCrashes, right: ReportedCrashes): ReportedCrashes => ({
 	entries: mergeEntries(left.entries, right.entries)
 		.toSorted((first, second) => second.deaths.length - first.deaths.length)
-		.slice(0, maxChangedEntries + maxConvictedEntries),
+		.slice(0, 2 * maxRepeatedEntries),
 	refuted: [...new Map([...left.refuted, ...right.refuted])].slice(-maxRefuted),
 });
 
--- a/packages/core/src/crashes/weigh-evidence.ts
+++ b/packages/core/src/crashes/weigh-evidence.ts
@@ -9,8 +9,9 @@
 /** Score from which requests are refused. One death may be a coincidence of a request, two of a part. */
 export const convictingScore = {part: 3, request: 2} as const satisfies Record<EvidenceKind, number>;
 
-/** Score below which a verdict ends. */
-const liftingScore = 0.5;
+/** Answers after the last death that end a verdict, and the score that is left then. */
+const liftingSurvivals = 4;
+const liftedScore = 1;
 
 /** What a survival takes off: a part that crashes every second backend server still gains. */
 const survivalWeight = 0.25;
@@ -35,7 +36,8 @@
 	readonly deaths: readonly CrashDeath[];
 };
 
-type WeighedEvent = {readonly at: number; readonly change: number};
+/** One or several deaths, or the survivals of a time slot. */
+type WeighedEvent = {readonly at: number; readonly change: number; readonly survivals: number};
 
 /** Groups deaths that come close together. */
 const groupDeaths = (deaths: readonly CrashDeath[]): CrashDeath[][] => {
@@ -55,17 +57,17 @@
 const listDeathEvents = (kind: EvidenceKind, deaths: readonly CrashDeath[]): WeighedEvent[] => {
 	if (kind === 'request') {
 		// A request runs on one backend server after the other, so no single cause takes several from it.
-		return deaths.map(({at}) => ({at, change: 1}));
+		return deaths.map(({at}) => ({at, change: 1, survivals: 0}));
 	}
 
 	return groupDeaths(deaths).map(group => {
 		const requests = new Set(group.map(({request}) => request));
-		return {at: group[0]!.at, change: requests.size >= massDeathCount ? massDeathWeight : group.length};
+		return {at: group[0]!.at, change: requests.size >= massDeathCount ? massDeathWeight : group.length, survivals: 0};
 	});
 };
 
 const listSurvivalEvents = ({survivals}: CrashEvidence): WeighedEvent[] =>
-	[...survivals].map(([slot, hashes]) => ({at: getSlotStart(slot), change: -survivalWeight * hashes.length}));
+	[...survivals].map(([slot, hashes]) => ({at: getSlotStart(slot), change: -survivalWeight * hashes.length, survivals: hashes.length}));
 
 export type WeighingOptions = {
 	readonly kind: EvidenceKind;
@@ -80,9 +82,16 @@
 	const events = [...listSurvivalEvents(evidence), ...listDeathEvents(kind, deaths)].toSorted((left, right) => left.at - right.at);
 	let score = 0;
 	let isConvicted = false;
-	for (const {change} of events) {
+	let survivalsSinceDeath = 0;
+	for (const {change, survivals} of events) {
 		score = Math.min(maxScore, Math.max(minScore, score + change));
-		isConvicted = isConvicted ? score >= liftingScore : score >= convictingScore[kind];
+		survivalsSinceDeath = survivals === 0 ? 0 : survivalsSinceDeath + survivals;
+		if (isConvicted && survivalsSinceDeath >= liftingSurvivals) {
+			isConvicted = false;
+			score = Math.min(score, liftedScore);
+		}
+
+		isConvicted ||= score >= convictingScore[kind];
 	}
 
 	return {
--- a/packages/core/src/testing/simulate-crashing-parts.ts
+++ b/packages/core/src/testing/simulate-crashing-parts.ts
@@ -2,6 +2,8 @@
 import {
 	findVerdict, makeCrashLedger, recordDeath, recordSurvival, removeOldEvidence, type CrashLedger, type RequestTraits,
 } from '../crashes/crash-ledger.js';
+import {planTrial} from '../crashes/plan-trial.js';
+import {type CrashVerdict} from '../crashes/types.js';
 import {
 	adoptReportedCrashes, mergeReportedCrashes, noReportedCrashes, reportCrashes, type ReportedCrashes,
 } from '../crashes/reported-evidence.js';
@@ -76,6 +78,7 @@
 	const {random} = plan;
 	const ledgers: CrashLedger[] = Array.from({length: plan.daemons}, makeCrashLedger);
 	const dirtySince = new Map<number, number>();
+	const tryingUntil = new Map<string, number>();
 	const backends: SimulatedBackend[] = Array.from({length: plan.backends}, (_value, index) => ({
 		zone: index % plan.zones, incarnation: index, aliveAt: 0, running: new Set(),
 	}));
@@ -101,11 +104,23 @@
 		backend.incarnation = nextIncarnation++;
 	};
 
+	/** One daemon tries a verdict, one request at a time. */
+	const canTry = (verdict: CrashVerdict, daemon: number, now: number): boolean => {
+		const name = verdict.keys.join(',');
+		if (daemon !== 0 || now < planTrial(verdict) || (tryingUntil.get(name) ?? 0) > now) {
+			return false;
+		}
+
+		tryingUntil.set(name, now + answerMs);
+		return true;
+	};
+
 	const sendCall = (now: number, prompt: readonly string[], isCrashing: boolean): void => {
 		nextRequest++;
 		const daemon = Math.floor(random() * plan.daemons);
 		const traits = {digest: String(nextRequest), account: 1, partIds: [...prompt, `own-${nextRequest}`]};
-		const isRefused = findVerdict(ledgers[daemon]!, traits) !== undefined;
+		const verdict = findVerdict(ledgers[daemon]!, traits);
+		const isRefused = verdict !== undefined && !canTry(verdict, daemon, now);
 		if (!isCrashing) {
 			outcome.soundCalls++;
 			outcome.refusedSoundCalls += isRefused && now > plan.beforeMs + settledMs ? 1 : 0;
--- a/packages/gateway/src/calls/admit-call.ts
+++ b/packages/gateway/src/calls/admit-call.ts
@@ -7,7 +7,7 @@
 import {type Account, type Route} from '@shallotpass/core/calls/serving-configuration.js';
 import {type Call} from '@shallotpass/core/calls/types.js';
 import {hashText, hashText64} from '@shallotpass/core/routing/rank-by-rendezvous.js';
-import {findCrashRefusal} from '../crashes/check-verdict.js';
+import {checkVerdict} from '../crashes/check-verdict.js';
 import {type GatewayState} from '../gateway-state.js';
 import {takeQuota} from '../quotas/take-quota.js';
 import {type CallerHeaders} from '../ports.js';
@@ -171,7 +171,7 @@
 	const method = request.method ?? 'GET';
 	const digest = hashText64(`${account?.name ?? ''}\n${method}\n${path}\n${bodyResult.body.toString('latin1')}`).toString(16);
 	const call = makeCall(context, target, arrivedAt);
-	const crashRefusal = findCrashRefusal(gateway, {call, outgoing: {digest}});
+	const {refusal: crashRefusal, trialOf} = checkVerdict(gateway, {call, outgoing: {digest}});
 	if (crashRefusal) {
 		return new RefusedCall(crashRefusal);
 	}
@@ -186,7 +186,7 @@
 	return {
 		call,
 		outgoing: {
-			method, path, callerFields: request.rawHeaders, body: bodyResult.body, digest, lastEventId: undefined,
+			method, path, callerFields: request.rawHeaders, body: bodyResult.body, digest, lastEventId: undefined, ...(trialOf !== undefined && {trialOf}),
 		},
 	};
 };
--- a/packages/gateway/src/calls/call-attempts.ts
+++ b/packages/gateway/src/calls/call-attempts.ts
@@ -194,14 +194,14 @@
 };
 
 /** Returns the result of a call that must not reach a backend server any more, as others like it have crashed some since it was admitted. */
-export const findSuspension = ({gateway}: CallContext, admitted: AdmittedCall): UnsentResult | undefined => {
-	const refusal = findCrashRefusal(gateway, admitted);
+export const findSuspension = ({gateway}: CallContext, admitted: AdmittedCall, {attempts}: CallProgress): UnsentResult | undefined => {
+	const refusal = findCrashRefusal(gateway, admitted, attempts);
 	return refusal && {kind: 'suspended', refusal};
 };
 
 /** Sends the call to the best backend server that it has not been sent to yet, or through a peer if none is reached from here. */
 export const sendToBestBackend = async (context: CallContext, admitted: AdmittedCall, progress: CallProgress, signal: AbortSignal): Promise<SendResult> => {
-	const suspension = findSuspension(context, admitted);
+	const suspension = findSuspension(context, admitted, progress);
 	if (suspension) {
 		return suspension;
 	}
--- a/packages/gateway/src/calls/run-at-backend.ts
+++ b/packages/gateway/src/calls/run-at-backend.ts
@@ -36,6 +36,8 @@
 	readonly body: Buffer;
 	readonly digest: string;
 	readonly lastEventId: string | undefined;
+	/** Verdict in spite of which the call is let through once, by name. */
+	readonly trialOf?: string;
 	/** KV cache of the run to continue; undefined if the call starts from the beginning. */
 	readonly kvCache?: MovedKvCache;
 };
@@ -122,9 +124,9 @@
 		fields: hasBody ? [...fields, 'Content-Length', String(outgoing.body.length)] : fields,
 		body: hasBody ? outgoing.body : undefined,
 		connectTimeoutMs,
+		canConnect: async () => canConnect(gateway.registry.openConnection, state.entry.address),
 	});
 	const trackedCall = trackRunningCall(gateway, {
-		canConnect: async () => canConnect(gateway.registry.openConnection, state.entry.address),
 		state, rank, uncachedTokens, tokens: call.promptTokens + call.outputTokens, digest: outgoing.digest,
 	});
 	// If the backend server has sent nothing since, the call may still be under way, and would arrive after a regular close.
--- a/packages/gateway/src/calls/serve-peer-call.ts
+++ b/packages/gateway/src/calls/serve-peer-call.ts
@@ -99,7 +99,7 @@
 		return;
 	}
 
-	const crashRefusal = findCrashRefusal(gateway, {call, outgoing: data.outgoing});
+	const crashRefusal = findCrashRefusal(gateway, {call, outgoing: data.outgoing}, 0);
 	if (crashRefusal) {
 		refuse(context, crashRefusal, 'refused');
 		return;
--- a/packages/gateway/src/calls/serve-stream.ts
+++ b/packages/gateway/src/calls/serve-stream.ts
@@ -144,7 +144,7 @@
 		return sendToBestBackend(context, {call, outgoing}, progress, signal);
 	}
 
-	const suspension = findSuspension(context, stream);
+	const suspension = findSuspension(context, stream, progress);
 	if (suspension) {
 		return suspension;
 	}
--- a/packages/gateway/src/crashes/record-evidence.ts
+++ b/packages/gateway/src/crashes/record-evidence.ts
@@ -7,6 +7,7 @@
 import {type GatewayState} from '../gateway-state.js';
 import {announceVerdicts} from './announce-verdicts.js';
 import {type SentCall, toRequestTraits} from './request-traits.js';
+import {endTrial} from './try-verdict.js';
 
 /** An answer that went on for so long has not crashed its backend server by its beginning. */
 const survivalMs = 500;
@@ -49,6 +50,7 @@
 	const record = (): void => {
 		if (!isRecorded) {
 			isRecorded = true;
+			endTrial(gateway, sent);
 			recordSurvival(gateway.crashes, toRequestTraits(sent), {answer: hashText(`${sent.call.id}/${state!.incarnation}`), at: gateway.clocks.trueTime()}, gateway.clocks.steady());
 		}
 	};
--- a/packages/gateway/src/crashes/request-traits.ts
+++ b/packages/gateway/src/crashes/request-traits.ts
@@ -6,7 +6,7 @@
 /** An admitted call, or a stream with the request that it sends next. */
 export type SentCall = {
 	readonly call: Call;
-	readonly outgoing: {readonly digest: string};
+	readonly outgoing: {readonly digest: string; readonly trialOf?: string};
 };
 
 export const toRequestTraits = ({call, outgoing: {digest}}: SentCall): RequestTraits => ({
--- a/packages/gateway/src/gateway-state.ts
+++ b/packages/gateway/src/gateway-state.ts
@@ -104,6 +104,8 @@
 	readonly crashes: CrashLedger;
 	/** Whether crashes are known that no report of this daemon contains yet: seen here, or learned from a peer. Written by calls and gossip. */
 	readonly unreportedCrashes: {areOwn: boolean; areFromPeers: boolean};
+	/** Verdicts of which this daemon tries a request, by name, and when it is given up, on the steady clock. Written by calls. */
+	readonly crashTrials: Map<string, number>;
 	/** Verdicts that were logged, by name. Written by `announceVerdicts`. */
 	announcedVerdicts: ReadonlyMap<string, CrashVerdict>;
 	/** Rate of prompt tokens to prefill, by service. Written by calls. */
--- a/packages/gateway/src/start-gateway.ts
+++ b/packages/gateway/src/start-gateway.ts
@@ -93,6 +93,7 @@
 	usage: new Map(),
 	crashes: makeCrashLedger(),
 	unreportedCrashes: {areOwn: false, areFromPeers: false},
+	crashTrials: new Map(),
 	announcedVerdicts: new Map(),
 	workRates: new Map(),
 	callRates: new Map(),
--- a/packages/gateway/src/telemetry/explain-request.ts
+++ b/packages/gateway/src/telemetry/explain-request.ts
@@ -28,6 +28,7 @@
 	'call_suspected',
 	'crash_verdict',
 	'crash_verdict_lifted',
+	'crash_trial',
 	'limit_reached',
 	'account_near_limit',
 	'spending_fell',
--- a/packages/gateway/src/telemetry/log-events.ts
+++ b/packages/gateway/src/telemetry/log-events.ts
@@ -102,6 +102,7 @@
 		fields: ['on', 'ends', 'score', 'isOneAccount', 'backends'],
 	},
 	crash_verdict_lifted: {meaning: 'The verdict has ended: such requests were answered since, the deaths had another cause, or an operator has cleared them', fields: ['on']},
+	crash_trial: {meaning: 'A single call was let through in spite of a verdict, to learn whether it still holds', fields: ['request', 'on', 'ends']},
 	refused_for_crashes: {meaning: 'A call was refused, or not sent on, because of a verdict', fields: ['request', 'on', 'ends', 'score', 'account']},
 	call_crashed: {meaning: 'Unexpected error while serving a call', fields: ['request', 'error']},
 	limit_reached: {
--- a/scripts/soak/src/check-history.test.ts
+++ b/scripts/soak/src/check-history.test.ts
@@ -20,7 +20,9 @@
 });
 
 const makeHistory = (changes: Partial<History> = {}): History => ({
-	calls: [makeCall()], limitedCalls: [], runs: [makeRun()], duties: [], disturbances: [], bans: [], arrivals: [], limits: [], linkDisturbances: [], cuts: [], brittleSpans: [], rejections: [], ownEnds: [], neverReady: [], calmFrom: 9000, hasOnlyPlannedWork: false, ...changes,
+	calls: [makeCall()], limitedCalls: [],
+	crashingCalls: [],
+	crashes: [], runs: [makeRun()], duties: [], disturbances: [], bans: [], arrivals: [], limits: [], linkDisturbances: [], cuts: [], brittleSpans: [], rejections: [], ownEnds: [], neverReady: [], calmFrom: 9000, hasOnlyPlannedWork: false, ...changes,
 });
 
 /** Served calls, so that histories with refused calls still pass the recovery check. */
--- a/scripts/soak/src/check-history.ts
+++ b/scripts/soak/src/check-history.ts
@@ -2,6 +2,7 @@
 import {findCloudRequestViolations} from '@shallotpass/platform/stand-ins/check-cloud-requests.js';
 import {findBrittleViolations} from './check-brittleness.js';
 import {findCutViolations} from './check-cuts.js';
+import {findCrashViolations} from './crashing-part.js';
 import {findLimitViolations} from './check-limits.js';
 import {formatExpectedStream} from './format-events.js';
 import {findQuotaViolations} from './limited-account.js';
@@ -161,7 +162,7 @@
 /** Returns a description of each violation in the history. */
 export const findViolations = (history: History): string[] => {
 	const runsById = groupById(history.runs);
-	const sentIds = new Set([...history.calls, ...history.limitedCalls].map(call => call.id));
+	const sentIds = new Set([...history.calls, ...history.limitedCalls, ...history.crashingCalls].map(call => call.id));
 	const unrequested = [...runsById.keys()].filter(id => !sentIds.has(id)).map(id => `${id}: ran, but no caller sent it`);
 	const callViolations = history.calls.flatMap(call => checkCall(history, call, runsById.get(call.id) ?? []));
 	const callsOverLimit = history.calls.filter(call => (runsById.get(call.id) ?? []).filter(run => run.memory === undefined).length > (maxAttemptsByRoute[call.route] ?? 0));
@@ -177,6 +178,7 @@
 		...findBrittleViolations(history, (daemon, at) => isDisturbed(history, daemon, at, at)),
 		...findCutViolations(history, (daemon, at) => isDisturbed(history, daemon, at, at)),
 		...findQuotaViolations(history),
+		...findCrashViolations(history, (daemon, at) => isDisturbed(history, daemon, at, at)),
 		...checkRecovery(history),
 	];
 };
--- a/scripts/soak/src/daemon-links.ts
+++ b/scripts/soak/src/daemon-links.ts
@@ -12,6 +12,8 @@
 export type DaemonLinks = {
 	/** How new connections to backend servers fail. Undefined while they work. */
 	readonly failure?: LinkFailure;
+	/** Addresses of backend servers that have crashed, at which nothing listens. */
+	readonly crashed?: readonly string[];
 	/** Address of a backend server → address of the relay of this daemon's link to it. */
 	readonly relays: Readonly<Record<string, string>>;
 };
@@ -38,13 +40,14 @@
 const connectDirectly = net.connect;
 
 const connectByLink = (options: net.TcpNetConnectOpts): net.Socket => {
-	const {failure, relays} = readLinks();
-	const relay = relays[`${options.host}:${options.port}`];
+	const {failure, crashed, relays} = readLinks();
+	const address = `${options.host}:${options.port}`;
+	const relay = relays[address];
 	if (relay === undefined) {
 		return connectDirectly(options);
 	}
 
-	switch (failure) {
+	switch (failure ?? (crashed?.includes(address) === true ? 'refused' : undefined)) {
 		case 'silent': {
 			return connectDirectly({...options, host: 'unanswered.invalid', lookup() {/* Never calls back. */}});
 		}
--- a/scripts/soak/src/history.ts
+++ b/scripts/soak/src/history.ts
@@ -100,10 +100,16 @@
 	until: number;
 };
 
+/** A request of which one part crashes engines. It is not owed an answer. */
+export type CrashingCall = Pick<SentCall, 'id' | 'daemon' | 'sentAt'>;
+
 export type History = {
 	readonly calls: readonly CompletedCall[];
 	/** Calls of the account that exceeds its limit. */
 	readonly limitedCalls: readonly CompletedCall[];
+	readonly crashingCalls: readonly CrashingCall[];
+	/** When engines crashed under such requests. */
+	readonly crashes: readonly number[];
 	readonly runs: readonly BackendRun[];
 	readonly duties: readonly CloudRequest[];
 	readonly disturbances: readonly Disturbance[];
--- a/scripts/soak/src/inject-fault.ts
+++ b/scripts/soak/src/inject-fault.ts
@@ -203,9 +203,10 @@
 	const daemons = indexes.map(index => cluster.daemons[index]!).filter(({process}) => !cutNow.has(process.id));
 	const cut = {daemons: daemons.map(({process}) => process.id), from: performance.now(), until: Infinity};
 	cluster.cuts.push(cut);
-	for (const {process, links} of daemons) {
-		process.setLinks({failure: how, relays: Object.fromEntries([...links].map(([address, relay]) => [address, relay.address]))});
-		for (const relay of links.values()) {
+	for (const daemon of daemons) {
+		daemon.linkFailure = how;
+		openLinks(daemon, cluster);
+		for (const relay of daemon.links.values()) {
 			relay.setMode(how === 'refused' ? 'open' : how);
 		}
 	}
@@ -221,7 +222,8 @@
 			relay.setMode('open');
 		}
 
-		openLinks(daemon);
+		daemon.linkFailure = undefined;
+		openLinks(daemon, cluster);
 	}
 
 	cut.until = performance.now();
--- a/scripts/soak/src/run-soak.ts
+++ b/scripts/soak/src/run-soak.ts
@@ -3,6 +3,7 @@
 import path from 'node:path';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {makeRandom} from '@shallotpass/core/testing/make-random.js';
+import {runCrashingCaller} from './crashing-part.js';
 import {limitedCallers, runLimitedCaller} from './limited-account.js';
 import {runCaller} from './run-caller.js';
 import {findViolations} from './check-history.js';
@@ -30,6 +31,8 @@
 	readonly calls: number;
 	readonly served: number;
 	readonly faults: number;
+	/** Engines that crashed under prompts. */
+	readonly crashes: number;
 };
 
 /** Added to the seeds of the callers that exceed their limit. */
@@ -110,6 +113,7 @@
 		const limitedRuns = Array.from({length: limitedCallers}, async (_value, index) => runLimitedCaller({
 			cluster, name: `limited-${index}`, random: makeRandom((options.seed * 1000) + limitedSeedOffset + index), signal: callersController.signal,
 		}));
+		const crashingRun = runCrashingCaller(cluster, {seed: options.seed, hasOnlyPlannedWork: options.hasOnlyPlannedWork, signal: callersController.signal});
 		const faultCount = await injectFaults(cluster, options);
 		const neverReady = await waitForReady(cluster);
 		await recover(cluster, options);
@@ -123,6 +127,8 @@
 		const history: History = {
 			calls,
 			limitedCalls: limitedCallsByCaller.flat(),
+			crashingCalls: await crashingRun,
+			crashes: cluster.crashes,
 			runs: listRuns(cluster),
 			duties: cluster.fixture.cloud.calls,
 			disturbances: cluster.disturbances,
@@ -148,6 +154,7 @@
 			calls: calls.length,
 			served: calls.filter(({end}) => end?.kind === 'answered' && end.status === 200 && end.isWhole).length,
 			faults: faultCount,
+			crashes: cluster.crashes.length,
 		};
 	} finally {
 		closeController.abort();
--- a/scripts/soak/src/soak-cluster.ts
+++ b/scripts/soak/src/soak-cluster.ts
@@ -5,6 +5,7 @@
 import {
 	announceBackend, makeConfiguration, makeSettings, type PlatformFixture, startPlatformFixture, waitUntil,
 } from '@shallotpass/platform/stand-ins/platform-fixture.js';
+import {type LinkFailure} from './daemon-links.js';
 import {type DaemonProcess, makeDaemonProcess} from './daemon-process.js';
 import {eventsPerStream} from './format-events.js';
 import {limitedTenant} from './limited-account.js';
@@ -27,6 +28,8 @@
 	readonly cloud: Relay;
 	/** Relays of its own links to the backend servers, by the address under which these are announced. */
 	readonly links: ReadonlyMap<string, Relay>;
+	/** How its links fail. */
+	linkFailure: LinkFailure | undefined;
 	/** Whether a fault currently affects the process. Further faults skip it. */
 	hasActiveFault: boolean;
 };
@@ -41,6 +44,9 @@
 	readonly linkDisturbances: LinkDisturbance[];
 	readonly cuts: Cut[];
 	readonly brittleSpans: BrittleSpan[];
+	/** When engines crashed under a prompt, and the addresses of those that are not back yet. */
+	readonly crashes: number[];
+	readonly crashed: Set<string>;
 	version: number;
 	/** Adds a line to the notes, which are written with the history of the run. */
 	readonly addNote: (line: string) => void;
@@ -70,9 +76,9 @@
 	};
 };
 
-/** Lets the daemon connect to backend servers through its links. */
-export const openLinks = ({process, links}: Pick<SoakDaemon, 'process' | 'links'>): void => {
-	process.setLinks({relays: Object.fromEntries([...links].map(([address, relay]) => [address, relay.address]))});
+/** Lets the daemon connect to backend servers through its links, unless these fail or nothing listens at the other end. */
+export const openLinks = ({process, links, linkFailure}: Pick<SoakDaemon, 'process' | 'links' | 'linkFailure'>, {crashed}: Pick<SoakCluster, 'crashed'>): void => {
+	process.setLinks({failure: linkFailure, crashed: [...crashed], relays: Object.fromEntries([...links].map(([address, relay]) => [address, relay.address]))});
 };
 
 const startDaemon = async (fixture: PlatformFixture, backends: readonly SoakBackend[], index: number, folder: string): Promise<SoakDaemon> => {
@@ -80,10 +86,10 @@
 	const cloudRelay = await startRelay(fixture.cloud.address);
 	const process = makeDaemonProcess(makeSettings(`daemon-${index}`, storeRelay.address, cloudRelay.address), folder);
 	const links = new Map(await Promise.all(backends.map(async ({relay}) => [relay.address, await startRelay(relay.address)] as const)));
-	openLinks({process, links});
+	openLinks({process, links, linkFailure: undefined}, {crashed: new Set()});
 	process.start();
 	return {
-		process, store: storeRelay, cloud: cloudRelay, links, hasActiveFault: false,
+		process, store: storeRelay, cloud: cloudRelay, links, linkFailure: undefined, hasActiveFault: false,
 	};
 };
 
@@ -134,7 +140,7 @@
 	}
 
 	const cluster: SoakCluster = {
-		fixture, backends, daemons: startedDaemons, disturbances: [], bans: [], limits: [], linkDisturbances: [], cuts: [], brittleSpans: [], version: 1, addNote,
+		fixture, backends, daemons: startedDaemons, disturbances: [], bans: [], limits: [], linkDisturbances: [], cuts: [], brittleSpans: [], crashes: [], crashed: new Set(), version: 1, addNote,
 	};
 	await waitForReady(cluster);
 	await waitUntil('a daemon holds the lease and calls the cloud', () => fixture.cloud.calls.length > 0);
