Serve calls through daemons with unused parts while one gets most connections

Cause: a daemon may use its part of the limits that backend servers state, and of the places of brittle ones; parts follow the demand within seconds only, and never all of it.

Change: a call that finds no room goes through a peer when this daemon's calls for the service are more than twice the mean of the others. Otherwise it is refused at once, as before: all have none then.

--- a/packages/gateway/src/calls/backend-limits.ts
+++ b/packages/gateway/src/calls/backend-limits.ts
@@ -6,7 +6,7 @@
 import {isNewerStatement, type LimitStatement} from '@shallotpass/core/limits/limit-statement.js';
 import {estimateCallRate} from '@shallotpass/core/limits/participants.js';
 import {type Holding, updateHolding} from '@shallotpass/core/limits/plan-sharing.js';
-import {recordWork} from '@shallotpass/core/engines/work-rate.js';
+import {computeWorkRate, recordWork} from '@shallotpass/core/engines/work-rate.js';
 import {countDaemons, type GatewayState} from '../gateway-state.js';
 import {type StatedLimit} from '../ports.js';
 import {estimatePlaceWait} from './backend-brittleness.js';
@@ -124,6 +124,19 @@
 	return missing;
 };
 
+/** Times the mean of all daemons from which the calls of one count as uneven load. */
+const unevenLoadFactor = 2;
+
+/** Whether callers send this daemon far more calls for the service than they send the others, as when the load balancer hands it most new connections. */
+export const hasUnevenLoad = (gateway: GatewayState, service: string): boolean => {
+	const daemons = countDaemons(gateway);
+	const participants = gateway.participants.get(service)?.at(-1)?.participants ?? [];
+	const rate = gateway.callRates.get(service);
+	const own = rate === undefined ? 0 : computeWorkRate(rate, gateway.clocks.steady());
+	const others = estimateCallRate(participants.filter(({daemon}) => daemon !== gateway.settings.instance.id), daemons) / Math.max(1, daemons - 1);
+	return daemons > 1 && own > unevenLoadFactor * others;
+};
+
 /** What a call needs to be sent to a limited backend server. */
 export type LimitNeed = {
 	/** Whether the call's run has started elsewhere and would be lost. */
--- a/packages/gateway/src/calls/call-attempts.ts
+++ b/packages/gateway/src/calls/call-attempts.ts
@@ -10,7 +10,7 @@
 import {payForRun} from '../quotas/pay-for-run.js';
 import {type AdmittedCall, type CallContext} from './admit-call.js';
 import {getLatencyModel, mayReceiveCalls} from './backend-registry.js';
-import {returnToLimit, takeFromLimit} from './backend-limits.js';
+import {hasUnevenLoad, returnToLimit, takeFromLimit} from './backend-limits.js';
 import {recordBrokenConnection} from './connect-failures.js';
 import {setRuns} from './peer-call.js';
 import {type Placement, placeCall} from './place-call.js';
@@ -220,6 +220,12 @@
 	}
 
 	if (result.kind === 'limited') {
+		// Other daemons hold parts of the limits that their own callers leave unused.
+		const sent = hasUnevenLoad(context.gateway, admitted.call.service) ? await sendThroughPeer(context, admitted, progress, signal) : undefined;
+		if (sent !== undefined && sent.kind !== 'refused_by_peer') {
+			return sent;
+		}
+
 		progress.lastFailure = 'the limits of all leave no room';
 		return result;
 	}
