Count the silence of a backend server from the send of the call

Cause: the timeout of a call ran from its send, the server's silence from a later reading of the clock. When the timer fired within that difference, the server was a fraction of a millisecond short of the silence that suspends it, and the call had been given up, so that nobody asked again. Change: both run from the send. The digests of running calls, which nobody read, are gone.

--- a/packages/gateway/src/calls/backend-registry.ts
+++ b/packages/gateway/src/calls/backend-registry.ts
@@ -69,8 +69,6 @@
 	leavesAt: number | undefined;
 	/** Prompt parts that it is expected to have cached. */
 	readonly knownParts: KnownParts;
-	/** Digests of the calls that run on it, in case one of them crashes it. */
-	readonly runningDigests: Set<string>;
 	/** What it stated about its limit, and what this daemon may send of it. Undefined if it has never stated one. */
 	limit: BackendLimit | undefined;
 	/** What it stated about calls for which it has no room. Undefined if it has never stated that it is brittle. */
@@ -131,7 +129,6 @@
 	leavingSince: undefined,
 	leavesAt: undefined,
 	knownParts: new Map(),
-	runningDigests: new Set(),
 	limit: undefined,
 	brittleness: undefined,
 	runningTokens: 0,
--- a/packages/gateway/src/calls/run-at-backend.ts
+++ b/packages/gateway/src/calls/run-at-backend.ts
@@ -127,7 +127,7 @@
 		canConnect: async () => canConnect(gateway.registry.openConnection, state.entry.address),
 	});
 	const trackedCall = trackRunningCall(gateway, {
-		state, rank, uncachedTokens, tokens: call.promptTokens + call.outputTokens, digest: outgoing.digest,
+		state, rank, uncachedTokens, tokens: call.promptTokens + call.outputTokens, sentAt: now,
 	});
 	// If the backend server has sent nothing since, the call may still be under way, and would arrive after a regular close.
 	const abort = (): void => {
--- a/packages/gateway/src/calls/track-running-call.ts
+++ b/packages/gateway/src/calls/track-running-call.ts
@@ -11,20 +11,19 @@
 	readonly uncachedTokens: number;
 	/** Tokens that it may take in the cache. */
 	readonly tokens: number;
-	readonly digest: string;
+	/** When it was sent, on the steady clock. */
+	readonly sentAt: number;
 };
 
 /** Counts a call in the load of its backend server until it ends. */
-export const trackRunningCall = (gateway: GatewayState, {state, rank, uncachedTokens, tokens, digest}: RunningCall) => {
-	const now = gateway.clocks.steady();
+export const trackRunningCall = (gateway: GatewayState, {state, rank, uncachedTokens, tokens, sentAt}: RunningCall) => {
 	state.running++;
 	state.runningTokens += tokens;
 	if (state.firstUnansweredAt <= state.lastReadAt) {
-		state.firstUnansweredAt = now;
+		state.firstUnansweredAt = sentAt;
 	}
 
 	state.pendingTokens[rank]! += uncachedTokens;
-	state.runningDigests.add(digest);
 	let isPending = true;
 	let isRunning = true;
 	const endPending = (): void => {
@@ -35,7 +34,7 @@
 	};
 
 	const callKey = Symbol('call');
-	state.unansweredSince.set(callKey, now);
+	state.unansweredSince.set(callKey, sentAt);
 	return {
 		endPending,
 		markAnswered(): void {
@@ -51,7 +50,6 @@
 			state.unansweredSince.delete(callKey);
 			state.running--;
 			state.runningTokens -= tokens;
-			state.runningDigests.delete(digest);
 			state.failureRate = updateFailureRate(state.failureRate, isFailure && !isCutOff(gateway));
 		},
 	};
