Split the progress and the outcome of a call from its attempts, and draw brittle servers in the soak

Progress and outcomes have modules of their own now, and send-to-peer no longer imports the module that imports it.

The soak never drew brittle backend servers: neighbouring seeds begin with the same random number (0.940 of each seed from 1 to 906), so the part below 0.5 never came. Its draws are beside the first ones now; a test asks that each kind of fault occurs among 20 neighbouring seeds.

--- a/packages/core/src/crashes/crash-ledger.ts
+++ b/packages/core/src/crashes/crash-ledger.ts
@@ -73,7 +73,7 @@
 export const getEvidence = (ledger: CrashLedger, kind: EvidenceKind, key: string): CrashEvidence | undefined =>
 	ledger[kind].suspected.get(key)?.evidence ?? ledger[kind].sound.get(key);
 
-const evictSuspected = (ledger: CrashLedger, {suspected}: Entries): void => {
+const trimSuspected = (ledger: CrashLedger, {suspected}: Entries): void => {
 	if (suspected.size <= maxSuspected) {
 		return;
 	}
@@ -96,7 +96,7 @@
 		entries.suspected.set(key, {evidence, changedAt: hasSameDeaths ? known.changedAt : now});
 		if (!hasSameDeaths) {
 			ledger.verdicts = undefined;
-			evictSuspected(ledger, entries);
+			trimSuspected(ledger, entries);
 		}
 
 		return;
--- a/packages/gateway/src/calls/call-attempts.ts
+++ b/packages/gateway/src/calls/call-attempts.ts
@@ -1,4 +1,4 @@
-/** Attempts of a call, shared by plain calls and streams: progress, retry decision and a single attempt. */
+/** Attempts of a call, shared by plain calls and streams: retry decision and a single attempt. */
 import type http from 'node:http';
 import {computeRetryAfter} from '@shallotpass/core/admission/compute-retry-after.js';
 import {type Call, isRepeatable} from '@shallotpass/core/calls/types.js';
@@ -11,10 +11,11 @@
 import {type AdmittedCall, type CallContext} from './admit-call.js';
 import {getLatencyModel, mayReceiveCalls} from './backend-registry.js';
 import {hasUnevenLoad, returnToLimit, takeFromLimit} from './backend-limits.js';
+import {type SendResult, type UnsentResult} from './call-outcome.js';
+import {type CallProgress} from './call-progress.js';
 import {recordBrokenConnection} from './connect-failures.js';
 import {setRuns} from './peer-call.js';
 import {type Placement, placeCall} from './place-call.js';
-import {type Refusal} from './refusal.js';
 import {getRetryAllowance, getRetryLimit} from './retry-limits.js';
 import {sendToPeer} from './send-to-peer.js';
 import {
@@ -26,44 +27,6 @@
 
 export const isDraining = (gateway: GatewayState): boolean => gateway.drainingSince !== undefined;
 
-/** Progress of one call over its attempts. */
-export type CallProgress = {
-	readonly attemptedIncarnations: Set<string>;
-	/** Whether the caller has received a part of the answer. */
-	hasStarted: boolean;
-	/** Number of attempts that may have run the call. */
-	possibleRuns: number;
-	/** Number of attempts: backend servers that the call was sent to. */
-	attempts: number;
-	/** Whether the call has reached a backend server. */
-	hasArrived: boolean;
-	lastFailure: string;
-	/** Addresses of the peers that the call was offered to. */
-	readonly triedPeers: Set<string>;
-	/** Until when the call waits for a place at a brittle backend server, on the steady clock. */
-	placeWaitUntil: number | undefined;
-	/** Whether the last attempt found no path, and no backend server was heard meanwhile. */
-	mayBeCutOff: boolean;
-	/** Whether the backend server of the last attempt ended under it. Undefined if its connection has not broken. */
-	hasCrashed: Promise<boolean> | undefined;
-};
-
-export const makeProgress = (): CallProgress => ({
-	attemptedIncarnations: new Set(), possibleRuns: 0, attempts: 0, hasArrived: false, hasStarted: false, lastFailure: '', triedPeers: new Set(), placeWaitUntil: undefined, mayBeCutOff: false, hasCrashed: undefined,
-});
-
-/** Outcome of a call, as reported in metrics and logs. */
-export type CallOutcome = {
-	readonly name: string;
-	readonly refusal?: Refusal;
-	/** Why a response that had started ended early. */
-	readonly detail?: string;
-};
-
-export const makeFailureOutcome = (progress: CallProgress): CallOutcome => progress.possibleRuns > 0
-	? {name: 'backend_failed', refusal: {kind: 'backend_failed', detail: `The backend server failed: ${progress.lastFailure}.`}}
-	: {name: 'no_backend', refusal: {kind: 'no_backend', detail: `No backend server took the call: ${progress.lastFailure}.`, retryAfterS: 0.2}};
-
 /** Whether a further attempt is allowed. Takes a retry from the limit if the call has reached a backend server, and pays for a further run. */
 export const takeRetry = async ({gateway}: CallContext, admitted: AdmittedCall, progress: CallProgress, signal: AbortSignal): Promise<boolean> => {
 	const {call} = admitted;
@@ -83,66 +46,6 @@
 	return isWithinLimit && (progress.possibleRuns === 0 || payForRun(gateway, call));
 };
 
-export type SendResult =
-	| AttemptResult
-	| {readonly kind: 'no_backend'}
-	/** No backend server is reached from here, and a peer has refused the call; it was not run. */
-	| {readonly kind: 'refused_by_peer'; readonly refusal: Refusal}
-	/** Calls like this one crash backend servers; nothing was sent. */
-	| {readonly kind: 'suspended'; readonly refusal: Refusal}
-	/** All backend servers are too busy to respond before the deadline; nothing was sent. */
-	| {readonly kind: 'unreachable'; readonly retryAfterS: number}
-	/** All backend servers have stated limits that leave no room; nothing was sent. `waitMs`: estimated time until one has room. */
-	| {readonly kind: 'limited'; readonly waitMs: number; readonly backends: number; readonly isBrief: boolean};
-
-const unsentKinds = ['no_backend', 'refused_by_peer', 'suspended', 'unreachable', 'limited'] as const;
-
-export type UnsentResult = SendResult & {readonly kind: (typeof unsentKinds)[number]};
-
-export const isUnsent = (result: SendResult): result is UnsentResult => (unsentKinds as readonly string[]).includes(result.kind);
-
-/** Lower bound of Retry-After for calls that limits turn away, in seconds. */
-const minLimitRetryAfterS = 0.2;
-
-/** Refuses a call for which the limits of all backend servers leave no room. */
-const refuseForLimits = ({gateway}: CallContext, call: Call, {waitMs, backends}: UnsentResult & {readonly kind: 'limited'}): CallOutcome => {
-	// Callers that return at the same time would compete for the same calls.
-	const jitter = 0.75 + (gateway.random() / 2);
-	const retryAfterS = Math.max(minLimitRetryAfterS, waitMs * jitter / 1000);
-	gateway.metrics.limitRefusals.inc({service: call.service});
-	gateway.log.write('failure', 'backend_limits_reached', {
-		request: call.id, service: call.service, rank: call.rank, backends, waitMs: Math.round(waitMs), retryAfterS,
-	});
-	const detail = 'All backend servers take fewer calls at the moment, and their limits are used up.';
-	return {name: 'limited', refusal: {kind: 'over_capacity', detail, retryAfterS}};
-};
-
-/** Makes the outcome of a call that could not be sent to another backend server. */
-export const makeUnsentOutcome = (context: CallContext, call: Call, progress: CallProgress, result: UnsentResult): CallOutcome => {
-	switch (result.kind) {
-		case 'no_backend': {
-			return makeFailureOutcome(progress);
-		}
-
-		case 'refused_by_peer': {
-			return progress.possibleRuns > 0 ? makeFailureOutcome(progress) : {name: 'refused_by_peer', refusal: result.refusal};
-		}
-
-		case 'suspended': {
-			return progress.possibleRuns > 0 ? makeFailureOutcome(progress) : {name: 'suspended', refusal: result.refusal};
-		}
-
-		case 'limited': {
-			return progress.possibleRuns > 0 ? makeFailureOutcome(progress) : refuseForLimits(context, call, result);
-		}
-
-		case 'unreachable': {
-			const detail = 'All backend servers are so busy that the deadline would pass before an answer begins.';
-			return {name: 'unreachable', refusal: {kind: 'deadline_unreachable', detail, retryAfterS: result.retryAfterS}};
-		}
-	}
-};
-
 /** Longest time that a call waits for a place, at most a part of the time to its target, and how often it looks. */
 const maxPlaceWaitMs = 250;
 const placeWaitPart = 0.5;
--- /dev/null
+++ b/packages/gateway/src/calls/call-progress.ts
@@ -0,0 +1,27 @@
+/** What has become of one call so far, over its attempts. */
+
+/** Progress of one call over its attempts. */
+export type CallProgress = {
+	readonly attemptedIncarnations: Set<string>;
+	/** Whether the caller has received a part of the answer. */
+	hasStarted: boolean;
+	/** Number of attempts that may have run the call. */
+	possibleRuns: number;
+	/** Number of attempts: backend servers that the call was sent to. */
+	attempts: number;
+	/** Whether the call has reached a backend server. */
+	hasArrived: boolean;
+	lastFailure: string;
+	/** Addresses of the peers that the call was offered to. */
+	readonly triedPeers: Set<string>;
+	/** Until when the call waits for a place at a brittle backend server, on the steady clock. */
+	placeWaitUntil: number | undefined;
+	/** Whether the last attempt found no path, and no backend server was heard meanwhile. */
+	mayBeCutOff: boolean;
+	/** Whether the backend server of the last attempt ended under it. Undefined if its connection has not broken. */
+	hasCrashed: Promise<boolean> | undefined;
+};
+
+export const makeProgress = (): CallProgress => ({
+	attemptedIncarnations: new Set(), possibleRuns: 0, attempts: 0, hasArrived: false, hasStarted: false, lastFailure: '', triedPeers: new Set(), placeWaitUntil: undefined, mayBeCutOff: false, hasCrashed: undefined,
+});
--- a/packages/gateway/src/calls/send-to-peer.ts
+++ b/packages/gateway/src/calls/send-to-peer.ts
@@ -9,7 +9,7 @@
 import {readMessage} from '../peers/read-message.js';
 import {type AdmittedCall, type CallContext} from './admit-call.js';
 import {type Exchange} from './backend-exchange.js';
-import {type CallProgress} from './call-attempts.js';
+import {type CallProgress} from './call-progress.js';
 import {
 	encodePeerCall, isPeerCallResult, peerCallPath, type PeerCallResult, resultField, runsField,
 } from './peer-call.js';
--- a/packages/gateway/src/calls/serve-call.ts
+++ b/packages/gateway/src/calls/serve-call.ts
@@ -8,7 +8,8 @@
 	admitCall, type AdmittedCall, type CallContext, RefusedCall,
 } from './admit-call.js';
 import {recordArrival} from './backend-limits.js';
-import {type CallOutcome, isDraining} from './call-attempts.js';
+import {isDraining} from './call-attempts.js';
+import {type CallOutcome} from './call-outcome.js';
 import {setRefusalResult} from './peer-call.js';
 import {sendRefusal} from './refusal.js';
 import {getRetryAllowance, getRetryLimit} from './retry-limits.js';
--- a/packages/gateway/src/calls/serve-plain.ts
+++ b/packages/gateway/src/calls/serve-plain.ts
@@ -3,8 +3,12 @@
 import {trackSurvival} from '../crashes/record-evidence.js';
 import {type AdmittedCall, type CallContext} from './admit-call.js';
 import {
-	type CallOutcome, discardResponse, isDraining, isServerError, isUnsent, makeFailureOutcome, makeProgress, makeUnsentOutcome, recordBrokenAttempt, recordFirstByte, sendToBestBackend, takeRetry,
+	discardResponse, isDraining, isServerError, recordBrokenAttempt, recordFirstByte, sendToBestBackend, takeRetry,
 } from './call-attempts.js';
+import {
+	type CallOutcome, isUnsent, makeFailureOutcome, makeUnsentOutcome,
+} from './call-outcome.js';
+import {makeProgress} from './call-progress.js';
 import {forwardPlainResponse} from './forward-plain-response.js';
 
 export const servePlain = async (context: CallContext, admitted: AdmittedCall, signal: AbortSignal): Promise<CallOutcome> => {
--- a/packages/gateway/src/calls/serve-stream.ts
+++ b/packages/gateway/src/calls/serve-stream.ts
@@ -5,9 +5,12 @@
 import {pauseFor} from '../pause.js';
 import {type AdmittedCall, type CallContext} from './admit-call.js';
 import {
-	type CallOutcome, type CallProgress, discardResponse, findSuspension, isDraining, isServerError, isUnsent, makeFailureOutcome, makeProgress, makeUnsentOutcome, recordBrokenAttempt, recordEvents, recordFirstByte,
-	type SendResult, sendToBestBackend, sendToPlacement, takeRetry,
+	discardResponse, findSuspension, isDraining, isServerError, recordBrokenAttempt, recordEvents, recordFirstByte, sendToBestBackend, sendToPlacement, takeRetry,
 } from './call-attempts.js';
+import {
+	type CallOutcome, isUnsent, makeFailureOutcome, makeUnsentOutcome, type SendResult,
+} from './call-outcome.js';
+import {type CallProgress, makeProgress} from './call-progress.js';
 import {type EventSplitter, makeEventSplitter} from './event-splitter.js';
 import {inactiveWatch, type MovedRun, watchDeparture} from './move-run.js';
 import {forwardPlainResponse} from './forward-plain-response.js';
--- a/scripts/soak/src/crashing-part.ts
+++ b/scripts/soak/src/crashing-part.ts
@@ -25,7 +25,7 @@
 const crashShare = 0.5;
 
 /** Ends the engine: nothing listens at its address until it is back as another incarnation. */
-const crashEngine = async (cluster: SoakCluster, backend: SoakBackend): Promise<void> => {
+const endEngine = async (cluster: SoakCluster, backend: SoakBackend): Promise<void> => {
 	const {address} = backend.relay;
 	cluster.crashes.push(performance.now());
 	cluster.crashed.add(address);
@@ -50,13 +50,13 @@
 	}
 };
 
-const letEnginesCrash = (cluster: SoakCluster): void => {
+const prepareEngines = (cluster: SoakCluster): void => {
 	for (const backend of cluster.backends.filter(({service}) => service === 'llm')) {
 		const isUp = (): boolean => !backend.isLeaving && !cluster.crashed.has(backend.relay.address);
 		backend.standIn.crashesOn = ({sharedParts}) => sharedParts.includes(crashingPart) && isUp();
 		backend.standIn.onCrash = () => {
 			if (isUp()) {
-				void crashEngine(cluster, backend);
+				void endEngine(cluster, backend);
 			}
 		};
 	}
@@ -76,7 +76,7 @@
 		return calls;
 	}
 
-	letEnginesCrash(cluster);
+	prepareEngines(cluster);
 	const pending: Array<Promise<void>> = [];
 	for (let index = 0; !signal.aborted; index++) {
 		const id = `crashing-${index}`;
--- a/scripts/soak/src/plan-faults.ts
+++ b/scripts/soak/src/plan-faults.ts
@@ -1,6 +1,7 @@
 /** Plans the faults of a run and their start times, which are determined by the seed. */
 import {makeRandom} from '@shallotpass/core/testing/make-random.js';
 import {type LinkFailure} from './daemon-links.js';
+import {makeRandomBeside} from './make-random-beside.js';
 
 /** Modes of a relay that disrupt its connections, and `slow`, which adds latency. */
 export type LinkFault = 'cut' | 'silent' | 'forgetful' | 'reset' | 'one_way' | 'slow';
@@ -186,7 +187,7 @@
 
 /** Plans that the backend servers of a service are brittle, in some of the runs. */
 const planBrittleness = ({seed, forMs}: FaultOptions): PlannedFault[] => {
-	const random = makeRandom(seed + brittleSeedOffset);
+	const random = makeRandomBeside(seed, brittleSeedOffset);
 	if (random() > brittleShare) {
 		return [];
 	}
--- a/scripts/soak/src/soak.test.ts
+++ b/scripts/soak/src/soak.test.ts
@@ -25,6 +25,18 @@
 	assert.ok(planFaults({...options, hasOnlyPlannedWork: true}).every(({fault}) => ['stop', 'reload', 'leave', 'configure'].includes(fault.kind)));
 });
 
+test('each kind of fault occurs in some of the plans of neighbouring seeds, and brittleness not in all', () => {
+	const plans = Array.from({length: 20}, (_value, seed) => planFaults({
+		seed, daemons: 3, backends: 6, forMs: 10_000, hasOnlyPlannedWork: false,
+	}));
+	const countPlans = (kind: string): number => plans.filter(plan => plan.some(({fault}) => fault.kind === kind)).length;
+	for (const kind of ['pause', 'kill', 'stop', 'reload', 'spoil_settings', 'step_clock', 'store', 'cloud', 'link', 'misbehave', 'leave', 'limit', 'brittle', 'cut_off', 'lose_datagrams', 'configure']) {
+		assert.ok(countPlans(kind) > 0, kind);
+	}
+
+	assert.ok(countPlans('brittle') < plans.length);
+});
+
 test('the guarantees hold while daemons are killed, suspended and disconnected', async () => runAndCheck(1, false));
 
 test('planned work does not lose calls', async () => runAndCheck(8, true));
