Try convicted requests where fewest others run, and end the soak's crashes before its fault-free period

Traced: the trial of a verdict 8 s after its fourth death ended an engine 0.7 s into the fault-free period, with four calls that must not run twice on it. A trial may end an engine, and such requests are a fault of the run.

Change: a call that is tried goes to one of the engines with the fewest running calls, so it takes few others with it.

--- a/packages/gateway/src/calls/call-attempts.ts
+++ b/packages/gateway/src/calls/call-attempts.ts
@@ -117,7 +117,7 @@
 		}
 	}
 
-	const result = placeCall(context.gateway, admitted.call, progress);
+	const result = placeCall(context.gateway, admitted.call, {...progress, mayCrash: admitted.outgoing.trialOf !== undefined});
 	if (result.kind === 'limited' && result.isBrief && await waitForPlace(context, admitted.call, progress, signal)) {
 		return sendToBestBackend(context, admitted, progress, signal);
 	}
--- a/packages/gateway/src/calls/place-call.ts
+++ b/packages/gateway/src/calls/place-call.ts
@@ -55,6 +55,8 @@
 	readonly attemptedIncarnations: ReadonlySet<string>;
 	/** Whether the call's run has started, so that it would be lost without another backend server. */
 	readonly hasStarted: boolean;
+	/** Whether the call may crash its backend server, so that it goes where fewest others run. */
+	readonly mayCrash?: boolean;
 };
 
 export type PlacementResult =
@@ -90,6 +92,13 @@
 	return moreUrgentRanks === 0 || candidates.some(({room}) => room.kind === 'unlimited') ? candidates : getRooms(moreUrgentRanks);
 };
 
+/** Returns the backend servers with the fewest running calls, of this daemon and the others. */
+const listLeastUsed = (states: readonly BackendState[]): BackendState[] => {
+	const countRunning = ({running, othersRunning}: BackendState): number => running + othersRunning;
+	const least = Math.min(...states.map(state => countRunning(state)));
+	return states.filter(state => countRunning(state) === least);
+};
+
 /** Returns the best available backend server for the call. */
 export const placeCall = (gateway: GatewayState, call: Call, options: PlacementOptions): PlacementResult => {
 	const now = gateway.clocks.steady();
@@ -109,7 +118,8 @@
 	const {availabilityZone: ownZone} = gateway.settings.instance;
 	const sameZone = isLimitedToOwnZone(gateway.registry, ownZone) ? usable.filter(state => state.entry.availabilityZone === ownZone) : [];
 	// A service without available backend servers in this zone is served by the other zones.
-	const candidates = sameZone.length > 0 ? sameZone : usable;
+	const near = sameZone.length > 0 ? sameZone : usable;
+	const candidates = options.mayCrash === true ? listLeastUsed(near) : near;
 	const maxOwnCalls = Math.max(2, Math.floor((service?.maxConnections ?? 64) * usedConnectionShare / countDaemons(gateway)));
 	const keyHash = getAffinityHash(call);
 	const preferred = findPreferredBackend(keyHash, candidates);
--- a/scripts/soak/src/run-soak.ts
+++ b/scripts/soak/src/run-soak.ts
@@ -106,6 +106,7 @@
 	try {
 		void recordStalls(cluster, closeController.signal);
 		const callersController = new AbortController();
+		const faultsController = new AbortController();
 		let isFaultFree = false;
 		const callerRuns = Array.from({length: options.callers}, async (_value, index) => runCaller({
 			cluster, name: `caller-${index}`, random: makeRandom((options.seed * 1000) + index), signal: callersController.signal, isLimitedToFirstKey: () => isFaultFree,
@@ -113,11 +114,12 @@
 		const limitedRuns = Array.from({length: limitedCallers}, async (_value, index) => runLimitedCaller({
 			cluster, name: `limited-${index}`, random: makeRandom((options.seed * 1000) + limitedSeedOffset + index), signal: callersController.signal,
 		}));
-		const crashingRun = runCrashingCaller(cluster, {seed: options.seed, hasOnlyPlannedWork: options.hasOnlyPlannedWork, signal: callersController.signal});
+		const crashingRun = runCrashingCaller(cluster, {seed: options.seed, hasOnlyPlannedWork: options.hasOnlyPlannedWork, signal: faultsController.signal});
 		const faultCount = await injectFaults(cluster, options);
 		const neverReady = await waitForReady(cluster);
 		await recover(cluster, options);
 		isFaultFree = true;
+		faultsController.abort();
 		const calmFrom = performance.now();
 		await sleep(faultFreeMs);
 		callersController.abort();
