Let a refutation count against earlier deaths only

Cause, found by reading: an engine that a peer reached, or that answered after its death was told, was marked as alive for a minute and more, and its later death was taken for refuted too, by all daemons. It was marked also when no death had been told. Change: a refutation holds the true time at which the engine was alive; deaths before it don't count, later ones do, and of two records of one incarnation the later one is kept.

--- a/packages/core/src/crashes/crash-evidence.ts
+++ b/packages/core/src/crashes/crash-evidence.ts
@@ -15,9 +15,9 @@
 
 export const getSlotStart = (slot: number): number => slot * slotMs;
 
-/** Orders the records of one death by several daemons: the one that says most, then the earliest. */
+/** Orders the records of the death of one incarnation: the latest first, as an earlier one may be refuted, then the one that says most. */
 const compareRecords = (left: CrashDeath, right: CrashDeath): number =>
-	(Number(right.hasBegun) - Number(left.hasBegun)) || (left.at - right.at) || (left.request - right.request) || (left.account - right.account);
+	(right.at - left.at) || (Number(right.hasBegun) - Number(left.hasBegun)) || (left.request - right.request) || (left.account - right.account);
 
 /** Order of deaths of different incarnations, oldest first. */
 const compareDeaths = (left: CrashDeath, right: CrashDeath): number => (left.at - right.at) || (left.incarnation - right.incarnation);
--- a/packages/core/src/crashes/crash-ledger.test.ts
+++ b/packages/core/src/crashes/crash-ledger.test.ts
@@ -107,8 +107,10 @@
 
 	assert.equal(isRefused(ledger, ['popular']), false);
 	endUnder(ledger, ['cut-off'], {from: 11, count: 3});
-	refuteDeath(ledger, 12, 0, 0);
+	refuteDeath(ledger, 12, 6100, 0);
 	assert.equal(isRefused(ledger, ['cut-off']), false);
+	endUnder(ledger, ['cut-off'], {from: 12, count: 1, at: 1000});
+	assert.equal(isRefused(ledger, ['cut-off']), true, 'it has ended after it was alive');
 });
 
 test('a sound part that was on each server that ended is served again after some trials, and one that ends the next is tried ever less', () => {
--- a/packages/core/src/crashes/crash-ledger.ts
+++ b/packages/core/src/crashes/crash-ledger.ts
@@ -39,7 +39,7 @@
 export type CrashLedger = {
 	readonly part: Entries;
 	readonly request: Entries;
-	/** Incarnations that were taken for dead and are not, with the time of the death, as true time. */
+	/** Incarnations that were taken for dead, and the latest true time at which they were not. */
 	readonly refuted: Map<number, number>;
 	/** When a refutation was last added, on the steady clock. */
 	refutedAt: number;
@@ -144,9 +144,9 @@
 	return true;
 };
 
-/** Records that an incarnation that was taken for dead has answered since, so that its death counts against nobody. */
+/** Records that an incarnation was alive at a true time, so that an earlier death counts against nobody. Returns whether that was new. */
 export const refuteDeath = (ledger: CrashLedger, incarnation: number, at: number, now: number): boolean => {
-	if (ledger.refuted.has(incarnation)) {
+	if ((ledger.refuted.get(incarnation) ?? Number.NEGATIVE_INFINITY) >= at) {
 		return false;
 	}
 
--- a/packages/core/src/crashes/find-verdicts.ts
+++ b/packages/core/src/crashes/find-verdicts.ts
@@ -10,7 +10,7 @@
 export type KnownEvidence = {
 	readonly parts: EvidenceByKey;
 	readonly requests: EvidenceByKey;
-	/** Incarnations of backend servers that were taken for dead and are not. */
+	/** Incarnations of backend servers that were taken for dead, and the latest true time at which they were not. */
 	readonly refuted: ReadonlyMap<number, number>;
 };
 
@@ -51,7 +51,7 @@
 
 /** Finds the verdicts of one kind, the worst first. Deaths that they explain are added to `explained`. */
 const findVerdictsOfKind = (kind: CrashVerdict['kind'], evidence: EvidenceByKey, {refuted, explained}: {readonly refuted: KnownEvidence['refuted']; readonly explained: Set<number>}): CrashVerdict[] => {
-	const isCounted = (incarnation: number): boolean => !refuted.has(incarnation) && !explained.has(incarnation);
+	const isCounted = ({incarnation, at}: CrashDeath): boolean => (refuted.get(incarnation) ?? Number.NEGATIVE_INFINITY) < at && !explained.has(incarnation);
 	const weigh = (key: string): Weighed => ({key, ...weighEvidence(evidence.get(key)!, {kind, isCounted})});
 	const verdicts: CrashVerdict[] = [];
 	let weighed = [...evidence].filter(([, {deaths}]) => deaths.size >= convictingScore[kind]).map(([key]) => weigh(key));
--- a/packages/core/src/crashes/reported-evidence.ts
+++ b/packages/core/src/crashes/reported-evidence.ts
@@ -37,7 +37,7 @@
 
 export const reportedCrashesSchema = z.object({
 	entries: z.array(reportedEvidenceSchema),
-	/** Incarnations that were taken for dead and are not, with the true time of the death. */
+	/** Incarnations that were taken for dead, and the latest true time at which they were not. */
 	refuted: z.array(z.tuple([z.int(), z.number()])),
 });
 
@@ -85,7 +85,7 @@
 	entries: hasVerdicts
 		? mergeEntries(reportVerdicts(ledger, listVerdicts(ledger)), reportSuspected(ledger, now - repeatSuspicionsMs, maxRepeatedEntries))
 		: reportSuspected(ledger, now - reportChangesMs, maxChangedEntries),
-	refuted: now < ledger.refutedAt + reportChangesMs ? [...ledger.refuted].slice(-maxRefuted) : [],
+	refuted: now < ledger.refutedAt + reportChangesMs ? [...ledger.refuted].slice(-maxRefuted).map(([incarnation, at]) => [incarnation, Math.round(at)]) : [],
 });
 
 /** Returns the evidence of all verdicts, to be kept outside of the daemons. */
@@ -107,7 +107,8 @@
 	entries: mergeEntries(left.entries, right.entries)
 		.toSorted((first, second) => second.deaths.length - first.deaths.length)
 		.slice(0, 2 * maxRepeatedEntries),
-	refuted: [...new Map([...left.refuted, ...right.refuted])].slice(-maxRefuted),
+	// The later times stand last, and replace earlier ones.
+	refuted: [...new Map([...left.refuted, ...right.refuted].toSorted(([, first], [, second]) => first - second))].slice(-maxRefuted),
 });
 
 /** Adopts what another daemon reports. Returns whether something was new. */
--- a/packages/core/src/crashes/weigh-evidence.ts
+++ b/packages/core/src/crashes/weigh-evidence.ts
@@ -71,12 +71,12 @@
 
 export type WeighingOptions = {
 	readonly kind: EvidenceKind;
-	/** Whether the death of an incarnation counts. */
-	readonly isCounted: (incarnation: number) => boolean;
+	/** Whether the death counts. */
+	readonly isCounted: (death: CrashDeath) => boolean;
 };
 
 export const weighEvidence = (evidence: CrashEvidence, {kind, isCounted}: WeighingOptions): Weighing => {
-	const deaths = listDeaths(evidence).filter(({incarnation}) => isCounted(incarnation));
+	const deaths = listDeaths(evidence).filter(death => isCounted(death));
 	// One request may hold other causes than the part.
 	const mayBeConvicted = kind === 'request' || new Set(deaths.map(({request}) => request)).size > 1;
 	const events = [...listSurvivalEvents(evidence), ...listDeathEvents(kind, deaths)].toSorted((left, right) => left.at - right.at);
--- a/packages/gateway/src/calls/connect-failures.ts
+++ b/packages/gateway/src/calls/connect-failures.ts
@@ -77,13 +77,17 @@
 	const soonKnown = isPathLost ? await asked : await Promise.race([asked, waitForPeer()]);
 	// Backend servers that end one after the other look like lost paths from here.
 	const mayHaveCrashed = soonKnown === 'unreached' || (!isPathLost && soonKnown !== 'reached');
-	if (mayHaveCrashed && mayBeCause) {
+	const isSuspected = mayHaveCrashed && mayBeCause;
+	if (isSuspected) {
 		recordCrash(gateway, state, sent, answeredAt);
 	}
 
 	const contact = await asked;
 	if (contact === 'reached') {
-		refuteCrash(gateway, state);
+		if (isSuspected) {
+			refuteCrash(gateway, state);
+		}
+
 		return isPathLost ? 'paths_lost' : 'reached_by_peer';
 	}
 
--- a/packages/gateway/src/crashes/share-evidence.ts
+++ b/packages/gateway/src/crashes/share-evidence.ts
@@ -31,7 +31,7 @@
 
 	for (const state of gateway.registry.byId.values()) {
 		const sinceDeathMs = state.lastReadAt + lag - (deathTimes.get(state.incarnationHash) ?? Infinity);
-		if (sinceDeathMs > earliestDataMs && sinceDeathMs < latestDataMs && !gateway.crashes.refuted.has(state.incarnationHash)) {
+		if (sinceDeathMs > earliestDataMs && sinceDeathMs < latestDataMs && (gateway.crashes.refuted.get(state.incarnationHash) ?? Number.NEGATIVE_INFINITY) < deathTimes.get(state.incarnationHash)!) {
 			refuteCrash(gateway, state);
 		}
 	}
