--- a/packages/core/src/crashes/weigh-evidence.ts
+++ b/packages/core/src/crashes/weigh-evidence.ts
@@ -22,7 +22,7 @@
 /** Highest score. The survivals that are kept suffice to lift it, as those between earlier deaths may be forgotten. */
 const maxScore = 4;
 
-/** Requests whose deaths come this close together from several others have lost their backend servers by one cause, such as a zone without power. */
+/** Deaths of at least so many requests within this time have one cause, such as a zone without power, and weigh little together. */
 const massDeathMs = 150;
 const massDeathCount = 3;
 const massDeathWeight = 1.5;
