--- a/packages/common/src/error-kinds.ts
+++ b/packages/common/src/error-kinds.ts
@@ -44,7 +44,7 @@
 	invalid_backend_answer: makeErrorResponse(502, 'The backend server sent an answer that cannot be read', 'unknown', 'Retry; use the same key if the call must not be repeated.'),
 	mismatched_answer: makeErrorResponse(502, 'The backend server answered a different request', 'unknown', 'Retry; use the same key if the call must not be repeated.'),
 	request_quarantined: makeErrorResponse(422, 'This request has ended backend servers and is not run again', 'no', 'Change the request, or ask an operator to lift the quarantine.'),
-	request_suspended: makeErrorResponse(503, 'This request has ended backend servers and is not run for now', 'no', 'Change the request; the same request is refused until the block expires.'),
+	request_suspended: makeErrorResponse(503, 'This request has ended backend servers and is not run for now', 'no', 'Change the request; requests like it are refused until the block ends.'),
 	claims_unavailable: makeErrorResponse(503, 'Calls that must not repeat cannot be recorded now', 'no', 'Wait until Retry-After, then retry with the same key.'),
 	call_in_progress: makeErrorResponse(409, 'The call with this key is still running', 'unknown', 'Wait until Retry-After, then retry with the same key.'),
 	outcome_unknown: makeErrorResponse(409, 'The call may have run and its outcome was lost', 'unknown', 'Check the result in the service itself before using a new key.'),
