Log the software version of the backend servers that calls are sent and moved to

Cause: nothing told which version a call was sent to, so the hypotheses of the incident could not be told apart. No decision uses it.

--- a/packages/core/src/directory/adopt-peer-directory.test.ts
+++ b/packages/core/src/directory/adopt-peer-directory.test.ts
@@ -5,7 +5,7 @@
 
 const makeEntry = (id: string, changes: Partial<BackendEntry> = {}): BackendEntry => ({
 	id, service: 'assistant', address: '10.0.0.1:8000', availabilityZone: 'a', places: 32,
-	isLeaving: false, leavesInMs: undefined, isReclaimable: true, startedAt: 1000, sequence: 1, ...changes,
+	isLeaving: false, leavesInMs: undefined, isReclaimable: true, startedAt: 1000, softwareVersion: 'v1', sequence: 1, ...changes,
 });
 
 const makeDirectory = (next: number, ids: Readonly<Record<string, number | undefined>>): Directory => ({
--- a/packages/core/src/directory/digest-directory.test.ts
+++ b/packages/core/src/directory/digest-directory.test.ts
@@ -5,7 +5,7 @@
 
 const entry: BackendEntry = {
 	id: 'engine-1', service: 'assistant', address: '10.0.0.1:8000', availabilityZone: 'a', places: 32,
-	isLeaving: false, leavesInMs: undefined, isReclaimable: true, startedAt: 1000, sequence: 1,
+	isLeaving: false, leavesInMs: undefined, isReclaimable: true, startedAt: 1000, softwareVersion: 'v1', sequence: 1,
 };
 
 const makeDirectory = (next: number, ...entries: readonly BackendEntry[]): Directory => ({
--- a/packages/core/src/directory/directory.test.ts
+++ b/packages/core/src/directory/directory.test.ts
@@ -6,7 +6,7 @@
 import {type BackendEntry, type Directory, emptyDirectory} from './types.js';
 
 const makeEntry = (id: string, changes: Partial<BackendEntry> = {}): BackendEntry => ({
-	id, service: 'llm', address: '10.0.0.1:80', availabilityZone: 'a', places: 8, isLeaving: false, leavesInMs: undefined, isReclaimable: false, startedAt: 1000, sequence: 1, ...changes,
+	id, service: 'llm', address: '10.0.0.1:80', availabilityZone: 'a', places: 8, isLeaving: false, leavesInMs: undefined, isReclaimable: false, startedAt: 1000, softwareVersion: 'v1', sequence: 1, ...changes,
 });
 
 const makeEntryRecord = (offset: number, id: string, changes: Partial<BackendEntry> = {}): DirectoryRecord => ({offset, id, entry: makeEntry(id, changes)});
--- a/packages/gateway/src/calls/call-attempts.ts
+++ b/packages/gateway/src/calls/call-attempts.ts
@@ -196,7 +196,7 @@
 	}
 
 	gateway.log.write(result.kind === 'answered' ? 'routine' : 'failure', 'call_placed', {
-		request: call.id, service: call.service, backend: state.entry.id, predictedMs: Math.round(choice.predictedMs), cachedTokens,
+		request: call.id, service: call.service, backend: state.entry.id, version: state.entry.softwareVersion, predictedMs: Math.round(choice.predictedMs), cachedTokens,
 		own: state.running, others: state.othersRunning, tokensPerMs: Math.round(getLatencyModel(gateway.registry, state, gateway.clocks.steady()).tokensPerMs), offer: progress.attempts,
 		result: result.kind, reason: result.kind === 'answered' ? result.response.statusCode : result.reason, ...knownAtSend,
 	});
--- a/packages/gateway/src/calls/move-run.ts
+++ b/packages/gateway/src/calls/move-run.ts
@@ -90,7 +90,7 @@
 	}
 
 	gateway.log.write(reply.kind === 'moved' ? 'state' : 'failure', 'call_moved', {
-		request: call.id, from: state.entry.id, to: target.state.entry.id, outcome: reply.kind, reason: reply.kind === 'failed' ? reply.reason : undefined,
+		request: call.id, from: state.entry.id, to: target.state.entry.id, fromVersion: state.entry.softwareVersion, toVersion: target.state.entry.softwareVersion, outcome: reply.kind, reason: reply.kind === 'failed' ? reply.reason : undefined,
 		leavesInMs: state.entry.leavesInMs, tookMs: Math.round(gateway.clocks.steady() - startedAt),
 	});
 	switch (reply.kind) {
--- a/packages/gateway/src/peers/shared-state.test.ts
+++ b/packages/gateway/src/peers/shared-state.test.ts
@@ -4,7 +4,7 @@
 import {ageSharedState, type SharedState} from './shared-state.js';
 
 const entry: BackendEntry = {
-	id: 'x', service: 'llm', address: '10.0.0.9:80', availabilityZone: 'a', places: 8, isLeaving: false, leavesInMs: undefined, isReclaimable: false, startedAt: 1000, sequence: 1,
+	id: 'x', service: 'llm', address: '10.0.0.9:80', availabilityZone: 'a', places: 8, isLeaving: false, leavesInMs: undefined, isReclaimable: false, startedAt: 1000, softwareVersion: 'v1', sequence: 1,
 };
 
 const state: SharedState = {
--- a/packages/gateway/src/store/follow-directory.test.ts
+++ b/packages/gateway/src/store/follow-directory.test.ts
@@ -17,7 +17,7 @@
 const peerAddress = '10.0.0.2:7500';
 
 const makeEntry = (id: string): BackendEntry => ({
-	id, service: 'llm', address: '10.0.0.9:80', availabilityZone: 'a', places: 8, isLeaving: false, leavesInMs: undefined, isReclaimable: false, startedAt: 1000, sequence: 1,
+	id, service: 'llm', address: '10.0.0.9:80', availabilityZone: 'a', places: 8, isLeaving: false, leavesInMs: undefined, isReclaimable: false, startedAt: 1000, softwareVersion: 'v1', sequence: 1,
 });
 
 const makePeerBackend = (id: string, missingForMs?: number): PeerBackend => ({entry: makeEntry(id), offset: 1, missingForMs});
--- a/packages/gateway/src/store/follow-directory.ts
+++ b/packages/gateway/src/store/follow-directory.ts
@@ -98,7 +98,7 @@
 			gateway.log.write('state', `backend_${change.kind}`, {
 				backend: change.entry.id, address: change.entry.address, service: change.entry.service, zone: change.entry.availabilityZone,
 				reclaimable: change.entry.isReclaimable, leavesInMs: change.entry.leavesInMs, offset: directory.next,
-				startedAt: change.entry.startedAt, sequence: change.entry.sequence, source, writtenWithinMs: Math.round(now() - changedAfter),
+				startedAt: change.entry.startedAt, sequence: change.entry.sequence, version: change.entry.softwareVersion, source, writtenWithinMs: Math.round(now() - changedAfter),
 			});
 		}
 
--- a/packages/gateway/src/telemetry/log-events.ts
+++ b/packages/gateway/src/telemetry/log-events.ts
@@ -34,10 +34,10 @@
 	configuration_unreadable: {meaning: 'A configuration record could not be decoded; the previous configuration stays in force', fields: ['offset', 'bytes']},
 	store_lost: {meaning: 'The store stopped responding for a topic', fields: ['topic', 'reason']},
 	store_regained: {meaning: 'The store responds again', fields: ['topic', 'wasAwayForAll', 'graceMs']},
-	backend_joined: {meaning: 'A backend server was added to the directory', fields: ['backend', 'address', 'service', 'zone', 'reclaimable', 'leavesInMs', 'offset', 'startedAt', 'sequence', 'source', 'writtenWithinMs']},
-	backend_restarted: {meaning: 'A backend server restarted under the same id; its previous state was discarded', fields: ['backend', 'address', 'service', 'zone', 'reclaimable', 'leavesInMs', 'offset', 'startedAt', 'sequence', 'source', 'writtenWithinMs']},
-	backend_leaving: {meaning: 'A backend server is leaving and gets no new calls', fields: ['backend', 'address', 'service', 'zone', 'reclaimable', 'leavesInMs', 'offset', 'startedAt', 'sequence', 'source', 'writtenWithinMs']},
-	backend_gone: {meaning: 'A backend server was removed from the directory', fields: ['backend', 'address', 'service', 'zone', 'reclaimable', 'leavesInMs', 'offset', 'startedAt', 'sequence', 'source', 'writtenWithinMs']},
+	backend_joined: {meaning: 'A backend server was added to the directory', fields: ['backend', 'address', 'service', 'zone', 'reclaimable', 'leavesInMs', 'offset', 'startedAt', 'sequence', 'version', 'source', 'writtenWithinMs']},
+	backend_restarted: {meaning: 'A backend server restarted under the same id; its previous state was discarded', fields: ['backend', 'address', 'service', 'zone', 'reclaimable', 'leavesInMs', 'offset', 'startedAt', 'sequence', 'version', 'source', 'writtenWithinMs']},
+	backend_leaving: {meaning: 'A backend server is leaving and gets no new calls', fields: ['backend', 'address', 'service', 'zone', 'reclaimable', 'leavesInMs', 'offset', 'startedAt', 'sequence', 'version', 'source', 'writtenWithinMs']},
+	backend_gone: {meaning: 'A backend server was removed from the directory', fields: ['backend', 'address', 'service', 'zone', 'reclaimable', 'leavesInMs', 'offset', 'startedAt', 'sequence', 'version', 'source', 'writtenWithinMs']},
 	backend_missing: {
 		meaning: 'The store no longer lists a backend server, but its entry may only have expired during an outage; it still gets calls for this time',
 		fields: ['backend', 'offset', 'source', 'keptMs'],
@@ -80,7 +80,7 @@
 	duty_failed: {meaning: 'Unexpected error in the leader task', fields: ['error']},
 	call_placed: {
 		meaning: 'A call was sent to a backend server, with the prediction for it and the result',
-		fields: ['request', 'service', 'backend', 'predictedMs', 'cachedTokens', 'own', 'others', 'tokensPerMs', 'offer', 'result', 'reason', 'chosenMs', 'directoryOffset', 'directoryAgeMs', 'directorySource', 'leavingMs', 'isMissing', 'limit'],
+		fields: ['request', 'service', 'backend', 'version', 'predictedMs', 'cachedTokens', 'own', 'others', 'tokensPerMs', 'offer', 'result', 'reason', 'chosenMs', 'directoryOffset', 'directoryAgeMs', 'directorySource', 'leavingMs', 'isMissing', 'limit'],
 	},
 	call_ended: {
 		meaning: 'Outcome of a call',
@@ -94,7 +94,7 @@
 	peer_call_refused: {meaning: 'A call of another daemon was refused before it was sent to a backend server', fields: ['request', 'result', 'detail', 'serving']},
 	call_moved: {
 		meaning: 'A run was stopped at a leaving backend server; its KV cache was copied to another one, or it continues on the same one',
-		fields: ['request', 'from', 'to', 'outcome', 'reason', 'leavesInMs', 'tookMs'],
+		fields: ['request', 'from', 'to', 'fromVersion', 'toVersion', 'outcome', 'reason', 'leavesInMs', 'tookMs'],
 	},
 	call_suspected: {meaning: 'A backend server ended while the answer of the call was at its beginning; the parts of its prompt, and the request, are suspected', fields: ['request', 'backend', 'parts', 'hasBegun', 'digest']},
 	crash_verdict: {
