--- a/packages/common/src/error-kinds.ts
+++ b/packages/common/src/error-kinds.ts
@@ -45,6 +45,8 @@
 	mismatched_answer: makeErrorResponse(502, 'The backend server answered a different request', 'unknown', 'Retry; use the same key if the call must not be repeated.'),
 	request_quarantined: makeErrorResponse(422, 'This request has ended backend servers and is not run again', 'no', 'Change the request, or ask an operator to lift the quarantine.'),
 	request_suspended: makeErrorResponse(503, 'This request has ended backend servers and is not run for now', 'no', 'Change the request; requests like it are refused until the block ends.'),
+	stream_origin_unknown: makeErrorResponse(503, 'It is not known which version began this stream', 'no', 'Wait until Retry-After, or begin the stream anew.'),
+	stream_origin_gone: makeErrorResponse(503, 'No backend server of the version that began this stream serves now', 'no', 'Wait until Retry-After, or begin the stream anew.'),
 	claims_unavailable: makeErrorResponse(503, 'Calls that must not repeat cannot be recorded now', 'no', 'Wait until Retry-After, then retry with the same key.'),
 	call_in_progress: makeErrorResponse(409, 'The call with this key is still running', 'unknown', 'Wait until Retry-After, then retry with the same key.'),
 	outcome_unknown: makeErrorResponse(409, 'The call may have run and its outcome was lost', 'unknown', 'Check the result in the service itself before using a new key.'),
--- a/packages/core/src/directory/adopt-peer-directory.ts
+++ b/packages/core/src/directory/adopt-peer-directory.ts
@@ -20,9 +20,19 @@
 	entry, offset, missingForMs: missingUntil === undefined ? undefined : missingUntil - now,
 }));
 
-/** Returns the newer one of two entries of a backend server: a peer may have read an older one last. */
-const getNewerEntry = (entry: BackendEntry, lastKnown: BackendEntry | undefined): BackendEntry =>
-	lastKnown !== undefined && isOutdated(entry, lastKnown) ? lastKnown : entry;
+/** Returns the newer one of two entries of a backend server: a peer may have read an older one last, or be a daemon that drops the software version. */
+const getNewerEntry = (entry: BackendEntry, lastKnown: BackendEntry | undefined): BackendEntry => {
+	if (lastKnown === undefined) {
+		return entry;
+	}
+
+	if (isOutdated(entry, lastKnown)) {
+		return lastKnown;
+	}
+
+	const isSameIncarnation = entry.startedAt !== undefined && entry.startedAt === lastKnown.startedAt && entry.address === lastKnown.address;
+	return isSameIncarnation ? {...entry, softwareVersion: entry.softwareVersion ?? lastKnown.softwareVersion} : entry;
+};
 
 /**
  * Replaces the directory with a peer's. An entry that is missing there and in its grace period is kept only if it can have expired
--- a/packages/core/src/directory/digest-directory.ts
+++ b/packages/core/src/directory/digest-directory.ts
@@ -4,7 +4,7 @@
 
 /** Serializes what calls and orders depend on. The rest is left out: an entry is rewritten each second as a heartbeat, which changes only that. */
 const serializeBackend = ({entry, missingUntil}: KnownBackend): string => {
-	const fields = [entry.id, entry.startedAt, entry.address, entry.service, entry.availabilityZone, entry.places, entry.isLeaving, entry.isReclaimable].join(' ');
+	const fields = [entry.id, entry.startedAt, entry.softwareVersion, entry.address, entry.service, entry.availabilityZone, entry.places, entry.isLeaving, entry.isReclaimable].join(' ');
 	return missingUntil === undefined ? fields : `${fields} missing`;
 };
 
--- a/packages/core/src/gossip/gossip-report.ts
+++ b/packages/core/src/gossip/gossip-report.ts
@@ -43,6 +43,8 @@
 	linkMbps: z.number(),
 	/** Whether the daemon may keep limits of client accounts. Those of earlier versions count for themselves. */
 	keepsQuotas: z.boolean().optional(),
+	/** Whether the daemon remembers the origins of streams. Those of earlier versions don't. */
+	keepsOrigins: z.boolean().optional(),
 	/** Number of daemons that the report covers. */
 	daemons: z.int(),
 	/** Number of daemons in zones that stopped reporting. They may still admit calls that no other daemon counts. */
--- a/packages/core/src/gossip/pick-relays.ts
+++ b/packages/core/src/gossip/pick-relays.ts
@@ -12,6 +12,8 @@
 	readonly takesCalls?: boolean | undefined;
 	/** Whether it may keep limits of client accounts. Those of earlier versions don't. */
 	readonly keepsQuotas?: boolean | undefined;
+	/** Whether it remembers the origins of streams, and continues a stream only at its software version. Those of earlier versions don't. */
+	readonly keepsOrigins?: boolean | undefined;
 };
 
 /** Up to this number, daemons send their reports directly to all others. */
--- a/packages/gateway/src/calls/admit-call.ts
+++ b/packages/gateway/src/calls/admit-call.ts
@@ -7,6 +7,7 @@
 import {type Account, type Route} from '@shallotpass/core/calls/serving-configuration.js';
 import {type Call} from '@shallotpass/core/calls/types.js';
 import {hashText, hashText64} from '@shallotpass/core/routing/rank-by-rendezvous.js';
+import {type Continuity, determineContinuity} from '../origins/continuity.js';
 import {checkVerdict} from '../crashes/check-verdict.js';
 import {type GatewayState} from '../gateway-state.js';
 import {takeQuota} from '../quotas/take-quota.js';
@@ -48,6 +49,8 @@
 export type AdmittedCall = {
 	readonly call: Call;
 	readonly outgoing: OutgoingRequest;
+	/** Undefined if it is no stream that its caller may take up, or another daemon sent it. */
+	readonly continuity?: Continuity | undefined;
 };
 
 export class RefusedCall {
@@ -170,7 +173,15 @@
 	const {account} = target;
 	const method = request.method ?? 'GET';
 	const digest = hashText64(`${account?.name ?? ''}\n${method}\n${path}\n${bodyResult.body.toString('latin1')}`).toString(16);
-	const call = makeCall(context, target, arrivedAt);
+	const continuityResult = await determineContinuity(gateway, {
+		head, account: account?.name, repeatability: target.route.repeatability, limitMs: target.route.limitMs, services: [target.service, ...target.route.services.map(({service}) => service)],
+	});
+	if (continuityResult.kind === 'refused') {
+		return new RefusedCall(continuityResult.refusal);
+	}
+
+	const {continuity} = continuityResult;
+	const call = makeCall(context, {...target, service: continuity?.origin?.service ?? target.service}, arrivedAt);
 	const {refusal: crashRefusal, trialOf} = checkVerdict(gateway, {call, outgoing: {digest}});
 	if (crashRefusal) {
 		return new RefusedCall(crashRefusal);
@@ -185,6 +196,7 @@
 
 	return {
 		call,
+		continuity,
 		outgoing: {
 			method, path, callerFields: request.rawHeaders, body: bodyResult.body, digest, lastEventId: undefined, ...(trialOf !== undefined && {trialOf}),
 		},
--- a/packages/gateway/src/calls/backend-agent.ts
+++ b/packages/gateway/src/calls/backend-agent.ts
@@ -65,6 +65,12 @@
 export class BackendAgent extends http.Agent {
 	/** Number of open connections, in use or idle. */
 	openConnections = 0;
+	/**
+	 * Number of the period in which at least one established connection has been open. Within it the process at the other
+	 * end is the same, as its end would close all of them.
+	 */
+	contactPeriod = 0;
+	private establishedConnections = 0;
 
 	constructor(private readonly connectionOptions: BackendAgentOptions = {}) {
 		super({
@@ -80,6 +86,7 @@
 		}
 
 		this.openConnections++;
+		this.trackContact(socket);
 		socket.on('end', () => {
 			handleRemoteEnd(socket);
 		});
@@ -119,4 +126,18 @@
 		socket.setTimeout(0);
 		super.reuseSocket(socket, request);
 	}
+
+	/** Counts the connection while it is established. */
+	private trackContact(socket: PooledSocket): void {
+		socket.once('connect', () => {
+			if (this.establishedConnections === 0) {
+				this.contactPeriod++;
+			}
+
+			this.establishedConnections++;
+			socket.once('close', () => {
+				this.establishedConnections--;
+			});
+		});
+	}
 }
--- a/packages/gateway/src/calls/backend-registry.ts
+++ b/packages/gateway/src/calls/backend-registry.ts
@@ -28,6 +28,8 @@
 	readonly incarnation: string;
 	readonly incarnationHash: number;
 	readonly agent: BackendAgent;
+	/** Contact period of the agent in which the process was confirmed to be this incarnation. Written by `confirmIncarnation`. */
+	confirmedPeriod: number;
 	/** Running calls, and prompt tokens awaiting their first event by rank, sent by this daemon. */
 	running: number;
 	readonly pendingTokens: number[];
@@ -81,10 +83,23 @@
 
 export const formatIncarnation = (entry: BackendEntry): string => `${entry.id}/${entry.startedAt ?? 0}/${entry.address}`;
 
+/** Backend servers of one software version in a service. */
+export type VersionCount = {
+	readonly ready: number;
+	readonly leaving: number;
+	/** Places of the ready ones. */
+	readonly places: number;
+};
+
+/** Version under which backend servers are counted whose own is not known. */
+const unknownVersion = '';
+
 export type BackendRegistry = {
 	readonly byId: Map<string, BackendState>;
 	/** Ready backend servers by service. */
 	readonly byService: Map<string, BackendState[]>;
+	/** What serves of each software version, by service. */
+	readonly versionsByService: Map<string, ReadonlyMap<string, VersionCount>>;
 	/** Latency model by service, also assumed for new backend servers. */
 	readonly latencyModels: Map<string, LatencyModel>;
 	readonly openConnection: OpenConnection;
@@ -93,7 +108,7 @@
 };
 
 export const makeBackendRegistry = (openConnection: OpenConnection = net.connect): BackendRegistry => ({
-	byId: new Map(), byService: new Map(), latencyModels: new Map(), openConnection, onConnected() {/* set by the owner */},
+	byId: new Map(), byService: new Map(), versionsByService: new Map(), latencyModels: new Map(), openConnection, onConnected() {/* set by the owner */},
 });
 
 const makeBackendState = (entry: BackendEntry, registry: BackendRegistry, now: number): BackendState => ({
@@ -106,6 +121,7 @@
 			registry.onConnected(formatIncarnation(entry));
 		},
 	}),
+	confirmedPeriod: 0,
 	running: 0,
 	pendingTokens: Array.from<number>({length: trackedRankCount}).fill(0),
 	othersRunning: 0,
@@ -158,6 +174,31 @@
 	state.leaving.abort();
 };
 
+const noVersionCount: VersionCount = {ready: 0, leaving: 0, places: 0};
+
+const countVersions = ({byId, versionsByService}: BackendRegistry): void => {
+	const counts = new Map<string, Map<string, VersionCount>>();
+	for (const {entry} of byId.values()) {
+		const versions = counts.get(entry.service) ?? new Map<string, VersionCount>();
+		const version = entry.softwareVersion ?? unknownVersion;
+		const {ready, leaving, places} = versions.get(version) ?? noVersionCount;
+		versions.set(version, entry.isLeaving ? {ready, leaving: leaving + 1, places} : {ready: ready + 1, leaving, places: places + entry.places});
+		counts.set(entry.service, versions);
+	}
+
+	versionsByService.clear();
+	for (const [service, versions] of counts) {
+		versionsByService.set(service, versions);
+	}
+};
+
+/** Lists how many backend servers of each software version are ready. */
+export const listVersionCounts = ({versionsByService}: BackendRegistry): Array<{service: string; version: string; ready: number}> =>
+	[...versionsByService].flatMap(([service, versions]) => [...versions].map(([version, {ready}]) => ({service, version, ready})));
+
+/** Whether backend servers of several software versions serve the service. */
+export const hasSeveralVersions = ({versionsByService}: BackendRegistry, service: string): boolean => (versionsByService.get(service)?.size ?? 0) > 1;
+
 export type RegistryChange = {
 	readonly kind: 'joined' | 'restarted' | 'leaving' | 'gone';
 	readonly entry: BackendEntry;
@@ -207,6 +248,7 @@
 		}
 	}
 
+	countVersions(registry);
 	registry.byService.clear();
 	for (const state of registry.byId.values()) {
 		if (state.entry.isLeaving) {
--- a/packages/gateway/src/calls/call-attempts.ts
+++ b/packages/gateway/src/calls/call-attempts.ts
@@ -7,20 +7,20 @@
 import {type GatewayState} from '../gateway-state.js';
 import {pauseFor} from '../pause.js';
 import {hasContactSince, isCutOff} from '../paths/track-paths.js';
+import {isVersionServed} from '../origins/continuity.js';
 import {payForRun} from '../quotas/pay-for-run.js';
 import {type AdmittedCall, type CallContext} from './admit-call.js';
-import {getLatencyModel, mayReceiveCalls} from './backend-registry.js';
+import {getLatencyModel} from './backend-registry.js';
 import {hasUnevenLoad, returnToLimit, takeFromLimit} from './backend-limits.js';
 import {type SendResult, type UnsentResult} from './call-outcome.js';
 import {type CallProgress} from './call-progress.js';
 import {recordBrokenConnection} from './connect-failures.js';
+import {mayStillReceive} from './may-still-receive.js';
 import {setRuns} from './peer-call.js';
 import {type Placement, placeCall} from './place-call.js';
 import {getRetryAllowance, getRetryLimit} from './retry-limits.js';
 import {sendToPeer} from './send-to-peer.js';
-import {
-	type Attempt, type AttemptResult, connectTimeoutMs, runAtBackend,
-} from './run-at-backend.js';
+import {type Attempt, type AttemptResult, runAtBackend} from './run-at-backend.js';
 
 /** Maximum number of attempts of one call, including those that backend servers refuse. Each refusal costs a round trip. */
 const maxAttemptsPerCall = 6;
@@ -133,6 +133,12 @@
 		return result;
 	}
 
+	const {softwareVersion} = progress;
+	if (result.kind === 'none' && softwareVersion !== undefined && !isVersionServed(context.gateway, {service: admitted.call.service, softwareVersion})) {
+		progress.lastFailure = `no backend server of the version ${softwareVersion} is left`;
+		return {kind: 'version_gone', softwareVersion};
+	}
+
 	if (result.kind === 'none') {
 		const sent = await sendThroughPeer(context, admitted, progress, signal);
 		if (sent !== undefined) {
@@ -181,15 +187,14 @@
 	progress.attempts++;
 	progress.attemptedIncarnations.add(state.incarnation);
 	const knownAtSend = describeKnowledge(gateway, placement);
-	const bounds = {arrivesBy: gateway.clocks.steady() + connectTimeoutMs, drainMs: gateway.settings.bounds.drainMs};
 	// A moved run waits for its KV cache after its placements were chosen.
-	const mayReceive = mayReceiveCalls(state, bounds);
+	const mayReceive = mayStillReceive(gateway, state);
 	if (mayReceive && placement.isCounted !== true) {
 		takeFromLimit(gateway, state);
 	}
 
 	const result = mayReceive
-		? await runAtBackend(gateway, call, placement, outgoing, signal)
+		? await runAtBackend(gateway, call, placement, {...outgoing, softwareVersion: progress.softwareVersion}, signal)
 		: {kind: 'not_run' as const, reason: 'backend_left', hasArrived: false};
 	if (result.kind === 'not_run' && !result.hasArrived && (mayReceive || placement.isCounted === true)) {
 		returnToLimit(gateway, state);
--- a/packages/gateway/src/calls/call-outcome.ts
+++ b/packages/gateway/src/calls/call-outcome.ts
@@ -1,5 +1,6 @@
 /** Results of an attempt that was not sent, and the outcomes of calls that get no answer of a backend server. */
 import {type Call} from '@shallotpass/core/calls/types.js';
+import {makeGoneRefusal} from '../origins/continuity.js';
 import {type CallContext} from './admit-call.js';
 import {type CallProgress} from './call-progress.js';
 import {type Refusal} from './refusal.js';
@@ -26,10 +27,12 @@
 	| {readonly kind: 'suspended'; readonly refusal: Refusal}
 	/** All backend servers are too busy to respond before the deadline; nothing was sent. */
 	| {readonly kind: 'unreachable'; readonly retryAfterS: number}
+	/** No backend server has the version at which the stream must go on; nothing was sent. */
+	| {readonly kind: 'version_gone'; readonly softwareVersion: string}
 	/** All backend servers have stated limits that leave no room; nothing was sent. `waitMs`: estimated time until one has room. */
 	| {readonly kind: 'limited'; readonly waitMs: number; readonly backends: number; readonly isBrief: boolean};
 
-const unsentKinds = ['no_backend', 'refused_by_peer', 'suspended', 'unreachable', 'limited'] as const;
+const unsentKinds = ['no_backend', 'version_gone', 'refused_by_peer', 'suspended', 'unreachable', 'limited'] as const;
 
 export type UnsentResult = SendResult & {readonly kind: (typeof unsentKinds)[number]};
 
@@ -58,6 +61,10 @@
 			return makeFailureOutcome(progress);
 		}
 
+		case 'version_gone': {
+			return progress.possibleRuns > 0 ? makeFailureOutcome(progress) : {name: 'version_gone', refusal: makeGoneRefusal(result)};
+		}
+
 		case 'refused_by_peer': {
 			return progress.possibleRuns > 0 ? makeFailureOutcome(progress) : {name: 'refused_by_peer', refusal: result.refusal};
 		}
--- a/packages/gateway/src/calls/call-progress.ts
+++ b/packages/gateway/src/calls/call-progress.ts
@@ -5,6 +5,8 @@
 	readonly attemptedIncarnations: Set<string>;
 	/** Whether the caller has received a part of the answer. */
 	hasStarted: boolean;
+	/** Version of the software at which the stream began and must go on. Undefined until its first event. */
+	softwareVersion: string | undefined;
 	/** Number of attempts that may have run the call. */
 	possibleRuns: number;
 	/** Number of attempts: backend servers that the call was sent to. */
@@ -22,6 +24,16 @@
 	hasCrashed: Promise<boolean> | undefined;
 };
 
-export const makeProgress = (): CallProgress => ({
-	attemptedIncarnations: new Set(), possibleRuns: 0, attempts: 0, hasArrived: false, hasStarted: false, lastFailure: '', triedPeers: new Set(), placeWaitUntil: undefined, mayBeCutOff: false, hasCrashed: undefined,
+export const makeProgress = (softwareVersion?: string): CallProgress => ({
+	attemptedIncarnations: new Set(),
+	possibleRuns: 0,
+	attempts: 0,
+	hasArrived: false,
+	hasStarted: false,
+	softwareVersion,
+	lastFailure: '',
+	triedPeers: new Set(),
+	placeWaitUntil: undefined,
+	mayBeCutOff: false,
+	hasCrashed: undefined,
 });
--- /dev/null
+++ b/packages/gateway/src/calls/confirm-incarnation.ts
@@ -0,0 +1,70 @@
+/**
+ * Confirms that the process at a backend server's address is the incarnation of its entry. It may have started again under its id,
+ * at another software version, a heartbeat before its entry tells.
+ */
+import {type GatewayState} from '../gateway-state.js';
+import {type BackendState} from './backend-registry.js';
+import {suspendBackend} from './connect-failures.js';
+
+/** Timeout of the question. Backend servers answer it beside their calls, within some milliseconds. */
+const askTimeoutMs = 150;
+
+/** `other`: another incarnation answers. `unknown`: nobody does. */
+export type IncarnationFinding = 'confirmed' | 'other' | 'unknown';
+
+/** Questions under way, by backend server. */
+const pendingQuestions = new WeakMap<BackendState, {readonly contactPeriod: number; readonly finding: Promise<IncarnationFinding>}>();
+
+/** Whether calls may reach another incarnation than the directory tells. */
+const mayBeOther = ({agent, entry, confirmedPeriod}: BackendState): boolean => {
+	const isConfirmed = agent.contactPeriod > 0 && agent.contactPeriod === confirmedPeriod;
+	return !isConfirmed && entry.startedAt !== undefined;
+};
+
+const askForStart = async (gateway: GatewayState, state: BackendState): Promise<IncarnationFinding> => {
+	const {agent, entry} = state;
+	const reply = await gateway.engines.readStart({address: entry.address, agent}, {timeoutMs: askTimeoutMs, signal: gateway.stopSignal});
+	switch (reply.kind) {
+		case 'failed': {
+			return 'unknown';
+		}
+
+		case 'untold': {
+			// Only its entry says who it is.
+			state.confirmedPeriod = agent.contactPeriod;
+			return 'confirmed';
+		}
+
+		case 'started': {
+			if (reply.startedAt === entry.startedAt) {
+				state.confirmedPeriod = agent.contactPeriod;
+				return 'confirmed';
+			}
+
+			suspendBackend(gateway, state, 'other_incarnation');
+			return 'other';
+		}
+	}
+};
+
+/** Finds out whether the process that the pooled connections reach is the incarnation of the state. Asks at most once while a connection stays open. */
+export const confirmIncarnation = async (gateway: GatewayState, state: BackendState): Promise<IncarnationFinding> => {
+	if (!mayBeOther(state)) {
+		return 'confirmed';
+	}
+
+	const {contactPeriod} = state.agent;
+	const pending = pendingQuestions.get(state);
+	if (pending?.contactPeriod === contactPeriod) {
+		return pending.finding;
+	}
+
+	const finding = askForStart(gateway, state);
+	pendingQuestions.set(state, {contactPeriod, finding});
+	const found = await finding;
+	if (pendingQuestions.get(state)?.finding === finding) {
+		pendingQuestions.delete(state);
+	}
+
+	return found;
+};
--- a/packages/gateway/src/calls/move-run.ts
+++ b/packages/gateway/src/calls/move-run.ts
@@ -11,7 +11,8 @@
 import {type MovedKvCache} from '../ports.js';
 import {observeBrittleness} from './backend-brittleness.js';
 import {observeLimit, takeFromLimit} from './backend-limits.js';
-import {type Placement, placeCall} from './place-call.js';
+import {confirmIncarnation} from './confirm-incarnation.js';
+import {type Placement, placeCall, type PlacementResult} from './place-call.js';
 import {type BackendState} from './backend-registry.js';
 import {getRetryAllowance, getRetryLimit} from './retry-limits.js';
 
@@ -62,16 +63,24 @@
 
 /** Stops the run and copies its KV cache to another backend server, if the retry limit allows it. */
 const moveRun = async ({gateway, call, state, signal}: DepartureWatchOptions): Promise<MovedRun | undefined> => {
-	const result = placeCall(gateway, call, {attemptedIncarnations: new Set([state.incarnation]), hasStarted: true});
+	const {softwareVersion} = state.entry;
+	const result: PlacementResult = softwareVersion === undefined
+		? {kind: 'none'}
+		: placeCall(gateway, call, {attemptedIncarnations: new Set([state.incarnation]), hasStarted: true, softwareVersion});
 	if (result.kind !== 'placed' || !takeFromRetryAllowance(getRetryAllowance(gateway, call.service), getRetryLimit(gateway), gateway.clocks.steady())) {
 		return undefined;
 	}
 
+	const target = result.placement;
+	const findings = await Promise.all([state, target.state].map(async end => confirmIncarnation(gateway, end)));
+	if (findings.some(finding => finding !== 'confirmed')) {
+		return undefined;
+	}
+
 	if (!await payForRun(gateway, call)) {
 		return undefined;
 	}
 
-	const target = result.placement;
 	// The room must still be there when the KV cache has been copied.
 	takeFromLimit(gateway, target.state);
 	const startedAt = gateway.clocks.steady();
--- a/packages/gateway/src/calls/peer-call.ts
+++ b/packages/gateway/src/calls/peer-call.ts
@@ -11,6 +11,7 @@
 import * as z from 'zod';
 import {type GatewayState} from '../gateway-state.js';
 import {type AdmittedCall} from './admit-call.js';
+import {type CallProgress} from './call-progress.js';
 
 export const peerCallPath = '/calls';
 
@@ -22,6 +23,9 @@
 /** Response field with the number of backend servers that may have run the call behind the peer. Without it, all that were left may have. */
 export const runsField = 'x-peer-call-runs';
 
+/** Response field with the version of the software that answers a stream. Daemons of earlier versions don't send it. */
+export const versionField = 'x-peer-call-version';
+
 /**
  * `answered`: a backend server. `refused`: the peer, and the call has not run and never will. `unfit`: the same, as the peer is
  * cut off itself, full, leaving or without a configuration. `failed`: the peer, and the call may have run.
@@ -41,6 +45,22 @@
 	response.setHeader(runsField, String(runs));
 };
 
+/** Tells the peer which software version answers, at which the stream goes on here. To be called before the head of the response is sent. */
+export const setVersion = (response: http.ServerResponse, softwareVersion: string): void => {
+	// A version may have any characters.
+	response.setHeader(versionField, encodeURIComponent(softwareVersion));
+};
+
+/** Returns undefined if the text is no encoded version. */
+export const parseVersion = (text: string | undefined): string | undefined => {
+	try {
+		return text === undefined ? undefined : decodeURIComponent(text);
+	} catch {
+		// A stream whose version is not known does not go on elsewhere.
+		return undefined;
+	}
+};
+
 /** Sets the result that fits the refusal, before it is sent. */
 export const setRefusalResult = (response: http.ServerResponse, kind: ErrorKind): void => {
 	if (!response.headersSent) {
@@ -78,6 +98,8 @@
 			callerFields: z.array(z.string()),
 			digest: z.string(),
 			lastEventId: z.string().optional(),
+			/** Version of the software at which a stream goes on that has begun. Daemons of earlier versions don't send it. */
+			softwareVersion: z.string().optional(),
 		}),
 	}),
 });
@@ -86,8 +108,8 @@
 
 const lineFeed = 10;
 
-/** Encodes the call for a peer. `possibleRuns` backend servers may have run it already. */
-export const encodePeerCall = (gateway: GatewayState, {call, outgoing}: AdmittedCall, possibleRuns: number): Buffer => {
+/** Encodes the call for a peer. */
+export const encodePeerCall = (gateway: GatewayState, {call, outgoing}: AdmittedCall, {possibleRuns, softwareVersion}: Pick<CallProgress, 'possibleRuns' | 'softwareVersion'>): Buffer => {
 	const now = gateway.clocks.steady();
 	const {id, account, routeName, service, repeatability, rank, promptTokens, outputTokens, promptParts} = call;
 	const {method, path, callerFields, digest, lastEventId} = outgoing;
@@ -100,7 +122,7 @@
 			id, account, routeName, service, repeatability, rank, maxAttempts: Math.max(1, call.maxAttempts - possibleRuns), promptTokens, outputTokens, promptParts: [...promptParts],
 		},
 		outgoing: {
-			method, path, callerFields: [...callerFields], digest, lastEventId,
+			method, path, callerFields: [...callerFields], digest, lastEventId, softwareVersion,
 		},
 	};
 	const head = JSON.stringify({
--- a/packages/gateway/src/calls/place-call.ts
+++ b/packages/gateway/src/calls/place-call.ts
@@ -13,6 +13,7 @@
 import {
 	type BackendState, getLatencyModel, isLimitedToOwnZone, toBackendView,
 } from './backend-registry.js';
+import {mayStillReceive} from './may-still-receive.js';
 
 /** Share of a service's connection limit that the known daemons use. The rest is left for daemons not known yet and for closing connections. */
 const usedConnectionShare = 0.85;
@@ -55,6 +56,8 @@
 	readonly attemptedIncarnations: ReadonlySet<string>;
 	/** Whether the call's run has started, so that it would be lost without another backend server. */
 	readonly hasStarted: boolean;
+	/** Version of the software that its backend server must have. Undefined for any. */
+	readonly softwareVersion?: string | undefined;
 	/** Whether the call may crash its backend server, so that it goes where fewest others run. */
 	readonly mayCrash?: boolean;
 };
@@ -99,12 +102,27 @@
 	return states.filter(state => countRunning(state) === least);
 };
 
+/** Lists the backend servers that can take the call. A stream that must go on at one version goes to one that leaves if no other of that version is left. */
+const listAvailable = (gateway: GatewayState, call: Call, {attemptedIncarnations, softwareVersion}: PlacementOptions): BackendState[] => {
+	const now = gateway.clocks.steady();
+	const isAvailable = (state: BackendState): boolean => state.suspendedUntil <= now && !attemptedIncarnations.has(state.incarnation) && isReachable(gateway, state);
+	const ready = (gateway.registry.byService.get(call.service) ?? []).filter(state => isAvailable(state));
+	if (softwareVersion === undefined) {
+		return ready;
+	}
+
+	const fitting = ready.filter(({entry}) => entry.softwareVersion === softwareVersion);
+	return fitting.length > 0
+		? fitting
+		: [...gateway.registry.byId.values()].filter(state => state.entry.service === call.service && state.entry.isLeaving
+			&& state.entry.softwareVersion === softwareVersion && isAvailable(state) && mayStillReceive(gateway, state));
+};
+
 /** Returns the best available backend server for the call. */
 export const placeCall = (gateway: GatewayState, call: Call, options: PlacementOptions): PlacementResult => {
 	const now = gateway.clocks.steady();
 	const service = gateway.configuration?.servicesByName.get(call.service);
-	const ready = gateway.registry.byService.get(call.service) ?? [];
-	const available = ready.filter(state => state.suspendedUntil <= now && !options.attemptedIncarnations.has(state.incarnation) && isReachable(gateway, state));
+	const available = listAvailable(gateway, call, options);
 	const rooms = findRooms(gateway, call, available, options.hasStarted);
 	const withRoom = rooms.filter(({room}) => room.kind !== 'exhausted');
 	if (rooms.length > 0 && withRoom.length === 0) {
--- a/packages/gateway/src/calls/run-at-backend.ts
+++ b/packages/gateway/src/calls/run-at-backend.ts
@@ -13,7 +13,8 @@
 import {type GatewayState} from '../gateway-state.js';
 import {canConnect} from '../paths/can-connect.js';
 import {type MovedKvCache} from '../ports.js';
-import {type BackendState, trackedRankCount} from './backend-registry.js';
+import {type BackendState, hasSeveralVersions, trackedRankCount} from './backend-registry.js';
+import {confirmIncarnation} from './confirm-incarnation.js';
 import {type Exchange, type IsComplete, sendToBackend} from './backend-exchange.js';
 import {recordBrokenConnection, recordConnectFailure, suspendBackend} from './connect-failures.js';
 import {observeBrittleness} from './backend-brittleness.js';
@@ -40,6 +41,8 @@
 	readonly trialOf?: string;
 	/** KV cache of the run to continue; undefined if the call starts from the beginning. */
 	readonly kvCache?: MovedKvCache;
+	/** Version of the software at which a stream goes on that has begun. Undefined for any. */
+	readonly softwareVersion?: string | undefined;
 };
 
 export type AttemptResult =
@@ -53,6 +56,8 @@
 export type Attempt = {
 	/** Undefined if the call was sent through a peer. */
 	readonly state: BackendState | undefined;
+	/** Version of the software that answers. Undefined if it is not known, as another incarnation may answer than the directory tells. */
+	readonly softwareVersion: string | undefined;
 	/** Backend server, or address of the peer. */
 	readonly source: string;
 	readonly exchange: Omit<Exchange, 'result'>;
@@ -101,6 +106,12 @@
 /** Sends the call to the backend server of the placement and waits for the head of the response. */
 export const runAtBackend = async (gateway: GatewayState, call: Call, placement: Placement, outgoing: OutgoingRequest, signal: AbortSignal): Promise<AttemptResult> => {
 	const {state} = placement;
+	const isContinued = outgoing.softwareVersion !== undefined;
+	const findingBefore = isContinued ? await confirmIncarnation(gateway, state) : 'confirmed';
+	if (findingBefore !== 'confirmed') {
+		return {kind: 'not_run', reason: `incarnation_${findingBefore}`, hasArrived: false};
+	}
+
 	const now = gateway.clocks.steady();
 	const sentAt = gateway.clocks.trueTime();
 	const uncachedTokens = Math.max(0, call.promptTokens - placement.cachedTokens);
@@ -114,6 +125,7 @@
 		rank: isStream(call.repeatability) ? rank : undefined,
 		lastEventId: outgoing.lastEventId,
 		kvCache: outgoing.kvCache,
+		isFavored: isContinued && hasSeveralVersions(gateway.registry, call.service),
 	});
 	const hasBody = outgoing.body.length > 0 || outgoing.method === 'POST' || outgoing.method === 'PUT';
 	const exchange = sendToBackend({
@@ -164,6 +176,8 @@
 		trackedCall.end(isFailure);
 	};
 
+	// Asked while the call waits for its answer.
+	const confirmation = call.repeatability === 'resumable_stream' || isContinued ? confirmIncarnation(gateway, state) : undefined;
 	const result = await exchange.result;
 	stopWatching();
 	stopWatchingArrival();
@@ -222,6 +236,14 @@
 		return {kind: 'not_run', reason: head.isOtherBackend ? 'other_backend' : `refused_${response.statusCode ?? 0}`, hasArrived: true};
 	}
 
+	const isConfirmed = await confirmation === 'confirmed' && await confirmIncarnation(gateway, state) === 'confirmed';
+	if (isContinued && !isConfirmed) {
+		exchange.abort();
+		end(true);
+		gateway.metrics.attempts.inc({service: call.service, outcome: 'mismatched'});
+		return {kind: 'may_have_run', reason: 'other_incarnation'};
+	}
+
 	trackedCall.endPending();
 	recordLatency(gateway, call, {state, sentAt: now, workTokens});
 	// A run that was moved here has already been counted where it started.
@@ -229,7 +251,7 @@
 	gateway.metrics.attempts.inc({service: call.service, outcome: (response.statusCode ?? 0) < 500 ? 'answered' : 'failed'});
 	return {
 		kind: 'answered', response, attempt: {
-			state, source: state.entry.id, exchange, isComplete, sentAt: now, answeredAt: state.lastReadAt, end,
+			state, softwareVersion: isConfirmed ? state.entry.softwareVersion : undefined, source: state.entry.id, exchange, isComplete, sentAt: now, answeredAt: state.lastReadAt, end,
 		},
 	};
 };
--- a/packages/gateway/src/calls/send-to-peer.ts
+++ b/packages/gateway/src/calls/send-to-peer.ts
@@ -11,7 +11,7 @@
 import {type Exchange} from './backend-exchange.js';
 import {type CallProgress} from './call-progress.js';
 import {
-	encodePeerCall, isPeerCallResult, peerCallPath, type PeerCallResult, resultField, runsField,
+	encodePeerCall, isPeerCallResult, parseVersion, peerCallPath, type PeerCallResult, resultField, runsField, versionField,
 } from './peer-call.js';
 import {type Refusal} from './refusal.js';
 import {type Attempt} from './run-at-backend.js';
@@ -186,10 +186,10 @@
 };
 
 /** Offers the call to one peer and waits for the head of the response. */
-const sendToOnePeer = async (context: CallContext, admitted: AdmittedCall, offer: {peer: PeerCandidate; possibleRuns: number}, signal: AbortSignal): Promise<PeerResult> => {
+const sendToOnePeer = async (context: CallContext, admitted: AdmittedCall, offer: {peer: PeerCandidate; progress: CallProgress}, signal: AbortSignal): Promise<PeerResult> => {
 	const {gateway} = context;
 	const {address} = offer.peer;
-	const message = encodePeerCall(gateway, admitted, offer.possibleRuns);
+	const message = encodePeerCall(gateway, admitted, offer.progress);
 	const sentAt = gateway.clocks.steady();
 	const {reply, exchange, hasFailed} = startExchange(address, message, isRepeatable(admitted.call.repeatability));
 	countSent(gateway, address, 1);
@@ -218,7 +218,7 @@
 	const answer = takeResult(response);
 	if (answer === 'answered') {
 		const attempt: Attempt = {
-			state: undefined, source: address, exchange, sentAt, answeredAt: gateway.clocks.steady(), end,
+			state: undefined, softwareVersion: parseVersion(takeField(response, versionField)), source: address, exchange, sentAt, answeredAt: gateway.clocks.steady(), end,
 			isComplete: async () => response.complete && !hasFailed(),
 		};
 		return {
@@ -259,7 +259,7 @@
 	const {call} = admitted;
 	let refused: PeerResult | undefined;
 	while (canSendToPeer(context, admitted, progress) && !signal.aborted) {
-		const peer = pickPeer(gateway, progress.triedPeers);
+		const peer = pickPeer(gateway, {triedAddresses: progress.triedPeers, keepsOrigins: progress.softwareVersion !== undefined});
 		if (peer === undefined) {
 			break;
 		}
@@ -268,7 +268,7 @@
 		progress.attempts++;
 		const startedAt = gateway.clocks.steady();
 		// eslint-disable-next-line no-await-in-loop -- peers are asked one after the other
-		const result = await sendToOnePeer(context, admitted, {peer, possibleRuns: progress.possibleRuns}, signal);
+		const result = await sendToOnePeer(context, admitted, {peer, progress}, signal);
 		recordResult(gateway, peer, call.service, result);
 		gateway.metrics.peerCallsSent.inc({service: call.service, outcome: result.kind});
 		gateway.log.write(result.kind === 'answered' ? 'routine' : 'failure', 'call_sent_to_peer', {
--- a/packages/gateway/src/calls/serve-peer-call.ts
+++ b/packages/gateway/src/calls/serve-peer-call.ts
@@ -1,7 +1,9 @@
 /** Serves calls that other daemons send because they reach no backend server themselves. */
 import type http from 'node:http';
+import {isStream} from '@shallotpass/core/calls/types.js';
 import {findCrashRefusal} from '../crashes/check-verdict.js';
 import {countPeerCallRoom, type GatewayState, maxPeerCalls} from '../gateway-state.js';
+import {unknownOriginRefusal} from '../origins/continuity.js';
 import {isCutOff} from '../paths/track-paths.js';
 import {type AdmittedCall, type CallContext} from './admit-call.js';
 import {
@@ -52,7 +54,7 @@
 const makeContext = (gateway: GatewayState, request: http.IncomingMessage, response: http.ServerResponse, data: PeerCallData | undefined): CallContext => ({
 	gateway, request, response, isFromPeer: true,
 	head: {
-		id: data?.call.id, key: undefined, callerTimeoutMs: undefined, promptTokens: undefined, outputTokens: undefined, promptParts: [],
+		id: data?.call.id, key: undefined, callerTimeoutMs: undefined, promptTokens: undefined, outputTokens: undefined, promptParts: [], lastEventId: undefined, resumes: {kind: 'none'},
 	},
 	timing: {firstByteAt: undefined, lastEventAt: 0, longestPauseMs: 0},
 });
@@ -75,6 +77,9 @@
 	}
 };
 
+/** Whether the call continues a stream that has begun. */
+const isContinuation = ({wire}: GatewayState, {outgoing}: PeerCallData): boolean => outgoing.lastEventId !== undefined || wire.findLastEventId(outgoing.callerFields) !== undefined;
+
 /** Serves one request of a peer; never throws. */
 export const servePeerCall = async (gateway: GatewayState, request: http.IncomingMessage, response: http.ServerResponse): Promise<void> => {
 	const maxBodyBytes = gateway.configuration?.configuration.limits.bodyBytes ?? 0;
@@ -105,5 +110,11 @@
 		return;
 	}
 
+	if (isStream(call.repeatability) && data.outgoing.softwareVersion === undefined && isContinuation(gateway, data)) {
+		// A daemon of an earlier version sends it, which knows no versions.
+		refuse(context, unknownOriginRefusal, 'refused');
+		return;
+	}
+
 	await serve(context, {call, outgoing: {...data.outgoing, lastEventId: data.outgoing.lastEventId, body}}, data.sender);
 };
--- a/packages/gateway/src/calls/serve-stream.ts
+++ b/packages/gateway/src/calls/serve-stream.ts
@@ -3,6 +3,8 @@
 import {streamStallTimeoutMs} from '@shallotpass/core/retries/silence-timeout.js';
 import {trackSurvival} from '../crashes/record-evidence.js';
 import {pauseFor} from '../pause.js';
+import {type Continuity} from '../origins/continuity.js';
+import {recordStream} from '../origins/record-stream.js';
 import {type AdmittedCall, type CallContext} from './admit-call.js';
 import {
 	discardResponse, findSuspension, isDraining, isServerError, recordBrokenAttempt, recordEvents, recordFirstByte, sendToBestBackend, sendToPlacement, takeRetry,
@@ -13,6 +15,8 @@
 import {type CallProgress, makeProgress} from './call-progress.js';
 import {type EventSplitter, makeEventSplitter} from './event-splitter.js';
 import {inactiveWatch, type MovedRun, watchDeparture} from './move-run.js';
+import {setVersion} from './peer-call.js';
+import {type Attempt} from './run-at-backend.js';
 import {forwardPlainResponse} from './forward-plain-response.js';
 import {forwardEvents, writeStreamHead} from './forward-stream.js';
 import {type Placement} from './place-call.js';
@@ -22,6 +26,9 @@
 	readonly call: AdmittedCall['call'];
 	/** The request to send with the next attempt. */
 	outgoing: AdmittedCall['outgoing'];
+	readonly continuity: Continuity | undefined;
+	/** Whether events were sent on, so that the stream goes on only at the version that sent the first one. */
+	hasEvents: boolean;
 	readonly progress: CallProgress;
 	readonly splitter: EventSplitter;
 	/** Placements where a moved run can continue, best first. */
@@ -87,12 +94,37 @@
 	return {kind: 'try_again', isExempt: true};
 };
 
+/** Tells a peer at which version the stream goes on here, before the head of the answer is sent. */
+const announceVersion = ({context: {isFromPeer, response}, progress}: StreamState, {softwareVersion}: Attempt): void => {
+	if (isFromPeer && softwareVersion !== undefined) {
+		progress.softwareVersion = softwareVersion;
+		setVersion(response, softwareVersion);
+	}
+};
+
+/** Fixes the version at which the stream goes on, and remembers it for a caller that comes back. */
+const recordFirstEvents = (stream: StreamState, attempt: Attempt): void => {
+	if (stream.hasEvents) {
+		return;
+	}
+
+	stream.hasEvents = true;
+	stream.progress.softwareVersion ??= attempt.softwareVersion;
+	if (stream.continuity !== undefined) {
+		recordStream(stream.context.gateway, stream.call, stream.continuity, attempt);
+	}
+};
+
+/** Whether the stream may go on elsewhere: it has no events yet, or the version that sent them is known. */
+const canGoOn = ({hasEvents, progress}: StreamState): boolean => !hasEvents || progress.softwareVersion !== undefined;
+
 const forwardStream = async (stream: StreamState, {response, attempt}: AnsweredAttempt): Promise<NextStep> => {
 	const {
 		context: {gateway, response: target}, call, progress, splitter, signal,
 	} = stream;
 	if (!stream.progress.hasStarted) {
 		stream.progress.hasStarted = true;
+		announceVersion(stream, attempt);
 		recordFirstByte(stream.context, call, progress);
 		writeStreamHead(response, target, isDraining(gateway));
 	}
@@ -109,6 +141,7 @@
 		// A peer watches the backend server itself.
 		stallTimeoutMs: call.repeatability === 'resumable_stream' && state !== undefined ? streamStallTimeoutMs : undefined,
 		onEvents() {
+			recordFirstEvents(stream, attempt);
 			if (state !== undefined) {
 				state.lastReadAt = gateway.clocks.steady();
 			}
@@ -137,7 +170,7 @@
 	stream.limitWaitUntil = gateway.clocks.steady() + limitWaitMs;
 	recordBrokenAttempt(gateway, attempt, stream, progress);
 	progress.lastFailure = `the stream from ${attempt.source} was interrupted`;
-	return retryStep;
+	return canGoOn(stream) ? retryStep : endWith(makeStreamFailureOutcome(stream));
 };
 
 const sendNextAttempt = async (stream: StreamState): Promise<SendResult> => {
@@ -183,7 +216,9 @@
 		context,
 		call: admitted.call,
 		outgoing: admitted.outgoing,
-		progress: makeProgress(),
+		continuity: admitted.continuity,
+		hasEvents: false,
+		progress: makeProgress(admitted.outgoing.softwareVersion ?? admitted.continuity?.origin?.softwareVersion),
 		splitter: makeEventSplitter(),
 		placements: [],
 		stoppedOn: new Set(),
--- a/packages/gateway/src/gateway-state.ts
+++ b/packages/gateway/src/gateway-state.ts
@@ -17,6 +17,7 @@
 import {type GatewayMetrics} from './telemetry/gateway-metrics.js';
 import {type GatewaySettings} from './gateway-settings.js';
 import {type Engines, type WireFormat} from './ports.js';
+import {type OriginState} from './origins/origin-state.js';
 import {type QuotaState} from './quotas/quota-state.js';
 
 /** Latest report of another daemon, or of a relay on behalf of several daemons. */
@@ -86,6 +87,8 @@
 	directoryReadAt: number | undefined;
 	/** Written by the directory follower. */
 	directoryStatus: DirectoryStatus;
+	/** What is remembered of streams that callers may take up. */
+	readonly origins: OriginState;
 	/** This daemon's part in keeping the limits of client accounts. */
 	readonly quota: QuotaState;
 	/** Spending of accounts before this daemon started, as the store holds it. Written by the lease record. */
@@ -128,6 +131,8 @@
 	registeredDaemons: number | undefined;
 	/** When draining began after SIGTERM, on the steady clock. */
 	drainingSince: number | undefined;
+	/** Aborted when the daemon stops. */
+	readonly stopSignal: AbortSignal;
 	/** Number of calls in flight. */
 	activeCalls: number;
 };
--- a/packages/gateway/src/paths/ask-peer.ts
+++ b/packages/gateway/src/paths/ask-peer.ts
@@ -17,7 +17,7 @@
 const responseTimeoutMs = 600;
 
 export const askPeerForBackend = async (gateway: GatewayState, {incarnation}: BackendState): Promise<BackendContact> => {
-	const peer = pickPeer(gateway, new Set());
+	const peer = pickPeer(gateway, {triedAddresses: new Set(), keepsOrigins: false});
 	if (peer === undefined) {
 		return 'unknown';
 	}
--- a/packages/gateway/src/peers/gossip.ts
+++ b/packages/gateway/src/peers/gossip.ts
@@ -61,7 +61,7 @@
 	const {gateway, datagrams, signal} = options;
 	const {id: selfId, availabilityZone: ownZone, linkMbps} = gateway.settings.instance;
 	const self: GossipMember = {
-		id: selfId, address: gateway.settings.listen.peers, availabilityZone: ownZone, linkMbps, takesCalls: true, keepsQuotas: true,
+		id: selfId, address: gateway.settings.listen.peers, availabilityZone: ownZone, linkMbps, takesCalls: true, keepsQuotas: true, keepsOrigins: true,
 	};
 	/** Members by address. */
 	const members = new Map<string, GossipMember>([[self.address, self]]);
@@ -144,7 +144,7 @@
 		hasNewLoads ||= isSum(report) || !needsRelays(members.size);
 		unconfirmed.delete(report.address);
 		const member: GossipMember = {
-			id: report.id, address: report.address, availabilityZone: report.availabilityZone, linkMbps: report.linkMbps, takesCalls: report.peerCalls !== undefined, keepsQuotas: report.keepsQuotas,
+			id: report.id, address: report.address, availabilityZone: report.availabilityZone, linkMbps: report.linkMbps, takesCalls: report.peerCalls !== undefined, keepsQuotas: report.keepsQuotas, keepsOrigins: report.keepsOrigins,
 		};
 		members.set(report.address, member);
 		if (!isSum(report)) {
--- a/packages/gateway/src/peers/join-members.ts
+++ b/packages/gateway/src/peers/join-members.ts
@@ -19,7 +19,7 @@
 const lateReadIntervalMs = 12_000;
 
 const memberSchema = z.object({
-	id: z.string(), address: z.string(), availabilityZone: z.string(), linkMbps: z.number(), takesCalls: z.boolean().optional(), keepsQuotas: z.boolean().optional(),
+	id: z.string(), address: z.string(), availabilityZone: z.string(), linkMbps: z.number(), takesCalls: z.boolean().optional(), keepsQuotas: z.boolean().optional(), keepsOrigins: z.boolean().optional(),
 });
 
 const parseMember = (value: Uint8Array): GossipMember | undefined => {
@@ -57,7 +57,7 @@
 	for (const record of listing.records) {
 		const member = record.value && parseMember(record.value);
 		if (member) {
-			isListed ||= member.id === self.id && member.address === self.address && member.takesCalls === self.takesCalls && member.keepsQuotas === self.keepsQuotas;
+			isListed ||= member.id === self.id && member.address === self.address && member.takesCalls === self.takesCalls && member.keepsQuotas === self.keepsQuotas && member.keepsOrigins === self.keepsOrigins;
 			members.add(member);
 		}
 	}
--- a/packages/gateway/src/peers/make-report.ts
+++ b/packages/gateway/src/peers/make-report.ts
@@ -47,6 +47,7 @@
 		availabilityZone: settings.instance.availabilityZone,
 		linkMbps: settings.instance.linkMbps,
 		keepsQuotas: true,
+		keepsOrigins: true,
 		daemons: 1,
 		silentDaemons: 0,
 		known,
--- a/packages/gateway/src/ports.ts
+++ b/packages/gateway/src/ports.ts
@@ -88,7 +88,17 @@
 	/** The run may have been stopped. The location of its KV cache is unknown. */
 	| {readonly kind: 'failed'; readonly reason: string};
 
+/** What a backend server says of its own start. */
+export type StartReply =
+	/** Milliseconds since the epoch. */
+	| {readonly kind: 'started'; readonly startedAt: number}
+	/** It answers, but does not tell. */
+	| {readonly kind: 'untold'}
+	| {readonly kind: 'failed'; readonly reason: string};
+
 export type Engines = {
+	/** Asks a backend server when it started, over its pooled connections. */
+	readonly readStart: (source: {readonly address: string; readonly agent: Agent}, options: CallOptions) => Promise<StartReply>;
 	/** Stops a run and copies its KV cache to another backend server. */
 	readonly stopAndMove: (
 		source: {readonly address: string; readonly agent: Agent},
@@ -113,8 +123,18 @@
 	readonly promptTokens: number | undefined;
 	readonly outputTokens: number | undefined;
 	readonly promptParts: readonly PromptPart[];
+	/** Id of the last event that the caller received, if it takes up a stream. */
+	readonly lastEventId: string | undefined;
+	/** Attempt of the caller that brought the first event of the stream which it takes up. */
+	readonly resumes: ResumedAttempt;
 };
 
+export type ResumedAttempt =
+	| {readonly kind: 'none'}
+	| {readonly kind: 'named'; readonly id: string}
+	/** The field is no id, or stands there several times. */
+	| {readonly kind: 'unreadable'};
+
 export type ForwardedCall = {
 	readonly backendId: string;
 	readonly account: string | undefined;
@@ -126,6 +146,8 @@
 	readonly lastEventId: string | undefined;
 	/** KV cache of the run, if it continues on another backend server. */
 	readonly kvCache: MovedKvCache | undefined;
+	/** Whether it goes before other calls of its rank: a stream that can go on at few backend servers only. */
+	readonly isFavored: boolean;
 };
 
 /** What an answer states about the calls per second that its backend server takes from all daemons together. */
@@ -161,6 +183,8 @@
 	readonly parseCallerHeaders: (headers: IncomingHttpHeaders) => CallerHeaders;
 	/** Returns alternating names and values for the backend server: the caller's fields, except those that the gateway sets itself. */
 	readonly makeBackendFields: (callerFields: readonly string[], forwarding: ForwardedCall) => string[];
+	/** Returns the id of the last event that the caller received of a stream that it takes up. */
+	readonly findLastEventId: (callerFields: readonly string[]) => string | undefined;
 	readonly parseBackendHeaders: (status: number, headers: IncomingHttpHeaders) => BackendHeaders;
 };
 
--- a/packages/gateway/src/start-gateway.ts
+++ b/packages/gateway/src/start-gateway.ts
@@ -8,7 +8,7 @@
 import {initialPathState} from '@shallotpass/core/paths/path-state.js';
 import {makeCrashLedger} from '@shallotpass/core/crashes/crash-ledger.js';
 import {type OpenConnection} from './calls/backend-agent.js';
-import {makeBackendRegistry} from './calls/backend-registry.js';
+import {listVersionCounts, makeBackendRegistry} from './calls/backend-registry.js';
 import {type CallersListener, listenForCallers, listenForReadinessChecks} from './calls/callers-listener.js';
 import {type CallersServer} from './calls/callers-server.js';
 import {makeClocks} from './clocks.js';
@@ -28,6 +28,8 @@
 import {type PeerQuerier, startPeerQueries} from './peers/query-peers.js';
 import {getStoreVersions, listenForPeers, type SharedStateOptions} from './peers/shared-state.js';
 import {isServedByPeers} from './peers/store-reading.js';
+import {startOriginExchange} from './origins/origin-exchange.js';
+import {makeOriginState} from './origins/origin-state.js';
 import {type Platform, type Topic} from './ports.js';
 import {startKeeperExchange} from './quotas/keeper-exchange.js';
 import {makeQuotaState} from './quotas/quota-state.js';
@@ -67,7 +69,7 @@
 	readonly stop: () => void;
 };
 
-type Identity = Pick<GatewayState, 'incarnation' | 'clocks'>;
+type Identity = Pick<GatewayState, 'incarnation' | 'clocks' | 'stopSignal'>;
 
 const makeState = ({settings, log, openConnection}: GatewayOptions, platform: Platform, {metrics, ...identity}: Identity & Pick<GatewayState, 'metrics'>): GatewayState => ({
 	settings,
@@ -81,6 +83,7 @@
 	configuration: undefined,
 	configurationCheckedAt: Number.NEGATIVE_INFINITY,
 	registry: makeBackendRegistry(openConnection),
+	origins: makeOriginState(),
 	directoryReadAt: undefined,
 	directoryStatus: {
 		offset: 0, source: 'store', confirmedAt: Number.NEGATIVE_INFINITY, storeAnsweredAt: Number.NEGATIVE_INFINITY,
@@ -154,7 +157,7 @@
 export const startGateway = async (options: GatewayOptions): Promise<Gateway> => {
 	const lastAnswerAt = new Map<string, number>();
 	const metrics = makeGatewayMetrics({
-		answeredAt: lastAnswerAt, now: () => performance.now(), getDirectoryAgeMs: () => state.clocks.steady() - state.directoryStatus.confirmedAt,
+		answeredAt: lastAnswerAt, now: () => performance.now(), getDirectoryAgeMs: () => state.clocks.steady() - state.directoryStatus.confirmedAt, listReadyBackends: () => listVersionCounts(state.registry),
 	});
 	const storeCalls = new Map<string, number>();
 	const platform = options.openPlatform((topic, outcome, isAnswered) => {
@@ -165,13 +168,15 @@
 		metrics.storeCalls.inc({topic, outcome});
 		storeCalls.set(topic, (storeCalls.get(topic) ?? 0) + 1);
 	});
-	const state: GatewayState = makeState(options, platform, {incarnation: randomUUID(), clocks: makeClocks(), metrics});
+	const controller = new AbortController();
+	const state: GatewayState = makeState(options, platform, {
+		incarnation: randomUUID(), clocks: makeClocks(), stopSignal: controller.signal, metrics,
+	});
 	state.registry.onConnected = incarnation => {
 		recordPathSuccess(state, incarnation);
 	};
 
 	clearParts(state);
-	const controller = new AbortController();
 	const {signal} = controller;
 	// Each component waits on the signal, some of them several times.
 	setMaxListeners(maxSignalListeners, signal);
@@ -197,6 +202,7 @@
 	startKeeperExchange({
 		gateway: state, datagrams, self: gossip.self, signal,
 	});
+	startOriginExchange({gateway: state, datagrams, signal});
 	components.leaderTask = startLeaderTask({
 		gateway: state, platform, planOrders: orderPlanner.planOrders, onCloudAnswer() {
 			lastAnswerAt.set('cloud', performance.now());
--- a/packages/gateway/src/store/follow-directory.ts
+++ b/packages/gateway/src/store/follow-directory.ts
@@ -89,6 +89,22 @@
 		}
 	};
 
+	let announcedVersions = new Map<string, string>();
+	/** Logs the versions of each service whose set has changed, as at the start of a roll. */
+	const announceVersions = (): void => {
+		const {versionsByService} = gateway.registry;
+		const current = new Map<string, string>();
+		for (const [service, versions] of versionsByService) {
+			const names = [...versions.keys()].toSorted().join('\n');
+			current.set(service, names);
+			if (announcedVersions.get(service) !== names) {
+				gateway.log.write('state', 'service_versions', {service, versions: Object.fromEntries(versions)});
+			}
+		}
+
+		announcedVersions = current;
+	};
+
 	const replaceDirectory = (next: Directory, {source, changedAfter}: DirectoryOrigin): void => {
 		logNewlyMissing(next, source);
 		directory = dropExpired(next, now());
@@ -102,6 +118,7 @@
 			});
 		}
 
+		announceVersions();
 		updateStatus({source});
 		gateway.directoryReadAt ??= now();
 	};
--- a/packages/gateway/src/telemetry/gateway-metrics.ts
+++ b/packages/gateway/src/telemetry/gateway-metrics.ts
@@ -25,6 +25,10 @@
 	readonly limitedBackends: Gauge;
 	readonly crashVerdicts: Gauge;
 	readonly crashRefusals: Counter<'kind'>;
+	readonly streamsBegun: Counter<'service' | 'version'>;
+	readonly streamTakeUps: Counter<'service' | 'version' | 'outcome'>;
+	readonly rememberedStreams: Gauge;
+	readonly readyBackends: Gauge<'service' | 'version'>;
 	readonly peers: Gauge;
 	readonly cutOff: Gauge;
 	readonly peerCallsSent: Counter<'service' | 'outcome'>;
@@ -38,9 +42,11 @@
 	readonly now: () => number;
 	/** Milliseconds since the directory was last known to be up to date. */
 	readonly getDirectoryAgeMs: () => number;
+	/** Lists how many backend servers of each software version are ready. */
+	readonly listReadyBackends: () => Iterable<{readonly service: string; readonly version: string; readonly ready: number}>;
 };
 
-export const makeGatewayMetrics = ({answeredAt, now, getDirectoryAgeMs}: DependencyAnswers): GatewayMetrics => {
+export const makeGatewayMetrics = ({answeredAt, now, getDirectoryAgeMs, listReadyBackends}: DependencyAnswers): GatewayMetrics => {
 	const registry = new Registry();
 	const registers = [registry];
 	return {
@@ -77,6 +83,24 @@
 				this.set(getDirectoryAgeMs() / 1000);
 			},
 		}),
+		streamsBegun: new Counter({
+			name: 'shallotpass_gateway_streams_begun_total', help: 'Streams that callers may take up, by the software version that began them', labelNames: ['service', 'version'], registers,
+		}),
+		streamTakeUps: new Counter({
+			name: 'shallotpass_gateway_stream_take_ups_total', help: 'Streams that callers took up, by the version that began them and whether it was found and serves', labelNames: ['service', 'version', 'outcome'], registers,
+		}),
+		rememberedStreams: new Gauge({
+			name: 'shallotpass_gateway_remembered_streams', help: 'Streams whose software version this daemon remembers, for itself and others', registers,
+		}),
+		readyBackends: new Gauge({
+			name: 'shallotpass_gateway_ready_backends', help: 'Ready backend servers by service and software version', labelNames: ['service', 'version'], registers,
+			collect() {
+				this.reset();
+				for (const {service, version, ready} of listReadyBackends()) {
+					this.set({service, version}, ready);
+				}
+			},
+		}),
 		crashVerdicts: new Gauge({
 			name: 'shallotpass_gateway_crash_verdicts', help: 'Parts of prompts and requests that are kept from backend servers as they crash them', registers,
 		}),
--- a/packages/gateway/src/telemetry/log-events.ts
+++ b/packages/gateway/src/telemetry/log-events.ts
@@ -96,6 +96,23 @@
 		meaning: 'A run was stopped at a leaving backend server; its KV cache was copied to another one, or it continues on the same one',
 		fields: ['request', 'from', 'to', 'fromVersion', 'toVersion', 'outcome', 'reason', 'leavesInMs', 'tookMs'],
 	},
+	stream_began: {
+		meaning: 'The first event of a stream that its caller may take up was received, from a backend server of this software version; `keepers`: daemons that were told. Without `version` it is not known, and the stream cannot go on elsewhere',
+		fields: ['request', 'service', 'backend', 'version', 'peer', 'keepers'],
+	},
+	stream_taken_up: {
+		meaning: 'A caller takes a stream up, which began with the attempt `resumes`; `source`: the daemon that knew its version',
+		fields: ['request', 'resumes', 'service', 'version', 'source', 'ageMs', 'tookMs'],
+	},
+	stream_not_taken_up: {
+		meaning: 'A stream that its caller takes up was refused: the version that began it is not known here or to the daemons asked, the id is ambiguous, or none of its backend servers serves',
+		fields: ['request', 'resumes', 'service', 'reason', 'version', 'asked', 'answered', 'tookMs'],
+	},
+	origin_not_kept: {meaning: 'The version that began a stream was not recorded, as this daemon remembers as many streams as it can', fields: ['request', 'streams']},
+	service_versions: {
+		meaning: 'The software versions of the backend servers of a service have changed; `versions`: how many are ready and leaving of each',
+		fields: ['service', 'versions'],
+	},
 	call_suspected: {meaning: 'A backend server ended while the answer of the call was at its beginning; the parts of its prompt, and the request, are suspected', fields: ['request', 'backend', 'parts', 'hasBegun', 'digest']},
 	crash_verdict: {
 		meaning: 'Requests with these parts, or this request, are kept from backend servers from now on, as so many have ended under them; `isOneAccount`: those of one client account only',
