--- a/packages/gateway/src/calls/confirm-incarnation.ts
+++ b/packages/gateway/src/calls/confirm-incarnation.ts
@@ -2,13 +2,16 @@
  * Confirms that the process at a backend server's address is the incarnation of its entry. It may have started again under its id,
  * at another software version, a heartbeat before its entry tells.
  */
+import {setTimeout as sleep} from 'node:timers/promises';
 import {type GatewayState} from '../gateway-state.js';
 import {type BackendState} from './backend-registry.js';
-import {suspendBackend} from './connect-failures.js';
 
 /** Timeout of the question. Backend servers answer it beside their calls, within some milliseconds. */
 const askTimeoutMs = 150;
 
+/** Time for which a backend server gets no calls that has started again: by then its entry tells of it, also after an outage of the store. */
+const entryLagMs = 2500;
+
 /** `other`: another incarnation answers. `unknown`: nobody does. */
 export type IncarnationFinding = 'confirmed' | 'other' | 'unknown';
 
@@ -41,7 +44,10 @@
 				return 'confirmed';
 			}
 
-			suspendBackend(gateway, state, 'other_incarnation');
+			state.suspendedUntil = gateway.clocks.steady() + entryLagMs;
+			gateway.log.write('state', 'backend_unreachable', {
+				backend: entry.id, address: entry.address, reason: 'other_incarnation', failures: 0, pauseMs: entryLagMs,
+			});
 			return 'other';
 		}
 	}
@@ -68,3 +74,16 @@
 
 	return found;
 };
+
+/** Time that a new stream waits for the confirmation before it is sent. It goes on only if it knows its version, but it need not. */
+const newStreamWaitMs = 100;
+
+/** Confirms the incarnation before a stream is sent. A stream that has begun waits for the answer, a new one only shortly. */
+export const confirmBeforeSend = async (gateway: GatewayState, state: BackendState, isContinued: boolean): Promise<IncarnationFinding> => {
+	if (!mayBeOther(state)) {
+		return 'confirmed';
+	}
+
+	const finding = confirmIncarnation(gateway, state);
+	return isContinued ? finding : Promise.race([finding, sleep(newStreamWaitMs, 'unknown' as const)]);
+};
--- a/packages/gateway/src/calls/run-at-backend.ts
+++ b/packages/gateway/src/calls/run-at-backend.ts
@@ -14,7 +14,7 @@
 import {canConnect} from '../paths/can-connect.js';
 import {type MovedKvCache} from '../ports.js';
 import {type BackendState, hasSeveralVersions, trackedRankCount} from './backend-registry.js';
-import {confirmIncarnation} from './confirm-incarnation.js';
+import {confirmBeforeSend, confirmIncarnation} from './confirm-incarnation.js';
 import {type Exchange, type IsComplete, sendToBackend} from './backend-exchange.js';
 import {recordBrokenConnection, recordConnectFailure, suspendBackend} from './connect-failures.js';
 import {observeBrittleness} from './backend-brittleness.js';
@@ -107,8 +107,9 @@
 export const runAtBackend = async (gateway: GatewayState, call: Call, placement: Placement, outgoing: OutgoingRequest, signal: AbortSignal): Promise<AttemptResult> => {
 	const {state} = placement;
 	const isContinued = outgoing.softwareVersion !== undefined;
-	const findingBefore = isContinued ? await confirmIncarnation(gateway, state) : 'confirmed';
-	if (findingBefore !== 'confirmed') {
+	const needsVersion = isContinued || call.repeatability === 'resumable_stream';
+	const findingBefore = needsVersion ? await confirmBeforeSend(gateway, state, isContinued) : 'confirmed';
+	if (findingBefore === 'other' || (isContinued && findingBefore === 'unknown')) {
 		return {kind: 'not_run', reason: `incarnation_${findingBefore}`, hasArrived: false};
 	}
 
@@ -177,7 +178,7 @@
 	};
 
 	// Asked while the call waits for its answer.
-	const confirmation = call.repeatability === 'resumable_stream' || isContinued ? confirmIncarnation(gateway, state) : undefined;
+	const confirmation = needsVersion ? confirmIncarnation(gateway, state) : undefined;
 	const result = await exchange.result;
 	stopWatching();
 	stopWatchingArrival();
