Count a backend server as confirmed only while a connection to it is open

Cause: the contact period goes on by number until the next connection, so a server whose connections were all closed still counted as confirmed, and a new stream was sent to its successor without a question; its version was not known, and its caller was refused.

--- a/packages/gateway/src/calls/backend-agent.ts
+++ b/packages/gateway/src/calls/backend-agent.ts
@@ -70,7 +70,8 @@
 	 * end is the same, as its end would close all of them.
 	 */
 	contactPeriod = 0;
-	private establishedConnections = 0;
+	/** Number of connections that are established. */
+	establishedConnections = 0;
 
 	constructor(private readonly connectionOptions: BackendAgentOptions = {}) {
 		super({
--- a/packages/gateway/src/calls/confirm-incarnation.ts
+++ b/packages/gateway/src/calls/confirm-incarnation.ts
@@ -20,7 +20,8 @@
 
 /** Whether calls may reach another incarnation than the directory tells. */
 const mayBeOther = ({agent, entry, confirmedPeriod}: BackendState): boolean => {
-	const isConfirmed = agent.contactPeriod > 0 && agent.contactPeriod === confirmedPeriod;
+	// Without an open connection the process may have ended since.
+	const isConfirmed = agent.establishedConnections > 0 && agent.contactPeriod === confirmedPeriod;
 	return !isConfirmed && entry.startedAt !== undefined;
 };
 
--- a/scripts/soak/src/measure-continuity.ts
+++ b/scripts/soak/src/measure-continuity.ts
@@ -14,6 +14,7 @@
 		break;
 	}
 
+	// eslint-disable-next-line no-await-in-loop -- one scenario after the other
 	const streams = await runContinuityScenario(continuityScenarios[name], {seconds: Number(values.seconds), seed: Number(values.seed)});
 	process.stdout.write(`${name}: ${describeStreams(streams)}\n`);
 	for (const {id, versions, attempts} of values.verbose ? streams.filter(({wasTakenUp, hasGoneOn}) => wasTakenUp && !hasGoneOn) : []) {
