Let streams of the own interface go on only at the software version that began them

Change: engines state x-software-version in their answers; a resumed request names it in x-expect-software-version, which an engine of another version refuses with 421 before it runs; the daemon compares what the answer states and passes no token of another version. Engines that tell none are one version.

--- a/packages/backends/src/collect-chunks.ts
+++ b/packages/backends/src/collect-chunks.ts
@@ -12,10 +12,12 @@
 	/** Whether any chunk was forwarded. */
 	readonly hasStarted: boolean;
 	readonly isFinished: boolean;
+	/** Version of the software of the engine that began the stream. Undefined if it tells none, as engines of earlier versions. */
+	readonly softwareVersion: string | undefined;
 };
 
 export const initialStreamPosition: StreamPosition = {
-	id: undefined, tokens: 0, hasStarted: false, isFinished: false,
+	id: undefined, tokens: 0, hasStarted: false, isFinished: false, softwareVersion: undefined,
 };
 
 export type StreamBatch = {
@@ -85,6 +87,7 @@
 			tokens: position.tokens + (isToken ? 1 : 0),
 			hasStarted: true,
 			isFinished: position.isFinished || isFinish,
+			softwareVersion: position.softwareVersion,
 		};
 	};
 
--- a/packages/backends/src/engine-stream.ts
+++ b/packages/backends/src/engine-stream.ts
@@ -42,11 +42,14 @@
 
 const okStatus = 200;
 
+/** Status of an engine whose software has another version than the request expects. It has not run the request. */
+export const otherVersionStatus = 421;
+
+const isContinued = ({position}: EngineCall): boolean => position.id !== undefined && position.tokens > 0;
+
 const makeBody = (call: EngineCall): string => {
 	const {position} = call;
-	const resumeFields = position.id === undefined || position.tokens === 0
-		? {}
-		: {resume: {id: position.id, after: position.tokens - 1}};
+	const resumeFields = isContinued(call) ? {resume: {id: position.id, after: position.tokens - 1}} : {};
 	return JSON.stringify({
 		...call.body, stream: true, priority: call.priority, ...resumeFields,
 	});
@@ -57,6 +60,7 @@
 	accept: 'text/event-stream',
 	'x-request-id': call.requestId,
 	...(call.traceparent === undefined ? {} : {traceparent: call.traceparent}),
+	...(isContinued(call) && call.position.softwareVersion !== undefined ? {'x-expect-software-version': call.position.softwareVersion} : {}),
 });
 
 /** Error response of an engine. Another engine may still accept the request. */
@@ -113,7 +117,7 @@
 
 /** Makes the handler of a streaming request, which settles `completion` when the response is complete or has failed. */
 const makeStreamHandler = (call: EngineCall, sink: StreamSink, completion: StreamCompletion): Dispatcher.DispatchHandler => {
-	const reader = makeChunkReader(call.position);
+	let reader = makeChunkReader(call.position);
 	let controller: Dispatcher.DispatchController | undefined;
 	let errorStatus: number | undefined;
 	let errorText = '';
@@ -206,7 +210,15 @@
 				return;
 			}
 
+			const softwareVersion = headers['x-software-version']?.toString();
+			if (status === okStatus && isContinued(call) && softwareVersion !== call.position.softwareVersion) {
+				// An engine of an earlier version continues any stream, but what two versions write doesn't fit together.
+				fail(new EngineRefusal(otherVersionStatus, 'the engine has another software version than the one that began the stream'));
+				return;
+			}
+
 			errorStatus = status === okStatus ? undefined : status;
+			reader = makeChunkReader({...call.position, softwareVersion});
 		},
 		onResponseData(_controller, bytes) {
 			if (isSettled) {
--- a/packages/callers/src/run-engine-attempt.ts
+++ b/packages/callers/src/run-engine-attempt.ts
@@ -3,7 +3,7 @@
 import {BackendCallError} from '@shallotpass/backends/call-plain.js';
 import {cancelRequest} from '@shallotpass/backends/cancel-request.js';
 import {isResponding} from '@shallotpass/backends/engine-load.js';
-import {EngineRefusal} from '@shallotpass/backends/engine-stream.js';
+import {EngineRefusal, otherVersionStatus} from '@shallotpass/backends/engine-stream.js';
 import {blockCharacters, estimateTokens} from '@shallotpass/core/routing/hash-prompt.js';
 import {type BackendView} from '@shallotpass/core/routing/types.js';
 import {makeAttemptSignal, type AttemptSignal} from './attempt-signal.js';
@@ -32,6 +32,9 @@
 	return true;
 };
 
+/** Statuses that depend on the engine's models, load and software version, so that another engine may accept the request. */
+const engineDependentStatuses: ReadonlySet<number> = new Set([404, 429, otherVersionStatus]);
+
 /** Returns the error to send to the caller if the attempt cannot be retried, otherwise undefined. */
 const findFinalError = (context: ChatContext, error: unknown, attemptSignal: AttemptSignal): ServingError | undefined => {
 	switch (attemptSignal.getEndReason()) {
@@ -50,8 +53,7 @@
 		}
 	}
 
-	// 404 and 429 depend on the engine's models and load, so another engine may accept the request.
-	if (error instanceof EngineRefusal && error.status >= 400 && error.status < 500 && error.status !== 429 && error.status !== 404) {
+	if (error instanceof EngineRefusal && error.status >= 400 && error.status < 500 && !engineDependentStatuses.has(error.status)) {
 		return new ServingError(`the engine refused the request: ${error.text}`, {kind: 'invalid_request', executed: 'no'});
 	}
 
--- a/packages/callers/src/serve-chat.ts
+++ b/packages/callers/src/serve-chat.ts
@@ -1,5 +1,6 @@
 /** Serves chat completions: admits the request, then attempts it on engines until the response is complete. */
 import {BackendCallError} from '@shallotpass/backends/call-plain.js';
+import {EngineRefusal, otherVersionStatus} from '@shallotpass/backends/engine-stream.js';
 import {ServingError} from '@shallotpass/common/serving-error.js';
 import {type Service} from '@shallotpass/common/configuration-schema.js';
 import {defaultStreamTimeoutMs} from '@shallotpass/common/constants.js';
@@ -67,7 +68,9 @@
 	return service;
 };
 
-const isUnsent = (failure: unknown): boolean => failure instanceof BackendCallError && !failure.wasSent;
+/** Whether the attempt ran nothing: no engine was reached, or it has another software version than the one that began the stream. */
+const isUnsent = (failure: unknown): boolean =>
+	(failure instanceof BackendCallError && !failure.wasSent) || (failure instanceof EngineRefusal && failure.status === otherVersionStatus);
 
 /**
  * Whether another attempt is useful and allowed. Moving off a leaving engine and continuing a partial response
--- a/packages/stand-ins/src/engine-stand-in.ts
+++ b/packages/stand-ins/src/engine-stand-in.ts
@@ -59,6 +59,8 @@
 	readonly counts: EngineCounts;
 	/** Chat requests that the engine started to process, and those that crashed it. */
 	readonly arrivals: ReadonlyArray<{readonly marker: string; readonly at: number}>;
+	/** Streams that it continued, with the version that the request expected and its own. */
+	readonly continuedRuns: ReadonlyArray<{readonly expected: string | undefined; readonly own: string | undefined}>;
 	/** Counts the chat requests received, including resumed ones. */
 	readonly countRequests: () => number;
 	readonly countCancelled: () => number;
@@ -72,6 +74,8 @@
 	readonly parameters?: Partial<EngineParameters>;
 	/** Whether orders with an outdated fencing token are refused. */
 	readonly checksFencing?: boolean;
+	/** Version of its software, which its answers state. An engine without one states and checks none. */
+	readonly softwareVersion?: string;
 	/** A prompt that contains this text crashes the engine. */
 	readonly crashMarker?: string;
 	readonly port?: number;
@@ -110,6 +114,7 @@
 	const orders: Array<z.output<typeof orderSchema>> = [];
 	let report = {...core.getLoad(), at: Date.now()};
 	const arrivals: Array<{marker: string; at: number}> = [];
+	const continuedRuns: Array<{expected: string | undefined; own: string | undefined}> = [];
 	let requestCount = 0;
 	let cancelledCount = 0;
 	let isStepping = false;
@@ -232,7 +237,9 @@
 			}
 		});
 		if (body.stream) {
-			response.writeHead(200, {'content-type': 'text/event-stream', 'cache-control': 'no-store', 'x-request-id': requestId});
+			response.writeHead(200, {
+				'content-type': 'text/event-stream', 'cache-control': 'no-store', 'x-request-id': requestId, ...versionHeaders,
+			});
 			response.write(makeChunk(stream, {role: 'assistant', content: ''}));
 		}
 
@@ -246,12 +253,22 @@
 		void runSteps();
 	};
 
+	const versionHeaders: Record<string, string> = options.softwareVersion === undefined ? {} : {'x-software-version': options.softwareVersion};
+
 	const recordArrival = (body: ChatBody): void => {
 		arrivals.push({marker: getMarker(body.messages), at: Date.now()});
 	};
 
-	const handleChat = async (body: unknown, response: ServerResponse, requestId: string): Promise<void> => {
+	/** Whether the request continues a stream of another version. */
+	const isOtherVersion = (expected: string | undefined): boolean => expected !== undefined && options.softwareVersion !== undefined && expected !== options.softwareVersion;
+
+	const handleChat = async (body: unknown, response: ServerResponse, {requestId, expectedVersion}: {requestId: string; expectedVersion: string | undefined}): Promise<void> => {
 		requestCount++;
+		if (isOtherVersion(expectedVersion)) {
+			sendJson(response, {status: 421, headers: versionHeaders, body: {error: {message: 'another software version'}}});
+			return;
+		}
+
 		const parsed = chatSchema.safeParse(body);
 		if (!parsed.success || !(options.models ?? [parsed.data.model]).includes(parsed.data.model)) {
 			sendJson(response, {status: parsed.success ? 404 : 400, body: {error: {message: 'no such model or no chat request'}}});
@@ -274,6 +291,10 @@
 			await sleep(fault.delayMs ?? 100);
 		}
 
+		if (parsed.data.resume !== undefined) {
+			continuedRuns.push({expected: expectedVersion, own: options.softwareVersion});
+		}
+
 		recordArrival(parsed.data);
 		openStream(parsed.data, response, requestId, fault);
 	};
@@ -307,7 +328,8 @@
 		const route = `${request.method} ${url.pathname}`;
 		if (route === 'POST /v1/chat/completions') {
 			const requestId = String(request.headers['x-request-id'] ?? randomUUID());
-			await handleChat(await readJson(request), response, requestId);
+			const expectedVersion = request.headers['x-expect-software-version']?.toString();
+			await handleChat(await readJson(request), response, {requestId, expectedVersion});
 			return;
 		}
 
@@ -356,6 +378,7 @@
 		faults,
 		counts: core.counts,
 		arrivals,
+		continuedRuns,
 		countRequests: () => requestCount,
 		countCancelled: () => cancelledCount,
 		countRunning: () => streams.size,
--- a/tests/src/answers.test.ts
+++ b/tests/src/answers.test.ts
@@ -108,6 +108,47 @@
 	}
 });
 
+test('a stream of the own interface continues only at an engine of the software version that began it', async t => {
+	// What two versions of the engines write doesn't fit together, and only some engines check it.
+	const engines = ['1.0', '2.0', '1.0'].map(softwareVersion => ({softwareVersion}));
+	const fleet = await startFleet(t, {daemons: 1, engines});
+	for (let index = 0; index < 8; index++) {
+		for (const engine of fleet.engines) {
+			engine.faults.clear();
+			engine.faults.add({
+				on: 'chat', kind: 'cut', afterChunks: 5, times: 1,
+			});
+		}
+
+		const startsBefore = fleet.engines.map(engine => engine.continuedRuns.length);
+		await streamChat({address: fleet.daemons[0]!.callers, marker: `own${index}`, tokens: 20}); // eslint-disable-line no-await-in-loop -- one after the other
+		const continued = fleet.engines.flatMap((engine, position) => engine.continuedRuns.slice(startsBefore[position]));
+		assert.deepEqual(continued.filter(({expected, own}) => expected !== own), [], `stream ${index}`);
+	}
+});
+
+test('a stream of the own interface does not continue at an engine that tells no software version, unless such a one began it', async t => {
+	// An engine of an earlier version continues whatever it is asked, so the daemon compares what the answers state.
+	const fleet = await startFleet(t, {daemons: 1, engines: [{softwareVersion: '1.0'}, {}, {}]});
+	const cutAll = (): void => {
+		for (const engine of fleet.engines) {
+			engine.faults.clear();
+			engine.faults.add({
+				on: 'chat', kind: 'cut', afterChunks: 5, times: 1,
+			});
+		}
+	};
+
+	for (let index = 0; index < 6; index++) {
+		cutAll();
+		const before = fleet.engines[0]!.countRequests();
+		const answer = await streamChat({address: fleet.daemons[0]!.callers, marker: `own${index}`, tokens: 12}); // eslint-disable-line no-await-in-loop -- one after the other
+		const hasBegunAtFirst = fleet.engines[0]!.countRequests() > before && fleet.engines[0]!.arrivals.at(-1)?.marker === `own${index}` && fleet.engines[0]!.continuedRuns.length === 0;
+		assert.equal(answer.unexpectedTokens, 0);
+		assert.ok(!hasBegunAtFirst || !answer.isComplete, `stream ${index} went on at an engine of another version`);
+	}
+});
+
 test('if no engine can continue, the stream ends with an error event and without [DONE]', async t => {
 	// Every engine breaks every stream. The caller must be able to tell an incomplete answer from
 	// a complete one, so the last event states the error and no [DONE] follows.
