Let streams begin where they can go on, and keep room for those that come back

Cause: new streams were placed by load alone, so the few engines of a scarce version ran full and streams that can go on nowhere else were turned away and refused at once; streams began at the last engine of a version. Change: while several versions serve, a lone engine of a version (or one left beside those that leave) costs 150 ms, the last quarter of the places of a version with under a third of all 400 ms; nobody is refused for it.

--- a/packages/gateway/src/calls/backend-registry.ts
+++ b/packages/gateway/src/calls/backend-registry.ts
@@ -6,6 +6,7 @@
 	computeEngineSpeed, emptyPrefillRecord, defaultLatencyModel, emptyPrefillSample, type PrefillSample, type PrefillRecord, decayPrefillRecord, type LatencyModel,
 } from '@shallotpass/core/placement/engine-latency.js';
 import {type Brittleness} from '@shallotpass/core/limits/brittleness.js';
+import {type VersionCapacity} from '@shallotpass/core/origins/compute-continuity-penalty.js';
 import {type BackendLimit} from '@shallotpass/core/limits/backend-limit.js';
 import {type KnownHolding} from '@shallotpass/core/limits/plan-sharing.js';
 import {type KnownParts} from '@shallotpass/core/placement/known-parts.js';
@@ -83,14 +84,6 @@
 
 export const formatIncarnation = (entry: BackendEntry): string => `${entry.id}/${entry.startedAt ?? 0}/${entry.address}`;
 
-/** Backend servers of one software version in a service. */
-export type VersionCount = {
-	readonly ready: number;
-	readonly leaving: number;
-	/** Places of the ready ones. */
-	readonly places: number;
-};
-
 /** Version under which backend servers are counted whose own is not known. */
 const unknownVersion = '';
 
@@ -99,7 +92,7 @@
 	/** Ready backend servers by service. */
 	readonly byService: Map<string, BackendState[]>;
 	/** What serves of each software version, by service. */
-	readonly versionsByService: Map<string, ReadonlyMap<string, VersionCount>>;
+	readonly versionsByService: Map<string, ReadonlyMap<string, VersionCapacity>>;
 	/** Latency model by service, also assumed for new backend servers. */
 	readonly latencyModels: Map<string, LatencyModel>;
 	readonly openConnection: OpenConnection;
@@ -174,14 +167,14 @@
 	state.leaving.abort();
 };
 
-const noVersionCount: VersionCount = {ready: 0, leaving: 0, places: 0};
+const noCapacity: VersionCapacity = {ready: 0, leaving: 0, places: 0};
 
 const countVersions = ({byId, versionsByService}: BackendRegistry): void => {
-	const counts = new Map<string, Map<string, VersionCount>>();
+	const counts = new Map<string, Map<string, VersionCapacity>>();
 	for (const {entry} of byId.values()) {
-		const versions = counts.get(entry.service) ?? new Map<string, VersionCount>();
+		const versions = counts.get(entry.service) ?? new Map<string, VersionCapacity>();
 		const version = entry.softwareVersion ?? unknownVersion;
-		const {ready, leaving, places} = versions.get(version) ?? noVersionCount;
+		const {ready, leaving, places} = versions.get(version) ?? noCapacity;
 		versions.set(version, entry.isLeaving ? {ready, leaving: leaving + 1, places} : {ready: ready + 1, leaving, places: places + entry.places});
 		counts.set(entry.service, versions);
 	}
--- a/packages/gateway/src/calls/call-attempts.ts
+++ b/packages/gateway/src/calls/call-attempts.ts
@@ -139,6 +139,11 @@
 		return {kind: 'version_gone', softwareVersion};
 	}
 
+	if (result.kind === 'none' && softwareVersion !== undefined && progress.turnedAwayBy.size > 0) {
+		progress.lastFailure = `the backend servers of the version ${softwareVersion} have no room`;
+		return {kind: 'version_full'};
+	}
+
 	if (result.kind === 'none') {
 		const sent = await sendThroughPeer(context, admitted, progress, signal);
 		if (sent !== undefined) {
@@ -214,6 +219,10 @@
 		progress.possibleRuns++;
 	}
 
+	if (result.kind === 'not_run' && result.hasArrived) {
+		progress.turnedAwayBy.add(state.incarnation);
+	}
+
 	progress.hasCrashed = result.kind === 'may_have_run' ? result.hasCrashed : undefined;
 	progress.mayBeCutOff = result.kind !== 'answered' && (result.kind === 'may_have_run' || !result.hasArrived) && !hasContactSince(gateway, startedAt);
 
--- a/packages/gateway/src/calls/call-outcome.ts
+++ b/packages/gateway/src/calls/call-outcome.ts
@@ -29,10 +29,12 @@
 	| {readonly kind: 'unreachable'; readonly retryAfterS: number}
 	/** No backend server has the version at which the stream must go on; nothing was sent. */
 	| {readonly kind: 'version_gone'; readonly softwareVersion: string}
+	/** All backend servers of the version at which the stream must go on have turned it away. */
+	| {readonly kind: 'version_full'}
 	/** All backend servers have stated limits that leave no room; nothing was sent. `waitMs`: estimated time until one has room. */
 	| {readonly kind: 'limited'; readonly waitMs: number; readonly backends: number; readonly isBrief: boolean};
 
-const unsentKinds = ['no_backend', 'version_gone', 'refused_by_peer', 'suspended', 'unreachable', 'limited'] as const;
+const unsentKinds = ['no_backend', 'version_gone', 'version_full', 'refused_by_peer', 'suspended', 'unreachable', 'limited'] as const;
 
 export type UnsentResult = SendResult & {readonly kind: (typeof unsentKinds)[number]};
 
@@ -57,6 +59,7 @@
 /** Makes the outcome of a call that could not be sent to another backend server. */
 export const makeUnsentOutcome = (context: CallContext, call: Call, progress: CallProgress, result: UnsentResult): CallOutcome => {
 	switch (result.kind) {
+		case 'version_full':
 		case 'no_backend': {
 			return makeFailureOutcome(progress);
 		}
--- a/packages/gateway/src/calls/call-progress.ts
+++ b/packages/gateway/src/calls/call-progress.ts
@@ -7,6 +7,8 @@
 	hasStarted: boolean;
 	/** Version of the software at which the stream began and must go on. Undefined until its first event. */
 	softwareVersion: string | undefined;
+	/** Incarnations that turned the call away for want of room. */
+	readonly turnedAwayBy: Set<string>;
 	/** Number of attempts that may have run the call. */
 	possibleRuns: number;
 	/** Number of attempts: backend servers that the call was sent to. */
@@ -31,6 +33,7 @@
 	hasArrived: false,
 	hasStarted: false,
 	softwareVersion,
+	turnedAwayBy: new Set(),
 	lastFailure: '',
 	triedPeers: new Set(),
 	placeWaitUntil: undefined,
--- a/packages/gateway/src/calls/place-call.ts
+++ b/packages/gateway/src/calls/place-call.ts
@@ -1,6 +1,7 @@
 /** Chooses a backend server from the registry for a call. */
 import {type Call, isStream} from '@shallotpass/core/calls/types.js';
 import {type Choice, chooseBackend} from '@shallotpass/core/placement/choose-backend.js';
+import {computeContinuityPenalty} from '@shallotpass/core/origins/compute-continuity-penalty.js';
 import {needsRelays} from '@shallotpass/core/gossip/pick-relays.js';
 import {defaultLatencyModel} from '@shallotpass/core/placement/engine-latency.js';
 import {countCachedTokens, findPreferredBackend, getAffinityHash} from '@shallotpass/core/placement/prompt-affinity.js';
@@ -118,6 +119,19 @@
 			&& state.entry.softwareVersion === softwareVersion && isAvailable(state) && mayStillReceive(gateway, state));
 };
 
+/** Computes the penalty for beginning a stream at the backend server, in milliseconds. One that has begun has no choice of its version. */
+const computeBeginPenalty = ({registry}: GatewayState, {service, repeatability}: Call, state: BackendState, {softwareVersion}: PlacementOptions): number => {
+	const versions = registry.versionsByService.get(service);
+	const own = versions?.get(state.entry.softwareVersion ?? '');
+	if (versions === undefined || own === undefined || softwareVersion !== undefined || !isStream(repeatability)) {
+		return 0;
+	}
+
+	return computeContinuityPenalty({
+		versions: versions.values(), own, running: state.running + state.othersRunning, places: state.entry.places,
+	});
+};
+
 /** Returns the best available backend server for the call. */
 export const placeCall = (gateway: GatewayState, call: Call, options: PlacementOptions): PlacementResult => {
 	const now = gateway.clocks.steady();
@@ -145,7 +159,7 @@
 	const views = candidates.map(state => toBackendView(state, {
 		latencyModel: getLatencyModel(gateway.registry, state, now),
 		cachedTokens: countCachedTokens(call.promptParts, {wasSent: partId => state.knownParts.has(partId), isPreferred: state === preferred}),
-		spreadPenaltyMs: unreportedMs * computeOrderPosition(keyHash, state.incarnationHash),
+		spreadPenaltyMs: (unreportedMs * computeOrderPosition(keyHash, state.incarnationHash)) + computeBeginPenalty(gateway, call, state, options),
 		limitPreferenceMs: limitPreferences.get(state) ?? 0,
 		maxOwnCalls,
 		ownZone,
--- a/packages/gateway/src/calls/serve-stream.ts
+++ b/packages/gateway/src/calls/serve-stream.ts
@@ -35,14 +35,14 @@
 	placements: readonly Placement[];
 	/** Incarnations of the backend servers on which the run was stopped to be moved. It is stopped once on each. */
 	readonly stoppedOn: Set<string>;
-	/** Until when the interrupted stream waits for room at backend servers with limits, on the steady clock. */
-	limitWaitUntil: number;
+	/** Until when a stream that has begun waits for room at backend servers that can continue it, on the steady clock. */
+	roomWaitUntil: number;
 	readonly signal: AbortSignal;
 };
 
-/** Time for which an interrupted stream waits for room at backend servers with limits, and how often it looks. Callers give up after a gap of 2 s. */
-const limitWaitMs = 1500;
-const limitRetryMs = 100;
+/** Time for which a stream that has begun waits for room, and how often it looks. Callers give up after a gap of 2 s. */
+const roomWaitMs = 1500;
+const roomRetryMs = 100;
 
 /** What follows an attempt: the end of the call, or another attempt if it is allowed. */
 type NextStep =
@@ -167,12 +167,29 @@
 		return resumeMovedRun(stream, moved, state.incarnation);
 	}
 
-	stream.limitWaitUntil = gateway.clocks.steady() + limitWaitMs;
+	stream.roomWaitUntil = gateway.clocks.steady() + roomWaitMs;
 	recordBrokenAttempt(gateway, attempt, stream, progress);
 	progress.lastFailure = `the stream from ${attempt.source} was interrupted`;
 	return canGoOn(stream) ? retryStep : endWith(makeStreamFailureOutcome(stream));
 };
 
+/** Waits until backend servers may have room again, and lets those that turned the stream away be tried once more. */
+const waitForRoom = async (stream: StreamState): Promise<NextStep> => {
+	const {progress, signal} = stream;
+	await pauseFor(roomRetryMs, signal);
+	if (signal.aborted) {
+		return endWith(makeStreamFailureOutcome(stream));
+	}
+
+	for (const incarnation of progress.turnedAwayBy) {
+		progress.attemptedIncarnations.delete(incarnation);
+		progress.attempts--;
+	}
+
+	progress.turnedAwayBy.clear();
+	return retryStep;
+};
+
 const sendNextAttempt = async (stream: StreamState): Promise<SendResult> => {
 	const {context, call, outgoing, progress, signal} = stream;
 	const [placement, ...remainingPlacements] = stream.placements;
@@ -192,9 +209,8 @@
 const runStreamAttempt = async (stream: StreamState): Promise<NextStep> => {
 	const {context, call, progress, signal} = stream;
 	const result = await sendNextAttempt(stream);
-	if (result.kind === 'limited' && context.gateway.clocks.steady() < stream.limitWaitUntil) {
-		await pauseFor(limitRetryMs, signal);
-		return signal.aborted ? endWith(makeStreamFailureOutcome(stream)) : {kind: 'try_again', isExempt: true};
+	if ((result.kind === 'limited' || result.kind === 'version_full') && context.gateway.clocks.steady() < stream.roomWaitUntil) {
+		return waitForRoom(stream);
 	}
 
 	if (isUnsent(result)) {
@@ -222,7 +238,7 @@
 		splitter: makeEventSplitter(),
 		placements: [],
 		stoppedOn: new Set(),
-		limitWaitUntil: Number.NEGATIVE_INFINITY,
+		roomWaitUntil: admitted.continuity?.origin === undefined ? Number.NEGATIVE_INFINITY : context.gateway.clocks.steady() + roomWaitMs,
 		signal,
 	};
 	for (;;) {
