Let the soak run engines of two software versions and callers that take up streams

Change: one engine of three has another version and changes it with each start; callers cut four in ten of their attempts and take the stream up at any daemon with Resumes, beside all faults. The stand-ins state their start (born) and keep the version of a stream.

--- a/scripts/soak/src/check-history.test.ts
+++ b/scripts/soak/src/check-history.test.ts
@@ -1,6 +1,7 @@
 import assert from 'node:assert/strict';
 import test from 'node:test';
 import {makeUsageReport} from '@shallotpass/platform/stand-ins/check-cloud-requests.js';
+import {type TakenUpStream} from '@shallotpass/platform/stand-ins/stream-callers.js';
 import {findViolations} from './check-history.js';
 import {formatExpectedStream} from './format-events.js';
 import {
@@ -22,7 +23,7 @@
 const makeHistory = (changes: Partial<History> = {}): History => ({
 	calls: [makeCall()], limitedCalls: [],
 	crashingCalls: [],
-	crashes: [], runs: [makeRun()], duties: [], disturbances: [], bans: [], arrivals: [], limits: [], linkDisturbances: [], cuts: [], brittleSpans: [], rejections: [], ownEnds: [], neverReady: [], calmFrom: 9000, hasOnlyPlannedWork: false, ...changes,
+	crashes: [], streams: [], lastingVersions: ['v1'], runs: [makeRun()], duties: [], disturbances: [], bans: [], arrivals: [], limits: [], linkDisturbances: [], cuts: [], brittleSpans: [], rejections: [], ownEnds: [], neverReady: [], calmFrom: 9000, hasOnlyPlannedWork: false, ...changes,
 });
 
 /** Served calls, so that histories with refused calls still pass the recovery check. */
@@ -163,3 +164,17 @@
 		}],
 	})).length, 1);
 });
+
+const makeStream = (id: string, changes: Partial<TakenUpStream> = {}): TakenUpStream => ({
+	id, versions: ['v1'], hasBegun: true, wasTakenUp: true, hasGoneOn: true, isWhole: true, eventIds: [1, 2, 3], attempts: ['200', '200'], attemptIds: [id, `${id}-1`], startedAt: 9500, ...changes,
+});
+
+test('a stream with events of two software versions, a gap, or too few streams that go on are found', () => {
+	const find = (streams: readonly TakenUpStream[]): string[] => findViolations(makeHistory({streams}));
+	assert.deepEqual(find([makeStream('s-1')]), []);
+	assert.match(find([makeStream('s-1', {versions: ['v1', 'v2']})]).join(' '), /several software versions/v);
+	assert.match(find([makeStream('s-1', {eventIds: [1, 3]})]).join(' '), /gaps or repeats/v);
+	const refused = Array.from({length: 12}, (_value, index) => makeStream(`s-${index}`, {hasGoneOn: index < 5}));
+	assert.match(find(refused).join(' '), /only 0\.42 of 12/v);
+	assert.deepEqual(find(refused.map(stream => ({...stream, versions: ['v1.2']}))), [], 'one engine only has that version');
+});
--- a/scripts/soak/src/check-history.ts
+++ b/scripts/soak/src/check-history.ts
@@ -4,7 +4,8 @@
 import {findCutViolations} from './check-cuts.js';
 import {findCrashViolations} from './crashing-part.js';
 import {findLimitViolations} from './check-limits.js';
-import {formatExpectedStream} from './format-events.js';
+import {findContinuityViolations} from './check-continuity.js';
+import {formatExpectedStream, listVersions, removeVersions} from './format-events.js';
 import {findQuotaViolations} from './limited-account.js';
 import {
 	type CallOutcome, type CompletedCall, type History, type BackendRun,
@@ -85,12 +86,18 @@
 		return ['received the answer of another call'];
 	}
 
+	const versions = listVersions(outcome.body);
+	if (versions.length > 1) {
+		return [`received events of the software versions ${versions.join(' and ')}`];
+	}
+
+	const body = removeVersions(outcome.body);
 	const expected = serviceByRoute[call.route] === 'llm' ? formatExpectedStream() : `answer of ${outcome.vouchedBy} to ${call.id}`;
-	if (outcome.isWhole && outcome.body !== expected) {
+	if (outcome.isWhole && body !== expected) {
 		return [`complete answer with an unexpected body: ${JSON.stringify(outcome.body.slice(0, 200))}`];
 	}
 
-	return outcome.isWhole || expected.startsWith(outcome.body) ? [] : ['incomplete answer with an unexpected body'];
+	return outcome.isWhole || expected.startsWith(body) ? [] : ['incomplete answer with an unexpected body'];
 };
 
 const checkOutcome = (call: CompletedCall, runs: readonly BackendRun[]): string[] => {
@@ -162,7 +169,10 @@
 /** Returns a description of each violation in the history. */
 export const findViolations = (history: History): string[] => {
 	const runsById = groupById(history.runs);
-	const sentIds = new Set([...history.calls, ...history.limitedCalls, ...history.crashingCalls].map(call => call.id));
+	const sentIds = new Set([
+		...[...history.calls, ...history.limitedCalls, ...history.crashingCalls].map(call => call.id),
+		...history.streams.flatMap(({attemptIds}) => attemptIds),
+	]);
 	const unrequested = [...runsById.keys()].filter(id => !sentIds.has(id)).map(id => `${id}: ran, but no caller sent it`);
 	const callViolations = history.calls.flatMap(call => checkCall(history, call, runsById.get(call.id) ?? []));
 	const callsOverLimit = history.calls.filter(call => (runsById.get(call.id) ?? []).filter(run => run.memory === undefined).length > (maxAttemptsByRoute[call.route] ?? 0));
@@ -179,6 +189,7 @@
 		...findCutViolations(history, (daemon, at) => isDisturbed(history, daemon, at, at)),
 		...findQuotaViolations(history),
 		...findCrashViolations(history, (daemon, at) => isDisturbed(history, daemon, at, at)),
+		...findContinuityViolations(history),
 		...checkRecovery(history),
 	];
 };
--- a/scripts/soak/src/crashing-part.ts
+++ b/scripts/soak/src/crashing-part.ts
@@ -1,10 +1,11 @@
 /** Requests of which one part crashes the engines that begin to answer them, and the check that they are kept from engines. */
 import {setTimeout as sleep} from 'node:timers/promises';
-import {announceBackend} from '@shallotpass/platform/stand-ins/platform-fixture.js';
 import {sendCall} from '@shallotpass/platform/stand-ins/send-call.js';
 import {type CrashingCall, type History} from './history.js';
 import {makeRandomBeside} from './make-random-beside.js';
-import {openLinks, type SoakBackend, type SoakCluster} from './soak-cluster.js';
+import {
+	announceReturn, openLinks, type SoakBackend, type SoakCluster,
+} from './soak-cluster.js';
 
 const crashingPart = 'c4a5';
 
@@ -45,8 +46,7 @@
 	}
 
 	if (!backend.isLeaving) {
-		backend.born++;
-		announceBackend(cluster.fixture.store, backend.standIn, {service: 'llm', address, born: backend.born});
+		announceReturn(cluster, backend);
 	}
 };
 
--- a/scripts/soak/src/history.ts
+++ b/scripts/soak/src/history.ts
@@ -1,4 +1,5 @@
 /** Events observed by callers, backend servers and the cloud in one run. All times are milliseconds on the monotonic clock of the soak process. */
+import {type TakenUpStream} from '@shallotpass/platform/stand-ins/stream-callers.js';
 import {type CloudRequest} from '@shallotpass/platform/stand-ins/cloud-stand-in.js';
 import {type RouteName} from '@shallotpass/platform/stand-ins/send-call.js';
 
@@ -110,6 +111,10 @@
 	readonly crashingCalls: readonly CrashingCall[];
 	/** When engines crashed under such requests. */
 	readonly crashes: readonly number[];
+	/** Streams whose callers lose their connections and take them up again. */
+	readonly streams: readonly TakenUpStream[];
+	/** Software versions that at least two engines have throughout. */
+	readonly lastingVersions: readonly string[];
 	readonly runs: readonly BackendRun[];
 	readonly duties: readonly CloudRequest[];
 	readonly disturbances: readonly Disturbance[];
--- a/scripts/soak/src/inject-fault.ts
+++ b/scripts/soak/src/inject-fault.ts
@@ -10,7 +10,7 @@
 import {limitedTenant} from './limited-account.js';
 import {type Fault, type LinkFault, type Notice} from './plan-faults.js';
 import {
-	openLinks, type SoakBackend, type SoakDaemon, type SoakCluster,
+	announceReturn, lastingVersion, openLinks, type SoakBackend, type SoakCluster, type SoakDaemon,
 } from './soak-cluster.js';
 
 /** Latency that a slow link adds in each direction. */
@@ -105,7 +105,9 @@
 	}
 
 	const {store} = cluster.fixture;
-	const entry = {service: backend.service, address: backend.relay.address, born: backend.born};
+	const entry = {
+		service: backend.service, address: backend.relay.address, born: backend.born, version: backend.standIn.softwareVersion ?? lastingVersion,
+	};
 	backend.isLeaving = true;
 	const endNotice = notice === undefined || backend.service === 'app' ? undefined : prepareNotice(cluster, backend.standIn, notice);
 	if (isTold) {
@@ -126,8 +128,7 @@
 	});
 	endNotice?.();
 	endLimit(cluster, backend);
-	backend.born++;
-	announceBackend(store, backend.standIn, {...entry, born: backend.born});
+	announceReturn(cluster, backend);
 	backend.isLeaving = false;
 };
 
--- a/scripts/soak/src/run-soak.ts
+++ b/scripts/soak/src/run-soak.ts
@@ -3,14 +3,16 @@
 import path from 'node:path';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {makeRandom} from '@shallotpass/core/testing/make-random.js';
+import {runStreams} from '@shallotpass/platform/stand-ins/stream-callers.js';
 import {runCrashingCaller} from './crashing-part.js';
 import {limitedCallers, runLimitedCaller} from './limited-account.js';
+import {eventsPerStream} from './format-events.js';
 import {runCaller} from './run-caller.js';
 import {findViolations} from './check-history.js';
 import {type CompletedCall, type History, type BackendRun} from './history.js';
 import {planFaults, planLimitAfterFaults} from './plan-faults.js';
 import {
-	backendCount, closeSoakCluster, type SoakCluster, startSoakCluster, waitForReady,
+	backendCount, closeSoakCluster, lastingVersion, type SoakCluster, startSoakCluster, waitForReady,
 } from './soak-cluster.js';
 import {injectFault} from './inject-fault.js';
 
@@ -38,6 +40,11 @@
 /** Added to the seeds of the callers that exceed their limit. */
 const limitedSeedOffset = 500;
 
+/** Added to the seed of the callers that take up streams, how many streams begin, and the share of their attempts that lose the connection. */
+const streamSeedOffset = 700;
+const streamsPerSecond = 6;
+const streamCutShare = 0.4;
+
 /** Time allowed for recovery after the last fault, as in the users' requirements. */
 const recoveryMs = 12_000;
 
@@ -114,6 +121,10 @@
 		const limitedRuns = Array.from({length: limitedCallers}, async (_value, index) => runLimitedCaller({
 			cluster, name: `limited-${index}`, random: makeRandom((options.seed * 1000) + limitedSeedOffset + index), signal: callersController.signal,
 		}));
+		const streamsRun = runStreams({
+			listAddresses: () => cluster.daemons.map(({process}) => process.settings.listen.callers),
+			name: 'stream', random: makeRandom((options.seed * 1000) + streamSeedOffset), cutShare: streamCutShare, events: eventsPerStream, perSecond: streamsPerSecond, signal: callersController.signal,
+		});
 		const crashingRun = runCrashingCaller(cluster, {seed: options.seed, hasOnlyPlannedWork: options.hasOnlyPlannedWork, signal: faultsController.signal});
 		const faultCount = await injectFaults(cluster, options);
 		const neverReady = await waitForReady(cluster);
@@ -131,6 +142,8 @@
 			limitedCalls: limitedCallsByCaller.flat(),
 			crashingCalls: await crashingRun,
 			crashes: cluster.crashes,
+			streams: await streamsRun,
+			lastingVersions: [lastingVersion],
 			runs: listRuns(cluster),
 			duties: cluster.fixture.cloud.calls,
 			disturbances: cluster.disturbances,
--- a/scripts/soak/src/soak-cluster.ts
+++ b/scripts/soak/src/soak-cluster.ts
@@ -66,16 +66,41 @@
 	readonly addNote: (line: string) => void;
 };
 
+/** Software version of the engines but the last one, which has the other version and changes it with each start. */
+export const lastingVersion = 'v1';
+const otherVersion = 'v1.2';
+
 const addBackend = async (fixture: PlatformFixture, standIn: BackendStandIn, service: 'app' | 'llm'): Promise<SoakBackend> => {
 	const relay = await startRelay(standIn.address);
 	standIn.delayMs = backendDelayMs;
 	standIn.events = eventsPerStream;
-	announceBackend(fixture.store, standIn, {service, address: relay.address, born: 1});
+	standIn.born = 1;
+	standIn.softwareVersion = service === 'llm' ? lastingVersion : undefined;
+	if (standIn.id === `engine-${engineCount - 1}`) {
+		standIn.softwareVersion = otherVersion;
+	}
+
+	announceBackend(fixture.store, standIn, {
+		service, address: relay.address, born: 1, version: standIn.softwareVersion ?? lastingVersion,
+	});
 	return {
 		standIn, service, relay, born: 1, isLeaving: false,
 	};
 };
 
+/** Lets a backend server start again as another incarnation, and announces it. The last engine comes back at the other version. */
+export const announceReturn = ({fixture}: Pick<SoakCluster, 'fixture'>, backend: SoakBackend): void => {
+	const {standIn, service, relay} = backend;
+	backend.born++;
+	if (standIn.id === `engine-${engineCount - 1}`) {
+		standIn.softwareVersion = standIn.softwareVersion === lastingVersion ? otherVersion : lastingVersion;
+	}
+
+	announceBackend(fixture.store, standIn, {
+		service, address: relay.address, born: backend.born, version: standIn.softwareVersion ?? lastingVersion,
+	});
+};
+
 /** Lets the daemon connect to backend servers through its links, unless these fail or nothing listens at the other end. */
 export const openLinks = ({process, links, linkFailure}: Pick<SoakDaemon, 'process' | 'links' | 'linkFailure'>, {crashed}: Pick<SoakCluster, 'crashed'>): void => {
 	process.setLinks({failure: linkFailure, crashed: [...crashed], relays: Object.fromEntries([...links].map(([address, relay]) => [address, relay.address]))});
