--- a/packages/gateway/src/telemetry/explain-request.test.ts
+++ b/packages/gateway/src/telemetry/explain-request.test.ts
@@ -26,3 +26,19 @@
 	assert.deepEqual(events, ['a backend_unreachable', 'a call_placed', 'a limit_reached', 'a call_ended']);
 	assert.deepEqual(explainRequest('unknown', logs), []);
 });
+
+test('the lines of all attempts at one stream are listed together, from any of them', () => {
+	const logs = [
+		[
+			write(1000, 'a', 'stream_began', {request: 'r', version: 'v1'}),
+			write(1100, 'a', 'stream_began', {request: 'other', version: 'v2'}),
+		].join('\n'),
+		[
+			write(1200, 'b', 'stream_taken_up', {request: 'r-1', resumes: 'r', version: 'v1'}),
+			write(1300, 'b', 'stream_not_taken_up', {request: 'r-2', resumes: 'r', reason: 'gone'}),
+		].join('\n'),
+	];
+	for (const id of ['r', 'r-1', 'r-2']) {
+		assert.deepEqual(explainRequest(id, logs).map(line => line.split(' ')[2]), ['stream_began', 'stream_taken_up', 'stream_not_taken_up']);
+	}
+});
--- a/packages/gateway/src/telemetry/explain-request.ts
+++ b/packages/gateway/src/telemetry/explain-request.ts
@@ -19,6 +19,7 @@
 	'backend_restarted',
 	'backend_unreachable',
 	'backend_path_lost',
+	'service_versions',
 	'connection_broken',
 	'paths_lost',
 	'paths_regained',
@@ -73,6 +74,12 @@
 	return line.account === undefined || accounts.has(line.account);
 };
 
+/** Lists the attempts of a caller at one stream: that which began it, and those that took it up. Of any other request, only itself. */
+const listAttemptIds = (lines: readonly Line[], requestId: string): Set<unknown> => {
+	const first = lines.find(({request, resumes}) => request === requestId && resumes !== undefined && resumes !== '')?.resumes ?? requestId;
+	return new Set([requestId, first, ...lines.filter(({resumes}) => resumes === first).map(({request}) => request)]);
+};
+
 /**
  * Returns the lines of the request and of the state changes that may have affected it, in chronological
  * order. State changes are limited to the daemons that served the request, and to its backend servers
@@ -80,7 +87,8 @@
  */
 export const explainRequest = (requestId: string, logTexts: readonly string[]): string[] => {
 	const lines = logTexts.flatMap(text => text.split('\n')).map(text => parseLine(text)).filter(line => line !== undefined);
-	const ownLines = lines.filter(line => line.request === requestId);
+	const attemptIds = listAttemptIds(lines, requestId);
+	const ownLines = lines.filter(line => typeof line.request === 'string' && attemptIds.has(line.request));
 	const instances = new Set(ownLines.map(line => line.instance));
 	const backends = new Set(ownLines.map(line => line.backend).filter(backend => backend !== undefined));
 	const accounts = new Set(ownLines.map(line => line.account).filter(account => account !== undefined));
