Let a slow answer about a server's start cost no stream its version, and ask busy daemons again for longer

Change: the version is recorded when the confirmation arrives, within the same contact; a retry waits for it. The second round of questions lasts 0.4 s; a first answer that knows the stream still ends it at once.

--- a/packages/core/src/directory/adopt-peer-directory.test.ts
+++ b/packages/core/src/directory/adopt-peer-directory.test.ts
@@ -36,3 +36,14 @@
 	const adopted = adoptPeerDirectory({next: 12, removed: new Map(), backends: new Map([['x', leaving]])}, {backends: [ready], next: 14}, afterOutage);
 	assert.equal(adopted.backends.get('x')?.entry.isLeaving, true);
 });
+
+test('the software version of a backend server stays known when a daemon that drops it passes its entry on', () => {
+	const known = {entry: makeEntry('x'), offset: 11, missingUntil: undefined};
+	const passOn = (changes: Partial<BackendEntry>): string | undefined => {
+		const peer = {backends: [{entry: makeEntry('x', {softwareVersion: undefined, sequence: 2, ...changes}), offset: 13, missingForMs: undefined}], next: 14};
+		return adoptPeerDirectory({next: 12, removed: new Map(), backends: new Map([['x', known]])}, peer, afterOutage).backends.get('x')?.entry.softwareVersion;
+	};
+
+	assert.equal(passOn({}), 'v1');
+	assert.equal(passOn({startedAt: 2000}), undefined, 'another incarnation may have another version');
+});
--- a/packages/gateway/src/calls/ask-unheard.ts
+++ b/packages/gateway/src/calls/ask-unheard.ts
@@ -6,7 +6,7 @@
 import {type Call, isRepeatable} from '@shallotpass/core/calls/types.js';
 import {type GatewayState} from '../gateway-state.js';
 import {type BackendState, computeSilenceMs, firstAskAfterMs} from './backend-registry.js';
-import {type PlacementOptions} from './place-call.js';
+import {type PlacementOptions} from './list-available-backends.js';
 
 /** Shortest interval between two such calls of this daemon, whatever the number of backend servers. */
 const minIntervalMs = 500;
--- a/packages/gateway/src/calls/backend-registry.ts
+++ b/packages/gateway/src/calls/backend-registry.ts
@@ -6,13 +6,13 @@
 	computeEngineSpeed, emptyPrefillRecord, defaultLatencyModel, emptyPrefillSample, type PrefillSample, type PrefillRecord, decayPrefillRecord, type LatencyModel,
 } from '@shallotpass/core/placement/engine-latency.js';
 import {type Brittleness} from '@shallotpass/core/limits/brittleness.js';
-import {type VersionCapacity} from '@shallotpass/core/origins/compute-continuity-penalty.js';
 import {type BackendLimit} from '@shallotpass/core/limits/backend-limit.js';
 import {type KnownHolding} from '@shallotpass/core/limits/plan-sharing.js';
 import {type KnownParts} from '@shallotpass/core/placement/known-parts.js';
 import {usesOwnZoneOnly} from '@shallotpass/core/gossip/filter-loads.js';
 import {hashText} from '@shallotpass/core/routing/rank-by-rendezvous.js';
 import {BackendAgent, type OpenConnection} from './backend-agent.js';
+import {countVersions, type VersionsByService} from './count-versions.js';
 
 /** Number of ranks for which pending prompt tokens are counted separately. Less urgent ranks are counted with the last one. */
 export const trackedRankCount = 3;
@@ -84,15 +84,12 @@
 
 export const formatIncarnation = (entry: BackendEntry): string => `${entry.id}/${entry.startedAt ?? 0}/${entry.address}`;
 
-/** Version under which backend servers are counted whose own is not known. */
-const unknownVersion = '';
-
 export type BackendRegistry = {
 	readonly byId: Map<string, BackendState>;
 	/** Ready backend servers by service. */
 	readonly byService: Map<string, BackendState[]>;
 	/** What serves of each software version, by service. */
-	readonly versionsByService: Map<string, ReadonlyMap<string, VersionCapacity>>;
+	versionsByService: VersionsByService;
 	/** Latency model by service, also assumed for new backend servers. */
 	readonly latencyModels: Map<string, LatencyModel>;
 	readonly openConnection: OpenConnection;
@@ -167,31 +164,6 @@
 	state.leaving.abort();
 };
 
-const noCapacity: VersionCapacity = {ready: 0, leaving: 0, places: 0};
-
-const countVersions = ({byId, versionsByService}: BackendRegistry): void => {
-	const counts = new Map<string, Map<string, VersionCapacity>>();
-	for (const {entry} of byId.values()) {
-		const versions = counts.get(entry.service) ?? new Map<string, VersionCapacity>();
-		const version = entry.softwareVersion ?? unknownVersion;
-		const {ready, leaving, places} = versions.get(version) ?? noCapacity;
-		versions.set(version, entry.isLeaving ? {ready, leaving: leaving + 1, places} : {ready: ready + 1, leaving, places: places + entry.places});
-		counts.set(entry.service, versions);
-	}
-
-	versionsByService.clear();
-	for (const [service, versions] of counts) {
-		versionsByService.set(service, versions);
-	}
-};
-
-/** Lists how many backend servers of each software version are ready. */
-export const listVersionCounts = ({versionsByService}: BackendRegistry): Array<{service: string; version: string; ready: number}> =>
-	[...versionsByService].flatMap(([service, versions]) => [...versions].map(([version, {ready}]) => ({service, version, ready})));
-
-/** Whether backend servers of several software versions serve the service. */
-export const hasSeveralVersions = ({versionsByService}: BackendRegistry, service: string): boolean => (versionsByService.get(service)?.size ?? 0) > 1;
-
 export type RegistryChange = {
 	readonly kind: 'joined' | 'restarted' | 'leaving' | 'gone';
 	readonly entry: BackendEntry;
@@ -241,7 +213,7 @@
 		}
 	}
 
-	countVersions(registry);
+	registry.versionsByService = countVersions(registry.byId.values());
 	registry.byService.clear();
 	for (const state of registry.byId.values()) {
 		if (state.entry.isLeaving) {
--- a/packages/gateway/src/calls/confirm-incarnation.ts
+++ b/packages/gateway/src/calls/confirm-incarnation.ts
@@ -6,8 +6,8 @@
 import {type GatewayState} from '../gateway-state.js';
 import {type BackendState} from './backend-registry.js';
 
-/** Timeout of the question. Backend servers answer it beside their calls, within some milliseconds. */
-const askTimeoutMs = 150;
+/** Timeout of the question. Backend servers answer it beside their calls, within some milliseconds unless they are very busy. */
+const askTimeoutMs = 600;
 
 /** Time for which a backend server gets no calls that has started again: by then its entry tells of it, also after an outage of the store. */
 const entryLagMs = 2500;
@@ -76,15 +76,40 @@
 	return found;
 };
 
-/** Time that a new stream waits for the confirmation before it is sent. It goes on only if it knows its version, but it need not. */
-const newStreamWaitMs = 100;
+/** Time that a stream waits for the confirmation before it is sent, and before its answer is forwarded. A new one goes on without it. */
+const confirmationWaitMs = 100;
 
-/** Confirms the incarnation before a stream is sent. A stream that has begun waits for the answer, a new one only shortly. */
+const waitShortly = async (finding: Promise<IncarnationFinding>): Promise<IncarnationFinding> => Promise.race([finding, sleep(confirmationWaitMs, 'unknown' as const)]);
+
+/** Confirms the incarnation before a stream is sent. One that has begun waits for the answer, a new one only shortly. */
 export const confirmBeforeSend = async (gateway: GatewayState, state: BackendState, isContinued: boolean): Promise<IncarnationFinding> => {
 	if (!mayBeOther(state)) {
 		return 'confirmed';
 	}
 
 	const finding = confirmIncarnation(gateway, state);
-	return isContinued ? finding : Promise.race([finding, sleep(newStreamWaitMs, 'unknown' as const)]);
+	return isContinued ? finding : waitShortly(finding);
+};
+
+/** What is known of the version that answers when the answer begins. */
+export type AnsweringVersion = {
+	/** Undefined if it is not known yet. */
+	readonly softwareVersion: string | undefined;
+	/** Resolves with the version if it becomes known while the answer is under way. */
+	readonly later: Promise<string | undefined> | undefined;
+};
+
+/** Determines which version answers, once the head of an answer has arrived. */
+export const determineAnsweringVersion = async (gateway: GatewayState, state: BackendState): Promise<AnsweringVersion> => {
+	if (!mayBeOther(state)) {
+		return {softwareVersion: state.entry.softwareVersion, later: undefined};
+	}
+
+	const {contactPeriod} = state.agent;
+	const confirmation = confirmIncarnation(gateway, state);
+	const toVersion = (finding: IncarnationFinding): string | undefined =>
+		finding === 'confirmed' && state.agent.contactPeriod === contactPeriod ? state.entry.softwareVersion : undefined;
+	const softwareVersion = toVersion(await waitShortly(confirmation));
+	const findLater = async (): Promise<string | undefined> => toVersion(await confirmation);
+	return {softwareVersion, later: softwareVersion === undefined ? findLater() : undefined};
 };
--- /dev/null
+++ b/packages/gateway/src/calls/list-available-backends.ts
@@ -0,0 +1,33 @@
+/** Lists the backend servers that can take a call. */
+import {type Call} from '@shallotpass/core/calls/types.js';
+import {type GatewayState} from '../gateway-state.js';
+import {isReachable} from '../paths/track-paths.js';
+import {type BackendState} from './backend-registry.js';
+import {mayStillReceive} from './may-still-receive.js';
+
+export type PlacementOptions = {
+	/** Incarnations that the call was already sent to. */
+	readonly attemptedIncarnations: ReadonlySet<string>;
+	/** Whether the call's run has started, so that it would be lost without another backend server. */
+	readonly hasStarted: boolean;
+	/** Version of the software that its backend server must have. Undefined for any. */
+	readonly softwareVersion?: string | undefined;
+	/** Whether the call may crash its backend server, so that it goes where fewest others run. */
+	readonly mayCrash?: boolean;
+};
+
+/** Lists the backend servers that can take the call. A stream that must go on at one version goes to one that leaves if no other of that version is left. */
+export const listAvailableBackends = (gateway: GatewayState, call: Call, {attemptedIncarnations, softwareVersion}: PlacementOptions): BackendState[] => {
+	const now = gateway.clocks.steady();
+	const isAvailable = (state: BackendState): boolean => state.suspendedUntil <= now && !attemptedIncarnations.has(state.incarnation) && isReachable(gateway, state);
+	const ready = (gateway.registry.byService.get(call.service) ?? []).filter(state => isAvailable(state));
+	if (softwareVersion === undefined) {
+		return ready;
+	}
+
+	const fitting = ready.filter(({entry}) => entry.softwareVersion === softwareVersion);
+	return fitting.length > 0
+		? fitting
+		: [...gateway.registry.byId.values()].filter(state => state.entry.service === call.service && state.entry.isLeaving
+			&& state.entry.softwareVersion === softwareVersion && isAvailable(state) && mayStillReceive(gateway, state));
+};
--- a/packages/gateway/src/calls/place-call.ts
+++ b/packages/gateway/src/calls/place-call.ts
@@ -7,14 +7,14 @@
 import {countCachedTokens, findPreferredBackend, getAffinityHash} from '@shallotpass/core/placement/prompt-affinity.js';
 import {computeOrderPosition, computeUnreportedMs} from '@shallotpass/core/placement/spread-choices.js';
 import {countDaemons, type GatewayState, peerExpiryMs} from '../gateway-state.js';
-import {isReachable} from '../paths/track-paths.js';
 import {isBrittle} from './backend-brittleness.js';
 import {findUnheard, recordAsk} from './ask-unheard.js';
 import {countMoreUrgentRanks, getLimitRoom, type LimitRoom} from './backend-limits.js';
 import {
 	type BackendState, getLatencyModel, isLimitedToOwnZone, toBackendView,
 } from './backend-registry.js';
-import {mayStillReceive} from './may-still-receive.js';
+import {unknownVersion} from './count-versions.js';
+import {listAvailableBackends, type PlacementOptions} from './list-available-backends.js';
 
 /** Share of a service's connection limit that the known daemons use. The rest is left for daemons not known yet and for closing connections. */
 const usedConnectionShare = 0.85;
@@ -52,17 +52,6 @@
 	readonly isCounted?: boolean;
 };
 
-export type PlacementOptions = {
-	/** Incarnations that the call was already sent to. */
-	readonly attemptedIncarnations: ReadonlySet<string>;
-	/** Whether the call's run has started, so that it would be lost without another backend server. */
-	readonly hasStarted: boolean;
-	/** Version of the software that its backend server must have. Undefined for any. */
-	readonly softwareVersion?: string | undefined;
-	/** Whether the call may crash its backend server, so that it goes where fewest others run. */
-	readonly mayCrash?: boolean;
-};
-
 export type PlacementResult =
 	| {readonly kind: 'placed'; readonly placement: Placement}
 	| {readonly kind: 'none'}
@@ -103,26 +92,10 @@
 	return states.filter(state => countRunning(state) === least);
 };
 
-/** Lists the backend servers that can take the call. A stream that must go on at one version goes to one that leaves if no other of that version is left. */
-const listAvailable = (gateway: GatewayState, call: Call, {attemptedIncarnations, softwareVersion}: PlacementOptions): BackendState[] => {
-	const now = gateway.clocks.steady();
-	const isAvailable = (state: BackendState): boolean => state.suspendedUntil <= now && !attemptedIncarnations.has(state.incarnation) && isReachable(gateway, state);
-	const ready = (gateway.registry.byService.get(call.service) ?? []).filter(state => isAvailable(state));
-	if (softwareVersion === undefined) {
-		return ready;
-	}
-
-	const fitting = ready.filter(({entry}) => entry.softwareVersion === softwareVersion);
-	return fitting.length > 0
-		? fitting
-		: [...gateway.registry.byId.values()].filter(state => state.entry.service === call.service && state.entry.isLeaving
-			&& state.entry.softwareVersion === softwareVersion && isAvailable(state) && mayStillReceive(gateway, state));
-};
-
 /** Computes the penalty for beginning a stream at the backend server, in milliseconds. One that has begun has no choice of its version. */
 const computeBeginPenalty = ({registry}: GatewayState, {service, repeatability}: Call, state: BackendState, {softwareVersion}: PlacementOptions): number => {
 	const versions = registry.versionsByService.get(service);
-	const own = versions?.get(state.entry.softwareVersion ?? '');
+	const own = versions?.get(state.entry.softwareVersion ?? unknownVersion);
 	if (versions === undefined || own === undefined || softwareVersion !== undefined || !isStream(repeatability)) {
 		return 0;
 	}
@@ -136,7 +109,7 @@
 export const placeCall = (gateway: GatewayState, call: Call, options: PlacementOptions): PlacementResult => {
 	const now = gateway.clocks.steady();
 	const service = gateway.configuration?.servicesByName.get(call.service);
-	const available = listAvailable(gateway, call, options);
+	const available = listAvailableBackends(gateway, call, options);
 	const rooms = findRooms(gateway, call, available, options.hasStarted);
 	const withRoom = rooms.filter(({room}) => room.kind !== 'exhausted');
 	if (rooms.length > 0 && withRoom.length === 0) {
--- a/packages/gateway/src/calls/run-at-backend.ts
+++ b/packages/gateway/src/calls/run-at-backend.ts
@@ -13,8 +13,9 @@
 import {type GatewayState} from '../gateway-state.js';
 import {canConnect} from '../paths/can-connect.js';
 import {type MovedKvCache} from '../ports.js';
-import {type BackendState, hasSeveralVersions, trackedRankCount} from './backend-registry.js';
-import {confirmBeforeSend, confirmIncarnation} from './confirm-incarnation.js';
+import {type BackendState, trackedRankCount} from './backend-registry.js';
+import {hasSeveralVersions} from './count-versions.js';
+import {type AnsweringVersion, confirmBeforeSend, determineAnsweringVersion} from './confirm-incarnation.js';
 import {type Exchange, type IsComplete, sendToBackend} from './backend-exchange.js';
 import {recordBrokenConnection, recordConnectFailure, suspendBackend} from './connect-failures.js';
 import {observeBrittleness} from './backend-brittleness.js';
@@ -58,6 +59,8 @@
 	readonly state: BackendState | undefined;
 	/** Version of the software that answers. Undefined if it is not known, as another incarnation may answer than the directory tells. */
 	readonly softwareVersion: string | undefined;
+	/** Resolves with that version if it becomes known while the answer is under way. */
+	readonly laterVersion: Promise<string | undefined> | undefined;
 	/** Backend server, or address of the peer. */
 	readonly source: string;
 	readonly exchange: Omit<Exchange, 'result'>;
@@ -126,7 +129,7 @@
 		rank: isStream(call.repeatability) ? rank : undefined,
 		lastEventId: outgoing.lastEventId,
 		kvCache: outgoing.kvCache,
-		isFavored: isContinued && hasSeveralVersions(gateway.registry, call.service),
+		isFavored: isContinued && hasSeveralVersions(gateway.registry.versionsByService, call.service),
 	});
 	const hasBody = outgoing.body.length > 0 || outgoing.method === 'POST' || outgoing.method === 'PUT';
 	const exchange = sendToBackend({
@@ -177,8 +180,6 @@
 		trackedCall.end(isFailure);
 	};
 
-	// Asked while the call waits for its answer.
-	const confirmation = needsVersion ? confirmIncarnation(gateway, state) : undefined;
 	const result = await exchange.result;
 	stopWatching();
 	stopWatchingArrival();
@@ -237,8 +238,8 @@
 		return {kind: 'not_run', reason: head.isOtherBackend ? 'other_backend' : `refused_${response.statusCode ?? 0}`, hasArrived: true};
 	}
 
-	const isConfirmed = await confirmation === 'confirmed' && await confirmIncarnation(gateway, state) === 'confirmed';
-	if (isContinued && !isConfirmed) {
+	const version: AnsweringVersion = needsVersion ? await determineAnsweringVersion(gateway, state) : {softwareVersion: undefined, later: undefined};
+	if (isContinued && version.softwareVersion === undefined) {
 		exchange.abort();
 		end(true);
 		gateway.metrics.attempts.inc({service: call.service, outcome: 'mismatched'});
@@ -252,7 +253,7 @@
 	gateway.metrics.attempts.inc({service: call.service, outcome: (response.statusCode ?? 0) < 500 ? 'answered' : 'failed'});
 	return {
 		kind: 'answered', response, attempt: {
-			state, softwareVersion: isConfirmed ? state.entry.softwareVersion : undefined, source: state.entry.id, exchange, isComplete, sentAt: now, answeredAt: state.lastReadAt, end,
+			state, softwareVersion: version.softwareVersion, laterVersion: version.later, source: state.entry.id, exchange, isComplete, sentAt: now, answeredAt: state.lastReadAt, end,
 		},
 	};
 };
--- a/packages/gateway/src/calls/send-to-peer.ts
+++ b/packages/gateway/src/calls/send-to-peer.ts
@@ -218,7 +218,7 @@
 	const answer = takeResult(response);
 	if (answer === 'answered') {
 		const attempt: Attempt = {
-			state: undefined, softwareVersion: parseVersion(takeField(response, versionField)), source: address, exchange, sentAt, answeredAt: gateway.clocks.steady(), end,
+			state: undefined, softwareVersion: parseVersion(takeField(response, versionField)), laterVersion: undefined, source: address, exchange, sentAt, answeredAt: gateway.clocks.steady(), end,
 			isComplete: async () => response.complete && !hasFailed(),
 		};
 		return {
--- a/packages/gateway/src/calls/serve-stream.ts
+++ b/packages/gateway/src/calls/serve-stream.ts
@@ -29,6 +29,8 @@
 	readonly continuity: Continuity | undefined;
 	/** Whether events were sent on, so that the stream goes on only at the version that sent the first one. */
 	hasEvents: boolean;
+	/** Resolves when it is known whether the version that sent the first event is known. Undefined if nothing is waited for. */
+	pendingVersion: Promise<void> | undefined;
 	readonly progress: CallProgress;
 	readonly splitter: EventSplitter;
 	/** Placements where a moved run can continue, best first. */
@@ -109,10 +111,24 @@
 	}
 
 	stream.hasEvents = true;
-	stream.progress.softwareVersion ??= attempt.softwareVersion;
-	if (stream.continuity !== undefined) {
-		recordStream(stream.context.gateway, stream.call, stream.continuity, attempt);
+	if (attempt.softwareVersion === undefined && attempt.laterVersion !== undefined) {
+		stream.pendingVersion = recordLaterVersion(stream, attempt, attempt.laterVersion);
+		return;
 	}
+
+	recordVersion(stream, attempt, attempt.softwareVersion);
+};
+
+const recordVersion = ({context, call, continuity, progress}: StreamState, attempt: Attempt, softwareVersion: string | undefined): void => {
+	progress.softwareVersion ??= softwareVersion;
+	if (continuity !== undefined) {
+		recordStream(context.gateway, call, continuity, {attempt, softwareVersion});
+	}
+};
+
+/** Records the version once it is known, while events are sent on. */
+const recordLaterVersion = async (stream: StreamState, attempt: Attempt, laterVersion: Promise<string | undefined>): Promise<void> => {
+	recordVersion(stream, attempt, await laterVersion);
 };
 
 /** Whether the stream may go on elsewhere: it has no events yet, or the version that sent them is known. */
@@ -170,6 +186,7 @@
 	stream.roomWaitUntil = gateway.clocks.steady() + roomWaitMs;
 	recordBrokenAttempt(gateway, attempt, stream, progress);
 	progress.lastFailure = `the stream from ${attempt.source} was interrupted`;
+	await stream.pendingVersion;
 	return canGoOn(stream) ? retryStep : endWith(makeStreamFailureOutcome(stream));
 };
 
@@ -234,6 +251,7 @@
 		outgoing: admitted.outgoing,
 		continuity: admitted.continuity,
 		hasEvents: false,
+		pendingVersion: undefined,
 		progress: makeProgress(admitted.outgoing.softwareVersion ?? admitted.continuity?.origin?.softwareVersion),
 		splitter: makeEventSplitter(),
 		placements: [],
--- a/packages/gateway/src/origins/find-origin.ts
+++ b/packages/gateway/src/origins/find-origin.ts
@@ -6,8 +6,8 @@
 import {needsRelays} from '@shallotpass/core/gossip/pick-relays.js';
 import {type GatewayState} from '../gateway-state.js';
 
-/** Rounds of questions: a datagram may be lost on its way. */
-const maxRounds = 2;
+/** Timeouts of the rounds of questions: a datagram may be lost on its way, or a daemon be busy. */
+const roundTimeoutsMs = [120, 400] as const;
 
 export type OriginLookup = KnownOrigin & {
 	/** Daemon that knew it. Undefined if it is not known. */
@@ -18,8 +18,10 @@
 
 type Answer = {readonly address: string; readonly record: OriginRecord | undefined};
 
-const askKeeper = async (gateway: GatewayState, keeper: OriginKeeper, key: string): Promise<Answer> => {
-	const reported = reportedOriginsSchema.parse(await gateway.origins.ask(keeper, key)).find(([reportedKey]) => reportedKey === key);
+type Question = {readonly key: string; readonly timeoutMs: number};
+
+const askKeeper = async (gateway: GatewayState, keeper: OriginKeeper, {key, timeoutMs}: Question): Promise<Answer> => {
+	const reported = reportedOriginsSchema.parse(await gateway.origins.ask(keeper, key, timeoutMs)).find(([reportedKey]) => reportedKey === key);
 	return {address: keeper.address, record: reported && toOriginRecord(reported, gateway.clocks.steady())};
 };
 
@@ -30,10 +32,10 @@
 };
 
 /** Asks daemons at once and waits for the first that knows the stream, or for all. */
-const askAll = async (gateway: GatewayState, keepers: readonly OriginKeeper[], key: string): Promise<Round> => {
+const askAll = async (gateway: GatewayState, keepers: readonly OriginKeeper[], question: Question): Promise<Round> => {
 	const silent = new Set(keepers);
 	const answers = keepers.map(async keeper => {
-		const answer = await askKeeper(gateway, keeper, key);
+		const answer = await askKeeper(gateway, keeper, question);
 		silent.delete(keeper);
 		if (answer.record === undefined) {
 			throw new Error('unknown there');
@@ -61,8 +63,8 @@
 	const listed = origins.listKnowing(key);
 	let keepers = needsRelays(gateway.listMembers().length) ? listed.slice(0, askedPerStream) : listed;
 	const asked = keepers.length;
-	for (let round = 0; round < maxRounds && keepers.length > 0; round++) {
-		const {found, silent} = await askAll(gateway, keepers, key); // eslint-disable-line no-await-in-loop -- only the silent ones are asked again
+	for (const timeoutMs of keepers.length > 0 ? roundTimeoutsMs : []) {
+		const {found, silent} = await askAll(gateway, keepers, {key, timeoutMs}); // eslint-disable-line no-await-in-loop -- only the silent ones are asked again
 		if (found?.record !== undefined) {
 			// A record that arrived here meanwhile may show that the id is ambiguous.
 			const arrived = findOriginRecord(origins.ledger, key, clocks.steady());
@@ -73,6 +75,9 @@
 		}
 
 		keepers = silent;
+		if (silent.length === 0) {
+			break;
+		}
 	}
 
 	return {
--- a/packages/gateway/src/origins/origin-exchange.ts
+++ b/packages/gateway/src/origins/origin-exchange.ts
@@ -26,9 +26,6 @@
 /** Records in a datagram, so that it fits into one packet. */
 const maxRecordsPerDatagram = 15;
 
-/** Time within which a daemon answers. A busy one takes some ten milliseconds. */
-const askTimeoutMs = 120;
-
 const askSchema = z.tuple([z.string().min(1).max(64)]);
 
 export type OriginExchangeOptions = {
@@ -110,7 +107,7 @@
 		return told;
 	};
 
-	origins.ask = async ({address}, key) => datagrams.request(address, 'ask_origin', [key], askTimeoutMs);
+	origins.ask = async ({address}, key, timeoutMs) => datagrams.request(address, 'ask_origin', [key], timeoutMs);
 
 	datagrams.handle('origins', parameters => {
 		const now = clocks.steady();
--- a/packages/gateway/src/origins/origin-state.ts
+++ b/packages/gateway/src/origins/origin-state.ts
@@ -11,7 +11,7 @@
 	/** Tells other daemons of a stream and returns which. Set by the origin exchange. */
 	tell: (record: OriginRecord) => readonly OriginKeeper[];
 	/** Asks a daemon for a stream. Resolves with what it answers, or rejects. Set by the origin exchange. */
-	ask: (keeper: OriginKeeper, key: string) => Promise<unknown>;
+	ask: (keeper: OriginKeeper, key: string, timeoutMs: number) => Promise<unknown>;
 };
 
 export const makeOriginState = (): OriginState => ({
--- a/packages/gateway/src/origins/record-stream.ts
+++ b/packages/gateway/src/origins/record-stream.ts
@@ -5,10 +5,16 @@
 import {type GatewayState} from '../gateway-state.js';
 import {type Continuity} from './continuity.js';
 
+export type BegunStream = {
+	readonly attempt: Attempt;
+	/** Undefined if it is not known. */
+	readonly softwareVersion: string | undefined;
+};
+
 /** Remembers which version began the stream, here and at other daemons. To be called before the event is sent on, as its caller may come back at once. */
-export const recordStream = (gateway: GatewayState, call: Call, {originKey, takeUpUntil, origin}: Continuity, attempt: Attempt): void => {
+export const recordStream = (gateway: GatewayState, call: Call, {originKey, takeUpUntil, origin}: Continuity, {attempt, softwareVersion}: BegunStream): void => {
 	const now = gateway.clocks.steady();
-	const {softwareVersion, state} = attempt;
+	const {state} = attempt;
 	if (softwareVersion === undefined) {
 		gateway.log.write('failure', 'stream_began', {
 			request: call.id, service: call.service, backend: state?.entry.id, peer: state === undefined ? attempt.source : undefined,
--- a/packages/gateway/src/start-gateway.ts
+++ b/packages/gateway/src/start-gateway.ts
@@ -8,7 +8,8 @@
 import {initialPathState} from '@shallotpass/core/paths/path-state.js';
 import {makeCrashLedger} from '@shallotpass/core/crashes/crash-ledger.js';
 import {type OpenConnection} from './calls/backend-agent.js';
-import {listVersionCounts, makeBackendRegistry} from './calls/backend-registry.js';
+import {makeBackendRegistry} from './calls/backend-registry.js';
+import {listReadyBackends} from './calls/count-versions.js';
 import {type CallersListener, listenForCallers, listenForReadinessChecks} from './calls/callers-listener.js';
 import {type CallersServer} from './calls/callers-server.js';
 import {makeClocks} from './clocks.js';
@@ -157,7 +158,7 @@
 export const startGateway = async (options: GatewayOptions): Promise<Gateway> => {
 	const lastAnswerAt = new Map<string, number>();
 	const metrics = makeGatewayMetrics({
-		answeredAt: lastAnswerAt, now: () => performance.now(), getDirectoryAgeMs: () => state.clocks.steady() - state.directoryStatus.confirmedAt, listReadyBackends: () => listVersionCounts(state.registry),
+		answeredAt: lastAnswerAt, now: () => performance.now(), getDirectoryAgeMs: () => state.clocks.steady() - state.directoryStatus.confirmedAt, listReadyBackends: () => listReadyBackends(state.registry.versionsByService),
 	});
 	const storeCalls = new Map<string, number>();
 	const platform = options.openPlatform((topic, outcome, isAnswered) => {
