Take a stream's wait for room from the retry limit once, as before

Cause: by reading. A wait was counted as a retry each 0.1 s, also for the limits that servers state, where nothing is sent; the limit would have run out for other calls. The retry that found no room has been taken already and sent nothing, so the next send goes on it, as before the wait for the room of a version came.

--- a/packages/gateway/src/calls/serve-stream.ts
+++ b/packages/gateway/src/calls/serve-stream.ts
@@ -204,7 +204,8 @@
 	}
 
 	progress.turnedAwayBy.clear();
-	return retryStep;
+	// The retry that found no room was taken from the limit and has sent nothing.
+	return {kind: 'try_again', isExempt: true};
 };
 
 const sendNextAttempt = async (stream: StreamState): Promise<SendResult> => {
