Tell where a call stood when its caller left, and how long the event loop stood still

Change: a state of the caller's presence for each call (caller-presence.ts) that watches the connection, not the response, as a pipelined response has no socket yet; so far it only tells. call_ended has leftIn (unread, admitting, waiting, sent, answering), afterLeaveMs and stoodMs; metrics callers_left_total by stage, after_leave_seconds and loop_stall_seconds; the line loop_stalled. The loop is watched by a tick each 50 ms (loop-monitor.ts): monitorEventLoopDelay of perf_hooks gives a distribution only, not when the last stall was. Ruled out: nothing yet; what is sent and refused is as before. Conclusion: the three hypotheses can be told apart by one line a call.

--- a/packages/gateway/src/calls/admit-call.ts
+++ b/packages/gateway/src/calls/admit-call.ts
@@ -12,6 +12,7 @@
 import {type GatewayState} from '../gateway-state.js';
 import {takeQuota} from '../quotas/take-quota.js';
 import {type CallerHeaders} from '../ports.js';
+import {type CallerPresence} from './caller-presence.js';
 import {readRequestBody} from './read-request-body.js';
 import {type Refusal} from './refusal.js';
 import {type OutgoingRequest} from './run-at-backend.js';
@@ -36,6 +37,7 @@
 	/** Whether another daemon sent the call. It is never sent on to a further one. */
 	readonly isFromPeer: boolean;
 	readonly timing: ResponseTiming;
+	readonly caller: CallerPresence;
 };
 
 /** Timing of the response as sent to the caller; times are on the steady clock. */
@@ -147,7 +149,8 @@
 
 /** Reads a request and decides whether to send it to a backend server. A refused request has not been sent to any. */
 export const admitCall = async (context: CallContext): Promise<AdmittedCall | RefusedCall> => {
-	const {gateway, request, head} = context;
+	const {gateway, request, head, caller} = context;
+	caller.stage = 'admitting';
 	const arrivedAt = gateway.clocks.steady();
 	await waitForWarmUp(gateway);
 	const index = checkAcceptsCalls(gateway);
--- a/packages/gateway/src/calls/call-attempts.ts
+++ b/packages/gateway/src/calls/call-attempts.ts
@@ -189,6 +189,7 @@
 	const {call, outgoing} = admitted;
 	const {state, choice, cachedTokens} = placement;
 	const startedAt = gateway.clocks.steady();
+	context.caller.stage = 'sent';
 	progress.attempts++;
 	progress.attemptedIncarnations.add(state.incarnation);
 	const knownAtSend = describeKnowledge(gateway, placement);
@@ -224,6 +225,10 @@
 	}
 
 	progress.hasCrashed = result.kind === 'may_have_run' ? result.hasCrashed : undefined;
+	if (result.kind !== 'answered') {
+		context.caller.stage = 'waiting';
+	}
+
 	progress.mayBeCutOff = result.kind !== 'answered' && (result.kind === 'may_have_run' || !result.hasArrived) && !hasContactSince(gateway, startedAt);
 
 	return result;
@@ -246,12 +251,13 @@
 };
 
 /** Records that an answer begins. To be called before its head is sent. */
-export const recordFirstByte = ({gateway, timing, isFromPeer, response}: CallContext, call: Call, progress: CallProgress): void => {
+export const recordFirstByte = ({gateway, timing, isFromPeer, response, caller}: CallContext, call: Call, progress: CallProgress): void => {
 	if (isFromPeer) {
 		setRuns(response, progress.possibleRuns);
 	}
 
 	const now = gateway.clocks.steady();
+	caller.stage = 'answering';
 	timing.firstByteAt = now;
 	timing.lastEventAt = now;
 	gateway.metrics.firstByteSeconds.observe({service: call.service, kind: call.repeatability}, (now - call.arrivedAt) / 1000);
--- /dev/null
+++ b/packages/gateway/src/calls/caller-presence.ts
@@ -0,0 +1,79 @@
+/** Tells whether the caller of a request still waits for its answer: a state that each step of the call asks before it sends anything. */
+import type http from 'node:http';
+import type net from 'node:net';
+import {type GatewayState} from '../gateway-state.js';
+
+/** How far a call has come. `unread`: its request has not been looked at. */
+export type CallStage = 'unread' | 'admitting' | 'waiting' | 'sent' | 'answering';
+
+export type CallerPresence = {
+	/** Aborted when nobody waits for the answer any more: the caller has left, or the deadline has passed. */
+	readonly signal: AbortSignal;
+	/** Written by the steps of the call. */
+	stage: CallStage;
+	/** Undefined while the caller has not left. */
+	readonly getLeave: () => CallerLeave | undefined;
+	/** Aborts the signal without the caller having left. */
+	readonly expire: () => void;
+	/** Stops watching; called when the call has ended. */
+	readonly end: () => void;
+};
+
+export type CallerLeave = {
+	/** When the close of its connection was seen, on the steady clock. */
+	readonly seenAt: number;
+	readonly stage: CallStage;
+	/** For how long the close may have stood unread, in milliseconds. */
+	readonly stoodMs: number;
+};
+
+/** Calls in flight by connection. Several requests may be read before the first is answered, and only the first response has the socket. */
+const watchersBySocket = new WeakMap<net.Socket, Set<() => void>>();
+
+const watchSocket = (socket: net.Socket): Set<() => void> => {
+	const watchers = new Set<() => void>();
+	watchersBySocket.set(socket, watchers);
+	const notify = (): void => {
+		for (const onClosed of watchers) {
+			onClosed();
+		}
+	};
+
+	// A caller that sends its end gets no answer: Node's server then closes the connection.
+	socket.once('end', notify);
+	socket.once('close', notify);
+	return watchers;
+};
+
+const isClosed = (socket: net.Socket): boolean => socket.destroyed || socket.readableEnded;
+
+/** Watches the connection of a request until `end` is called. */
+export const watchCaller = ({clocks, loop}: Pick<GatewayState, 'clocks' | 'loop'>, {socket}: http.IncomingMessage, response: http.ServerResponse): CallerPresence => {
+	const controller = new AbortController();
+	const watchers = watchersBySocket.get(socket) ?? watchSocket(socket);
+	let leave: CallerLeave | undefined;
+	const onClosed = (): void => {
+		if (leave === undefined && !response.writableEnded) {
+			leave = {seenAt: clocks.steady(), stage: presence.stage, stoodMs: loop.getStandingMs()};
+			controller.abort();
+		}
+	};
+
+	const presence: CallerPresence = {
+		signal: controller.signal,
+		stage: 'unread',
+		getLeave: () => leave,
+		expire() {
+			controller.abort();
+		},
+		end() {
+			watchers.delete(onClosed);
+		},
+	};
+	watchers.add(onClosed);
+	if (isClosed(socket)) {
+		onClosed();
+	}
+
+	return presence;
+};
--- a/packages/gateway/src/calls/send-to-peer.ts
+++ b/packages/gateway/src/calls/send-to-peer.ts
@@ -264,6 +264,7 @@
 			break;
 		}
 
+		context.caller.stage = 'sent';
 		progress.triedPeers.add(peer.address);
 		progress.attempts++;
 		const startedAt = gateway.clocks.steady();
@@ -276,6 +277,10 @@
 			reason: result.kind === 'answered' ? result.response.statusCode : (result.kind === 'refused' ? result.refusal.kind : result.reason),
 			tookMs: Math.round(gateway.clocks.steady() - startedAt), remainingMs: Math.round(call.deadline - startedAt), isCutOff: gateway.paths.lostSince !== undefined,
 		});
+		if (result.kind !== 'answered') {
+			context.caller.stage = 'waiting';
+		}
+
 		if (result.kind === 'answered' || result.kind === 'may_have_run') {
 			return result;
 		}
--- a/packages/gateway/src/calls/serve-call.ts
+++ b/packages/gateway/src/calls/serve-call.ts
@@ -10,12 +10,26 @@
 import {recordArrival} from './backend-limits.js';
 import {isDraining} from './call-attempts.js';
 import {type CallOutcome} from './call-outcome.js';
+import {watchCaller} from './caller-presence.js';
 import {setRefusalResult} from './peer-call.js';
 import {sendRefusal} from './refusal.js';
 import {getRetryAllowance, getRetryLimit} from './retry-limits.js';
 import {servePlain} from './serve-plain.js';
 import {serveStream} from './serve-stream.js';
 
+/** Records that the caller left before its answer was complete, and describes it for the log. */
+const recordLeave = ({gateway, caller}: CallContext) => {
+	const leave = caller.getLeave();
+	if (leave === undefined) {
+		return {};
+	}
+
+	const afterLeaveMs = gateway.clocks.steady() - leave.seenAt;
+	gateway.metrics.callersLeft.inc({stage: leave.stage});
+	gateway.metrics.afterLeaveSeconds.observe(afterLeaveMs / 1000);
+	return {leftIn: leave.stage, afterLeaveMs: Math.round(afterLeaveMs), stoodMs: Math.round(leave.stoodMs)};
+};
+
 const finishCall = (context: CallContext, outcome: CallOutcome, admitted: AdmittedCall | undefined): void => {
 	const {gateway, response, head, timing, isFromPeer} = context;
 	if (outcome.refusal) {
@@ -40,6 +54,7 @@
 		firstMs: admitted && timing.firstByteAt !== undefined ? Math.round(timing.firstByteAt - admitted.call.arrivedAt) : undefined, longestPauseMs: Math.round(timing.longestPauseMs),
 		configuration: gateway.configuration?.configuration.version,
 		configurationAgeMs: Math.round(gateway.clocks.steady() - gateway.configurationCheckedAt), isFromPeer: isFromPeer || undefined,
+		...recordLeave(context),
 	});
 };
 
@@ -60,6 +75,7 @@
 		return {name: 'caller_left'};
 	}
 
+	context.caller.stage = 'waiting';
 	response.once('close', onClose);
 	const timer = setTimeout(() => {
 		controller.abort();
@@ -116,8 +132,13 @@
 
 /** Serves one request of a caller; never throws. */
 export const serveCall = async (gateway: GatewayState, request: http.IncomingMessage, response: http.ServerResponse): Promise<void> => {
+	const caller = watchCaller(gateway, request, response);
 	const context: CallContext = {
-		gateway, request, response, isFromPeer: false, head: gateway.wire.parseCallerHeaders(request.headers), timing: {firstByteAt: undefined, lastEventAt: 0, longestPauseMs: 0},
+		gateway, request, response, caller, isFromPeer: false, head: gateway.wire.parseCallerHeaders(request.headers), timing: {firstByteAt: undefined, lastEventAt: 0, longestPauseMs: 0},
 	};
-	await serveAdmission(context, async () => admitCall(context));
+	try {
+		await serveAdmission(context, async () => admitCall(context));
+	} finally {
+		caller.end();
+	}
 };
--- a/packages/gateway/src/calls/serve-peer-call.ts
+++ b/packages/gateway/src/calls/serve-peer-call.ts
@@ -6,6 +6,7 @@
 import {unknownOriginRefusal} from '../origins/continuity.js';
 import {isCutOff} from '../paths/track-paths.js';
 import {type AdmittedCall, type CallContext} from './admit-call.js';
+import {type CallerPresence, watchCaller} from './caller-presence.js';
 import {
 	decodePeerCall, type PeerCallData, type PeerCallResult, makeCallOfPeer, setResult,
 } from './peer-call.js';
@@ -51,8 +52,8 @@
 	sendRefusal(response, refusal, head.id, false);
 };
 
-const makeContext = (gateway: GatewayState, request: http.IncomingMessage, response: http.ServerResponse, data: PeerCallData | undefined): CallContext => ({
-	gateway, request, response, isFromPeer: true,
+const makeContext = (gateway: GatewayState, {request, response, caller}: Pick<CallContext, 'request' | 'response' | 'caller'>, data: PeerCallData | undefined): CallContext => ({
+	gateway, request, response, caller, isFromPeer: true,
 	head: {
 		id: data?.call.id, key: undefined, callerTimeoutMs: undefined, promptTokens: undefined, outputTokens: undefined, promptParts: [], lastEventId: undefined, resumes: {kind: 'none'},
 	},
@@ -80,12 +81,12 @@
 /** Whether the call continues a stream that has begun. */
 const isContinuation = ({wire}: GatewayState, {outgoing}: PeerCallData): boolean => outgoing.lastEventId !== undefined || wire.findLastEventId(outgoing.callerFields) !== undefined;
 
-/** Serves one request of a peer; never throws. */
-export const servePeerCall = async (gateway: GatewayState, request: http.IncomingMessage, response: http.ServerResponse): Promise<void> => {
+const serveMessage = async (gateway: GatewayState, exchange: Pick<CallContext, 'request' | 'response' | 'caller'>): Promise<void> => {
+	const {request} = exchange;
 	const maxBodyBytes = gateway.configuration?.configuration.limits.bodyBytes ?? 0;
 	const message = await readRequestBody(request, maxBodyBytes + maxHeadBytes);
 	const decoded = message.kind === 'whole' ? decodePeerCall(message.body) : undefined;
-	const context = makeContext(gateway, request, response, decoded?.data);
+	const context = makeContext(gateway, exchange, decoded?.data);
 	if (decoded === undefined) {
 		refuse(context, {kind: 'invalid_request', detail: 'The message of the peer is no call.'}, 'unfit');
 		return;
@@ -118,3 +119,13 @@
 
 	await serve(context, {call, outgoing: {...data.outgoing, lastEventId: data.outgoing.lastEventId, body}}, data.sender);
 };
+
+/** Serves one request of a peer; never throws. */
+export const servePeerCall = async (gateway: GatewayState, request: http.IncomingMessage, response: http.ServerResponse): Promise<void> => {
+	const caller: CallerPresence = watchCaller(gateway, request, response);
+	try {
+		await serveMessage(gateway, {request, response, caller});
+	} finally {
+		caller.end();
+	}
+};
--- a/packages/gateway/src/gateway-state.ts
+++ b/packages/gateway/src/gateway-state.ts
@@ -13,6 +13,7 @@
 import {type PathState} from '@shallotpass/core/paths/path-state.js';
 import {type BackendRegistry} from './calls/backend-registry.js';
 import {type Clocks} from './clocks.js';
+import {type LoopMonitor} from './loop-monitor.js';
 import {type EventLog} from './telemetry/event-log.js';
 import {type GatewayMetrics} from './telemetry/gateway-metrics.js';
 import {type GatewaySettings} from './gateway-settings.js';
@@ -62,6 +63,7 @@
 	/** Unique id of this run of the process. */
 	readonly incarnation: string;
 	readonly clocks: Clocks;
+	readonly loop: LoopMonitor;
 	readonly log: EventLog;
 	readonly metrics: GatewayMetrics;
 	readonly wire: WireFormat;
--- a/packages/gateway/src/start-gateway.ts
+++ b/packages/gateway/src/start-gateway.ts
@@ -13,6 +13,7 @@
 import {type CallersListener, listenForCallers, listenForReadinessChecks} from './calls/callers-listener.js';
 import {type CallersServer} from './calls/callers-server.js';
 import {makeClocks} from './clocks.js';
+import {type LoopMonitor, startLoopMonitor} from './loop-monitor.js';
 import {type LeaderTask, startLeaderTask} from './leader/leader-task.js';
 import {type EventLog} from './telemetry/event-log.js';
 import {followConfiguration} from './store/follow-configuration.js';
@@ -70,7 +71,7 @@
 	readonly stop: () => void;
 };
 
-type Identity = Pick<GatewayState, 'incarnation' | 'clocks' | 'stopSignal'>;
+type Identity = Pick<GatewayState, 'incarnation' | 'clocks' | 'stopSignal' | 'loop'>;
 
 const makeState = ({settings, log, openConnection}: GatewayOptions, platform: Platform, {metrics, ...identity}: Identity & Pick<GatewayState, 'metrics'>): GatewayState => ({
 	settings,
@@ -170,8 +171,15 @@
 		storeCalls.set(topic, (storeCalls.get(topic) ?? 0) + 1);
 	});
 	const controller = new AbortController();
+	const clocks = makeClocks();
+	const loop: LoopMonitor = startLoopMonitor({
+		steady: clocks.steady, signal: controller.signal, onStall(stalledMs) {
+			metrics.loopStallSeconds.observe(stalledMs / 1000);
+			options.log.write('state', 'loop_stalled', {stalledMs: Math.round(stalledMs), activeCalls: state.activeCalls});
+		},
+	});
 	const state: GatewayState = makeState(options, platform, {
-		incarnation: randomUUID(), clocks: makeClocks(), stopSignal: controller.signal, metrics,
+		incarnation: randomUUID(), clocks, loop, stopSignal: controller.signal, metrics,
 	});
 	state.registry.onConnected = incarnation => {
 		recordPathSuccess(state, incarnation);
--- a/packages/gateway/src/telemetry/gateway-metrics.ts
+++ b/packages/gateway/src/telemetry/gateway-metrics.ts
@@ -33,6 +33,9 @@
 	readonly cutOff: Gauge;
 	readonly peerCallsSent: Counter<'service' | 'outcome'>;
 	readonly peerCallsReceived: Counter<'outcome'>;
+	readonly callersLeft: Counter<'stage'>;
+	readonly afterLeaveSeconds: Histogram;
+	readonly loopStallSeconds: Histogram;
 	readonly activeCalls: Gauge;
 };
 
@@ -121,6 +124,15 @@
 		peerCallsReceived: new Counter({
 			name: 'shallotpass_gateway_peer_calls_received_total', help: 'Calls that other daemons offered to this one by outcome', labelNames: ['outcome'], registers,
 		}),
+		callersLeft: new Counter({
+			name: 'shallotpass_gateway_callers_left_total', help: 'Calls whose callers left before their answer was complete, by how far the call had come', labelNames: ['stage'], registers,
+		}),
+		afterLeaveSeconds: new Histogram({
+			name: 'shallotpass_gateway_after_leave_seconds', help: 'Seconds for which a call went on after its caller was seen to have left', buckets: durationBucketsS, registers,
+		}),
+		loopStallSeconds: new Histogram({
+			name: 'shallotpass_gateway_loop_stall_seconds', help: 'Seconds for which the process handled nothing, of stalls over a tenth of a second', buckets: durationBucketsS, registers,
+		}),
 		peers: new Gauge({name: 'shallotpass_gateway_peers', help: 'Other daemons that were heard lately', registers}),
 		activeCalls: new Gauge({name: 'shallotpass_gateway_active_calls', help: 'Calls in flight', registers}),
 	};
--- a/packages/gateway/src/telemetry/log-events.ts
+++ b/packages/gateway/src/telemetry/log-events.ts
@@ -83,9 +83,10 @@
 		fields: ['request', 'service', 'backend', 'version', 'predictedMs', 'cachedTokens', 'own', 'others', 'tokensPerMs', 'offer', 'result', 'reason', 'chosenMs', 'directoryOffset', 'directoryAgeMs', 'directorySource', 'leavingMs', 'isMissing', 'limit'],
 	},
 	call_ended: {
-		meaning: 'Outcome of a call',
-		fields: ['request', 'account', 'route', 'service', 'kind', 'outcome', 'detail', 'status', 'tookMs', 'firstMs', 'longestPauseMs', 'configuration', 'configurationAgeMs', 'isFromPeer'],
+		meaning: 'Outcome of a call. `leftIn`: how far it had come when its caller left, `afterLeaveMs`: for how long it went on after that was seen, `stoodMs`: for how long the close may have stood unread, as the process did not run',
+		fields: ['request', 'account', 'route', 'service', 'kind', 'outcome', 'detail', 'status', 'tookMs', 'firstMs', 'longestPauseMs', 'configuration', 'configurationAgeMs', 'isFromPeer', 'leftIn', 'afterLeaveMs', 'stoodMs'],
 	},
+	loop_stalled: {meaning: 'The process handled nothing for this long, as it was busy, suspended or without processor time; what it reads next may have stood as long', fields: ['stalledMs', 'activeCalls']},
 	call_sent_to_peer: {
 		meaning: 'A call was offered to another daemon, as no backend server of its service is reached from here',
 		fields: ['request', 'service', 'peer', 'zone', 'offer', 'result', 'reason', 'tookMs', 'remainingMs', 'isCutOff'],
