End each run of requests that were sent together when their caller leaves

What callers saw: nothing; engines worked on for them: each request but the first of those that were sent at once on a connection ran to its end. Cause: the close was watched on the response. The response to a pipelined request has no socket until the one before it is answered, so it never tells of a close. Change: a call ends by the state of its caller's connection (caller-presence.ts), whatever its response has; the deadline ends it by the same signal. Beside it, a plain answer that broke off because its call had ended (deadline or leave) is no longer recorded as a broken connection of the backend server: with the new signal such answers end here, where before the close of the response had hidden them. A caller that sends its end but still reads is taken as gone: Node's server ends its connection then, so no answer could reach it.

--- a/packages/gateway/src/calls/serve-call.ts
+++ b/packages/gateway/src/calls/serve-call.ts
@@ -59,27 +59,16 @@
 };
 
 const runAdmittedCall = async (context: CallContext, admitted: AdmittedCall): Promise<CallOutcome> => {
-	const {gateway, response} = context;
+	const {gateway, caller} = context;
 	const {call} = admitted;
-	const controller = new AbortController();
-	let isCallerGone = false;
-	const onClose = (): void => {
-		if (!response.writableFinished) {
-			isCallerGone = true;
-			controller.abort();
-		}
-	};
-
+	const {signal} = caller;
 	// Its connection may have closed while it was admitted.
-	if (response.destroyed) {
+	if (signal.aborted) {
 		return {name: 'caller_left'};
 	}
 
-	context.caller.stage = 'waiting';
-	response.once('close', onClose);
-	const timer = setTimeout(() => {
-		controller.abort();
-	}, Math.max(0, call.deadline - gateway.clocks.steady()));
+	caller.stage = 'waiting';
+	const timer = setTimeout(caller.expire, Math.max(0, call.deadline - gateway.clocks.steady()));
 	if (!isCutOff(gateway)) {
 		recordArrival(gateway, call.service, call.rank);
 	}
@@ -89,19 +78,18 @@
 	}
 
 	try {
-		const outcome = await (isStream(call.repeatability) ? serveStream(context, admitted, controller.signal) : servePlain(context, admitted, controller.signal));
-		if (isCallerGone) {
+		const outcome = await (isStream(call.repeatability) ? serveStream(context, admitted, signal) : servePlain(context, admitted, signal));
+		if (caller.getLeave()) {
 			return {name: 'caller_left'};
 		}
 
-		if (controller.signal.aborted && outcome.refusal) {
+		if (signal.aborted && outcome.refusal) {
 			return {name: 'deadline', refusal: {kind: 'deadline_exceeded', detail: 'The call was not answered in time.'}};
 		}
 
 		return outcome;
 	} finally {
 		clearTimeout(timer);
-		response.off('close', onClose);
 	}
 };
 
--- a/packages/gateway/src/calls/serve-plain.ts
+++ b/packages/gateway/src/calls/serve-plain.ts
@@ -45,7 +45,10 @@
 			}
 
 			attempt.exchange.abort();
-			recordBrokenAttempt(gateway, attempt, admitted, progress);
+			if (!signal.aborted) {
+				recordBrokenAttempt(gateway, attempt, admitted, progress);
+			}
+
 			progress.lastFailure = `the answer broke off at ${attempt.source}`;
 			if (forwarded === 'broken_midway') {
 				return {name: 'broken_midway', detail: progress.lastFailure};
