Read the closes that stood through a stall before a call is sent

What callers saw: nothing; after a daemon had not run for a while, requests reached engines whose callers had left more than half a second before (the users' record). Cause: the request and the close behind it stand in the same socket. Node reads the request in one turn of the loop and the close in the next, and a call with an open connection to its backend server is sent within the first. Connections that wait to be accepted are one turn later still. Evidence: three tests (closed, reset, new connections) failed and pass now; with catchUp taken out of the built file they fail again. A fourth, in which the stall falls into the question for an engine's start, passes also without it: it guards the order, which was right by luck. Change: confirmCallerWaits is the last await before each send (backend server, peer, move): if the loop has just stalled, it waits for one whole poll. Without a stall it costs a comparison and a microtask. Ruled out: a turn of the loop for every call, which callers on the calm path would pay for; readableEnded alone, which is set in the later turn as well.

--- a/packages/gateway/src/calls/caller-presence.ts
+++ b/packages/gateway/src/calls/caller-presence.ts
@@ -47,6 +47,12 @@
 
 const isClosed = (socket: net.Socket): boolean => socket.destroyed || socket.readableEnded;
 
+/** Whether anybody still waits for the answer of a call that is about to be sent. After a stall, closes that stand unread are read first. */
+export const confirmCallerWaits = async ({loop}: Pick<GatewayState, 'loop'>, signal: AbortSignal): Promise<boolean> => {
+	await loop.catchUp();
+	return !signal.aborted;
+};
+
 /** Watches the connection of a request until `end` is called. */
 export const watchCaller = ({clocks, loop}: Pick<GatewayState, 'clocks' | 'loop'>, {socket}: http.IncomingMessage, response: http.ServerResponse): CallerPresence => {
 	const controller = new AbortController();
--- a/packages/gateway/src/calls/move-run.ts
+++ b/packages/gateway/src/calls/move-run.ts
@@ -11,6 +11,7 @@
 import {type MovedKvCache} from '../ports.js';
 import {observeBrittleness} from './backend-brittleness.js';
 import {observeLimit, takeFromLimit} from './backend-limits.js';
+import {confirmCallerWaits} from './caller-presence.js';
 import {confirmIncarnation} from './confirm-incarnation.js';
 import {type Placement, placeCall, type PlacementResult} from './place-call.js';
 import {type BackendState} from './backend-registry.js';
@@ -77,7 +78,7 @@
 		return undefined;
 	}
 
-	if (signal.aborted || !await payForRun(gateway, call) || signal.aborted) {
+	if (signal.aborted || !await payForRun(gateway, call) || !await confirmCallerWaits(gateway, signal)) {
 		return undefined;
 	}
 
--- a/packages/gateway/src/calls/run-at-backend.ts
+++ b/packages/gateway/src/calls/run-at-backend.ts
@@ -17,6 +17,7 @@
 import {hasSeveralVersions} from './count-versions.js';
 import {type AnsweringVersion, confirmBeforeSend, determineAnsweringVersion} from './confirm-incarnation.js';
 import {type Exchange, type IsComplete, sendToBackend} from './backend-exchange.js';
+import {confirmCallerWaits} from './caller-presence.js';
 import {recordBrokenConnection, recordConnectFailure, suspendBackend} from './connect-failures.js';
 import {observeBrittleness} from './backend-brittleness.js';
 import {observeLimit} from './backend-limits.js';
@@ -117,8 +118,9 @@
 		return {kind: 'not_run', reason: `incarnation_${findingBefore}`, hasArrived: false};
 	}
 
-	if (signal.aborted || !mayStillReceive(gateway, state)) {
-		return {kind: 'not_run', reason: signal.aborted ? 'given_up' : 'backend_left', hasArrived: false};
+	const isWaitedFor = await confirmCallerWaits(gateway, signal);
+	if (!isWaitedFor || !mayStillReceive(gateway, state)) {
+		return {kind: 'not_run', reason: isWaitedFor ? 'backend_left' : 'given_up', hasArrived: false};
 	}
 
 	const now = gateway.clocks.steady();
--- a/packages/gateway/src/calls/send-to-peer.ts
+++ b/packages/gateway/src/calls/send-to-peer.ts
@@ -10,6 +10,7 @@
 import {type AdmittedCall, type CallContext} from './admit-call.js';
 import {type Exchange} from './backend-exchange.js';
 import {type CallProgress} from './call-progress.js';
+import {confirmCallerWaits} from './caller-presence.js';
 import {openCallRequest, resetRequest} from './open-call-request.js';
 import {
 	encodePeerCall, isPeerCallResult, parseVersion, peerCallPath, type PeerCallResult, resultField, runsField, versionField,
@@ -206,6 +207,10 @@
 const sendToOnePeer = async (context: CallContext, admitted: AdmittedCall, offer: {peer: PeerCandidate; progress: CallProgress}, signal: AbortSignal): Promise<PeerResult> => {
 	const {gateway} = context;
 	const {address} = offer.peer;
+	if (!await confirmCallerWaits(gateway, signal)) {
+		return {kind: 'unsent', reason: 'given_up'};
+	}
+
 	const message = encodePeerCall(gateway, admitted, offer.progress);
 	const sentAt = gateway.clocks.steady();
 	const {reply, exchange, hasFailed} = startExchange(address, message, {mayGiveUp: isRepeatable(admitted.call.repeatability), signal});
@@ -253,7 +258,7 @@
 const recordResult = (gateway: GatewayState, {address, availabilityZone, room}: PeerCandidate, service: string, result: PeerResult): void => {
 	const now = gateway.clocks.steady();
 	const {avoidedUntil, avoidedZonesUntil, unservedUntil} = gateway.peerCalls;
-	const isUnusable = result.kind === 'unsent' || (result.kind === 'may_have_run' && result.isLinkLost) || (result.kind === 'refused' && result.isUnfit);
+	const isUnusable = (result.kind === 'unsent' && result.reason !== 'given_up') || (result.kind === 'may_have_run' && result.isLinkLost) || (result.kind === 'refused' && result.isUnfit);
 	if (isUnusable) {
 		avoidedUntil.set(address, now + avoidMs);
 		if (room === undefined) {
