--- a/packages/gateway/src/calls/send-to-peer.ts
+++ b/packages/gateway/src/calls/send-to-peer.ts
@@ -10,6 +10,8 @@
 import {type AdmittedCall, type CallContext} from './admit-call.js';
 import {type Exchange} from './backend-exchange.js';
 import {type CallProgress} from './call-progress.js';
+import {confirmCallerWaits} from './caller-presence.js';
+import {openCallRequest, resetRequest} from './open-call-request.js';
 import {
 	encodePeerCall, isPeerCallResult, parseVersion, peerCallPath, type PeerCallResult, resultField, runsField, versionField,
 } from './peer-call.js';
@@ -109,25 +111,39 @@
 	readonly hasFailed: () => boolean;
 };
 
-const startExchange = (address: string, message: Uint8Array, mayGiveUp: boolean): PeerExchange => {
+/** The exchange of a call that was not sent, as nobody waits for its answer. */
+const unsentExchange: PeerExchange = {
+	reply: Promise.resolve({
+		kind: 'failed', reason: 'given_up', isSent: false, isConfirmed: false,
+	}),
+	hasFailed: () => true,
+	exchange: {
+		abort() {/* Nothing was sent. */},
+		reset() {/* Nothing was sent. */},
+	},
+};
+
+const startExchange = (address: string, message: Uint8Array, {mayGiveUp, signal}: {mayGiveUp: boolean; signal: AbortSignal}): PeerExchange => {
 	const {host, port} = parseHostAndPort(address);
-	const request = http.request({
-		agent, host, port, method: 'POST', path: peerCallPath, headers: {'Content-Length': String(message.length)},
+	const request = openCallRequest({
+		request: {
+			agent, host, port, method: 'POST', path: peerCallPath, headers: {'Content-Length': String(message.length)},
+		},
+		signal,
+		giveUp: resetRequest,
 	});
+	if (request === undefined) {
+		return unsentExchange;
+	}
+
 	let isSent = false;
 	let isConfirmed = false;
 	let hasFailed = false;
 	let reason: string | undefined;
 	let timer: NodeJS.Timeout | undefined;
-	const reset = (): void => {
-		// After a regular close, a call that a failed link holds up would still arrive when the link works again.
-		request.socket?.resetAndDestroy();
-		request.destroy();
-	};
-
 	const giveUp = (why: string) => (): void => {
 		reason = why;
-		reset();
+		resetRequest(request);
 	};
 
 	const send = (): void => {
@@ -180,7 +196,9 @@
 			abort() {
 				request.destroy();
 			},
-			reset,
+			reset() {
+				resetRequest(request);
+			},
 		},
 	};
 };
@@ -189,16 +207,18 @@
 const sendToOnePeer = async (context: CallContext, admitted: AdmittedCall, offer: {peer: PeerCandidate; progress: CallProgress}, signal: AbortSignal): Promise<PeerResult> => {
 	const {gateway} = context;
 	const {address} = offer.peer;
+	if (!await confirmCallerWaits(gateway, signal)) {
+		return {kind: 'unsent', reason: 'given_up'};
+	}
+
 	const message = encodePeerCall(gateway, admitted, offer.progress);
 	const sentAt = gateway.clocks.steady();
-	const {reply, exchange, hasFailed} = startExchange(address, message, isRepeatable(admitted.call.repeatability));
+	const {reply, exchange, hasFailed} = startExchange(address, message, {mayGiveUp: isRepeatable(admitted.call.repeatability), signal});
 	countSent(gateway, address, 1);
-	signal.addEventListener('abort', exchange.reset, {once: true});
 	let isRunning = true;
 	const end = (): void => {
 		if (isRunning) {
 			isRunning = false;
-			signal.removeEventListener('abort', exchange.reset);
 			countSent(gateway, address, -1);
 		}
 	};
@@ -238,7 +258,7 @@
 const recordResult = (gateway: GatewayState, {address, availabilityZone, room}: PeerCandidate, service: string, result: PeerResult): void => {
 	const now = gateway.clocks.steady();
 	const {avoidedUntil, avoidedZonesUntil, unservedUntil} = gateway.peerCalls;
-	const isUnusable = result.kind === 'unsent' || (result.kind === 'may_have_run' && result.isLinkLost) || (result.kind === 'refused' && result.isUnfit);
+	const isUnusable = (result.kind === 'unsent' && result.reason !== 'given_up') || (result.kind === 'may_have_run' && result.isLinkLost) || (result.kind === 'refused' && result.isUnfit);
 	if (isUnusable) {
 		avoidedUntil.set(address, now + avoidMs);
 		if (room === undefined) {
@@ -264,6 +284,7 @@
 			break;
 		}
 
+		context.caller.stage = 'sent';
 		progress.triedPeers.add(peer.address);
 		progress.attempts++;
 		const startedAt = gateway.clocks.steady();
@@ -276,6 +297,10 @@
 			reason: result.kind === 'answered' ? result.response.statusCode : (result.kind === 'refused' ? result.refusal.kind : result.reason),
 			tookMs: Math.round(gateway.clocks.steady() - startedAt), remainingMs: Math.round(call.deadline - startedAt), isCutOff: gateway.paths.lostSince !== undefined,
 		});
+		if (result.kind !== 'answered') {
+			context.caller.stage = 'waiting';
+		}
+
 		if (result.kind === 'answered' || result.kind === 'may_have_run') {
 			return result;
 		}
--- a/packages/gateway/src/calls/serve-call.ts
+++ b/packages/gateway/src/calls/serve-call.ts
@@ -10,12 +10,26 @@
 import {recordArrival} from './backend-limits.js';
 import {isDraining} from './call-attempts.js';
 import {type CallOutcome} from './call-outcome.js';
+import {watchCaller} from './caller-presence.js';
 import {setRefusalResult} from './peer-call.js';
 import {sendRefusal} from './refusal.js';
 import {getRetryAllowance, getRetryLimit} from './retry-limits.js';
 import {servePlain} from './serve-plain.js';
 import {serveStream} from './serve-stream.js';
 
+/** Records that the caller left before its answer was complete, and describes it for the log. */
+const recordLeave = ({gateway, caller}: CallContext) => {
+	const leave = caller.getLeave();
+	if (leave === undefined) {
+		return {};
+	}
+
+	const afterLeaveMs = gateway.clocks.steady() - leave.seenAt;
+	gateway.metrics.callersLeft.inc({stage: leave.stage});
+	gateway.metrics.afterLeaveSeconds.observe(afterLeaveMs / 1000);
+	return {leftIn: leave.stage, afterLeaveMs: Math.round(afterLeaveMs), stoodMs: Math.round(leave.stoodMs)};
+};
+
 const finishCall = (context: CallContext, outcome: CallOutcome, admitted: AdmittedCall | undefined): void => {
 	const {gateway, response, head, timing, isFromPeer} = context;
 	if (outcome.refusal) {
@@ -40,30 +54,21 @@
 		firstMs: admitted && timing.firstByteAt !== undefined ? Math.round(timing.firstByteAt - admitted.call.arrivedAt) : undefined, longestPauseMs: Math.round(timing.longestPauseMs),
 		configuration: gateway.configuration?.configuration.version,
 		configurationAgeMs: Math.round(gateway.clocks.steady() - gateway.configurationCheckedAt), isFromPeer: isFromPeer || undefined,
+		...recordLeave(context),
 	});
 };
 
 const runAdmittedCall = async (context: CallContext, admitted: AdmittedCall): Promise<CallOutcome> => {
-	const {gateway, response} = context;
+	const {gateway, caller} = context;
 	const {call} = admitted;
-	const controller = new AbortController();
-	let isCallerGone = false;
-	const onClose = (): void => {
-		if (!response.writableFinished) {
-			isCallerGone = true;
-			controller.abort();
-		}
-	};
-
+	const {signal} = caller;
 	// Its connection may have closed while it was admitted.
-	if (response.destroyed) {
+	if (signal.aborted) {
 		return {name: 'caller_left'};
 	}
 
-	response.once('close', onClose);
-	const timer = setTimeout(() => {
-		controller.abort();
-	}, Math.max(0, call.deadline - gateway.clocks.steady()));
+	caller.stage = 'waiting';
+	const timer = setTimeout(caller.expire, Math.max(0, call.deadline - gateway.clocks.steady()));
 	if (!isCutOff(gateway)) {
 		recordArrival(gateway, call.service, call.rank);
 	}
@@ -73,19 +78,18 @@
 	}
 
 	try {
-		const outcome = await (isStream(call.repeatability) ? serveStream(context, admitted, controller.signal) : servePlain(context, admitted, controller.signal));
-		if (isCallerGone) {
+		const outcome = await (isStream(call.repeatability) ? serveStream(context, admitted, signal) : servePlain(context, admitted, signal));
+		if (caller.getLeave()) {
 			return {name: 'caller_left'};
 		}
 
-		if (controller.signal.aborted && outcome.refusal) {
+		if (signal.aborted && outcome.refusal) {
 			return {name: 'deadline', refusal: {kind: 'deadline_exceeded', detail: 'The call was not answered in time.'}};
 		}
 
 		return outcome;
 	} finally {
 		clearTimeout(timer);
-		response.off('close', onClose);
 	}
 };
 
@@ -116,8 +120,13 @@
 
 /** Serves one request of a caller; never throws. */
 export const serveCall = async (gateway: GatewayState, request: http.IncomingMessage, response: http.ServerResponse): Promise<void> => {
+	const caller = watchCaller(gateway, request, response);
 	const context: CallContext = {
-		gateway, request, response, isFromPeer: false, head: gateway.wire.parseCallerHeaders(request.headers), timing: {firstByteAt: undefined, lastEventAt: 0, longestPauseMs: 0},
+		gateway, request, response, caller, isFromPeer: false, head: gateway.wire.parseCallerHeaders(request.headers), timing: {firstByteAt: undefined, lastEventAt: 0, longestPauseMs: 0},
 	};
-	await serveAdmission(context, async () => admitCall(context));
+	try {
+		await serveAdmission(context, async () => admitCall(context));
+	} finally {
+		caller.end();
+	}
 };
