Count the time for which a request may have stood unread as part of its time

What callers saw: after a stall of the daemon an engine was given the whole time of a request whose caller had waited for some of it already. Cause: the moment at which a request is read was taken for the one at which it came. Class: a moment is stamped when it is read. Change: arrivedAt is the earliest moment at which the request may have come, by the loop monitor; the deadline, the target, tookMs and firstMs follow from it. A request keeps a quarter of its time in any case, as it may have come at the end of the stall (a second test): refusing all that stood would refuse callers that can be served. Ruled out: half of the stall as the expected age, which gives every second caller more than it has.

--- a/packages/gateway/src/calls/admit-call.ts
+++ b/packages/gateway/src/calls/admit-call.ts
@@ -128,8 +128,26 @@
 	return index;
 };
 
-const makeCall = ({gateway, head}: CallContext, {route, account, service}: RequestTarget, arrivedAt: number): Call => {
+/** When a request was read, and when it may have arrived at the earliest, on the steady clock. */
+type Arrival = {
+	readonly readAt: number;
+	readonly arrivedAt: number;
+};
+
+const observeArrival = ({clocks, loop}: GatewayState): Arrival => {
+	const readAt = clocks.steady();
+	return {readAt, arrivedAt: readAt - loop.getStandingMs()};
+};
+
+/** Part of its time that a request keeps in any case. One that was read after a stall may have come at its end. */
+const minRemainingPart = 0.25;
+
+const computeDeadline = ({readAt, arrivedAt}: Arrival, timeoutMs: number): Deadline =>
+	(Math.max(arrivedAt + timeoutMs, readAt + (timeoutMs * minRemainingPart)) - deadlineMarginMs) as Deadline;
+
+const makeCall = ({gateway, head}: CallContext, {route, account, service}: RequestTarget, arrival: Arrival): Call => {
 	const timeoutMs = Math.min(head.callerTimeoutMs ?? route.limitMs, route.limitMs);
+	const {arrivedAt} = arrival;
 	return {
 		id: head.id ?? '',
 		account: account?.name,
@@ -138,7 +156,7 @@
 		repeatability: route.repeatability,
 		arrivedAt,
 		targetAt: (arrivedAt + route.targetMs) as Deadline,
-		deadline: (arrivedAt + timeoutMs - deadlineMarginMs) as Deadline,
+		deadline: computeDeadline(arrival, timeoutMs),
 		rank: Math.max(0, route.rank),
 		maxAttempts: Math.max(1, route.attempts),
 		promptTokens: head.promptTokens ?? 0,
@@ -151,7 +169,7 @@
 export const admitCall = async (context: CallContext): Promise<AdmittedCall | RefusedCall> => {
 	const {gateway, request, head, caller} = context;
 	caller.stage = 'admitting';
-	const arrivedAt = gateway.clocks.steady();
+	const arrival = observeArrival(gateway);
 	await waitForWarmUp(gateway);
 	const index = checkAcceptsCalls(gateway);
 	if (index instanceof RefusedCall) {
@@ -184,7 +202,7 @@
 	}
 
 	const {continuity} = continuityResult;
-	const call = makeCall(context, {...target, service: continuity?.origin?.service ?? target.service}, arrivedAt);
+	const call = makeCall(context, {...target, service: continuity?.origin?.service ?? target.service}, arrival);
 	const {refusal: crashRefusal, trialOf} = checkVerdict(gateway, {call, outgoing: {digest}});
 	if (crashRefusal) {
 		return new RefusedCall(crashRefusal);
