Take what an answer confirms that stood unread as old as it may be

What callers saw: nothing shown; a daemon that had not run for a while took its configuration and its list of backend servers for confirmed as of now by answers written before, so that a removed key or a backend server that had left counted as current for as long as the answer had stood. Cause: the moment of reading was taken for that of writing. Evidence: the test failed ('the directory') and passes now. A second one, of the clock that daemons share, fails still and is listed. Change: the loop monitor's bound is subtracted where the store or a peer confirms either; what was confirmed before stays confirmed. Held already: the lease counts from the moment its renewal was sent; quotas unsettle themselves after a pause. Checks: stood-messages 1 of 2, tests of store, peers and platform/peers 20 of 20 beside it.

--- a/packages/gateway/src/peers/query-peers.ts
+++ b/packages/gateway/src/peers/query-peers.ts
@@ -27,12 +27,13 @@
 /** Renews the age of this daemon's state wherever the peer holds the same state. */
 const confirmFreshness = ({gateway, directory}: SharedStateOptions, known: Omit<StoreVersions, 'members'>, address: string): void => {
 	const version = gateway.configuration?.configuration.version ?? -1;
+	const standingMs = gateway.loop.getStandingMs();
 	if (known.configurationVersion === version) {
-		gateway.configurationCheckedAt = Math.max(gateway.configurationCheckedAt, gateway.clocks.steady() - known.configurationAgeMs);
+		gateway.configurationCheckedAt = Math.max(gateway.configurationCheckedAt, gateway.clocks.steady() - known.configurationAgeMs - standingMs);
 	}
 
 	if (known.directoryDigest === directory.read().digest) {
-		directory.confirm(known.directoryNext, known.directoryAgeMs, address);
+		directory.confirm(known.directoryNext, known.directoryAgeMs + standingMs, address);
 	}
 };
 
--- a/packages/gateway/src/store/follow-configuration.ts
+++ b/packages/gateway/src/store/follow-configuration.ts
@@ -81,7 +81,7 @@
 			onListing: applyRecords,
 			onRecords: applyRecords,
 			onResponse() {
-				gateway.configurationCheckedAt = gateway.clocks.steady();
+				gateway.configurationCheckedAt = Math.max(gateway.configurationCheckedAt, gateway.clocks.steady() - gateway.loop.getStandingMs());
 				if (isStoreUnavailable) {
 					isStoreUnavailable = false;
 					gateway.log.write('state', 'store_regained', {topic: 'configuration'});
--- a/packages/gateway/src/store/follow-directory.test.ts
+++ b/packages/gateway/src/store/follow-directory.test.ts
@@ -67,6 +67,7 @@
 	const gateway = {
 		settings: {bounds: {drainMs: 2000, stableMs}},
 		clocks: {steady: () => now},
+		loop: {getStandingMs: () => 0},
 		log: {write() {/* not needed */}},
 		registry: makeBackendRegistry(),
 		directoryReadAt: undefined,
--- a/packages/gateway/src/store/follow-directory.ts
+++ b/packages/gateway/src/store/follow-directory.ts
@@ -160,7 +160,7 @@
 			onResponse() {
 				const wasStale = Number.isFinite(getAgeMs()) && getAgeMs() > peerFreshMs;
 				confirmedBefore = gateway.directoryStatus.confirmedAt;
-				updateStatus({confirmedAt: now(), storeAnsweredAt: now(), source: 'store'});
+				updateStatus({confirmedAt: Math.max(confirmedBefore, now() - gateway.loop.getStandingMs()), storeAnsweredAt: now(), source: 'store'});
 				if (outage.recordAnswer() || wasStale) {
 					// If the store was available to other daemons, entries did not expire because of an outage:
 					// a removed backend server has shut down and must get no more calls.
