Let reports that stood unread leave the shared clock alone

What callers saw: nothing shown; usage is counted in windows of the clock that all daemons share. After a stall each report of the others looked as old as it had stood, the median moved, and the clock was set back by the length of the stall until the next reports came. Cause: a report's true time was compared with the moment of reading. Change: a report that may have stood leaves the offset of the one before in force.

--- a/packages/gateway/src/gateway-state.ts
+++ b/packages/gateway/src/gateway-state.ts
@@ -25,8 +25,8 @@
 export type PeerReport = GossipReport & {
 	/** When the report arrived, on the steady clock. */
 	readonly receivedAt: number;
-	/** The sender's true time minus this daemon's steady clock on arrival. */
-	readonly clockOffset: number;
+	/** The sender's true time minus this daemon's steady clock on arrival. Undefined if no report was read as it arrived. */
+	readonly clockOffset: number | undefined;
 };
 
 /** Origin and age of this daemon's directory of backend servers. */
--- a/packages/gateway/src/peers/gossip.ts
+++ b/packages/gateway/src/peers/gossip.ts
@@ -108,8 +108,12 @@
 	const makeOwnReport = (): GossipReport => makeReport(gateway, {...options.getReportInput(memberList), repeatsVerdicts: rounds % verdictRoundInterval === 0});
 	let ownReport = makeOwnReport();
 
+	/** A report that stood unread tells less than the one before. */
+	const findClockOffset = ({incarnation, trueTime}: GossipReport): number | undefined =>
+		gateway.loop.getStandingMs() > 0 ? gateway.peers.get(incarnation)?.clockOffset : trueTime - now();
+
 	const toPeerReport = (report: GossipReport): PeerReport => ({
-		...ageReport(report, gateway.clocks.trueTime()), receivedAt: now(), clockOffset: report.trueTime - now(),
+		...ageReport(report, gateway.clocks.trueTime()), receivedAt: now(), clockOffset: findClockOffset(report),
 	});
 
 	const recordPeer = (report: PeerReport): void => {
@@ -215,7 +219,7 @@
 		}
 
 		const fresh = [...gateway.peers.values()].filter(peer => peer.receivedAt >= now() - peerExpiryMs);
-		gateway.clocks.applyPeerOffsets(fresh.map(peer => peer.clockOffset));
+		gateway.clocks.applyPeerOffsets(fresh.map(peer => peer.clockOffset).filter(offset => offset !== undefined));
 		gateway.metrics.peers.set(fresh.reduce((sum, peer) => sum + peer.daemons, 0));
 		sumOtherLoads(gateway);
 		// With relays in use, the total contains this daemon. The active relay makes the total itself.
