Let callers of the soak leave at any moment, and check that no work goes on for them

Cause: callers of the soak waited until their answer came or a timeout passed, so neither half of rule GONE was ever checked. Change: two callers that send one or two requests, also pipelined, whose runs last 2.5 s, and leave after 0 to 400 ms: closed, reset or half-closed, beside all faults. Late arrivals (more than three, half a second) are found also at daemons that were suspended, as the close had reached their kernel; runs still at work (over a quarter) only at daemons that run.

--- a/scripts/soak/src/check-history.test.ts
+++ b/scripts/soak/src/check-history.test.ts
@@ -23,6 +23,7 @@
 const makeHistory = (changes: Partial<History> = {}): History => ({
 	calls: [makeCall()], limitedCalls: [],
 	crashingCalls: [],
+	leavingCalls: [],
 	crashes: [], streams: [], lastingVersions: ['v1'], runs: [makeRun()], duties: [], disturbances: [], bans: [], arrivals: [], limits: [], linkDisturbances: [], cuts: [], brittleSpans: [], rejections: [], ownEnds: [], neverReady: [], calmFrom: 9000, hasOnlyPlannedWork: false, ...changes,
 });
 
@@ -178,3 +179,30 @@
 	assert.match(find(refused).join(' '), /only 0\.42 of 12/v);
 	assert.deepEqual(find(refused.map(stream => ({...stream, versions: ['v1.2']}))), [], 'one engine only has that version');
 });
+
+const leftAt = 10_000;
+const leavingCalls = Array.from({length: 16}, (_value, index) => ({
+	id: `l-${index}`, route: 'ask' as const, daemon: 'daemon-0', leftAt,
+}));
+
+/** Runs for callers that have left, of which so many go on for a second. */
+const makeRunsOfLeft = (atWork: number): BackendRun[] => leavingCalls.map(({id}, index) => makeRun({
+	id, service: 'llm', backend: 'engine-0', at: 9900, endedAt: leftAt + (index < atWork ? 1000 : 50), isClosedByPeer: index >= atWork,
+}));
+
+test('runs that go on for callers that have left are found beyond a quarter', () => {
+	const find = (atWork: number): string[] => findViolations(makeHistory({leavingCalls, runs: [makeRun(), ...makeRunsOfLeft(atWork)]}));
+	assert.deepEqual(find(4), []);
+	assert.match(find(5).join(' '), /5 of 16 runs were still at work/v);
+});
+
+test('requests that reach backend servers half a second after their callers have left are found, also by a daemon that was suspended', () => {
+	const arrivals = leavingCalls.slice(0, 4).map(({id}) => ({backend: 'engine-0', id, at: leftAt + 501}));
+	const disturbances = [{daemon: 'daemon-0', from: leftAt - 500, until: leftAt + 500}];
+	const find = (changes: Partial<History>): string[] => findViolations(makeHistory({
+		leavingCalls, arrivals, disturbances, ...changes,
+	}));
+	assert.match(find({}).join(' '), /4 requests reached backend servers over 500 ms/v);
+	assert.deepEqual(find({arrivals: arrivals.slice(1)}), []);
+	assert.deepEqual(find({linkDisturbances: [{backend: 'engine-0', from: leftAt, until: leftAt + 400}]}), []);
+});
--- a/scripts/soak/src/check-history.ts
+++ b/scripts/soak/src/check-history.ts
@@ -5,6 +5,7 @@
 import {findCrashViolations} from './crashing-part.js';
 import {findLimitViolations} from './check-limits.js';
 import {findContinuityViolations} from './check-continuity.js';
+import {findLeaveViolations} from './leaving-callers.js';
 import {formatExpectedStream, listVersions, removeVersions} from './format-events.js';
 import {findQuotaViolations} from './limited-account.js';
 import {
@@ -170,7 +171,7 @@
 export const findViolations = (history: History): string[] => {
 	const runsById = groupById(history.runs);
 	const sentIds = new Set([
-		...[...history.calls, ...history.limitedCalls, ...history.crashingCalls].map(call => call.id),
+		...[...history.calls, ...history.limitedCalls, ...history.crashingCalls, ...history.leavingCalls].map(call => call.id),
 		...history.streams.flatMap(({attemptIds}) => attemptIds),
 	]);
 	const unrequested = [...runsById.keys()].filter(id => !sentIds.has(id)).map(id => `${id}: ran, but no caller sent it`);
@@ -190,6 +191,7 @@
 		...findQuotaViolations(history),
 		...findCrashViolations(history, (daemon, at) => isDisturbed(history, daemon, at, at)),
 		...findContinuityViolations(history),
+		...findLeaveViolations(history),
 		...checkRecovery(history),
 	];
 };
--- a/scripts/soak/src/history.ts
+++ b/scripts/soak/src/history.ts
@@ -44,6 +44,10 @@
 	/** Whether the caller's key was passed on. */
 	readonly hasKey: boolean;
 	readonly at: number;
+	/** Undefined while it runs. */
+	readonly endedAt?: number | undefined;
+	/** Whether its connection was closed before it had ended. */
+	readonly isClosedByPeer?: boolean;
 	/** Handle of the KV cache with which this execution resumes one that was stopped on another backend server. */
 	readonly memory?: string;
 };
@@ -104,11 +108,20 @@
 /** A request of which one part crashes engines. It is not owed an answer. */
 export type CrashingCall = Pick<SentCall, 'id' | 'daemon' | 'sentAt'>;
 
+/** A call whose caller left before it had an answer. It is not owed one. */
+export type LeavingCall = {
+	readonly id: string;
+	readonly route: RouteName;
+	readonly daemon: string;
+	readonly leftAt: number;
+};
+
 export type History = {
 	readonly calls: readonly CompletedCall[];
 	/** Calls of the account that exceeds its limit. */
 	readonly limitedCalls: readonly CompletedCall[];
 	readonly crashingCalls: readonly CrashingCall[];
+	readonly leavingCalls: readonly LeavingCall[];
 	/** When engines crashed under such requests. */
 	readonly crashes: readonly number[];
 	/** Streams whose callers lose their connections and take them up again. */
--- a/scripts/soak/src/run-soak.ts
+++ b/scripts/soak/src/run-soak.ts
@@ -5,6 +5,7 @@
 import {makeRandom} from '@shallotpass/core/testing/make-random.js';
 import {runStreams} from '@shallotpass/platform/stand-ins/stream-callers.js';
 import {runCrashingCaller} from './crashing-part.js';
+import {leavingCallers, runLeavingCaller} from './leaving-callers.js';
 import {limitedCallers, runLimitedCaller} from './limited-account.js';
 import {eventsPerStream} from './format-events.js';
 import {runCaller} from './run-caller.js';
@@ -40,6 +41,9 @@
 /** Added to the seeds of the callers that exceed their limit. */
 const limitedSeedOffset = 500;
 
+/** Added to the seeds of the callers that leave. */
+const leavingSeedOffset = 800;
+
 /** Added to the seed of the callers that take up streams, how many streams begin, and the share of their attempts that lose the connection. */
 const streamSeedOffset = 700;
 const streamsPerSecond = 6;
@@ -82,6 +86,8 @@
 	account: execution.account,
 	hasKey: execution.hasKey,
 	at: execution.at,
+	endedAt: execution.endedAt,
+	isClosedByPeer: execution.isClosedByPeer,
 	memory: execution.kvCache,
 })));
 
@@ -121,6 +127,9 @@
 		const limitedRuns = Array.from({length: limitedCallers}, async (_value, index) => runLimitedCaller({
 			cluster, name: `limited-${index}`, random: makeRandom((options.seed * 1000) + limitedSeedOffset + index), signal: callersController.signal,
 		}));
+		const leavingRuns = Array.from({length: leavingCallers}, async (_value, index) => runLeavingCaller({
+			cluster, name: `leaving-${index}`, random: makeRandom((options.seed * 1000) + leavingSeedOffset + index), signal: faultsController.signal,
+		}));
 		const streamsRun = runStreams({
 			listAddresses: () => cluster.daemons.map(({process}) => process.settings.listen.callers),
 			name: 'stream', random: makeRandom((options.seed * 1000) + streamSeedOffset), cutShare: streamCutShare, events: eventsPerStream, perSecond: streamsPerSecond, signal: callersController.signal,
@@ -137,10 +146,12 @@
 		const callsByCaller = await Promise.all(callerRuns);
 		const calls: CompletedCall[] = callsByCaller.flat();
 		const limitedCallsByCaller = await Promise.all(limitedRuns);
+		const leavingCallsByCaller = await Promise.all(leavingRuns);
 		const history: History = {
 			calls,
 			limitedCalls: limitedCallsByCaller.flat(),
 			crashingCalls: await crashingRun,
+			leavingCalls: leavingCallsByCaller.flat(),
 			crashes: cluster.crashes,
 			streams: await streamsRun,
 			lastingVersions: [lastingVersion],
