End each request of the own interface that was sent together with others when their caller leaves

What callers saw: nothing; engines worked on for them, as on the users' platform. Cause: the same: the close was watched on the response, and that of a pipelined request has no connection until its turn. Change: watchConnection moves to common and serves both interfaces. A wait for a slow reader asks whether its attempt has ended before it listens for the end. Held already: attempts of the own interface ask the signal's state before they listen, and claimed calls go on by design.

--- a/packages/callers/src/listener.ts
+++ b/packages/callers/src/listener.ts
@@ -8,6 +8,7 @@
 import {type ErrorKind} from '@shallotpass/common/error-kinds.js';
 import {ServingError, toServingError} from '@shallotpass/common/serving-error.js';
 import {addMilliseconds} from '@shallotpass/common/types.js';
+import {watchConnection} from '@shallotpass/common/watch-connection.js';
 import {
 	getHeader, makeRequestId, markPossiblyExecuted, type CallerCall,
 } from './caller-call.js';
@@ -151,6 +152,11 @@
 		}
 	};
 
+	const serveWatched = async (call: CallerCall, stopWatching: () => void): Promise<void> => {
+		await serve(call);
+		stopWatching();
+	};
+
 	const handle = (request: IncomingMessage, response: ServerResponse): void => {
 		const requestId = makeRequestId();
 		inFlight++;
@@ -159,8 +165,8 @@
 		}
 
 		const callerGone = new AbortController();
-		response.once('close', () => {
-			if (!response.writableFinished) {
+		const stopWatching = watchConnection(request.socket, () => {
+			if (!response.writableEnded) {
 				callerGone.abort();
 			}
 		});
@@ -169,10 +175,11 @@
 		try {
 			const url = parseUrl(request);
 			const span = tracing.startSpan('caller', getHeader(request, 'traceparent'), {method: request.method ?? '', path: url.pathname, requestId});
-			void serve({
+			void serveWatched({
 				request, response, requestId, url, span, startedAt: clock.now(), callerGoneSignal: callerGone.signal, execution: {mayHaveRun: false},
-			});
+			}, stopWatching);
 		} catch (error) {
+			stopWatching();
 			sendRefusal({response, requestId}, toServingError(error));
 			markFinished();
 		}
--- a/packages/callers/src/relay-response.ts
+++ b/packages/callers/src/relay-response.ts
@@ -12,6 +12,11 @@
 /** Waits until the response can be written to again. Ends early if the caller disconnects or the attempt is aborted. */
 const waitForDrain = async (context: ChatContext, signal: AbortSignal): Promise<void> => new Promise(resolve => {
 	const {response} = context.call;
+	if (signal.aborted) {
+		resolve();
+		return;
+	}
+
 	const done = (): void => {
 		response.off('drain', done);
 		response.off('close', done);
--- a/packages/gateway/src/calls/caller-presence.ts
+++ b/packages/gateway/src/calls/caller-presence.ts
@@ -1,6 +1,6 @@
 /** Tells whether the caller of a request still waits for its answer: a state that each step of the call asks before it sends anything. */
 import type http from 'node:http';
-import type net from 'node:net';
+import {watchConnection} from '@shallotpass/common/watch-connection.js';
 import {type GatewayState} from '../gateway-state.js';
 
 /** How far a call has come. `unread`: its request has not been looked at. */
@@ -27,26 +27,6 @@
 	readonly stoodMs: number;
 };
 
-/** Calls in flight by connection. Several requests may be read before the first is answered, and only the first response has the socket. */
-const watchersBySocket = new WeakMap<net.Socket, Set<() => void>>();
-
-const watchSocket = (socket: net.Socket): Set<() => void> => {
-	const watchers = new Set<() => void>();
-	watchersBySocket.set(socket, watchers);
-	const notify = (): void => {
-		for (const onClosed of watchers) {
-			onClosed();
-		}
-	};
-
-	// A caller that sends its end gets no answer: Node's server then closes the connection.
-	socket.once('end', notify);
-	socket.once('close', notify);
-	return watchers;
-};
-
-const isClosed = (socket: net.Socket): boolean => socket.destroyed || socket.readableEnded;
-
 /** Whether anybody still waits for the answer of a call that is about to be sent. After a stall, closes that stand unread are read first. */
 export const confirmCallerWaits = async ({loop}: Pick<GatewayState, 'loop'>, signal: AbortSignal): Promise<boolean> => {
 	await loop.catchUp();
@@ -56,7 +36,6 @@
 /** Watches the connection of a request until `end` is called. */
 export const watchCaller = ({clocks, loop}: Pick<GatewayState, 'clocks' | 'loop'>, {socket}: http.IncomingMessage, response: http.ServerResponse): CallerPresence => {
 	const controller = new AbortController();
-	const watchers = watchersBySocket.get(socket) ?? watchSocket(socket);
 	let leave: CallerLeave | undefined;
 	const onClosed = (): void => {
 		if (leave === undefined && !response.writableEnded) {
@@ -73,13 +52,9 @@
 			controller.abort();
 		},
 		end() {
-			watchers.delete(onClosed);
+			stopWatching();
 		},
 	};
-	watchers.add(onClosed);
-	if (isClosed(socket)) {
-		onClosed();
-	}
-
+	const stopWatching = watchConnection(socket, onClosed);
 	return presence;
 };
--- a/tests/src/answers.test.ts
+++ b/tests/src/answers.test.ts
@@ -1,4 +1,5 @@
 import assert from 'node:assert/strict';
+import net from 'node:net';
 import test from 'node:test';
 import {streamChat, sendReservation} from '@shallotpass/measure/caller-client.js';
 import {callerKey, waitFor} from '@shallotpass/measure/local-fleet.js';
@@ -51,6 +52,24 @@
 	assert.equal(fleet.engines[0]!.countCancelled(), 1);
 });
 
+test('requests that were sent together are all cancelled at the engine when their caller disconnects', async t => {
+	// Only the first response has the connection, so the others do not see its close.
+	const fleet = await startFleet(t, {daemons: 1, engines: [{parameters: {stepMs: 5}}]});
+	const [host, port] = fleet.daemons[0]!.callers.split(':');
+	const body = JSON.stringify({
+		model: 'assistant-7b', messages: [{role: 'user', content: 'together'}], max_tokens: 5000, stream: true,
+	});
+	const text = [
+		'POST /v1/chat/completions HTTP/1.1', `Host: ${host}`, `Authorization: Bearer ${callerKey}`, 'Content-Type: application/json', `Content-Length: ${body.length}`, '', body,
+	].join('\r\n');
+	const socket = net.connect({host: host!, port: Number(port)});
+	socket.write(text + text);
+	await waitFor('the engine runs both', () => fleet.engines[0]!.countRunning() === 2);
+	socket.destroy();
+	await waitFor('the engine has stopped both', () => fleet.engines[0]!.countRunning() === 0);
+	assert.equal(fleet.engines[0]!.countCancelled(), 2);
+});
+
 type StreamFaultCase = {
 	readonly name: string;
 	readonly fault: Parameters<Awaited<ReturnType<typeof startFleet>>['engines'][0]['faults']['add']>[0];
