--- a/scripts/soak/src/leaving-callers.ts
+++ b/scripts/soak/src/leaving-callers.ts
@@ -6,7 +6,7 @@
 import {type SoakCluster} from './soak-cluster.js';
 
 /** Number of such callers. */
-export const leavingCallers = 2;
+export const leavingCallers = 4;
 
 /** Longest time that a caller stays. */
 const maxStayMs = 400;
@@ -20,7 +20,7 @@
 /** Time that a run of theirs takes, so that it would last well beyond the check. */
 const runMs = 2500;
 
-const maxPauseMs = 250;
+const maxPauseMs = 120;
 
 /** Routes whose runs may be ended. */
 const routes: readonly RouteName[] = ['read', 'ask', 'draft'];
