Pay for no run whose caller has left

What callers saw: nothing at once; accounts with limits were charged for requests whose callers had left during a stall, and nothing ran for it, so others got 429. Cause: quota is paid when a call is admitted, before the send asks for the caller; what is paid is not returned. Change: the caller's presence is asked before the first payment and before each payment for a further run, and the wait for a keeper ends when the caller leaves. Left: a call whose caller leaves between its payment and its send is still charged.

--- a/packages/gateway/src/calls/admit-call.ts
+++ b/packages/gateway/src/calls/admit-call.ts
@@ -12,7 +12,7 @@
 import {type GatewayState} from '../gateway-state.js';
 import {takeQuota} from '../quotas/take-quota.js';
 import {type CallerHeaders} from '../ports.js';
-import {type CallerPresence} from './caller-presence.js';
+import {type CallerPresence, confirmCallerWaits} from './caller-presence.js';
 import {readRequestBody} from './read-request-body.js';
 import {type Refusal} from './refusal.js';
 import {type OutgoingRequest} from './run-at-backend.js';
@@ -208,7 +208,14 @@
 		return new RefusedCall(crashRefusal);
 	}
 
-	const quotaRefusal = account && await takeQuota(gateway, account, {id: head.id, tokens: (head.promptTokens ?? 0) + (head.outputTokens ?? 0), rank: target.route.rank});
+	// What is paid is not returned.
+	if (!await confirmCallerWaits(gateway, caller.signal)) {
+		return refuse('caller_cancelled', 'The caller has left.');
+	}
+
+	const quotaRefusal = account && await takeQuota(gateway, account, {
+		id: head.id, tokens: (head.promptTokens ?? 0) + (head.outputTokens ?? 0), rank: target.route.rank, signal: caller.signal,
+	});
 	if (quotaRefusal) {
 		return quotaRefusal.isOverLimit
 			? refuse('rate_limited', `The client account ${account.name} is over its limit.`, quotaRefusal.retryAfterS)
--- a/packages/gateway/src/calls/call-attempts.ts
+++ b/packages/gateway/src/calls/call-attempts.ts
@@ -14,6 +14,7 @@
 import {hasUnevenLoad, returnToLimit, takeFromLimit} from './backend-limits.js';
 import {type SendResult, type UnsentResult} from './call-outcome.js';
 import {type CallProgress} from './call-progress.js';
+import {confirmCallerWaits} from './caller-presence.js';
 import {recordBrokenConnection} from './connect-failures.js';
 import {mayStillReceive} from './may-still-receive.js';
 import {setRuns} from './peer-call.js';
@@ -42,8 +43,12 @@
 		return false;
 	}
 
+	if (!await confirmCallerWaits(gateway, signal)) {
+		return false;
+	}
+
 	const isWithinLimit = !progress.hasArrived || takeFromRetryAllowance(getRetryAllowance(gateway, call.service), getRetryLimit(gateway), gateway.clocks.steady());
-	return isWithinLimit && (progress.possibleRuns === 0 || payForRun(gateway, call));
+	return isWithinLimit && (progress.possibleRuns === 0 || payForRun(gateway, call, signal));
 };
 
 /** Longest time that a call waits for a place, at most a part of the time to its target, and how often it looks. */
--- a/packages/gateway/src/calls/move-run.ts
+++ b/packages/gateway/src/calls/move-run.ts
@@ -78,7 +78,7 @@
 		return undefined;
 	}
 
-	if (signal.aborted || !await payForRun(gateway, call) || !await confirmCallerWaits(gateway, signal)) {
+	if (signal.aborted || !await payForRun(gateway, call, signal) || !await confirmCallerWaits(gateway, signal)) {
 		return undefined;
 	}
 
--- a/packages/gateway/src/quotas/take-quota.ts
+++ b/packages/gateway/src/quotas/take-quota.ts
@@ -24,6 +24,8 @@
 	/** Prompt and output tokens, 0 if the call states none. */
 	readonly tokens: number;
 	readonly rank: number;
+	/** Aborted when nobody waits for the answer any more. */
+	readonly signal: AbortSignal;
 };
 
 const refuseOverLimit = (gateway: GatewayState, account: string, {id}: QuotaCall, refused: Refused): QuotaRefusal => {
@@ -42,14 +44,14 @@
 		return undefined;
 	}
 
-	const {tokens, rank} = call;
+	const {tokens, rank, signal} = call;
 	const cost = computeCost(limit, tokens);
 	const ask: QuotaAsk = {
 		account: name, tokens, rank, isFirstAsked: true,
 	};
 	const waitUntil = gateway.clocks.steady() + maxWaitMs;
 	let answer = await offerCost(gateway, ask, cost);
-	while (answer === undefined && gateway.clocks.steady() < waitUntil) {
+	while (answer === undefined && !signal.aborted && gateway.clocks.steady() < waitUntil) {
 		await sleep(waitPollMs); // eslint-disable-line no-await-in-loop -- a poll
 		answer = await offerCost(gateway, ask, cost); // eslint-disable-line no-await-in-loop -- a poll
 	}
