Take no bound on the listeners for the leaving of a backend server for a leak

Cause: each running call listens for its backend server's leaving; beyond ten at one server Node warned of a leak (MaxListenersExceededWarning, at 1,000 calls a second, on too). Change: the signal has no bound; the listeners are removed when their calls end, as before.

--- a/packages/gateway/src/calls/backend-registry.ts
+++ b/packages/gateway/src/calls/backend-registry.ts
@@ -1,4 +1,5 @@
 /** State of each backend server as known to this daemon: directory entry, connections, load, speed and failures. */
+import {setMaxListeners} from 'node:events';
 import net from 'node:net';
 import {type BackendEntry, type Directory} from '@shallotpass/core/directory/types.js';
 import {type BackendView, type Load} from '@shallotpass/core/placement/types.js';
@@ -101,6 +102,13 @@
 	byId: new Map(), byService: new Map(), versionsByService: new Map(), latencyModels: new Map(), openConnection, onConnected() {/* set by the owner */},
 });
 
+/** Each call at the backend server listens, so their number has no bound. */
+const makeLeavingController = (): AbortController => {
+	const controller = new AbortController();
+	setMaxListeners(0, controller.signal);
+	return controller;
+};
+
 const makeBackendState = (entry: BackendEntry, registry: BackendRegistry, now: number): BackendState => ({
 	entry,
 	incarnation: formatIncarnation(entry),
@@ -131,7 +139,7 @@
 	unansweredSince: new Map(),
 	isMissing: false,
 	isGone: false,
-	leaving: new AbortController(),
+	leaving: makeLeavingController(),
 	leavingSince: undefined,
 	leavesAt: undefined,
 	knownParts: new Map(),
