Know how long new connections may have waited to be accepted, and let unread closes come first

What callers saw: nothing; daemons that had been suspended or had little processor time sent requests to engines seconds after their callers had left, also when the loop had no stall any more. After a stall, or with slow turns, connections wait for each other with their requests and closes in the kernel; the loop monitor is long back to normal. Change: accept-backlog.ts knows since when each turn has accepted a connection; the first request on one that may have waited counts as old as it may be, and a poll precedes its admission. With that poll, a request whose connection was reset before its body was read hung for good: its close had been told already. Its state is asked first now; the same could happen during the warm-up of a daemon. Ruled out: more accepts a turn, for which Node has no setting; several listeners on one socket are left for later.

--- a/packages/gateway/src/calls/admit-call.ts
+++ b/packages/gateway/src/calls/admit-call.ts
@@ -10,6 +10,7 @@
 import {type Continuity, determineContinuity} from '../origins/continuity.js';
 import {checkVerdict} from '../crashes/check-verdict.js';
 import {type GatewayState} from '../gateway-state.js';
+import {waitForPoll} from '../loop-monitor.js';
 import {takeQuota} from '../quotas/take-quota.js';
 import {type CallerHeaders} from '../ports.js';
 import {type CallerPresence, confirmCallerWaits} from './caller-presence.js';
@@ -134,9 +135,9 @@
 	readonly arrivedAt: number;
 };
 
-const observeArrival = ({clocks, loop}: GatewayState): Arrival => {
+const observeArrival = ({clocks, loop, acceptBacklog}: GatewayState, {socket}: http.IncomingMessage): Arrival => {
 	const readAt = clocks.steady();
-	return {readAt, arrivedAt: readAt - loop.getStandingMs()};
+	return {readAt, arrivedAt: readAt - Math.max(loop.getStandingMs(), acceptBacklog.takeWaitMs(socket))};
 };
 
 /** Part of its time that a request keeps in any case. One that was read after a stall may have come at its end. */
@@ -169,7 +170,12 @@
 export const admitCall = async (context: CallContext): Promise<AdmittedCall | RefusedCall> => {
 	const {gateway, request, head, caller} = context;
 	caller.stage = 'admitting';
-	const arrival = observeArrival(gateway);
+	const arrival = observeArrival(gateway, request);
+	if (arrival.arrivedAt < arrival.readAt) {
+		// The close of a caller that has left stands behind its request.
+		await waitForPoll();
+	}
+
 	await waitForWarmUp(gateway);
 	const index = checkAcceptsCalls(gateway);
 	if (index instanceof RefusedCall) {
--- a/packages/gateway/src/calls/callers-listener.ts
+++ b/packages/gateway/src/calls/callers-listener.ts
@@ -38,6 +38,7 @@
 
 		socket.end(`HTTP/1.1 ${status}\r\nContent-Length: 0\r\nConnection: close\r\n\r\n`);
 	});
+	server.on('connection', gateway.acceptBacklog.recordAccept);
 	serve((request, response) => {
 		void serveCall(gateway, request, response);
 	});
--- a/packages/gateway/src/calls/read-request-body.ts
+++ b/packages/gateway/src/calls/read-request-body.ts
@@ -12,6 +12,12 @@
  * sent to another one, and a slow caller does not occupy a backend server.
  */
 export const readRequestBody = async (request: IncomingMessage, maxBytes: number): Promise<BodyResult> => new Promise(resolve => {
+	// Its caller may have left before it is read: no event tells of it any more.
+	if (request.destroyed) {
+		resolve({kind: 'broken'});
+		return;
+	}
+
 	const chunks: Buffer[] = [];
 	let receivedBytes = 0;
 	request.on('data', (chunk: Buffer) => {
--- a/packages/gateway/src/gateway-state.ts
+++ b/packages/gateway/src/gateway-state.ts
@@ -11,6 +11,7 @@
 import {type RetryAllowance} from '@shallotpass/core/retries/retry-allowance.js';
 import {type UsageTally} from '@shallotpass/core/usage/count-starts.js';
 import {type PathState} from '@shallotpass/core/paths/path-state.js';
+import {type AcceptBacklog} from './calls/accept-backlog.js';
 import {type BackendRegistry} from './calls/backend-registry.js';
 import {type Clocks} from './clocks.js';
 import {type LoopMonitor} from './loop-monitor.js';
@@ -64,6 +65,7 @@
 	readonly incarnation: string;
 	readonly clocks: Clocks;
 	readonly loop: LoopMonitor;
+	readonly acceptBacklog: AcceptBacklog;
 	readonly log: EventLog;
 	readonly metrics: GatewayMetrics;
 	readonly wire: WireFormat;
--- a/packages/gateway/src/loop-monitor.ts
+++ b/packages/gateway/src/loop-monitor.ts
@@ -22,7 +22,7 @@
 };
 
 /** What has arrived is read in the poll phase that precedes the second of two immediates, whichever phase they are begun in. */
-const waitForPoll = async (): Promise<void> => {
+export const waitForPoll = async (): Promise<void> => {
 	await nextImmediate();
 	await nextImmediate();
 };
--- a/packages/gateway/src/start-gateway.ts
+++ b/packages/gateway/src/start-gateway.ts
@@ -7,6 +7,7 @@
 import {initialStoreRole, getMaxRetryPauseMs} from '@shallotpass/core/gossip/store-role.js';
 import {initialPathState} from '@shallotpass/core/paths/path-state.js';
 import {makeCrashLedger} from '@shallotpass/core/crashes/crash-ledger.js';
+import {makeAcceptBacklog} from './calls/accept-backlog.js';
 import {type OpenConnection} from './calls/backend-agent.js';
 import {makeBackendRegistry} from './calls/backend-registry.js';
 import {listReadyBackends} from './calls/count-versions.js';
@@ -76,6 +77,7 @@
 const makeState = ({settings, log, openConnection}: GatewayOptions, platform: Platform, {metrics, ...identity}: Identity & Pick<GatewayState, 'metrics'>): GatewayState => ({
 	settings,
 	...identity,
+	acceptBacklog: makeAcceptBacklog(identity.clocks.steady, identity.loop),
 	quota: makeQuotaState({settings, ...identity}),
 	log,
 	metrics,
