Read the closes of a stall once for each call, not at each of its steps

Each confirmation within a tenth of a second of a stall waited for a poll: at admission, before the payment, before the send. Change: each call remembers until when closes were read for it, and waits again only if one may have stood unread for 100 ms since.

--- a/packages/gateway/src/calls/admit-call.ts
+++ b/packages/gateway/src/calls/admit-call.ts
@@ -10,10 +10,9 @@
 import {type Continuity, determineContinuity} from '../origins/continuity.js';
 import {checkVerdict} from '../crashes/check-verdict.js';
 import {type GatewayState} from '../gateway-state.js';
-import {waitForPoll} from '../loop-monitor.js';
 import {takeQuota} from '../quotas/take-quota.js';
 import {type CallerHeaders} from '../ports.js';
-import {type CallerPresence, confirmCallerWaits} from './caller-presence.js';
+import {type CallerPresence, confirmCallerWaits, readCloses} from './caller-presence.js';
 import {readRequestBody} from './read-request-body.js';
 import {type Refusal} from './refusal.js';
 import {type OutgoingRequest} from './run-at-backend.js';
@@ -173,7 +172,7 @@
 	const arrival = observeArrival(gateway, request);
 	if (arrival.arrivedAt < arrival.readAt) {
 		// The close of a caller that has left stands behind its request.
-		await waitForPoll();
+		await readCloses(gateway, caller.signal);
 	}
 
 	await waitForWarmUp(gateway);
--- a/packages/gateway/src/calls/caller-presence.ts
+++ b/packages/gateway/src/calls/caller-presence.ts
@@ -2,6 +2,7 @@
 import type http from 'node:http';
 import {watchConnection} from '@shallotpass/common/watch-connection.js';
 import {type GatewayState} from '../gateway-state.js';
+import {waitForPoll} from '../loop-monitor.js';
 
 /** How far a call has come. `unread`: its request has not been looked at. */
 export type CallStage = 'unread' | 'admitting' | 'waiting' | 'sent' | 'answering';
@@ -27,12 +28,28 @@
 	readonly stoodMs: number;
 };
 
-/** Whether anybody still waits for the answer of a call that is about to be sent. After a stall, closes that stand unread are read first. */
-export const confirmCallerWaits = async ({loop}: Pick<GatewayState, 'loop'>, signal: AbortSignal): Promise<boolean> => {
-	await loop.catchUp();
+/** Until when closes have been read for sure, by the signal of a call, on the steady clock. */
+const readUntil = new WeakMap<AbortSignal, number>();
+
+/** A close that stood unread for less is not waited for. */
+const maxUnreadMs = 100;
+
+type Clocked = Pick<GatewayState, 'clocks' | 'loop'>;
+
+/** Reads the closes that stand unread. Returns whether anybody still waits for the answer. */
+export const readCloses = async ({clocks}: Clocked, signal: AbortSignal): Promise<boolean> => {
+	const startedAt = clocks.steady();
+	await waitForPoll();
+	readUntil.set(signal, startedAt);
 	return !signal.aborted;
 };
 
+/** Whether anybody still waits for the answer of a call that is about to be sent. After a stall, closes that may stand unread are read first. */
+export const confirmCallerWaits = async (gateway: Clocked, signal: AbortSignal): Promise<boolean> => {
+	const unreadMs = Math.min(gateway.loop.getStandingMs(), gateway.clocks.steady() - (readUntil.get(signal) ?? Number.NEGATIVE_INFINITY));
+	return unreadMs < maxUnreadMs ? !signal.aborted : readCloses(gateway, signal);
+};
+
 /** Watches the connection of a request until `end` is called. */
 export const watchCaller = ({clocks, loop}: Pick<GatewayState, 'clocks' | 'loop'>, {socket}: http.IncomingMessage, response: http.ServerResponse): CallerPresence => {
 	const controller = new AbortController();
--- a/packages/gateway/src/loop-monitor.test.ts
+++ b/packages/gateway/src/loop-monitor.test.ts
@@ -51,17 +51,3 @@
 	assert.equal(monitor.getStandingMs(), 0);
 	assert.deepEqual(stalls, [680]);
 });
-
-test('catching up takes a turn of the loop only after a stall', async t => {
-	const {monitor, stall, tick} = startMonitor(t);
-	tick(5);
-	let hasTurned = false;
-	setImmediate(() => {
-		hasTurned = true;
-	});
-	await monitor.catchUp();
-	assert.ok(!hasTurned);
-	stall(500);
-	await monitor.catchUp();
-	assert.ok(hasTurned);
-});
--- a/packages/gateway/src/loop-monitor.ts
+++ b/packages/gateway/src/loop-monitor.ts
@@ -10,8 +10,6 @@
 export type LoopMonitor = {
 	/** Returns the longest time that something which is read now may have waited for the loop, in milliseconds. 0 unless the loop has just stalled. */
 	readonly getStandingMs: () => number;
-	/** Resolves when closes of connections that came during a stall have been read; at once if the loop has not just stalled. */
-	readonly catchUp: () => Promise<void>;
 };
 
 export type LoopMonitorOptions = {
@@ -21,7 +19,7 @@
 	readonly signal: AbortSignal;
 };
 
-/** What has arrived is read in the poll phase that precedes the second of two immediates, whichever phase they are begun in. */
+/** Resolves when all that has arrived was read: in the poll phase that precedes the second of two immediates, whichever phase they are begun in. */
 export const waitForPoll = async (): Promise<void> => {
 	await nextImmediate();
 	await nextImmediate();
@@ -50,12 +48,5 @@
 		return signal.aborted || standingMs < (2 * tickMs) + minStallMs ? 0 : standingMs;
 	};
 
-	return {
-		getStandingMs,
-		async catchUp() {
-			if (getStandingMs() > 0) {
-				await waitForPoll();
-			}
-		},
-	};
+	return {getStandingMs};
 };
