Frame no answer as whole whose call was given up before it was read

Change: requests that were given up are known (wasGivenUp), of backend servers and peers, and their answers are never whole.

--- a/packages/gateway/src/calls/backend-exchange.ts
+++ b/packages/gateway/src/calls/backend-exchange.ts
@@ -4,7 +4,9 @@
 import {setImmediate as nextTurn} from 'node:timers/promises';
 import {parseHostAndPort} from '../host-and-port.js';
 import {type BackendAgent, hasConnectionFailed, isCloseDelimited} from './backend-agent.js';
-import {openCallRequest, resetRequest} from './open-call-request.js';
+import {
+	closeRequest, openCallRequest, resetRequest, wasGivenUp,
+} from './open-call-request.js';
 
 /**
  * Delivery of a call that got no response. `unsent`: no byte was sent. `unknown`: data was handed to
@@ -61,7 +63,7 @@
 		if (options.mayBeUnderWay()) {
 			resetRequest(openRequest);
 		} else {
-			openRequest.destroy();
+			closeRequest(openRequest);
 		}
 	};
 
@@ -125,7 +127,7 @@
 						await nextTurn();
 					}
 
-					const isWhole = response.complete && !hasFailed && !hasConnectionFailed(socket);
+					const isWhole = response.complete && !hasFailed && !wasGivenUp(request) && !hasConnectionFailed(socket);
 					const hasEndedWithConnection = isCloseDelimited(response) && socket?.readableEnded === true;
 					return isWhole && (!hasEndedWithConnection || options.canConnect === undefined || options.canConnect());
 				},
--- a/packages/gateway/src/calls/forward-stream.ts
+++ b/packages/gateway/src/calls/forward-stream.ts
@@ -54,9 +54,9 @@
 		}, stallTimeoutMs);
 	const onResponseClose = async (): Promise<void> => {
 		clearTimeout(stallTimer);
-		const isBodyComplete = await isComplete();
+		const isWhole = await isComplete();
 		target.off('close', onTargetClose);
-		resolve(isBodyComplete && !splitter.hasPartialEvent() ? 'complete' : 'broken');
+		resolve(isWhole && !splitter.hasPartialEvent() ? 'complete' : 'broken');
 	};
 
 	// The call may have been given up while its answer was waited for.
--- a/packages/gateway/src/calls/open-call-request.ts
+++ b/packages/gateway/src/calls/open-call-request.ts
@@ -28,8 +28,21 @@
 	return request;
 };
 
-/** Closes the connection and discards what is still under way: after a regular close, a call that a failed link holds up would arrive later. */
+/** Requests that were given up. Node drops what was received of their answers and not read, and ends them as if they had been read. */
+const givenUp = new WeakSet<http.ClientRequest>();
+
+/** Whether the request was given up, so that a part of its answer may be lost. */
+export const wasGivenUp = (request: http.ClientRequest): boolean => givenUp.has(request);
+
+/** Gives the request up and closes its connection. */
+export const closeRequest = (request: http.ClientRequest): void => {
+	givenUp.add(request);
+	request.destroy();
+};
+
+/** Gives the request up, resets its connection and discards what is still under way: after a regular close, a call that a failed link holds up would arrive later. */
 export const resetRequest = (request: http.ClientRequest): void => {
+	givenUp.add(request);
 	request.socket?.resetAndDestroy();
 	request.destroy();
 };
--- a/packages/gateway/src/calls/send-to-peer.ts
+++ b/packages/gateway/src/calls/send-to-peer.ts
@@ -11,7 +11,9 @@
 import {type Exchange} from './backend-exchange.js';
 import {type CallProgress} from './call-progress.js';
 import {confirmCallerWaits} from './caller-presence.js';
-import {openCallRequest, resetRequest} from './open-call-request.js';
+import {
+	closeRequest, openCallRequest, resetRequest, wasGivenUp,
+} from './open-call-request.js';
 import {
 	encodePeerCall, isPeerCallResult, parseVersion, peerCallPath, type PeerCallResult, resultField, runsField, versionField,
 } from './peer-call.js';
@@ -192,9 +194,9 @@
 		});
 	});
 	return {
-		reply, hasFailed: () => hasFailed, exchange: {
+		reply, hasFailed: () => hasFailed || wasGivenUp(request), exchange: {
 			abort() {
-				request.destroy();
+				closeRequest(request);
 			},
 			reset() {
 				resetRequest(request);
