--- a/scripts/soak/src/leaving-callers.ts
+++ b/scripts/soak/src/leaving-callers.ts
@@ -90,7 +90,7 @@
 	disturbances.some(span => (span.daemon === undefined || span.daemon === daemon) && span.from <= leftAt + toleranceMs && span.until >= leftAt)
 	|| linkDisturbances.some(span => span.backend === backend && span.from <= leftAt + toleranceMs && span.until >= leftAt);
 
-/** A daemon that was suspended reads the request and the close together. Only a stall of the whole machine and failed links excuse a late arrival. */
+/** A daemon that was suspended reads the request and the close together, so its suspension excuses nothing. Disturbances of all daemons, such as outages of the store, and failed links do. */
 const isArrivalExcused = ({disturbances, linkDisturbances}: History, backend: string, {leftAt}: LeavingCall, at: number): boolean =>
 	disturbances.some(span => span.daemon === undefined && span.from <= at && span.until >= leftAt)
 	|| linkDisturbances.some(span => span.backend === backend && span.from <= at && span.until >= leftAt);
