Keep what ends an answer apart from what is held against its backend server, and judge long waits by the other backend servers

Cause: each bound of what is read counted as a failure of the backend server, and two in a row paused it; time limits were fixed, though no other backend server was quicker, and each cut sent the call where it was cut again; nothing kept the last backend servers in use. Class: a detector without proof of the fault, and without a floor under what it takes away. Change: (1) read-bounds.ts ends answers; backend-soundness.ts decides what that says of the backend server: nothing (unused bodies, calls that are only presumed late), something here (others were clearly quicker meanwhile), or anywhere (bytes without end that no network causes), and only the last is told to peers. (2) relative-waits.ts compares a wait with those at the other backend servers: overtaken, alike, unusual or unknown. Silence, events, heads and bodies ask it; a call that could not be sent elsewhere waits on. (3) At most half of the backend servers of a service are kept from calls, none if all look unsound, and the least unsound one takes a call for which no other is left. (4) One unused body at a time of each backend server is read up to 4 MB, to tell whether it ends. (5) Informational heads are bounded by their rate, on both interfaces; they are a sign of life. (6) Callers' patience follows the pause that the operator states (gap_aim_ms). (7) Plain calls are measured by their whole answer: a backend server whose answers begin soon and never end looked quick.

--- a/packages/backends/src/engine-stream.ts
+++ b/packages/backends/src/engine-stream.ts
@@ -3,6 +3,7 @@
  * that received them, because a promise per chunk would cost more than all other processing of the chunk.
  */
 import {StringDecoder} from 'node:string_decoder';
+import {hasTooManyHeads} from '@shallotpass/core/retries/informational-heads.js';
 import {ServingError} from '@shallotpass/common/serving-error.js';
 import {createParser} from 'eventsource-parser';
 import {type Dispatcher} from 'undici';
@@ -11,7 +12,7 @@
 import {
 	makeChunkCollector, makeInvalidResponseError, type StreamBatch, type StreamPosition,
 } from './collect-chunks.js';
-import {maxBytesWithoutEvent, maxInformationalHeads} from './read-bounds.js';
+import {maxBytesWithoutEvent} from './read-bounds.js';
 
 type EngineCall = {
 	readonly address: string;
@@ -119,6 +120,7 @@
 	let controller: Dispatcher.DispatchController | undefined;
 	let errorStatus: number | undefined;
 	let errorText = '';
+	const startedAt = performance.now();
 	let informationalHeads = 0;
 	let isSettled = false;
 	let endTimer: NodeJS.Timeout | undefined;
@@ -201,7 +203,7 @@
 		onResponseStart(_controller, status, headers) {
 			if (status < okStatus) {
 				informationalHeads++;
-				if (informationalHeads > maxInformationalHeads) {
+				if (hasTooManyHeads(informationalHeads, performance.now() - startedAt)) {
 					fail(makeInvalidResponseError('the engine sent informational heads that do not end'));
 				}
 
--- a/packages/backends/src/read-bounds.ts
+++ b/packages/backends/src/read-bounds.ts
@@ -8,6 +8,3 @@
 
 /** A load report. */
 export const maxReportBytes = 65_536;
-
-/** Informational heads before the head of an answer. */
-export const maxInformationalHeads = 8;
--- a/packages/core/src/calls/serving-configuration.ts
+++ b/packages/core/src/calls/serving-configuration.ts
@@ -15,6 +15,8 @@
 	readonly limitMs: number;
 	/** Target time for an answer, in milliseconds. A later answer is still delivered but does not count in full. */
 	readonly targetMs: number;
+	/** Longest pause between events of a stream that counts as in time, in milliseconds. 0 if the operator states none. */
+	readonly pauseMs: number;
 	/** Priority of the calls; 0 is the most urgent. */
 	readonly rank: number;
 	/** Maximum number of attempts that may have executed a call. Attempts that certainly did not execute it are not counted. */
--- a/packages/core/src/calls/types.ts
+++ b/packages/core/src/calls/types.ts
@@ -26,6 +26,8 @@
 	readonly targetAt: Deadline;
 	/** The earlier of the caller's deadline and the route's time limit. */
 	readonly deadline: Deadline;
+	/** Time without an event of a stream after which its caller leaves, in milliseconds. */
+	readonly patienceMs: number;
 	/** 0 is the most urgent. */
 	readonly rank: number;
 	/** Maximum number of attempts that may run the call. */
--- a/packages/core/src/retries/silence-timeout.ts
+++ b/packages/core/src/retries/silence-timeout.ts
@@ -3,7 +3,9 @@
  * server may keep its connections open; without a timeout the call would wait until its deadline
  * although another backend server could answer in time.
  */
-import {isStream, isRepeatable, type Repeatability} from '../calls/types.js';
+import {
+	type Call, isStream, isRepeatable, type Repeatability,
+} from '../calls/types.js';
 
 /** A sound backend server may send nothing for a second and go on. Longer silence is a failure. */
 export const soundSilenceMs = 1300;
@@ -24,18 +26,12 @@
 	return Math.max(isStream(repeatability) ? minStreamTimeoutMs : minPlainTimeoutMs, predictedMs * predictedWaitFactor);
 };
 
-/** Time without an event for which callers stay at least, and in multiples of the target of the first event. */
-const minPatienceMs = 2000;
-const targetPatienceFactor = 4;
-
-/** Share of the callers' patience after which a stream without an event goes on elsewhere. The rest is for the other backend server. */
+/** Share of the callers' patience after which a stream without an event goes on elsewhere, if another backend server is quicker. The rest is for that one. */
 const usedPatienceShare = 0.65;
 
 /** Computes for how long a stream may send bytes and no event, in milliseconds. One that cannot go on elsewhere may for as long as its caller waits. */
-export const computeEventTimeout = (repeatability: Repeatability, targetMs: number): number => {
-	const patienceMs = Math.max(minPatienceMs, targetMs * targetPatienceFactor);
-	return isRepeatable(repeatability) ? Math.max(soundSilenceMs, patienceMs * usedPatienceShare) : patienceMs;
-};
+export const computeEventTimeout = ({repeatability, patienceMs}: Pick<Call, 'repeatability' | 'patienceMs'>): number =>
+	isRepeatable(repeatability) ? Math.max(soundSilenceMs, patienceMs * usedPatienceShare) : patienceMs;
 
 /** Silence within a stream after which it resumes on another backend server. Callers give up after a gap of 2 s. */
 export const streamStallTimeoutMs = soundSilenceMs;
--- a/packages/core/src/retries/unsoundness.ts
+++ b/packages/core/src/retries/unsoundness.ts
@@ -1,6 +1,15 @@
-/** Backend servers whose answers are none: how long they are left alone, and what daemons report of them to each other. */
+/**
+ * Backend servers whose answers are none: what is held against them, how many are left alone at a time and for how long, and what
+ * daemons report of them to each other. What ends an answer is decided elsewhere; most of it says nothing of the backend server.
+ */
 import * as z from 'zod';
 
+/**
+ * What the end of an answer says of its backend server. `none`: sound ones do it too. `here`: others were clearly quicker meanwhile, which
+ * the network between may have caused. `anywhere`: no sound backend server does it, and no network causes it.
+ */
+export type Evidence = 'none' | 'here' | 'anywhere';
+
 export type Unsoundness = {
 	/** Answers in a row that were none, of calls that were not under way together. */
 	readonly failures: number;
@@ -8,8 +17,8 @@
 	readonly at: number;
 	/** Until when it gets no calls, on the steady clock. */
 	readonly pausedUntil: number;
-	/** Whether this daemon has found it out. What others tell is not passed on, as its end would be put off each time. */
-	readonly isOwn: boolean;
+	/** Whether peers are told: this daemon has found it out, and no network can have caused any of it. What others tell is not passed on, as its end would be put off each time. */
+	readonly isReported: boolean;
 };
 
 /** Pauses after the second failure in a row, doubled with each further one. */
@@ -19,6 +28,38 @@
 /** Returns until when the backend server is left alone. A single failure may be one of a call. */
 export const computePauseEnd = (failures: number, now: number): number => failures <= 1 ? now : now + Math.min(longestPauseMs, firstPauseMs * (2 ** (failures - 2)));
 
+/** Records an answer that was none. Calls that were under way together count once. */
+export const recordFailure = (known: Unsoundness | undefined, {evidence, sentAt, now}: {evidence: Exclude<Evidence, 'none'>; sentAt: number; now: number}): Unsoundness => {
+	if (known !== undefined && sentAt < known.at) {
+		return known;
+	}
+
+	const failures = (known?.failures ?? 0) + 1;
+	return {
+		failures, at: now, pausedUntil: computePauseEnd(failures, now), isReported: evidence === 'anywhere' && (known?.isReported ?? true),
+	};
+};
+
+/** Most backend servers of a service that may be kept from calls at a time, as a share. The detector may be wrong. */
+const maxAvoidedShare = 0.5;
+
+export const isUnsound = (unsoundness: Unsoundness | undefined): unsoundness is Unsoundness => unsoundness !== undefined && unsoundness.failures > 1;
+
+type Judged = {
+	readonly unsoundness: Unsoundness | undefined;
+};
+
+/** Returns the backend servers of a service that are kept from calls: the worst ones, and none if all look unsound. */
+export const listAvoided = <Server extends Judged>(servers: readonly Server[]): Set<Server> => {
+	const unsound = servers.filter(({unsoundness}) => isUnsound(unsoundness));
+	if (unsound.length === servers.length) {
+		return new Set();
+	}
+
+	const worstFirst = unsound.toSorted((left, right) => right.unsoundness!.failures - left.unsoundness!.failures || right.unsoundness!.pausedUntil - left.unsoundness!.pausedUntil);
+	return new Set(worstFirst.slice(0, Math.floor(servers.length * maxAvoidedShare)));
+};
+
 /** Hash of the incarnation, failures in a row, and milliseconds that the pause still lasts. */
 export const reportedUnsoundnessSchema = z.tuple([z.number(), z.number(), z.number()]);
 
--- a/packages/gateway/src/calls/admit-call.ts
+++ b/packages/gateway/src/calls/admit-call.ts
@@ -3,6 +3,7 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import {type ErrorKind} from '@shallotpass/common/error-kinds.js';
 import {type Deadline} from '@shallotpass/common/types.js';
+import {computePatience} from '@shallotpass/core/calls/compute-patience.js';
 import {findRoute, type IndexedConfiguration, pickService} from '@shallotpass/core/calls/index-configuration.js';
 import {type Account, type Route} from '@shallotpass/core/calls/serving-configuration.js';
 import {type Call} from '@shallotpass/core/calls/types.js';
@@ -157,6 +158,7 @@
 		arrivedAt,
 		targetAt: (arrivedAt + route.targetMs) as Deadline,
 		deadline: computeDeadline(arrival, timeoutMs),
+		patienceMs: computePatience(route),
 		rank: Math.max(0, route.rank),
 		maxAttempts: Math.max(1, route.attempts),
 		promptTokens: head.promptTokens ?? 0,
--- a/packages/gateway/src/calls/backend-exchange.ts
+++ b/packages/gateway/src/calls/backend-exchange.ts
@@ -36,6 +36,8 @@
 	readonly permit: SendPermit;
 	/** Whether a call that is given up may still be under way, so that its connection must be reset. */
 	readonly mayBeUnderWay: () => boolean;
+	/** Called for each informational head, which tells that the backend server works on the call. */
+	readonly onInformation?: () => void;
 	readonly agent: BackendAgent;
 	readonly address: string;
 	readonly method: string;
@@ -111,6 +113,9 @@
 				clearTimeout(connectTimer);
 			});
 		});
+		request.on('information', () => {
+			options.onInformation?.();
+		});
 		request.on('response', response => {
 			clearTimeout(connectTimer);
 			const {socket} = request;
--- a/packages/gateway/src/calls/backend-registry.ts
+++ b/packages/gateway/src/calls/backend-registry.ts
@@ -9,6 +9,7 @@
 import {type Brittleness} from '@shallotpass/core/limits/brittleness.js';
 import {type BackendLimit} from '@shallotpass/core/limits/backend-limit.js';
 import {type KnownHolding} from '@shallotpass/core/limits/plan-sharing.js';
+import {type EndedWaits} from '@shallotpass/core/retries/relative-waits.js';
 import {type Unsoundness} from '@shallotpass/core/retries/unsoundness.js';
 import {type KnownParts} from '@shallotpass/core/placement/known-parts.js';
 import {usesOwnZoneOnly} from '@shallotpass/core/gossip/filter-loads.js';
@@ -62,6 +63,8 @@
 	askAfterMs: number;
 	/** Send times of the calls without a response, oldest first. */
 	readonly unansweredSince: Map<symbol, number>;
+	/** Send times of the calls without a first event or a whole plain answer, oldest first. */
+	readonly withoutContentSince: Map<symbol, number>;
 	/** Whether the store no longer lists it, but its entry may only have expired during an outage. */
 	isMissing: boolean;
 	/** Whether it was removed from the directory or has restarted. */
@@ -80,6 +83,10 @@
 	brittleness: Brittleness | undefined;
 	/** Answers of it that were none. Undefined if the last one was sound. */
 	unsoundness: Unsoundness | undefined;
+	/** Whether a body of it that nobody uses is read far, to find out whether it ends. */
+	isBodyExamined: boolean;
+	/** Last waits of calls here that came to their end, by what they waited for. */
+	readonly endedWaits: EndedWaits;
 	/** Tokens that the running calls of this daemon may take in its cache. */
 	runningTokens: number;
 	/** This daemon's part in its limit. */
@@ -96,13 +103,15 @@
 	versionsByService: VersionsByService;
 	/** Latency model by service, also assumed for new backend servers. */
 	readonly latencyModels: Map<string, LatencyModel>;
+	/** Bytes of the largest whole body of a plain answer, by service. */
+	readonly largestBodies: Map<string, number>;
 	readonly openConnection: OpenConnection;
 	/** Called with the incarnation of a backend server to which a connection was opened. */
 	onConnected: (incarnation: string) => void;
 };
 
 export const makeBackendRegistry = (openConnection: OpenConnection = net.connect): BackendRegistry => ({
-	byId: new Map(), byService: new Map(), versionsByService: new Map(), latencyModels: new Map(), openConnection, onConnected() {/* set by the owner */},
+	byId: new Map(), byService: new Map(), versionsByService: new Map(), latencyModels: new Map(), largestBodies: new Map(), openConnection, onConnected() {/* set by the owner */},
 });
 
 /** Each call at the backend server listens, so their number has no bound. */
@@ -140,6 +149,7 @@
 	askedAt: Number.NEGATIVE_INFINITY,
 	askAfterMs: firstAskAfterMs,
 	unansweredSince: new Map(),
+	withoutContentSince: new Map(),
 	isMissing: false,
 	isGone: false,
 	leaving: makeLeavingController(),
@@ -149,6 +159,8 @@
 	limit: undefined,
 	brittleness: undefined,
 	unsoundness: undefined,
+	isBodyExamined: false,
+	endedWaits: {},
 	runningTokens: 0,
 	holding: undefined,
 });
@@ -256,6 +268,12 @@
 	return oldestSentAt === undefined ? 0 : now - Math.max(oldestSentAt, state.lastReadAt);
 };
 
+/** Milliseconds for which the oldest call has been waiting for its first event or its whole answer. */
+export const computeContentWaitMs = ({withoutContentSince}: BackendState, now: number): number => {
+	const [oldestSentAt] = withoutContentSince.values();
+	return oldestSentAt === undefined ? 0 : now - oldestSentAt;
+};
+
 /** Milliseconds for which calls to the backend server have got no data, also those that were given up meanwhile. */
 export const computeUnansweredMs = ({firstUnansweredAt, lastReadAt}: BackendState, now: number): number => firstUnansweredAt > lastReadAt ? now - firstUnansweredAt : 0;
 
@@ -286,13 +304,20 @@
 	/** Maximum number of concurrent calls of this daemon. */
 	readonly maxOwnCalls: number;
 	readonly ownZone: string;
+	readonly isStream: boolean;
 	/** On the steady clock. */
 	readonly now: number;
 };
 
+/** A plain call that takes longer than this multiple of the mean is overdue. */
+const overdueFactor = 3;
+
+/** Milliseconds for which a plain call is overdue, though its answer may have begun: the mean knows only of those that have ended. */
+const computeOverdueMs = (state: BackendState, now: number): number => computeContentWaitMs(state, now) - (state.plainMs * overdueFactor);
+
 const toLoad = (running: number, pendingTokens: readonly number[]): Load => ({running, pendingTokens});
 
-export const toBackendView = (state: BackendState, {latencyModel, cachedTokens, spreadPenaltyMs, limitPreferenceMs, maxOwnCalls, ownZone, now}: BackendViewOptions): BackendView => ({
+export const toBackendView = (state: BackendState, {latencyModel, cachedTokens, spreadPenaltyMs, limitPreferenceMs, maxOwnCalls, ownZone, isStream, now}: BackendViewOptions): BackendView => ({
 	id: state.entry.id,
 	isInOtherZone: state.entry.availabilityZone !== ownZone,
 	places: state.entry.places,
@@ -306,5 +331,5 @@
 	cachedTokens,
 	spreadPenaltyMs,
 	limitPreferenceMs,
-	silentMs: computeSilenceMs(state, now),
+	silentMs: Math.max(computeSilenceMs(state, now), isStream ? 0 : computeOverdueMs(state, now)),
 });
--- a/packages/gateway/src/calls/call-attempts.ts
+++ b/packages/gateway/src/calls/call-attempts.ts
@@ -17,6 +17,7 @@
 import {mayStillReceive} from './may-still-receive.js';
 import {setRuns} from './peer-call.js';
 import {type Placement, placeCall} from './place-call.js';
+import {prepareRepeat} from './prepare-repeat.js';
 import {type Attempt, type AttemptResult, runAtBackend} from './run-at-backend.js';
 import {settlePermit, takeSendPermit} from './send-permit.js';
 import {sendToPeer} from './send-to-peer.js';
@@ -182,7 +183,7 @@
 	}
 
 	const result = mayReceive
-		? await runAtBackend(gateway, call, placement, {...outgoing, softwareVersion: progress.softwareVersion}, {permit, signal})
+		? await runAtBackend(gateway, call, placement, {...outgoing, softwareVersion: progress.softwareVersion}, {permit, signal, prepareRepeat: () => prepareRepeat(gateway, call, progress, progress.possibleRuns + 1)})
 		: {kind: 'not_run' as const, reason: 'backend_left', hasArrived: false};
 	settlePermit(gateway, call, {permit, progress, mayHaveArrived: result.kind !== 'not_run' || result.hasArrived});
 	if (result.kind === 'not_run' && !result.hasArrived && (mayReceive || placement.isCounted === true)) {
@@ -220,9 +221,9 @@
 
 /** Discards an unused error response, and counts the attempt as failed. */
 export const discardResponse = (response: http.IncomingMessage, attempt: Attempt): void => {
-	discardBody(response, () => {
+	discardBody(response, attempt.state, excess => {
 		attempt.exchange.abort();
-		attempt.recordUnsound('unused_body');
+		attempt.recordExcess(excess);
 	});
 	attempt.end(true);
 };
--- a/packages/gateway/src/calls/forward-plain-response.ts
+++ b/packages/gateway/src/calls/forward-plain-response.ts
@@ -1,6 +1,7 @@
 /** Forwards a plain response to the caller: buffered if it is small, streamed if it is large. */
 import {Buffer} from 'node:buffer';
 import type http from 'node:http';
+import {compareIntervalMs} from './compare-waits.js';
 import {type IsComplete} from './backend-exchange.js';
 import {listEndToEndFields} from './end-to-end-fields.js';
 
@@ -32,26 +33,32 @@
 	readonly isComplete: IsComplete;
 	readonly target: http.ServerResponse;
 	readonly method: string;
-	/** Time within which a body that is buffered must end. Undefined for any, if the call cannot be repeated. */
+	/** Time after which a body that is buffered may be given up. Undefined for none, if the call cannot be repeated. */
 	readonly bodyTimeoutMs?: number | undefined;
-	/** Called when that time has passed. */
-	readonly onBodyTimeout?: () => void;
+	/** Whether the body is given up after that time. Asked again and again. */
+	readonly isBodyLate?: () => boolean;
+	/** Called with the bytes of the body so far. */
+	readonly onBytes?: (receivedBytes: number) => void;
 	/** Whether the caller's connection is closed after this response. */
 	readonly isLastOnConnection: () => boolean;
 };
 
-export const forwardPlainResponse = async ({response, isComplete, target, method, isLastOnConnection, bodyTimeoutMs, onBodyTimeout}: ForwardOptions): Promise<ForwardResult> => new Promise(resolve => {
+export const forwardPlainResponse = async ({response, isComplete, target, method, isLastOnConnection, bodyTimeoutMs, isBodyLate, onBytes}: ForwardOptions): Promise<ForwardResult> => new Promise(resolve => {
 	const buffered: Buffer[] = [];
 	let receivedBytes = 0;
 	let isStreaming = false;
 	target.sendDate = false;
 
-	const bodyTimer = bodyTimeoutMs === undefined
-		? undefined
-		: setTimeout(() => {
-			onBodyTimeout?.();
+	const checkBodyTime = (): void => {
+		if (isBodyLate?.() === true) {
 			response.destroy();
-		}, bodyTimeoutMs);
+			return;
+		}
+
+		bodyTimer = setTimeout(checkBodyTime, compareIntervalMs);
+	};
+
+	let bodyTimer = bodyTimeoutMs === undefined ? undefined : setTimeout(checkBodyTime, bodyTimeoutMs);
 
 	const startStreaming = (): void => {
 		isStreaming = true;
@@ -66,6 +73,7 @@
 
 	response.on('data', (chunk: Buffer) => {
 		receivedBytes += chunk.length;
+		onBytes?.(receivedBytes);
 		if (!isStreaming) {
 			buffered.push(chunk);
 			if (receivedBytes > maxBufferedBytes) {
--- a/packages/gateway/src/calls/forward-stream.ts
+++ b/packages/gateway/src/calls/forward-stream.ts
@@ -1,12 +1,11 @@
 /** Forwards a stream of events to the caller as they arrive, in complete events only. */
 import {type Buffer} from 'node:buffer';
 import type http from 'node:http';
-import {
-	maxBytesInTurn, maxBytesWithoutEvent, maxCommentBytes, type ReadExcess,
-} from '../read-bounds.js';
+import {maxBytesWithoutEvent, maxCommentBytes, type ReadExcess} from '../read-bounds.js';
 import {type IsComplete} from './backend-exchange.js';
 import {type EventSplitter} from './event-splitter.js';
 import {listEndToEndFields} from './end-to-end-fields.js';
+import {makeTurnLimit} from './limit-turn.js';
 import {type ProgressBounds, watchProgress} from './watch-progress.js';
 
 const excludedNames: ReadonlySet<string> = new Set(['content-length']);
@@ -37,13 +36,17 @@
 	/** Response to the caller. */
 	readonly target: http.ServerResponse;
 	readonly splitter: EventSplitter;
+	/** Whether the stream is given up in which no bytes came for so long. Asked again and again. */
+	readonly isStalled: () => boolean;
+	/** The same for bytes without an event. Returns why it is given up. */
+	readonly findExcess: () => ReadExcess | undefined;
 	/** Called for each chunk that completes at least one event, before the events are written to `target`. */
 	readonly onEvents: () => void;
 };
 
 /** Forwards events until the stream ends. Does not end `target`, as an interrupted stream may be resumed on another backend server. */
 export const forwardEvents = async (options: ForwardEventsOptions): Promise<ForwardEventsResult> => new Promise(resolve => {
-	const {response, isComplete, target, splitter, stallTimeoutMs, eventTimeoutMs, onEvents} = options;
+	const {response, isComplete, target, splitter, stallTimeoutMs, eventTimeoutMs, isStalled, findExcess, onEvents} = options;
 	let excess: ReadExcess | undefined;
 	const breakOff = (found: ReadExcess): void => {
 		excess = found;
@@ -53,12 +56,15 @@
 	const progress = watchProgress({
 		stallTimeoutMs, eventTimeoutMs,
 		onStall() {
-			response.destroy();
+			if (isStalled()) {
+				response.destroy();
+			}
 		},
 		onNoEvent() {
 			// Silence is judged by the other timeout.
-			if (splitter.countBytesWithoutEvent() > 0) {
-				breakOff('time_without_event');
+			const found = splitter.countBytesWithoutEvent() > 0 ? findExcess() : undefined;
+			if (found !== undefined) {
+				breakOff(found);
 			}
 		},
 	});
@@ -103,21 +109,11 @@
 		});
 	};
 
-	let bytesInTurn = 0;
-	/** Lets other calls go on: Node reads megabytes of one connection in a turn of the loop, and small chunks of them take long. */
-	const yieldTurn = (): void => {
-		response.pause();
-		setImmediate(() => {
-			bytesInTurn = 0;
-			response.resume();
-		});
-	};
-
+	const turn = makeTurnLimit(response);
 	target.once('close', onTargetClose);
 	response.on('data', (chunk: Buffer) => {
 		progress.onBytes();
 		const events = splitter.push(chunk);
-		bytesInTurn = events === undefined ? bytesInTurn + chunk.length : 0;
 		if (splitter.countBytesWithoutEvent() > maxBytesWithoutEvent || splitter.countCommentBytes() > maxCommentBytes) {
 			breakOff('bytes_without_event');
 			return;
@@ -125,11 +121,13 @@
 
 		if (events !== undefined) {
 			progress.onEvent();
+			turn.reset();
 			onEvents();
 			forward(events);
-		} else if (bytesInTurn > maxBytesInTurn) {
-			yieldTurn();
+			return;
 		}
+
+		turn.onBytes(chunk.length);
 	});
 	response.on('error', () => {
 		// Handled on 'close', which follows. Without this listener the error would end the process.
--- a/packages/gateway/src/calls/list-available-backends.ts
+++ b/packages/gateway/src/calls/list-available-backends.ts
@@ -3,7 +3,7 @@
 import {type GatewayState} from '../gateway-state.js';
 import {isReachable} from '../paths/track-paths.js';
 import {type BackendState} from './backend-registry.js';
-import {isSoundFor} from './backend-soundness.js';
+import {filterSound} from './backend-soundness.js';
 import {mayStillReceive} from './may-still-receive.js';
 
 export type PlacementOptions = {
@@ -18,15 +18,15 @@
 };
 
 /** Lists the backend servers that can take the call. A stream that must go on at one version goes to one that leaves if no other of that version is left. */
-export const listAvailableBackends = (gateway: GatewayState, call: Call, {attemptedIncarnations, softwareVersion}: PlacementOptions): BackendState[] => {
+export const listAvailableBackends = (gateway: GatewayState, call: Call, {attemptedIncarnations, softwareVersion}: PlacementOptions): readonly BackendState[] => {
 	const now = gateway.clocks.steady();
-	const isAvailable = (state: BackendState): boolean => state.suspendedUntil <= now && !attemptedIncarnations.has(state.incarnation) && isReachable(gateway, state) && isSoundFor(state, call, now);
-	const ready = (gateway.registry.byService.get(call.service) ?? []).filter(state => isAvailable(state));
+	const isAvailable = (state: BackendState): boolean => state.suspendedUntil <= now && !attemptedIncarnations.has(state.incarnation) && isReachable(gateway, state);
+	const available = (gateway.registry.byService.get(call.service) ?? []).filter(state => isAvailable(state));
 	if (softwareVersion === undefined) {
-		return ready;
+		return filterSound(gateway, call, available);
 	}
 
-	const fitting = ready.filter(({entry}) => entry.softwareVersion === softwareVersion);
+	const fitting = filterSound(gateway, call, available.filter(({entry}) => entry.softwareVersion === softwareVersion));
 	return fitting.length > 0
 		? fitting
 		: [...gateway.registry.byId.values()].filter(state => state.entry.service === call.service && state.entry.isLeaving
--- a/packages/gateway/src/calls/peer-call.ts
+++ b/packages/gateway/src/calls/peer-call.ts
@@ -7,6 +7,7 @@
 import type http from 'node:http';
 import {type ErrorKind, errorResponses} from '@shallotpass/common/error-kinds.js';
 import {type Deadline} from '@shallotpass/common/types.js';
+import {leastPatienceMs} from '@shallotpass/core/calls/compute-patience.js';
 import {type Call} from '@shallotpass/core/calls/types.js';
 import * as z from 'zod';
 import {type GatewayState} from '../gateway-state.js';
@@ -97,6 +98,8 @@
 			routeName: z.string(),
 			service: z.string(),
 			repeatability: z.enum(['idempotent', 'once', 'resumable_stream', 'stream_once']),
+			/** Daemons of earlier versions don't send it. */
+			patienceMs: z.number().default(leastPatienceMs),
 			rank: z.int(),
 			/** Backend servers that may still run it. */
 			maxAttempts: z.int(),
@@ -123,7 +126,7 @@
 /** Encodes the call for a peer. */
 export const encodePeerCall = (gateway: GatewayState, {call, outgoing}: AdmittedCall, {possibleRuns, softwareVersion, earnsHere}: Pick<CallProgress, 'possibleRuns' | 'softwareVersion' | 'earnsHere'>): Buffer => {
 	const now = gateway.clocks.steady();
-	const {id, account, routeName, service, repeatability, rank, promptTokens, outputTokens, promptParts} = call;
+	const {id, account, routeName, service, repeatability, patienceMs, rank, promptTokens, outputTokens, promptParts} = call;
 	const {method, path, callerFields, digest, lastEventId} = outgoing;
 	const data: PeerCallData = {
 		sender: gateway.settings.instance.id,
@@ -132,7 +135,7 @@
 		targetMs: call.targetAt - now,
 		earnsRepeats: earnsHere,
 		call: {
-			id, account, routeName, service, repeatability, rank, maxAttempts: Math.max(1, call.maxAttempts - possibleRuns), promptTokens, outputTokens, promptParts: [...promptParts],
+			id, account, routeName, service, repeatability, patienceMs, rank, maxAttempts: Math.max(1, call.maxAttempts - possibleRuns), promptTokens, outputTokens, promptParts: [...promptParts],
 		},
 		outgoing: {
 			method, path, callerFields: [...callerFields], digest, lastEventId, softwareVersion,
--- a/packages/gateway/src/calls/place-call.ts
+++ b/packages/gateway/src/calls/place-call.ts
@@ -136,6 +136,7 @@
 		limitPreferenceMs: limitPreferences.get(state) ?? 0,
 		maxOwnCalls,
 		ownZone,
+		isStream: isStream(call.repeatability),
 		now,
 	}));
 	const placedCall = {
--- /dev/null
+++ b/packages/gateway/src/calls/record-latency.ts
@@ -0,0 +1,34 @@
+/** Updates what is known of the speed of backend servers from the calls that they have answered. */
+import {
+	defaultLatencyModel, recordPrefill, toPrefillSample, updateFixedLatency,
+} from '@shallotpass/core/placement/engine-latency.js';
+import {updateMovingMean} from '@shallotpass/core/placement/moving-averages.js';
+import {type GatewayState} from '../gateway-state.js';
+import {type BackendState} from './backend-registry.js';
+
+/** An estimate that no answer has renewed for this long is replaced by the next one. */
+const outdatedAfterMs = 2000;
+
+/** Updates the latency model of the backend server and its service from the time until the head of a stream. */
+export const recordStreamLatency = ({registry, clocks}: GatewayState, state: BackendState, {sentAt, workTokens}: {sentAt: number; workTokens: number}): void => {
+	const {service} = state.entry;
+	const event = {workTokens, tookMs: clocks.steady() - sentAt};
+	const latencyModel = registry.latencyModels.get(service) ?? defaultLatencyModel;
+	const sample = toPrefillSample(event, latencyModel);
+	registry.latencyModels.set(service, updateFixedLatency(latencyModel, event));
+	if (sample !== undefined) {
+		state.prefill = recordPrefill(state.prefill, sample, clocks.steady());
+	}
+};
+
+/** Whether the mean duration of plain calls was renewed lately, or will be soon. Only calls that are sent renew it. */
+export const isPlainEstimateCurrent = ({plainAt, running}: BackendState, now: number): boolean => running > 0 || now <= plainAt + outdatedAfterMs;
+
+/** Updates the mean duration of plain calls once an answer is whole: a backend server whose answers begin soon and do not end is not quick. */
+export const recordPlainLatency = ({clocks}: GatewayState, state: BackendState, sentAt: number): void => {
+	const now = clocks.steady();
+	const tookMs = Math.max(1, now - sentAt);
+	const isOutdated = sentAt > state.plainAt + outdatedAfterMs;
+	state.plainMs = isOutdated ? tookMs : updateMovingMean(state.plainMs, tookMs);
+	state.plainAt = now;
+};
--- a/packages/gateway/src/calls/run-at-backend.ts
+++ b/packages/gateway/src/calls/run-at-backend.ts
@@ -2,10 +2,6 @@
 import {type Buffer} from 'node:buffer';
 import type http from 'node:http';
 import {type Call, isStream} from '@shallotpass/core/calls/types.js';
-import {
-	defaultLatencyModel, updateFixedLatency, recordPrefill, toPrefillSample,
-} from '@shallotpass/core/placement/engine-latency.js';
-import {updateMovingMean} from '@shallotpass/core/placement/moving-averages.js';
 import {recordPart} from '@shallotpass/core/placement/known-parts.js';
 import {recordWork} from '@shallotpass/core/engines/work-rate.js';
 import {computeSilenceTimeout} from '@shallotpass/core/retries/silence-timeout.js';
@@ -22,12 +18,15 @@
 import {recordBrokenConnection, recordConnectFailure, suspendBackend} from './connect-failures.js';
 import {observeBrittleness} from './backend-brittleness.js';
 import {observeLimit} from './backend-limits.js';
-import {recordUnsoundAnswer} from './backend-soundness.js';
+import {recordExcess as recordExcessOf} from './backend-soundness.js';
 import {discardBody} from './discard-body.js';
 import {mayStillReceive} from './may-still-receive.js';
 import {type Placement} from './place-call.js';
+import {recordStreamLatency} from './record-latency.js';
 import {type SendPermit} from './send-permit.js';
 import {trackRunningCall} from './track-running-call.js';
+import {recordWaitEnd} from './compare-waits.js';
+import {watchForHead} from './watch-for-head.js';
 import {watchForLateArrival} from './watch-for-late-arrival.js';
 import {watchForSilence} from './watch-for-silence.js';
 
@@ -70,10 +69,14 @@
 	/** Backend server, or address of the peer. */
 	readonly source: string;
 	readonly exchange: Omit<Exchange, 'result'>;
+	/** To be called once the first event of a stream has come. */
+	readonly endContentWait: () => void;
 	/** Records that the answer exceeded a bound. */
-	readonly recordUnsound: (excess: ReadExcess) => void;
+	readonly recordExcess: (excess: ReadExcess) => void;
 	readonly isComplete: IsComplete;
 	readonly sentAt: number;
+	/** Predicted time until its head. */
+	readonly predictedMs: number;
 	/** When the head of the answer was received, on the steady clock. */
 	readonly answeredAt: number;
 	/** Stops counting the call as running; called when the response has ended. */
@@ -90,32 +93,15 @@
 	}
 };
 
-/** An estimate that no answer has renewed for this long is replaced by the next one. */
-const outdatedAfterMs = 2000;
-
-/** Updates the latency model of the backend server and its service from the time until the response head. */
-const recordLatency = (gateway: GatewayState, call: Call, attempt: {state: BackendState; sentAt: number; workTokens: number}): void => {
-	const {state} = attempt;
-	const tookMs = gateway.clocks.steady() - attempt.sentAt;
-	if (isStream(call.repeatability)) {
-		const event = {workTokens: attempt.workTokens, tookMs};
-		const latencyModel = gateway.registry.latencyModels.get(call.service) ?? defaultLatencyModel;
-		const sample = toPrefillSample(event, latencyModel);
-		gateway.registry.latencyModels.set(call.service, updateFixedLatency(latencyModel, event));
-		if (sample !== undefined) {
-			state.prefill = recordPrefill(state.prefill, sample, gateway.clocks.steady());
-		}
-
-		return;
-	}
-
-	const isOutdated = attempt.sentAt > state.plainAt + outdatedAfterMs;
-	state.plainMs = isOutdated ? Math.max(1, tookMs) : updateMovingMean(state.plainMs, Math.max(1, tookMs));
-	state.plainAt = gateway.clocks.steady();
+export type SendOptions = {
+	readonly permit: SendPermit;
+	readonly signal: AbortSignal;
+	/** Takes the repeat with which the call is sent elsewhere if it is given up. Returns false if there is none. */
+	readonly prepareRepeat: () => boolean;
 };
 
 /** Sends the call to the backend server of the placement and waits for the head of the response. */
-export const runAtBackend = async (gateway: GatewayState, call: Call, placement: Placement, outgoing: OutgoingRequest, {permit, signal}: {permit: SendPermit; signal: AbortSignal}): Promise<AttemptResult> => {
+export const runAtBackend = async (gateway: GatewayState, call: Call, placement: Placement, outgoing: OutgoingRequest, {permit, signal, prepareRepeat}: SendOptions): Promise<AttemptResult> => {
 	const {state} = placement;
 	const isContinued = outgoing.softwareVersion !== undefined;
 	const needsVersion = isContinued || call.repeatability === 'resumable_stream';
@@ -150,6 +136,10 @@
 		signal,
 		// If the backend server has sent nothing since, the call may still be under way.
 		mayBeUnderWay: () => state.lastReadAt <= now,
+		onInformation() {
+			state.lastReadAt = gateway.clocks.steady();
+			headWatch.onInformation();
+		},
 		agent: state.agent,
 		address: state.entry.address,
 		method: outgoing.method,
@@ -168,13 +158,22 @@
 
 	let isSilent = false;
 	const {predictedMs} = placement.choice;
+	const wait = {since: now, predictedMs};
 	const stopWatching = watchForSilence({
-		gateway, state, sentAt: now, predictedMs, maxSilenceMs: computeSilenceTimeout(call.repeatability, predictedMs),
+		gateway, call, state, wait, maxSilenceMs: computeSilenceTimeout(call.repeatability, predictedMs), prepareRepeat,
 		onSilent() {
 			isSilent = true;
 			exchange.abort();
 		},
 	});
+	let lateHead: ReadExcess | undefined;
+	const headWatch = watchForHead({
+		gateway, call, state, wait, prepareRepeat,
+		onLate(isProven) {
+			lateHead = isProven ? 'time_without_head' : 'presumed_late';
+			exchange.abort();
+		},
+	});
 	let isLate = false;
 	const stopWatchingArrival = watchForLateArrival(gateway, state, now, () => {
 		isLate = true;
@@ -182,16 +181,18 @@
 	});
 	const end = (isFailure: boolean): void => {
 		stopWatching();
+		headWatch.stop();
 		stopWatchingArrival();
 		trackedCall.end(isFailure);
 	};
 
-	const recordUnsound = (excess: ReadExcess): void => {
-		recordUnsoundAnswer(gateway, state, {requestId: call.id, sentAt: now, excess});
+	const recordExcess = (excess: ReadExcess): void => {
+		recordExcessOf(gateway, state, {requestId: call.id, sentAt: now, excess});
 	};
 
 	const result = await exchange.result;
 	stopWatching();
+	headWatch.stop();
 	stopWatchingArrival();
 	trackedCall.markAnswered();
 	if (result.kind === 'failed') {
@@ -202,9 +203,9 @@
 			recordConnectFailure(gateway, state, {reason: result.reason, startedAt: now});
 		}
 
-		const excess = toReadExcess(result.reason);
+		const excess = lateHead ?? toReadExcess(result.reason);
 		if (excess !== undefined) {
-			recordUnsound(excess);
+			recordExcess(excess);
 		}
 
 		const hasCrashed = result.isConnectFailure || isAborted || isLate || excess !== undefined
@@ -243,9 +244,9 @@
 	}
 
 	if (isRefusal) {
-		discardBody(response, () => {
+		discardBody(response, state, excess => {
 			exchange.abort();
-			recordUnsound('unused_body');
+			recordExcess(excess);
 		});
 		end(false);
 		gateway.metrics.attempts.inc({service: call.service, outcome: 'refused'});
@@ -265,13 +266,17 @@
 	}
 
 	trackedCall.endPending();
-	recordLatency(gateway, call, {state, sentAt: now, workTokens});
+	recordWaitEnd(gateway, state, 'head', wait);
+	if (isStream(call.repeatability)) {
+		recordStreamLatency(gateway, state, {sentAt: now, workTokens});
+	}
+
 	// A run that was moved here has already been counted where it started.
 	recordUsage(gateway, call, response.statusCode === 200 && outgoing.kvCache === undefined);
 	gateway.metrics.attempts.inc({service: call.service, outcome: (response.statusCode ?? 0) < 500 ? 'answered' : 'failed'});
 	return {
 		kind: 'answered', response, attempt: {
-			state, softwareVersion: version.softwareVersion, laterVersion: version.later, source: state.entry.id, exchange, recordUnsound, isComplete, sentAt: now, answeredAt: state.lastReadAt, end,
+			state, softwareVersion: version.softwareVersion, laterVersion: version.later, source: state.entry.id, exchange, recordExcess, endContentWait: trackedCall.endContentWait, isComplete, sentAt: now, predictedMs, answeredAt: state.lastReadAt, end,
 		},
 	};
 };
--- a/packages/gateway/src/calls/send-permit.ts
+++ b/packages/gateway/src/calls/send-permit.ts
@@ -29,6 +29,14 @@
 	});
 };
 
+/** Whether the limit leaves a repeat. */
+export const hasRepeatLeft = (gateway: GatewayState, {service}: Call): boolean => {
+	const now = gateway.clocks.steady();
+	const account = getRepeatAccount(gateway, service);
+	const limit = getRepeatLimit(gateway);
+	return countRepeats(account, limit, now) + 1 <= computeMaxRepeats(account, limit, now);
+};
+
 /** Takes a repeat from the limit, whether or not the call has arrived before. Returns undefined if none is left. */
 export const takeRepeatPermit = (gateway: GatewayState, call: Call): SendPermit | undefined => {
 	if (!takeRepeat(getRepeatAccount(gateway, call.service), getRepeatLimit(gateway), gateway.clocks.steady())) {
@@ -58,7 +66,12 @@
 /** Records what has become of a send. One that has not arrived leaves its permit for the next one. */
 export const settlePermit = (gateway: GatewayState, call: Call, {permit, progress, mayHaveArrived}: {permit: SendPermit; progress: CallProgress; mayHaveArrived: boolean}): void => {
 	if (!mayHaveArrived) {
-		progress.heldPermit = permit[permitBrand] === 'repeat' ? permit : undefined;
+		if (progress.heldPermit === undefined) {
+			progress.heldPermit = permit[permitBrand] === 'repeat' ? permit : undefined;
+		} else {
+			returnPermit(gateway, call, permit);
+		}
+
 		return;
 	}
 
--- a/packages/gateway/src/calls/serve-plain.ts
+++ b/packages/gateway/src/calls/serve-plain.ts
@@ -8,10 +8,11 @@
 import {
 	type CallOutcome, isUnsent, makeFailureOutcome, makeUnsentOutcome,
 } from './call-outcome.js';
-import {recordSoundAnswer} from './backend-soundness.js';
 import {type CallProgress} from './call-progress.js';
 import {forwardPlainResponse} from './forward-plain-response.js';
+import {prepareRepeat} from './prepare-repeat.js';
 import {takeRetry} from './take-retry.js';
+import {watchPlainBody} from './watch-plain-body.js';
 
 /** Share of the time to its deadline that the body of an answer may take. The rest is for another backend server. */
 const bodyTimeShare = 0.5;
@@ -37,19 +38,19 @@
 			}
 
 			recordFirstByte(context, call, progress);
+			const body = watchPlainBody(gateway, call, attempt, () => prepareRepeat(gateway, call, progress, progress.possibleRuns));
 			// eslint-disable-next-line no-await-in-loop -- attempts run one after another
 			const forwarded = await forwardPlainResponse({
 				response, isComplete: attempt.isComplete, target, method: outgoing.method, isLastOnConnection: () => isDraining(gateway),
 				bodyTimeoutMs: isRepeatable(call.repeatability) ? (call.deadline - gateway.clocks.steady()) * bodyTimeShare : undefined,
-				onBodyTimeout() {
-					attempt.recordUnsound('body_time');
-				},
+				isBodyLate: body.isLate,
+				onBytes: body.onBytes,
 			});
 			attempt.end(forwarded !== 'passed' || isServerError(response));
 			if (forwarded === 'passed') {
 				trackSurvival(gateway, attempt.state, admitted, attempt.answeredAt).onWhole();
 				if (response.complete && !isServerError(response)) {
-					recordSoundAnswer(attempt.state);
+					body.onWhole();
 				}
 
 				return {name: isServerError(response) ? 'backend_error' : 'served'};
--- a/packages/gateway/src/calls/serve-stream.ts
+++ b/packages/gateway/src/calls/serve-stream.ts
@@ -22,7 +22,9 @@
 import {forwardPlainResponse} from './forward-plain-response.js';
 import {forwardEvents, writeStreamHead} from './forward-stream.js';
 import {type Placement} from './place-call.js';
+import {prepareRepeat} from './prepare-repeat.js';
 import {takeRetry} from './take-retry.js';
+import {watchStreamWaits} from './watch-stream-waits.js';
 
 type StreamState = {
 	readonly context: CallContext;
@@ -145,7 +147,7 @@
 		return;
 	}
 
-	attempt.recordUnsound(excess);
+	attempt.recordExcess(excess);
 	progress.hasCrashed = undefined;
 	progress.lastFailure = `the stream from ${attempt.source} was given up for ${excess}`;
 };
@@ -162,6 +164,7 @@
 	}
 
 	const {state} = attempt;
+	const waits = watchStreamWaits(gateway, call, attempt, () => prepareRepeat(gateway, call, progress, progress.possibleRuns));
 	const survival = trackSurvival(gateway, state, stream, attempt.answeredAt);
 	const departure = state === undefined || stream.stoppedOn.has(state.incarnation)
 		? inactiveWatch
@@ -172,8 +175,11 @@
 		response, isComplete: attempt.isComplete, target, splitter,
 		// A peer watches the backend server itself.
 		stallTimeoutMs: call.repeatability === 'resumable_stream' && state !== undefined ? streamStallTimeoutMs : undefined,
-		eventTimeoutMs: state === undefined ? undefined : computeEventTimeout(call.repeatability, call.targetAt - call.arrivedAt),
+		eventTimeoutMs: state === undefined ? undefined : computeEventTimeout(call),
+		isStalled: waits.isStalled,
+		findExcess: waits.findExcess,
 		onEvents() {
+			waits.onEvents();
 			recordFirstEvents(stream, attempt);
 			if (state !== undefined) {
 				state.lastReadAt = gateway.clocks.steady();
--- a/packages/gateway/src/calls/track-running-call.ts
+++ b/packages/gateway/src/calls/track-running-call.ts
@@ -35,7 +35,13 @@
 
 	const callKey = Symbol('call');
 	state.unansweredSince.set(callKey, sentAt);
+	state.withoutContentSince.set(callKey, sentAt);
+	const endContentWait = (): void => {
+		state.withoutContentSince.delete(callKey);
+	};
+
 	return {
+		endContentWait,
 		endPending,
 		markAnswered(): void {
 			state.unansweredSince.delete(callKey);
@@ -48,6 +54,7 @@
 			isRunning = false;
 			endPending();
 			state.unansweredSince.delete(callKey);
+			endContentWait();
 			state.running--;
 			state.runningTokens -= tokens;
 			state.failureRate = updateFailureRate(state.failureRate, isFailure && !isCutOff(gateway));
--- a/packages/gateway/src/calls/watch-for-silence.ts
+++ b/packages/gateway/src/calls/watch-for-silence.ts
@@ -1,18 +1,23 @@
 /** Watches for backend servers that stop sending data, and for lost paths that nothing else shows. */
+import {type Call} from '@shallotpass/core/calls/types.js';
+import {type CurrentWait} from '@shallotpass/core/retries/relative-waits.js';
 import {soundSilenceMs} from '@shallotpass/core/retries/silence-timeout.js';
 import {type GatewayState} from '../gateway-state.js';
 import {confirmLoss, hasContactSince} from '../paths/track-paths.js';
 import {type BackendState, computeUnansweredMs} from './backend-registry.js';
+import {compareIntervalMs, compareWait} from './compare-waits.js';
 import {suspendBackend} from './connect-failures.js';
 
 export type SilenceWatchOptions = {
 	readonly gateway: GatewayState;
+	readonly call: Call;
 	readonly state: BackendState;
-	/** When the call was sent, on the steady clock. */
-	readonly sentAt: number;
-	readonly predictedMs: number;
-	/** Time without data after which the call is given up. Undefined if it must not be sent again. */
+	/** Of the call for the head of its answer. */
+	readonly wait: CurrentWait;
+	/** Time without data after which the call may be given up. Undefined if it must not be sent again. */
 	readonly maxSilenceMs: number | undefined;
+	/** Takes the repeat with which the call is sent elsewhere. Returns false if there is none. */
+	readonly prepareRepeat: () => boolean;
 	readonly onSilent: () => void;
 };
 
@@ -20,7 +25,7 @@
 const minDoubtMs = 150;
 
 /** Finds out whether the paths are lost if a call waits long and no backend server at all was heard meanwhile. Returns a function that stops watching. */
-const watchForLostPaths = ({gateway, state, sentAt, predictedMs}: SilenceWatchOptions): (() => void) => {
+const watchForLostPaths = ({gateway, state, wait: {since: sentAt, predictedMs}}: SilenceWatchOptions): (() => void) => {
 	const doubtMs = Math.max(minDoubtMs, predictedMs * 2);
 	let timer: NodeJS.Timeout | undefined;
 	const check = (): void => {
@@ -41,8 +46,15 @@
 	};
 };
 
+/** Whether the call is given up after long silence. It waits on if all backend servers are silent alike, or if it could not be sent elsewhere. */
+const isGivenUp = ({gateway, state, call, wait, prepareRepeat}: SilenceWatchOptions): boolean => {
+	const finding = compareWait(gateway, state, {call, stage: 'head', wait});
+	return finding === 'overtaken' || (finding !== 'alike' && prepareRepeat());
+};
+
 /** Calls `onSilent` if no data is received from the backend server for too long, or at once if the paths are lost. */
-const watchForTimeout = ({gateway, state, sentAt, onSilent}: SilenceWatchOptions, maxSilenceMs: number): (() => void) => {
+const watchForTimeout = (options: SilenceWatchOptions, maxSilenceMs: number): (() => void) => {
+	const {gateway, state, wait: {since: sentAt}, onSilent} = options;
 	let timer: NodeJS.Timeout | undefined;
 	const check = (): void => {
 		const remainingMs = maxSilenceMs - (gateway.clocks.steady() - Math.max(sentAt, state.lastReadAt));
@@ -51,6 +63,11 @@
 			return;
 		}
 
+		if (!isGivenUp(options)) {
+			timer = setTimeout(check, compareIntervalMs);
+			return;
+		}
+
 		// A sound backend server may be silent for a second.
 		if (computeUnansweredMs(state, gateway.clocks.steady()) >= soundSilenceMs) {
 			suspendBackend(gateway, state, 'silent');
--- a/packages/gateway/src/calls/watch-progress.ts
+++ b/packages/gateway/src/calls/watch-progress.ts
@@ -1,15 +1,16 @@
 /** Watches whether a stream makes progress. A slow caller, for whom it waits, is no want of progress. */
+import {compareIntervalMs} from './compare-waits.js';
 
 export type ProgressBounds = {
-	/** Time without any bytes after which the stream counts as interrupted. Undefined for any. */
+	/** Time without any bytes after which the stream may be interrupted. Undefined for any. */
 	readonly stallTimeoutMs: number | undefined;
-	/** Time without an event after which the stream counts as interrupted although bytes come. Undefined for any. */
+	/** Time without an event after which the stream may be interrupted although bytes come. Undefined for any. */
 	readonly eventTimeoutMs: number | undefined;
 };
 
 export type ProgressWatchOptions = ProgressBounds & {
+	/** Both are called again and again until something comes or the watch is stopped. */
 	readonly onStall: () => void;
-	/** Called again and again while no event comes, until the watch is stopped. */
 	readonly onNoEvent: () => void;
 };
 
@@ -28,16 +29,27 @@
 
 const makeTimer = (afterMs: number | undefined, onElapsed: () => void): RestartableTimer => {
 	let timer: NodeJS.Timeout | undefined;
+	let repetition: NodeJS.Timeout | undefined;
+	const stopRepetition = (): void => {
+		clearInterval(repetition);
+		repetition = undefined;
+	};
+
 	return {
 		restart() {
 			if (afterMs === undefined) {
 				return;
 			}
 
-			timer ??= setTimeout(onElapsed, afterMs);
+			stopRepetition();
+			timer ??= setTimeout(() => {
+				repetition = setInterval(onElapsed, compareIntervalMs);
+				onElapsed();
+			}, afterMs);
 			timer.refresh();
 		},
 		stop() {
+			stopRepetition();
 			clearTimeout(timer);
 			timer = undefined;
 		},
@@ -46,10 +58,7 @@
 
 export const watchProgress = ({stallTimeoutMs, eventTimeoutMs, onStall, onNoEvent}: ProgressWatchOptions): ProgressWatch => {
 	const stallTimer = makeTimer(stallTimeoutMs, onStall);
-	const eventTimer = makeTimer(eventTimeoutMs, () => {
-		eventTimer.restart();
-		onNoEvent();
-	});
+	const eventTimer = makeTimer(eventTimeoutMs, onNoEvent);
 	const resume = (): void => {
 		stallTimer.restart();
 		eventTimer.restart();
--- a/packages/gateway/src/read-bounds.ts
+++ b/packages/gateway/src/read-bounds.ts
@@ -1,20 +1,20 @@
 /** Bounds of what is read from backend servers, peers, the store and the cloud, by what is read. Bytes that are no answer may come without end. */
 
-/** Informational heads before the head of an answer. */
-export const maxInformationalHeads = 8;
-
 /** Bytes of a stream since its last event. An event of a megabyte is sound. */
 export const maxBytesWithoutEvent = 4_194_304;
 
 /** Bytes of a stream without an event that are read before other calls go on. */
 export const maxBytesInTurn = 16_384;
 
-/** Comments of a stream since its last event. */
-export const maxCommentBytes = 65_536;
+/** Comments of a stream since its last event, which are held until it comes. */
+export const maxCommentBytes = 1_048_576;
 
 /** A body that nobody uses is read so that its connection can be reused. Reading on costs more than a new connection. */
 export const unusedBodyBounds = {bytes: 65_536, ms: 250} as const;
 
+/** One such body at a time of each backend server is read this far, as one that goes beyond tells that it has no end. */
+export const examinedBodyBounds = {bytes: 4_194_304, ms: 900} as const;
+
 /** Answers of the store, the cloud and the control interfaces of engines. A page of the store has up to a megabyte. */
 export const maxReplyBytes = 16_777_216;
 
@@ -24,8 +24,8 @@
 /** Refusals of other daemons. */
 export const maxRefusalBytes = 16_384;
 
-/** What exceeded its bound. `unreadable`: bytes that are no head or no body in the protocol, or a head beyond the size that Node's client reads. */
-const readExcesses = ['informational_heads', 'bytes_without_event', 'time_without_event', 'unused_body', 'body_time', 'unreadable'] as const;
+/** What exceeded its bound, which ends the answer. What that says of the backend server stands in `backend-soundness.ts`. `presumed_late`: nothing or no end has come for long, and other backend servers were quicker before. `unreadable`: bytes that are no head or no body in the protocol, or a head beyond the size that Node's client reads. */
+const readExcesses = ['informational_heads', 'time_without_head', 'bytes_without_event', 'time_without_event', 'unused_body', 'endless_body', 'body_time', 'presumed_late', 'unreadable'] as const;
 
 export type ReadExcess = (typeof readExcesses)[number];
 
--- a/packages/gateway/src/telemetry/log-events.ts
+++ b/packages/gateway/src/telemetry/log-events.ts
@@ -48,8 +48,8 @@
 		fields: ['request', 'backend', 'finding', 'answeredMs', 'parts'],
 	},
 	backend_unsound: {
-		meaning: 'An answer of a backend server was given up, as it exceeded a bound of what is read or could not be read; `failures`: such answers in a row. From the second one on it gets no calls for a while',
-		fields: ['backend', 'service', 'request', 'excess', 'failures', 'pauseMs'],
+		meaning: 'An answer of a backend server was given up, as a sound one would not have been: `here` says that others were clearly quicker meanwhile, `anywhere` that no network causes it, so that peers are told. `failures`: such answers in a row. From the second one on it gets no calls for a while',
+		fields: ['backend', 'service', 'request', 'excess', 'evidence', 'failures', 'pauseMs'],
 	},
 	backend_path_lost: {meaning: 'A backend server is not reached from here, but another daemon reaches it; no call is suspected', fields: ['backend', 'address']},
 	paths_lost: {
