Do not refuse plain calls for a duration that no answer has renewed lately

What callers saw: 503 deadline_unreachable for every plain call with a short deadline, for good, after the backend servers of a service had been slow for a while. Cause: the mean duration of plain calls is known from answers only, and a call that is refused for it brings none. Streams are not concerned, as what is known of their engines decays. Change: without a plain call of this daemon under way there, and without an answer within 2 s, the estimate refuses nothing; the call that goes renews it.

--- a/packages/gateway/src/calls/call-attempts.ts
+++ b/packages/gateway/src/calls/call-attempts.ts
@@ -1,7 +1,7 @@
 /** A single attempt of a call, shared by plain calls and streams. */
 import type http from 'node:http';
 import {computeRetryAfter} from '@shallotpass/core/admission/compute-retry-after.js';
-import {type Call} from '@shallotpass/core/calls/types.js';
+import {type Call, isStream} from '@shallotpass/core/calls/types.js';
 import {findCrashRefusal} from '../crashes/check-verdict.js';
 import {type GatewayState} from '../gateway-state.js';
 import {pauseFor} from '../pause.js';
@@ -18,6 +18,7 @@
 import {setRuns} from './peer-call.js';
 import {type Placement, placeCall} from './place-call.js';
 import {prepareRepeat} from './prepare-repeat.js';
+import {isPlainEstimateCurrent} from './record-latency.js';
 import {type Attempt, type AttemptResult, runAtBackend} from './run-at-backend.js';
 import {settlePermit, takeSendPermit} from './send-permit.js';
 import {sendToPeer} from './send-to-peer.js';
@@ -133,7 +134,8 @@
 
 	const {placement} = result;
 	const {gateway: {clocks, random}} = context;
-	const retryAfterS = progress.attempts > 0
+	const isPredictable = isStream(admitted.call.repeatability) || isPlainEstimateCurrent(placement.state, clocks.steady());
+	const retryAfterS = progress.attempts > 0 || !isPredictable
 		? undefined
 		: computeRetryAfter({
 			predictedMs: placement.choice.predictedMs, deadline: admitted.call.deadline, now: clocks.steady(), random,
