Take calls at other backend servers for as slow by how long they wait, not by when anything was last read there

What callers saw: 504 for 38 to 44 of 150 calls, all backend servers of which sent an informational head or some, then nothing for 1.6 s, then a whole plain answer. Cause: heads are a sign of life, so the silence of the others looked short and no backend server seemed alike; each call was given up once and began anew. Change: the age of the oldest call without a head counts. Conclusion: mended.

--- a/packages/gateway/src/calls/backend-registry.ts
+++ b/packages/gateway/src/calls/backend-registry.ts
@@ -268,12 +268,17 @@
 	return oldestSentAt === undefined ? 0 : now - Math.max(oldestSentAt, state.lastReadAt);
 };
 
-/** Milliseconds for which the oldest call has been waiting for its first event or its whole answer. */
-export const computeContentWaitMs = ({withoutContentSince}: BackendState, now: number): number => {
-	const [oldestSentAt] = withoutContentSince.values();
+const computeOldestAgeMs = (sentTimes: ReadonlyMap<symbol, number>, now: number): number => {
+	const [oldestSentAt] = sentTimes.values();
 	return oldestSentAt === undefined ? 0 : now - oldestSentAt;
 };
 
+/** Milliseconds for which the oldest call has been waiting for the head of its answer. */
+export const computeHeadWaitMs = ({unansweredSince}: BackendState, now: number): number => computeOldestAgeMs(unansweredSince, now);
+
+/** Milliseconds for which the oldest call has been waiting for its first event or its whole answer. */
+export const computeContentWaitMs = ({withoutContentSince}: BackendState, now: number): number => computeOldestAgeMs(withoutContentSince, now);
+
 /** Milliseconds for which calls to the backend server have got no data, also those that were given up meanwhile. */
 export const computeUnansweredMs = ({firstUnansweredAt, lastReadAt}: BackendState, now: number): number => firstUnansweredAt > lastReadAt ? now - firstUnansweredAt : 0;
 
--- a/packages/gateway/src/calls/compare-waits.ts
+++ b/packages/gateway/src/calls/compare-waits.ts
@@ -4,7 +4,7 @@
 	type CurrentWait, isUnusualPause, judgeWait, leastPredictedMs, makeEndedWait, type OtherWaits, type WaitFinding, type WaitStage,
 } from '@shallotpass/core/retries/relative-waits.js';
 import {type GatewayState} from '../gateway-state.js';
-import {type BackendState, computeContentWaitMs, computeSilenceMs} from './backend-registry.js';
+import {type BackendState, computeContentWaitMs, computeHeadWaitMs} from './backend-registry.js';
 
 /** Interval between two looks at a wait that is long, but not longer than elsewhere. */
 export const compareIntervalMs = 100;
@@ -21,7 +21,7 @@
 const computeWaitingMs = (state: BackendState, stage: WaitStage, now: number): number => {
 	switch (stage) {
 		case 'head': {
-			return computeSilenceMs(state, now);
+			return computeHeadWaitMs(state, now);
 		}
 
 		case 'content': {
