Ask backend servers whether they live for whose deaths requests are refused

Cause: a connection that breaks while its path is down and peers are starting looks like a death. It is refuted by data that is received from the engine within 1.2 s; where the refused requests are all there is, nothing is received, and the verdict stands until its trials. Change: while a verdict stands, the daemons ask the engines that they still list for their start, one daemon a round in the mean. The same start refutes the death. Ruled out: trusting the list for engines that tell no start: two of the crashing requests ran on (crashing-parts.test.ts failed), as an engine that comes back answers before its entry changes. Asking by the daemon that saw the death only: it may have ended. Checks: refuted-crashes.test.ts; the landed code keeps the verdict for over 8 s without calls, now it ends. Conclusion: the lasting case is mended.

--- a/packages/gateway/src/crashes/share-evidence.ts
+++ b/packages/gateway/src/crashes/share-evidence.ts
@@ -4,6 +4,7 @@
 import {type GatewayState} from '../gateway-state.js';
 import {announceVerdicts} from './announce-verdicts.js';
 import {refuteCrash} from './record-evidence.js';
+import {verifyDeaths} from './verify-deaths.js';
 
 /** Data that arrives this long after a death was noticed shows that there was none: it was not under way then, and comes from no successor at the same address yet. */
 const earliestDataMs = 300;
@@ -40,6 +41,7 @@
 /** Checks and clears the evidence, once a gossip round. */
 export const maintainCrashes = (gateway: GatewayState): void => {
 	refuteByData(gateway);
+	verifyDeaths(gateway);
 	removeOldEvidence(gateway.crashes, gateway.clocks.trueTime());
 	announceVerdicts(gateway);
 };
