--- a/packages/gateway/src/calls/ask-unheard.ts
+++ b/packages/gateway/src/calls/ask-unheard.ts
@@ -5,7 +5,8 @@
  */
 import {type Call, isRepeatable} from '@shallotpass/core/calls/types.js';
 import {type GatewayState} from '../gateway-state.js';
-import {type BackendState, computeSilenceMs, firstAskAfterMs} from './backend-registry.js';
+import {computeSilenceMs} from './backend-waits.js';
+import {type BackendState, firstAskAfterMs} from './backend-registry.js';
 import {type PlacementOptions} from './list-available-backends.js';
 
 /** Shortest interval between two such calls of this daemon, whatever the number of backend servers. */
--- a/packages/gateway/src/calls/backend-registry.ts
+++ b/packages/gateway/src/calls/backend-registry.ts
@@ -2,9 +2,8 @@
 import {setMaxListeners} from 'node:events';
 import net from 'node:net';
 import {type BackendEntry, type Directory} from '@shallotpass/core/directory/types.js';
-import {type BackendView, type Load} from '@shallotpass/core/placement/types.js';
 import {
-	computeEngineSpeed, emptyPrefillRecord, defaultLatencyModel, emptyPrefillSample, type PrefillSample, type PrefillRecord, decayPrefillRecord, type LatencyModel,
+	emptyPrefillRecord, emptyPrefillSample, type PrefillSample, type PrefillRecord, type LatencyModel,
 } from '@shallotpass/core/placement/engine-latency.js';
 import {type Brittleness} from '@shallotpass/core/limits/brittleness.js';
 import {type BackendLimit} from '@shallotpass/core/limits/backend-limit.js';
@@ -12,7 +11,6 @@
 import {type EndedWaits} from '@shallotpass/core/retries/relative-waits.js';
 import {type Unsoundness} from '@shallotpass/core/retries/unsoundness.js';
 import {type KnownParts} from '@shallotpass/core/placement/known-parts.js';
-import {usesOwnZoneOnly} from '@shallotpass/core/gossip/filter-loads.js';
 import {hashText} from '@shallotpass/core/routing/rank-by-rendezvous.js';
 import {BackendAgent, type OpenConnection} from './backend-agent.js';
 import {countVersions, type VersionsByService} from './count-versions.js';
@@ -261,80 +259,3 @@
 /** Whether a call may still be sent to the backend server: it is ready, or the call arrives before its drain time has passed. */
 export const mayReceiveCalls = ({isGone, leavingSince}: BackendState, {arrivesBy, drainMs}: ArrivalBounds): boolean =>
 	leavingSince === undefined ? !isGone : arrivesBy <= leavingSince + drainMs;
-
-/** Milliseconds since data was last received from the backend server while calls are waiting for it. */
-export const computeSilenceMs = (state: BackendState, now: number): number => {
-	const [oldestSentAt] = state.unansweredSince.values();
-	return oldestSentAt === undefined ? 0 : now - Math.max(oldestSentAt, state.lastReadAt);
-};
-
-const computeOldestAgeMs = (sentTimes: ReadonlyMap<symbol, number>, now: number): number => {
-	const [oldestSentAt] = sentTimes.values();
-	return oldestSentAt === undefined ? 0 : now - oldestSentAt;
-};
-
-/** Milliseconds for which the oldest call has been waiting for the head of its answer. */
-export const computeHeadWaitMs = ({unansweredSince}: BackendState, now: number): number => computeOldestAgeMs(unansweredSince, now);
-
-/** Milliseconds for which the oldest call has been waiting for its first event or its whole answer. */
-export const computeContentWaitMs = ({withoutContentSince}: BackendState, now: number): number => computeOldestAgeMs(withoutContentSince, now);
-
-/** Milliseconds for which calls to the backend server have got no data, also those that were given up meanwhile. */
-export const computeUnansweredMs = ({firstUnansweredAt, lastReadAt}: BackendState, now: number): number => firstUnansweredAt > lastReadAt ? now - firstUnansweredAt : 0;
-
-/** Returns the latency model of a backend server, computed from the measurements of all daemons and the model of its service. */
-export const getLatencyModel = (registry: BackendRegistry, state: BackendState, now: number): LatencyModel => {
-	const latencyModel = registry.latencyModels.get(state.entry.service) ?? defaultLatencyModel;
-	return {...latencyModel, tokensPerMs: computeEngineSpeed([decayPrefillRecord(state.prefill, now), state.othersPrefill], latencyModel)};
-};
-
-/** Whether this daemon sends its calls to backend servers of its own availability zone only, for all services alike. */
-export const isLimitedToOwnZone = (registry: BackendRegistry, ownZone: string): boolean => {
-	let inZone = 0;
-	for (const {entry} of registry.byId.values()) {
-		inZone += entry.availabilityZone === ownZone ? 1 : 0;
-	}
-
-	return usesOwnZoneOnly(registry.byId.size, inZone);
-};
-
-export type BackendViewOptions = {
-	readonly latencyModel: LatencyModel;
-	/** Estimated number of the call's prompt tokens that the backend server has cached. */
-	readonly cachedTokens: number;
-	/** Penalty from the call's own order of backend servers, which spreads calls, in milliseconds. */
-	readonly spreadPenaltyMs: number;
-	/** Additional wait that is accepted because of its limit, in milliseconds. */
-	readonly limitPreferenceMs: number;
-	/** Maximum number of concurrent calls of this daemon. */
-	readonly maxOwnCalls: number;
-	readonly ownZone: string;
-	readonly isStream: boolean;
-	/** On the steady clock. */
-	readonly now: number;
-};
-
-/** A plain call that takes longer than this multiple of the mean is overdue. */
-const overdueFactor = 3;
-
-/** Milliseconds for which a plain call is overdue, though its answer may have begun: the mean knows only of those that have ended. */
-const computeOverdueMs = (state: BackendState, now: number): number => computeContentWaitMs(state, now) - (state.plainMs * overdueFactor);
-
-const toLoad = (running: number, pendingTokens: readonly number[]): Load => ({running, pendingTokens});
-
-export const toBackendView = (state: BackendState, {latencyModel, cachedTokens, spreadPenaltyMs, limitPreferenceMs, maxOwnCalls, ownZone, isStream, now}: BackendViewOptions): BackendView => ({
-	id: state.entry.id,
-	isInOtherZone: state.entry.availabilityZone !== ownZone,
-	places: state.entry.places,
-	isReclaimable: state.entry.isReclaimable,
-	latencyModel,
-	plainMs: state.plainMs,
-	own: toLoad(state.running, state.pendingTokens),
-	others: toLoad(state.othersRunning, state.othersPendingTokens),
-	failureRate: state.failureRate,
-	isAtConnectionLimit: state.running >= maxOwnCalls,
-	cachedTokens,
-	spreadPenaltyMs,
-	limitPreferenceMs,
-	silentMs: Math.max(computeSilenceMs(state, now), isStream ? 0 : computeOverdueMs(state, now)),
-});
--- a/packages/gateway/src/calls/call-attempts.ts
+++ b/packages/gateway/src/calls/call-attempts.ts
@@ -8,7 +8,7 @@
 import {hasContactSince, isCutOff} from '../paths/track-paths.js';
 import {isVersionServed} from '../origins/continuity.js';
 import {type AdmittedCall, type CallContext} from './admit-call.js';
-import {getLatencyModel} from './backend-registry.js';
+import {getLatencyModel} from './backend-view.js';
 import {hasUnevenLoad, returnToLimit, takeFromLimit} from './backend-limits.js';
 import {type SendResult, type UnsentResult} from './call-outcome.js';
 import {type CallProgress} from './call-progress.js';
--- a/packages/gateway/src/calls/compare-waits.ts
+++ b/packages/gateway/src/calls/compare-waits.ts
@@ -4,7 +4,8 @@
 	type CurrentWait, isUnusualPause, judgeWait, leastPredictedMs, makeEndedWait, type OtherWaits, type WaitFinding, type WaitStage,
 } from '@shallotpass/core/retries/relative-waits.js';
 import {type GatewayState} from '../gateway-state.js';
-import {type BackendState, computeContentWaitMs, computeHeadWaitMs} from './backend-registry.js';
+import {computeContentWaitMs, computeHeadWaitMs} from './backend-waits.js';
+import {type BackendState} from './backend-registry.js';
 
 /** Interval between two looks at a wait that is long, but not longer than elsewhere. */
 export const compareIntervalMs = 100;
--- a/packages/gateway/src/calls/place-call.ts
+++ b/packages/gateway/src/calls/place-call.ts
@@ -10,9 +10,8 @@
 import {isBrittle} from './backend-brittleness.js';
 import {findUnheard, recordAsk} from './ask-unheard.js';
 import {countMoreUrgentRanks, getLimitRoom, type LimitRoom} from './backend-limits.js';
-import {
-	type BackendState, getLatencyModel, isLimitedToOwnZone, toBackendView,
-} from './backend-registry.js';
+import {getLatencyModel, isLimitedToOwnZone, toBackendView} from './backend-view.js';
+import {type BackendState} from './backend-registry.js';
 import {unknownVersion} from './count-versions.js';
 import {listAvailableBackends, type PlacementOptions} from './list-available-backends.js';
 
--- a/packages/gateway/src/calls/watch-for-silence.ts
+++ b/packages/gateway/src/calls/watch-for-silence.ts
@@ -4,7 +4,8 @@
 import {soundSilenceMs} from '@shallotpass/core/retries/silence-timeout.js';
 import {type GatewayState} from '../gateway-state.js';
 import {confirmLoss, hasContactSince} from '../paths/track-paths.js';
-import {type BackendState, computeUnansweredMs} from './backend-registry.js';
+import {computeUnansweredMs} from './backend-waits.js';
+import {type BackendState} from './backend-registry.js';
 import {compareIntervalMs, compareWait} from './compare-waits.js';
 import {suspendBackend} from './connect-failures.js';
 
--- a/packages/gateway/src/leader/order-planner.ts
+++ b/packages/gateway/src/leader/order-planner.ts
@@ -7,7 +7,7 @@
 import {defaultLatencyModel} from '@shallotpass/core/placement/engine-latency.js';
 import {computeWorkRate} from '@shallotpass/core/engines/work-rate.js';
 import {countMissingBackends} from '../calls/backend-limits.js';
-import {getLatencyModel} from '../calls/backend-registry.js';
+import {getLatencyModel} from '../calls/backend-view.js';
 import {type GatewayState, peerExpiryMs} from '../gateway-state.js';
 import {isCutOff} from '../paths/track-paths.js';
 
--- a/packages/gateway/src/peers/relay-reports.ts
+++ b/packages/gateway/src/peers/relay-reports.ts
@@ -7,7 +7,7 @@
 } from '@shallotpass/core/gossip/gossip-report.js';
 import {filterLoads} from '@shallotpass/core/gossip/filter-loads.js';
 import {type GossipMember, pickRelays} from '@shallotpass/core/gossip/pick-relays.js';
-import {isLimitedToOwnZone} from '../calls/backend-registry.js';
+import {isLimitedToOwnZone} from '../calls/backend-view.js';
 import {type GatewayState, type PeerReport, peerExpiryMs} from '../gateway-state.js';
 import {deleteBefore} from './delete-before.js';
 import {makeRelayMonitor} from './relay-monitor.js';
