Answers that are owed are counted, and each that ends unfinished is logged

Cause: neither logs nor metrics could tell the hypotheses apart. activeCalls begins with admission, so that queued requests do not count, and ends when the last byte is handed to the socket; a torn answer left no line. Change: OwedAnswers counts each answer from the head of its request until all of it has left the process, per connection and in all, on the callers' and the peers' listeners, from the early listener on. Gauge shallotpass_gateway_owed_answers, counter shallotpass_gateway_unfinished_answers_total by reason, the line answer_unfinished (request, which side closed or why the input ended, whether the request was read, bytes sent and still held, time since SIGTERM), and the count in request_unreadable, draining, stopped and figures. No decision depends on it yet. Checks: four tests of the ledger; the reference page of the log events.

--- a/packages/gateway/src/calls/callers-listener.ts
+++ b/packages/gateway/src/calls/callers-listener.ts
@@ -27,10 +27,12 @@
 
 /** Serves callers on `openedServer`, or on a new server if there is none. */
 export const listenForCallers = async (gateway: GatewayState, openedServer?: CallersServer): Promise<CallersListener> => {
-	const {server, serve} = openedServer ?? await openCallersServer(gateway.settings.listen.callers);
+	const {server, serve} = openedServer ?? await openCallersServer(gateway.settings.listen.callers, gateway.answers);
 	server.on('clientError', (error: NodeJS.ErrnoException, socket: net.Socket) => {
 		const status = error.code === 'HPE_HEADER_OVERFLOW' ? '431 Request Header Fields Too Large' : (error.code === 'ERR_HTTP_REQUEST_TIMEOUT' ? '408 Request Timeout' : '400 Bad Request');
-		gateway.log.write('failure', 'request_unreadable', {reason: error.code ?? error.message});
+		const reason = error.code ?? error.message;
+		gateway.log.write('failure', 'request_unreadable', {reason, owedAnswers: gateway.answers.countOn(socket)});
+		gateway.answers.stateReason(socket, reason);
 		if (error.code === 'ECONNRESET' || !socket.writable) {
 			socket.destroy();
 			return;
--- a/packages/gateway/src/calls/callers-server.ts
+++ b/packages/gateway/src/calls/callers-server.ts
@@ -3,6 +3,7 @@
  * requests are queued instead of rejected. A rejected caller may already have used its only retry.
  */
 import http from 'node:http';
+import {makeOwedAnswers, type OwedAnswers} from '@shallotpass/common/owed-answers.js';
 import {parseHostAndPort} from '../host-and-port.js';
 
 /** Limits that apply until a configuration sets others. */
@@ -23,6 +24,8 @@
 
 export type CallersServer = {
 	readonly server: http.Server;
+	/** Answers that are owed to callers, also to those whose requests are queued. */
+	readonly answers: OwedAnswers;
 	/** Host and port as passed to `openCallersServer`. */
 	readonly address: string;
 	/** Attaches the request handler and passes it the queued requests first. */
@@ -30,10 +33,11 @@
 };
 
 /** Rejects if the server cannot listen on the address. */
-export const openCallersServer = async (address: string): Promise<CallersServer> => {
+export const openCallersServer = async (address: string, answers = makeOwedAnswers()): Promise<CallersServer> => {
 	let handler: Handler | undefined;
 	const queuedRequests: Array<Parameters<Handler>> = [];
 	const dispatch: Handler = (request, response) => {
+		answers.add(request, response);
 		if (handler === undefined) {
 			queuedRequests.push([request, response]);
 			return;
@@ -66,6 +70,7 @@
 	});
 	return {
 		server,
+		answers,
 		address,
 		serve(attachedHandler) {
 			handler = attachedHandler;
--- a/packages/gateway/src/gateway-state.ts
+++ b/packages/gateway/src/gateway-state.ts
@@ -1,4 +1,5 @@
 /** State shared by the components of one gateway daemon. The comments of mutable fields name the components that write them. */
+import {type OwedAnswers} from '@shallotpass/common/owed-answers.js';
 import {type UsualDemand} from '@shallotpass/core/admission/usual-demand.js';
 import {type CrashLedger} from '@shallotpass/core/crashes/crash-ledger.js';
 import {type CrashVerdict} from '@shallotpass/core/crashes/types.js';
@@ -155,6 +156,8 @@
 	readonly stopSignal: AbortSignal;
 	/** Number of calls in flight. */
 	activeCalls: number;
+	/** Answers that are owed to callers and peers, from the head of a request to the delivery of its answer. */
+	readonly answers: OwedAnswers;
 };
 
 /** Peers whose last report is older than this are not counted. Reports arrive three times a second. */
--- a/packages/gateway/src/peers/shared-state.ts
+++ b/packages/gateway/src/peers/shared-state.ts
@@ -97,7 +97,13 @@
 	};
 
 	const server = http.createServer({noDelay: true}, (request, response) => {
-		void (request.url === peerCallPath ? servePeerCall(gateway, request, response) : handleRequest(request, response));
+		if (request.url !== peerCallPath) {
+			void handleRequest(request, response);
+			return;
+		}
+
+		gateway.answers.add(request, response);
+		void servePeerCall(gateway, request, response);
 	});
 	const {host, port} = parseHostAndPort(gateway.settings.listen.peers);
 	await new Promise<void>(resolve => {
--- a/packages/gateway/src/start-gateway.ts
+++ b/packages/gateway/src/start-gateway.ts
@@ -4,6 +4,7 @@
 import {performance} from 'node:perf_hooks';
 import process from 'node:process';
 import {setTimeout as sleep} from 'node:timers/promises';
+import {makeOwedAnswers} from '@shallotpass/common/owed-answers.js';
 import {initialStoreRole, getMaxRetryPauseMs} from '@shallotpass/core/gossip/store-role.js';
 import {initialPathState} from '@shallotpass/core/paths/path-state.js';
 import {makeCrashLedger} from '@shallotpass/core/crashes/crash-ledger.js';
@@ -22,6 +23,7 @@
 import {followDirectory} from './store/follow-directory.js';
 import {listenForMetrics} from './telemetry/metrics-listener.js';
 import {collectProcessMetrics, makeGatewayMetrics} from './telemetry/gateway-metrics.js';
+import {reportUnfinishedAnswers} from './telemetry/report-unfinished-answers.js';
 import {type GatewaySettings} from './gateway-settings.js';
 import {countDaemons, type GatewayState} from './gateway-state.js';
 import {makeOrderPlanner} from './leader/order-planner.js';
@@ -79,7 +81,7 @@
 
 type Identity = Pick<GatewayState, 'incarnation' | 'clocks' | 'stopSignal' | 'loop'>;
 
-const makeState = ({settings, log, openConnection}: GatewayOptions, platform: Platform, {metrics, startedAt, ...identity}: Identity & Pick<GatewayState, 'metrics' | 'startedAt'>): GatewayState => ({
+const makeState = ({settings, log, openConnection, callersServer}: GatewayOptions, platform: Platform, {metrics, startedAt, ...identity}: Identity & Pick<GatewayState, 'metrics' | 'startedAt'>): GatewayState => ({
 	settings,
 	...identity,
 	acceptBacklog: makeAcceptBacklog(identity.clocks.steady, identity.loop),
@@ -123,6 +125,7 @@
 	registeredDaemons: undefined,
 	drainingSince: undefined,
 	activeCalls: 0,
+	answers: callersServer?.answers ?? makeOwedAnswers(),
 	paths: initialPathState,
 	onPathsLost: new Set(),
 	nextSuspicionAt: 0,
@@ -137,17 +140,18 @@
 	const now = (): number => state.clocks.steady();
 	const since = now();
 	state.drainingSince = since;
-	state.log.write('state', 'draining', {activeCalls: state.activeCalls, graceMs: state.settings.bounds.graceMs});
+	state.log.write('state', 'draining', {activeCalls: state.activeCalls, owedAnswers: state.answers.count(), graceMs: state.settings.bounds.graceMs});
 	const endAt = since + state.settings.bounds.graceMs - killMarginMs;
 	while (now() < endAt && (state.activeCalls > 0 || now() < since + keepIdleConnectionsMs)) {
 		// eslint-disable-next-line no-await-in-loop -- a poll
 		await sleep(drainPollMs);
 	}
 
+	state.answers.reportAll();
 	listener.close();
 	listener.closeIdle();
 	controller.abort();
-	state.log.write('state', 'stopped', {activeCalls: state.activeCalls, tookMs: Math.round(now() - since)});
+	state.log.write('state', 'stopped', {activeCalls: state.activeCalls, owedAnswers: state.answers.count(), tookMs: Math.round(now() - since)});
 };
 
 /** Periodically logs the main metrics, for operators who only have logs. */
@@ -157,6 +161,7 @@
 			storeCalls: Object.fromEntries(storeCalls),
 			daemons: countDaemons(state),
 			activeCalls: state.activeCalls,
+			owedAnswers: state.answers.count(),
 			backends: state.registry.byId.size,
 			configuration: state.configuration?.configuration.version,
 			configurationAgeMs: Math.round(state.clocks.steady() - state.configurationCheckedAt),
@@ -172,7 +177,7 @@
 export const startGateway = async (options: GatewayOptions): Promise<Gateway> => {
 	const lastAnswerAt = new Map<string, number>();
 	const metrics = makeGatewayMetrics({
-		answeredAt: lastAnswerAt, now: () => performance.now(), getDirectoryAgeMs: () => state.clocks.steady() - state.directoryStatus.confirmedAt, listReadyBackends: () => listReadyBackends(state.registry.versionsByService),
+		answeredAt: lastAnswerAt, now: () => performance.now(), countOwedAnswers: () => state.answers.count(), getDirectoryAgeMs: () => state.clocks.steady() - state.directoryStatus.confirmedAt, listReadyBackends: () => listReadyBackends(state.registry.versionsByService),
 	});
 	const storeCalls = new Map<string, number>();
 	const platform = options.openPlatform((topic, outcome, isAnswered) => {
@@ -198,6 +203,7 @@
 		recordPathSuccess(state, incarnation);
 	};
 
+	reportUnfinishedAnswers(state);
 	clearParts(state);
 	const {signal} = controller;
 	// Each component waits on the signal, some of them several times.
--- a/packages/gateway/src/telemetry/gateway-metrics.ts
+++ b/packages/gateway/src/telemetry/gateway-metrics.ts
@@ -44,6 +44,8 @@
 	readonly afterLeaveSeconds: Histogram;
 	readonly loopStallSeconds: Histogram;
 	readonly activeCalls: Gauge;
+	readonly owedAnswers: Gauge;
+	readonly unfinishedAnswers: Counter<'reason'>;
 };
 
 export type DependencyAnswers = {
@@ -52,11 +54,13 @@
 	readonly now: () => number;
 	/** Milliseconds since the directory was last known to be up to date. */
 	readonly getDirectoryAgeMs: () => number;
+	/** Counts the answers that are owed now. */
+	readonly countOwedAnswers: () => number;
 	/** Lists how many backend servers of each software version are ready. */
 	readonly listReadyBackends: () => Iterable<{readonly service: string; readonly version: string; readonly ready: number}>;
 };
 
-export const makeGatewayMetrics = ({answeredAt, now, getDirectoryAgeMs, listReadyBackends}: DependencyAnswers): GatewayMetrics => {
+export const makeGatewayMetrics = ({answeredAt, now, getDirectoryAgeMs, countOwedAnswers, listReadyBackends}: DependencyAnswers): GatewayMetrics => {
 	const registry = new Registry();
 	const registers = [registry];
 	return {
@@ -166,6 +170,15 @@
 		}),
 		peers: new Gauge({name: 'shallotpass_gateway_peers', help: 'Other daemons that were heard lately', registers}),
 		activeCalls: new Gauge({name: 'shallotpass_gateway_active_calls', help: 'Calls in flight', registers}),
+		owedAnswers: new Gauge({
+			name: 'shallotpass_gateway_owed_answers', help: 'Requests whose head was read and whose answer is not delivered yet', registers,
+			collect() {
+				this.set(countOwedAnswers());
+			},
+		}),
+		unfinishedAnswers: new Counter({
+			name: 'shallotpass_gateway_unfinished_answers_total', help: 'Answers that ended before they were delivered whole, by what ended them', labelNames: ['reason'], registers,
+		}),
 	};
 };
 
--- a/packages/gateway/src/telemetry/log-events.ts
+++ b/packages/gateway/src/telemetry/log-events.ts
@@ -16,14 +16,14 @@
 		fields: ['isServed', 'rank', 'configurationAgeMs', 'directoryAgeMs', 'sources'],
 	},
 	members_read: {meaning: 'The list of daemons was read from the store', fields: ['members', 'known']},
-	draining: {meaning: 'SIGTERM was received: calls in flight are completed, and readiness checks fail', fields: ['activeCalls', 'graceMs']},
-	stopped: {meaning: 'The process ends; calls still in flight are aborted', fields: ['activeCalls', 'tookMs']},
+	draining: {meaning: 'SIGTERM was received: calls in flight are completed, and readiness checks fail', fields: ['activeCalls', 'owedAnswers', 'graceMs']},
+	stopped: {meaning: 'The process ends; calls still in flight are aborted', fields: ['activeCalls', 'owedAnswers', 'tookMs']},
 	reload_asked: {meaning: 'SIGHUP was received', fields: ['path']},
 	settings_taken: {meaning: 'Changed settings were applied', fields: ['bounds', 'store']},
 	settings_refused: {meaning: 'The settings file has errors; the previous settings stay in force', fields: ['mistakes']},
 	figures: {
 		meaning: 'Summary of the metrics, every ten seconds',
-		fields: ['storeCalls', 'daemons', 'activeCalls', 'backends', 'configuration', 'configurationAgeMs', 'rssMb'],
+		fields: ['storeCalls', 'daemons', 'activeCalls', 'owedAnswers', 'backends', 'configuration', 'configurationAgeMs', 'rssMb'],
 	},
 	lines_left_out: {
 		meaning: 'Number of lines of an event that the rate limit left out in a second, and number of all lines dropped so far because of a slow reader',
@@ -166,7 +166,11 @@
 		meaning: 'What is known to be spent of a client account\'s limit fell otherwise than by age: spending was forgotten',
 		fields: ['account', 'fell', 'known', 'usable', 'own', 'unconfirmed', 'reserved', 'share', 'heard', 'origins'],
 	},
-	request_unreadable: {meaning: 'Data on a connection could not be parsed as a request', fields: ['reason']},
+	request_unreadable: {meaning: 'Data on a connection could not be parsed as a request; `owedAnswers`: how many requests before it on the connection have no whole answer yet', fields: ['reason', 'owedAnswers']},
+	answer_unfinished: {
+		meaning: 'A request got no whole answer. `reason`: which side closed the connection, why its input ended, or that the process ended; `wasRead`: whether the request was read whole; `sentBytes`: what the connection took of its answer and those before it; `unsentBytes`: what was still in the process; `sinceSignalMs`: time since SIGTERM',
+		fields: ['request', 'reason', 'status', 'wasRead', 'sentBytes', 'unsentBytes', 'sinceSignalMs'],
+	},
 } as const satisfies Readonly<Record<string, LogEvent>>;
 /* eslint-enable @typescript-eslint/naming-convention */
 
