A daemon that is stopped while it starts answers the calls it has read

Callers saw: their connections reset, without any answer, when SIGTERM or SIGINT came within about 0.2 s after a daemon began to listen, or when a second signal came while it drained. Cause: the daemon listens before the rest of its modules is loaded, but took SIGTERM only after startGateway; SIGINT never, and SIGTERM only once, so that the second one ended the drain. Ruled out: to end at once if nothing was read. The accept queue and the buffers of the kernel may hold requests then, and closing the listener resets them; only a process that does not listen yet ends at once. Change: the entry point is a module that takes SIGTERM, SIGINT and SIGHUP and then loads the rest; the moment of the first request to stop is kept. The start goes on, queued calls are served or refused, then the drain begins with its periods counted from that moment. Checks: early-signals.test.ts, 16 moments and sequences of signals with 6 calls each, real processes. Before: 6 of 6 calls lost for SIGTERM 0, 60 and 120 ms after the listener accepted and 160 and 200 ms after the start of the process (300 ms: 0 in one run, 6 in another), SIGINT at 0 ms, and for SIGTERM twice, SIGTERM and SIGINT, and SIGHUP, SIGTERM, SIGHUP; SIGINT at 400 ms ended the process by the signal. With a silent store 6 of 6 at 0 ms. Before the first module is loaded a signal still ends the process; nothing listens then.

--- a/apps/daemon/src/run-platform-daemon.ts
+++ b/apps/daemon/src/run-platform-daemon.ts
@@ -1,4 +1,4 @@
-/** Runs the daemon on the users' platform until SIGTERM. */
+/** Runs the daemon on the users' platform until it is asked to stop. */
 import process from 'node:process';
 import {formatMistake} from '@shallotpass/common/toml-file.js';
 import {type CallersServer} from '@shallotpass/gateway/calls/callers-server.js';
@@ -6,6 +6,7 @@
 import {startGateway} from '@shallotpass/gateway/start-gateway.js';
 import {openPlatform} from '@shallotpass/platform/open-platform.js';
 import {readGatewaySettings} from '@shallotpass/platform/settings.js';
+import {type StopRequest} from './take-signals.js';
 import {readInitialSettings, watchSettings} from './watch-settings.js';
 
 const usageExitCode = 2;
@@ -15,9 +16,10 @@
 	readonly path: string;
 	/** Server that already listens for callers, if it could be started. */
 	readonly earlyServer: CallersServer | undefined;
+	readonly stopRequest: StopRequest;
 };
 
-export const runPlatformDaemon = async ({path, earlyServer}: PlatformDaemonOptions): Promise<void> => {
+export const runPlatformDaemon = async ({path, earlyServer, stopRequest}: PlatformDaemonOptions): Promise<void> => {
 	const settings = await readInitialSettings({
 		path,
 		read: readGatewaySettings,
@@ -50,14 +52,11 @@
 	});
 
 	const stop = async (): Promise<void> => {
-		await gateway.drain();
+		await gateway.drain(stopRequest.getRequestedAt());
 		log.flush();
 		process.exit(0);
 	};
 
-	process.once('SIGTERM', () => {
-		void stop();
-	});
 	const watcher = watchSettings({
 		path,
 		read: readGatewaySettings,
@@ -74,4 +73,11 @@
 		log.write('state', 'reload_asked', {path});
 		watcher.checkNow();
 	});
+	if (stopRequest.signal.aborted) {
+		void stop();
+	} else {
+		stopRequest.signal.addEventListener('abort', () => {
+			void stop();
+		}, {once: true});
+	}
 };
--- a/packages/gateway/src/start-gateway.ts
+++ b/packages/gateway/src/start-gateway.ts
@@ -71,8 +71,11 @@
 
 export type Gateway = {
 	readonly state: GatewayState;
-	/** Finishes the calls in flight, refuses new ones after a grace period, and resolves when the process may exit. */
-	readonly drain: () => Promise<void>;
+	/**
+	 * Finishes the calls in flight, refuses new ones after a grace period, and resolves when the process may exit. The periods
+	 * count from when the stop was requested, on the steady clock, or from now.
+	 */
+	readonly drain: (requestedAt?: number) => Promise<void>;
 	/** Applies changed settings. Those of the listeners and of the instance take effect only at the next start. */
 	readonly reload: (settings: GatewaySettings) => void;
 	/** Stops immediately without draining, as in a crash, but keeps the process running. */
@@ -136,9 +139,16 @@
 	listMembers: () => [],
 });
 
-const drain = async (state: GatewayState, listener: CallersListener, controller: AbortController): Promise<void> => {
+type DrainOptions = {
+	readonly state: GatewayState;
+	readonly listener: CallersListener;
+	readonly controller: AbortController;
+	readonly requestedAt: number | undefined;
+};
+
+const drain = async ({state, listener, controller, requestedAt}: DrainOptions): Promise<void> => {
 	const now = (): number => state.clocks.steady();
-	const since = now();
+	const since = requestedAt ?? now();
 	state.drainingSince = since;
 	state.log.write('state', 'draining', {activeCalls: state.activeCalls, owedAnswers: state.answers.count(), graceMs: state.settings.bounds.graceMs});
 	const endAt = since + state.settings.bounds.graceMs - killMarginMs;
@@ -250,7 +260,9 @@
 	state.log.write('state', 'started', {incarnation: state.incarnation, listen: state.settings.listen, isFirstStart: state.settings.instance.firstStart});
 	return {
 		state,
-		drain: async () => drain(state, listener, controller),
+		drain: async requestedAt => drain({
+			state, listener, controller, requestedAt,
+		}),
 		reload(settings) {
 			state.settings = {...settings, listen: state.settings.listen, instance: state.settings.instance};
 			clearParts(state);
