Only the answer behind which nothing is owed ends its connection

What callers saw: of several requests that a caller had sent on one connection, only the first was answered while the daemon drained; the others had been read, and run, and their connection was closed. Cause: a daemon that drains added "Connection: close" to each answer, and Node.js closes the connection behind the first answer that says so. Besides, it closes whether or not everything was read; bytes that stand unread then reset the connection, which destroys what the caller has not read of the last answer. Ruled out: saying close in the last answer by order of reading. An answer whose turn has not come may lie for seconds behind a stream, and requests read meanwhile would wait for an end that their caller was not told of. Change: an answer says close only if it is the only one owed on its connection and is written whole at once, so refusals and buffered answers; streams and large answers stay without it. Requests read behind it are owed nothing and are not passed on. Peers' hops alike: a daemon that leaves ends the connection with its refusal. Two tests of the ledger.

--- a/packages/common/src/owed-answers.test.ts
+++ b/packages/common/src/owed-answers.test.ts
@@ -97,3 +97,35 @@
 	answers.reportAll();
 	assert.deepEqual(unfinished.map(({reason}) => reason), ['process_ended']);
 });
+
+test('a connection ends only with an answer behind which no other is owed', async t => {
+	const {answers, unfinished, caller, responses, waitForRequests} = await startServer(t);
+	caller.write(request + request);
+	await waitForRequests(2);
+	const [first, second] = responses;
+	assert.equal(answers.endWith(first!.req), false);
+	first!.end();
+	await once(first!, 'finish');
+	assert.equal(answers.endWith(second!.req), true);
+	caller.write(request);
+	await waitForRequests(3);
+	assert.equal(answers.count(), 1, 'a request behind the last answer is owed nothing');
+	second!.end();
+	await once(second!, 'finish');
+	assert.equal(answers.count(), 0);
+	assert.deepEqual(unfinished, []);
+});
+
+test('requests that are read after the end of their connection was announced are owed nothing', async t => {
+	const {answers, unfinished, caller, responses, waitForRequests} = await startServer(t);
+	caller.write(request);
+	await waitForRequests(1);
+	const {socket} = responses[0]!;
+	answers.endOn(socket!);
+	caller.write(request);
+	await waitForRequests(2);
+	assert.equal(answers.countOn(socket!), 1);
+	caller.destroy();
+	await once(socket!, 'close');
+	assert.equal(unfinished.length, 1);
+});
--- a/packages/common/src/owed-answers.ts
+++ b/packages/common/src/owed-answers.ts
@@ -20,11 +20,18 @@
 };
 
 export type OwedAnswers = {
-	/** Begins to owe the answer to a request. */
-	readonly add: (request: http.IncomingMessage, response: http.ServerResponse) => void;
+	/** Begins to owe the answer to a request. Returns false if nothing is owed, as the request was read behind the end of its connection. */
+	readonly add: (request: http.IncomingMessage, response: http.ServerResponse) => boolean;
 	readonly count: () => number;
 	/** Counts the answers that are owed on a connection. */
 	readonly countOn: (socket: net.Socket) => number;
+	/**
+	 * Ends the connection with the answer to this request, if nothing else is owed on it. Requests that are read later are not owed
+	 * an answer. Returns whether it is the last one, which must be written whole at once.
+	 */
+	readonly endWith: (request: http.IncomingMessage) => boolean;
+	/** Owes no answer to requests that are read from now on, as the connection is about to be ended. */
+	readonly endOn: (socket: net.Socket) => void;
 	/** Calls `listener` once when no answer is owed on the connection any more, or at once if none is. */
 	readonly onSettled: (socket: net.Socket, listener: () => void) => void;
 	/** States why a connection is about to be closed, so that the answers still owed on it are reported with this reason. */
@@ -37,6 +44,7 @@
 
 type Connection = {
 	owed: number;
+	isEnding: boolean;
 	reason: string | undefined;
 	readonly settledListeners: Array<() => void>;
 };
@@ -61,7 +69,9 @@
 			return known;
 		}
 
-		const connection = {owed: 0, reason: undefined, settledListeners: []};
+		const connection = {
+			owed: 0, isEnding: false, reason: undefined, settledListeners: [],
+		};
 		connections.set(socket, connection);
 		return connection;
 	};
@@ -79,6 +89,10 @@
 		add(request, response) {
 			const {socket} = request;
 			const connection = getConnection(socket);
+			if (connection.isEnding) {
+				return false;
+			}
+
 			const answer: OwedAnswer = {request, response, bytesBefore: socket.bytesWritten - socket.writableLength};
 			owed.add(answer);
 			connection.owed++;
@@ -109,9 +123,22 @@
 			response.once('close', () => {
 				settle(response.writableFinished);
 			});
+			return true;
 		},
 		count: () => owed.size,
 		countOn: socket => connections.get(socket)?.owed ?? 0,
+		endWith({socket}) {
+			const connection = getConnection(socket);
+			if (connection.owed > 1) {
+				return false;
+			}
+
+			connection.isEnding = true;
+			return true;
+		},
+		endOn(socket) {
+			getConnection(socket).isEnding = true;
+		},
 		onSettled(socket, listener) {
 			const connection = getConnection(socket);
 			if (connection.owed === 0) {
--- a/packages/gateway/src/calls/call-attempts.ts
+++ b/packages/gateway/src/calls/call-attempts.ts
@@ -25,8 +25,6 @@
 import {settlePermit, takeSendPermit} from './send-permit.js';
 import {sendToPeer} from './send-to-peer.js';
 
-export const isDraining = (gateway: GatewayState): boolean => gateway.drainingSince !== undefined;
-
 /** Longest time that a call waits for a place, at most a part of the time to its target, and how often it looks. */
 const maxPlaceWaitMs = 250;
 const placeWaitPart = 0.5;
--- a/packages/gateway/src/calls/callers-server.ts
+++ b/packages/gateway/src/calls/callers-server.ts
@@ -3,8 +3,10 @@
  * requests are queued instead of rejected. A rejected caller may already have used its only retry.
  */
 import http from 'node:http';
+import {performance} from 'node:perf_hooks';
 import {makeOwedAnswers, type OwedAnswers} from '@shallotpass/common/owed-answers.js';
 import {parseHostAndPort} from '../host-and-port.js';
+import {type CallerConnections, followConnections} from './caller-connections.js';
 
 /** Limits that apply until a configuration sets others. */
 const initialMaxHeaderBytes = 16_384;
@@ -26,6 +28,7 @@
 	readonly server: http.Server;
 	/** Answers that are owed to callers, also to those whose requests are queued. */
 	readonly answers: OwedAnswers;
+	readonly connections: CallerConnections;
 	/** Host and port as passed to `openCallersServer`. */
 	readonly address: string;
 	/** Attaches the request handler and passes it the queued requests first. */
@@ -37,7 +40,11 @@
 	let handler: Handler | undefined;
 	const queuedRequests: Array<Parameters<Handler>> = [];
 	const dispatch: Handler = (request, response) => {
-		answers.add(request, response);
+		if (!answers.add(request, response)) {
+			request.resume();
+			return;
+		}
+
 		if (handler === undefined) {
 			queuedRequests.push([request, response]);
 			return;
@@ -61,6 +68,7 @@
 		response.writeContinue();
 		dispatch(request, response);
 	});
+	const connections = followConnections(server, answers, () => performance.now());
 	await new Promise<void>((resolve, reject) => {
 		server.once('error', reject);
 		server.listen({...parseHostAndPort(address), backlog}, () => {
@@ -71,6 +79,7 @@
 	return {
 		server,
 		answers,
+		connections,
 		address,
 		serve(attachedHandler) {
 			handler = attachedHandler;
--- a/packages/gateway/src/calls/forward-plain-response.ts
+++ b/packages/gateway/src/calls/forward-plain-response.ts
@@ -39,7 +39,7 @@
 	readonly isBodyLate?: () => boolean;
 	/** Called with the bytes of the body so far. */
 	readonly onBytes?: (receivedBytes: number) => void;
-	/** Whether the caller's connection is closed after this response. */
+	/** Whether the caller's connection is closed after this response. Asked when all of it is at hand. */
 	readonly isLastOnConnection: () => boolean;
 };
 
@@ -63,7 +63,7 @@
 	const startStreaming = (): void => {
 		isStreaming = true;
 		clearTimeout(bodyTimer);
-		target.writeHead(response.statusCode ?? 502, response.statusMessage, makeResponseFields(response, undefined, isLastOnConnection()));
+		target.writeHead(response.statusCode ?? 502, response.statusMessage, makeResponseFields(response, undefined, false));
 		for (const chunk of buffered) {
 			target.write(chunk);
 		}
--- a/packages/gateway/src/calls/forward-stream.ts
+++ b/packages/gateway/src/calls/forward-stream.ts
@@ -10,16 +10,10 @@
 
 const excludedNames: ReadonlySet<string> = new Set(['content-length']);
 
-/**
- * Sends the status line and the end-to-end header fields of a backend server's response to the caller.
- * `isLastOnConnection` tells the caller that the connection is closed after this response.
- */
-export const writeStreamHead = (response: http.IncomingMessage, target: http.ServerResponse, isLastOnConnection: boolean): void => {
+/** Sends the status line and the end-to-end header fields of a backend server's response to the caller. */
+export const writeStreamHead = (response: http.IncomingMessage, target: http.ServerResponse): void => {
 	target.sendDate = false;
-	target.writeHead(response.statusCode ?? 502, response.statusMessage, [
-		...listEndToEndFields(response.rawHeaders, excludedNames),
-		...(isLastOnConnection ? ['Connection', 'close'] : []),
-	]);
+	target.writeHead(response.statusCode ?? 502, response.statusMessage, listEndToEndFields(response.rawHeaders, excludedNames));
 	target.flushHeaders();
 };
 
--- a/packages/gateway/src/calls/refusal.ts
+++ b/packages/gateway/src/calls/refusal.ts
@@ -10,8 +10,8 @@
 	readonly retryAfterS?: number;
 };
 
-/** Sends the error response. If the response has already started, closes the connection instead. */
-export const sendRefusal = (response: ServerResponse, refusal: Refusal, requestId: string | undefined, isLastOnConnection: boolean): void => {
+/** Sends the error response. `isLastOnConnection` tells whether the connection is closed after it. If the response has already started, closes the connection instead. */
+export const sendRefusal = (response: ServerResponse, refusal: Refusal, requestId: string | undefined, isLastOnConnection: () => boolean): void => {
 	if (response.headersSent || response.destroyed) {
 		response.destroy();
 		return;
@@ -28,7 +28,7 @@
 		String(Buffer.byteLength(body)),
 		...(requestId === undefined ? [] : ['X-Request-Id', requestId]),
 		...(refusal.retryAfterS === undefined ? [] : ['Retry-After', refusal.retryAfterS.toFixed(2)]),
-		...(isLastOnConnection ? ['Connection', 'close'] : []),
+		...(isLastOnConnection() ? ['Connection', 'close'] : []),
 	]);
 	response.end(body);
 };
--- a/packages/gateway/src/calls/serve-call.ts
+++ b/packages/gateway/src/calls/serve-call.ts
@@ -8,10 +8,10 @@
 	admitCall, type AdmittedCall, type CallContext, RefusedCall,
 } from './admit-call.js';
 import {recordArrival} from './backend-limits.js';
-import {isDraining} from './call-attempts.js';
 import {type CallOutcome} from './call-outcome.js';
 import {makeProgress} from './call-progress.js';
 import {watchCaller} from './caller-presence.js';
+import {isLastOnConnection} from './last-on-connection.js';
 import {setArrived, setRefusalResult} from './peer-call.js';
 import {sendRefusal} from './refusal.js';
 import {getRepeatAccount, getRepeatLimit} from './repeat-limit.js';
@@ -40,7 +40,7 @@
 			setArrived(response, outcome.hasArrived ?? true);
 		}
 
-		sendRefusal(response, outcome.refusal, head.id, isDraining(gateway));
+		sendRefusal(response, outcome.refusal, head.id, () => isLastOnConnection(context));
 	} else if (!response.writableEnded) {
 		response.destroy();
 	}
--- a/packages/gateway/src/calls/serve-peer-call.ts
+++ b/packages/gateway/src/calls/serve-peer-call.ts
@@ -8,6 +8,7 @@
 import {isCutOff} from '../paths/track-paths.js';
 import {type AdmittedCall, type CallContext} from './admit-call.js';
 import {type CallerPresence, watchCaller} from './caller-presence.js';
+import {isLastOnConnection} from './last-on-connection.js';
 import {
 	decodePeerCall, type PeerCallData, type PeerCallResult, makeCallOfPeer, setArrived, setResult,
 } from './peer-call.js';
@@ -52,7 +53,7 @@
 	gateway.log.write('failure', 'peer_call_refused', {
 		request: head.id, result, detail: refusal.detail, serving: gateway.peerCalls.received,
 	});
-	sendRefusal(response, refusal, head.id, false);
+	sendRefusal(response, refusal, head.id, () => isLastOnConnection(context));
 };
 
 const makeContext = (gateway: GatewayState, {request, response, caller}: Pick<CallContext, 'request' | 'response' | 'caller'>, data: PeerCallData | undefined): CallContext => ({
--- a/packages/gateway/src/calls/serve-plain.ts
+++ b/packages/gateway/src/calls/serve-plain.ts
@@ -3,7 +3,7 @@
 import {trackSurvival} from '../crashes/record-evidence.js';
 import {type AdmittedCall, type CallContext} from './admit-call.js';
 import {
-	discardResponse, isDraining, recordBrokenAttempt, recordFirstByte, sendToBestBackend,
+	discardResponse, recordBrokenAttempt, recordFirstByte, sendToBestBackend,
 } from './call-attempts.js';
 import {isServerError} from './is-server-error.js';
 import {
@@ -12,6 +12,7 @@
 import {type CallProgress} from './call-progress.js';
 import {forwardPlainResponse} from './forward-plain-response.js';
 import {sendHedged} from './hedge-call.js';
+import {isLastOnConnection} from './last-on-connection.js';
 import {prepareRepeat} from './prepare-repeat.js';
 import {takeRetry} from './take-retry.js';
 import {watchPlainBody} from './watch-plain-body.js';
@@ -43,7 +44,7 @@
 			const body = watchPlainBody(gateway, call, attempt, () => prepareRepeat(gateway, call, progress, progress.possibleRuns));
 			// eslint-disable-next-line no-await-in-loop -- attempts run one after another
 			const forwarded = await forwardPlainResponse({
-				response, isComplete: attempt.isComplete, target, method: outgoing.method, isLastOnConnection: () => isDraining(gateway),
+				response, isComplete: attempt.isComplete, target, method: outgoing.method, isLastOnConnection: () => isLastOnConnection(context),
 				bodyTimeoutMs: isRepeatable(call.repeatability) ? (call.deadline - gateway.clocks.steady()) * bodyTimeShare : undefined,
 				isBodyLate: body.isLate,
 				onBytes: body.onBytes,
--- a/packages/gateway/src/calls/serve-stream.ts
+++ b/packages/gateway/src/calls/serve-stream.ts
@@ -8,7 +8,7 @@
 import {recordStream} from '../origins/record-stream.js';
 import {type AdmittedCall, type CallContext} from './admit-call.js';
 import {
-	discardResponse, findSuspension, isDraining, recordBrokenAttempt, recordEvents, recordFirstByte, sendToBestBackend, sendToPlacement,
+	discardResponse, findSuspension, recordBrokenAttempt, recordEvents, recordFirstByte, sendToBestBackend, sendToPlacement,
 } from './call-attempts.js';
 import {isServerError} from './is-server-error.js';
 import {
@@ -17,6 +17,7 @@
 import {recordSoundAnswer} from './backend-soundness.js';
 import {type CallProgress} from './call-progress.js';
 import {type EventSplitter, makeEventSplitter} from './event-splitter.js';
+import {isLastOnConnection} from './last-on-connection.js';
 import {inactiveWatch, type MovedRun, watchDeparture} from './move-run.js';
 import {setVersion} from './peer-call.js';
 import {type Attempt} from './run-at-backend.js';
@@ -70,7 +71,7 @@
 
 /** Handles a response with a status other than 200: retries a server error if allowed, else forwards the response. */
 const forwardErrorResponse = async (stream: StreamState, {response, attempt}: AnsweredAttempt): Promise<NextStep> => {
-	const {context: {gateway, response: target}, call, progress} = stream;
+	const {context: {response: target}, call, progress} = stream;
 	const status = response.statusCode ?? 0;
 	if (isRepeatable(call.repeatability) && isServerError(response) && await takeRetry(stream.context, stream, progress, stream.signal)) {
 		progress.lastFailure = `status ${status}`;
@@ -84,7 +85,7 @@
 	}
 
 	const forwarded = await forwardPlainResponse({
-		response, isComplete: attempt.isComplete, target, method: stream.outgoing.method, isLastOnConnection: () => isDraining(gateway),
+		response, isComplete: attempt.isComplete, target, method: stream.outgoing.method, isLastOnConnection: () => isLastOnConnection(stream.context),
 	});
 	attempt.end(true);
 	return endWith(forwarded === 'passed' ? {name: 'backend_error'} : makeFailureOutcome(progress));
@@ -162,7 +163,7 @@
 		stream.progress.hasStarted = true;
 		announceVersion(stream, attempt);
 		recordFirstByte(stream.context, call, progress);
-		writeStreamHead(response, target, isDraining(gateway));
+		writeStreamHead(response, target);
 	}
 
 	const {state} = attempt;
