A stream's version is known by the connection on which its answer comes

What callers saw: a stream that began at v2 was taken up by an engine of v1 and came as one whole answer. Cause: an engine that has started again under its id and address was taken for the one before as long as any connection to it looked open. Connections stay so when the end of a process is not seen: the link drops packets, the machine loses power, or the daemon is suspended; new connections reach the successor meanwhile. The stream was recorded with the version of the entry. Ruled out: the directory, which was right as far as the daemon could know it, and the keepers, which told what they had been told. Change: connections to a backend server are numbered. The answer to the question for its start confirms those that were established before the question was written, as each ends with its process; so does an answer to a call on a confirmed connection for what was established before that call. A stream is recorded, or goes on, with a version only on a confirmed connection. Before a send on a new connection the question opens it, so that no connection is added. Conclusion: each new connection on which a resumable stream is sent costs one question now.

--- a/packages/gateway/src/calls/backend-agent.ts
+++ b/packages/gateway/src/calls/backend-agent.ts
@@ -30,8 +30,13 @@
 	// Node's HTTP client stores the last request of the socket here.
 	_httpMessage?: http.ClientRequest & {res?: http.IncomingMessage | null};
 	onIdleData?: () => void;
+	/** Number of the connection among those that its agent has established, from 1. Undefined before. */
+	connectionNumber?: number;
 };
 
+/** Returns the number of an established connection of an agent. */
+export const getConnectionNumber = (socket: PooledSocket | null | undefined): number | undefined => socket?.connectionNumber;
+
 /** Connections that were reset or whose write failed. */
 const failedSockets = new WeakSet<net.Socket>();
 
@@ -65,13 +70,13 @@
 export class BackendAgent extends http.Agent {
 	/** Number of open connections, in use or idle. */
 	openConnections = 0;
+	/** Number of the connection that was established last. */
+	lastConnection = 0;
 	/**
-	 * Number of the period in which at least one established connection has been open. Within it the process at the other
-	 * end is the same, as its end would close all of them.
+	 * Connections up to this number lead to the process that was found behind the address after they had been established, or to none: each ends with its
+	 * process. That other connections look open says nothing of a new one, as the end of a process may not have been seen yet.
 	 */
-	contactPeriod = 0;
-	/** Number of connections that are established. */
-	establishedConnections = 0;
+	confirmedConnection = 0;
 
 	constructor(private readonly connectionOptions: BackendAgentOptions = {}) {
 		super({
@@ -87,7 +92,10 @@
 		}
 
 		this.openConnections++;
-		this.trackContact(socket);
+		socket.once('connect', () => {
+			this.lastConnection++;
+			socket.connectionNumber = this.lastConnection;
+		});
 		socket.on('end', () => {
 			handleRemoteEnd(socket);
 		});
@@ -128,17 +136,19 @@
 		super.reuseSocket(socket, request);
 	}
 
-	/** Counts the connection while it is established. */
-	private trackContact(socket: PooledSocket): void {
-		socket.once('connect', () => {
-			if (this.establishedConnections === 0) {
-				this.contactPeriod++;
-			}
+	/** Whether the connection leads to the process that was confirmed, or to none. */
+	isConfirmed(connection: number | undefined): boolean {
+		return connection !== undefined && connection <= this.confirmedConnection;
+	}
 
-			this.establishedConnections++;
-			socket.once('close', () => {
-				this.establishedConnections--;
-			});
-		});
+	/** Records that the process was found after all connections up to this one had been established. */
+	confirmUpTo(connection: number): void {
+		this.confirmedConnection = Math.max(this.confirmedConnection, connection);
+	}
+
+	/** Returns the number of the idle connection that the next request gets. Undefined if it gets a new one. */
+	findNextConnection(): number | undefined {
+		const idle = Object.values(this.freeSockets).flatMap(sockets => sockets ?? []);
+		return getConnectionNumber(idle.findLast(({destroyed}) => !destroyed));
 	}
 }
--- a/packages/gateway/src/calls/backend-exchange.ts
+++ b/packages/gateway/src/calls/backend-exchange.ts
@@ -3,7 +3,9 @@
 import type http from 'node:http';
 import {setImmediate as nextTurn} from 'node:timers/promises';
 import {parseHostAndPort} from '../host-and-port.js';
-import {type BackendAgent, hasConnectionFailed, isCloseDelimited} from './backend-agent.js';
+import {
+	type BackendAgent, getConnectionNumber, hasConnectionFailed, isCloseDelimited,
+} from './backend-agent.js';
 import {
 	closeRequest, openCallRequest, resetRequest, wasGivenUp,
 } from './open-call-request.js';
@@ -19,7 +21,11 @@
 export type IsComplete = () => Promise<boolean>;
 
 export type ExchangeResult =
-	| {readonly kind: 'answered'; readonly response: http.IncomingMessage; readonly isComplete: IsComplete}
+	| {
+		readonly kind: 'answered'; readonly response: http.IncomingMessage; readonly isComplete: IsComplete;
+		/** Number of the connection, and of the one that had been established last when the call was written. */
+		readonly connection: number | undefined; readonly lastConnectionAtSend: number;
+	}
 	| {readonly kind: 'failed'; readonly delivery: DeliveryStatus; readonly reason: string; readonly isConnectFailure: boolean};
 
 export type Exchange = {
@@ -84,6 +90,12 @@
 	}
 
 	let isSent = false;
+	let lastConnectionAtSend = 0;
+	const markSent = (): void => {
+		isSent = true;
+		lastConnectionAtSend = options.agent.lastConnection;
+	};
+
 	let hasFailed = false;
 	let connectTimer: NodeJS.Timeout | undefined;
 	let failureReason: string | undefined;
@@ -98,7 +110,7 @@
 
 		request.on('socket', socket => {
 			if (!socket.connecting) {
-				isSent = true;
+				markSent();
 				return;
 			}
 
@@ -109,7 +121,7 @@
 				request.destroy();
 			}, options.connectTimeoutMs);
 			socket.once('connect', () => {
-				isSent = true;
+				markSent();
 				clearTimeout(connectTimer);
 			});
 		});
@@ -130,6 +142,8 @@
 			resolve({
 				kind: 'answered',
 				response,
+				connection: getConnectionNumber(socket),
+				lastConnectionAtSend,
 				async isComplete() {
 					if (isCloseDelimited(response)) {
 						// The agent probes the closed connection with a write, whose error is reported on a later event loop turn.
--- a/packages/gateway/src/calls/backend-registry.ts
+++ b/packages/gateway/src/calls/backend-registry.ts
@@ -32,8 +32,6 @@
 	readonly incarnation: string;
 	readonly incarnationHash: number;
 	readonly agent: BackendAgent;
-	/** Contact period of the agent in which the process was confirmed to be this incarnation. Written by `confirmIncarnation`. */
-	confirmedPeriod: number;
 	/** Running calls, and prompt tokens awaiting their first event by rank, sent by this daemon. */
 	running: number;
 	readonly pendingTokens: number[];
@@ -140,7 +138,6 @@
 			registry.onConnected(formatIncarnation(entry));
 		},
 	}),
-	confirmedPeriod: 0,
 	running: 0,
 	pendingTokens: Array.from<number>({length: trackedRankCount}).fill(0),
 	othersRunning: 0,
--- a/packages/gateway/src/calls/confirm-incarnation.ts
+++ b/packages/gateway/src/calls/confirm-incarnation.ts
@@ -16,18 +16,21 @@
 export type IncarnationFinding = 'confirmed' | 'other' | 'unknown';
 
 /** Questions under way, by backend server. */
-const pendingQuestions = new WeakMap<BackendState, {readonly contactPeriod: number; readonly finding: Promise<IncarnationFinding>}>();
+const pendingQuestions = new WeakMap<BackendState, Promise<IncarnationFinding>>();
 
-/** Whether calls may reach another incarnation than the directory tells. */
-const mayBeOther = ({agent, entry, confirmedPeriod}: BackendState): boolean => {
-	// Without an open connection the process may have ended since.
-	const isConfirmed = agent.establishedConnections > 0 && agent.contactPeriod === confirmedPeriod;
-	return !isConfirmed && entry.startedAt !== undefined;
-};
+/** Whether the connection may lead to another incarnation than the directory tells. */
+const mayBeOther = ({agent, entry}: BackendState, connection: number | undefined): boolean =>
+	entry.startedAt !== undefined && !agent.isConfirmed(connection);
 
 const askForStart = async (gateway: GatewayState, state: BackendState): Promise<IncarnationFinding> => {
 	const {agent, entry} = state;
-	const reply = await gateway.engines.readStart({address: entry.address, agent}, {timeoutMs: askTimeoutMs, signal: gateway.stopSignal});
+	let lastConnection = 0;
+	const reply = await gateway.engines.readStart({address: entry.address, agent}, {
+		timeoutMs: askTimeoutMs, signal: gateway.stopSignal,
+		onSend() {
+			lastConnection = agent.lastConnection;
+		},
+	});
 	switch (reply.kind) {
 		case 'failed': {
 			return 'unknown';
@@ -35,13 +38,13 @@
 
 		case 'untold': {
 			// Only its entry says who it is.
-			state.confirmedPeriod = agent.contactPeriod;
+			agent.confirmUpTo(lastConnection);
 			return 'confirmed';
 		}
 
 		case 'started': {
 			if (reply.startedAt === entry.startedAt) {
-				state.confirmedPeriod = agent.contactPeriod;
+				agent.confirmUpTo(lastConnection);
 				return 'confirmed';
 			}
 
@@ -54,28 +57,40 @@
 	}
 };
 
-/** Finds out whether the process that the pooled connections reach is the incarnation of the state. Asks at most once while a connection stays open. */
-export const confirmIncarnation = async (gateway: GatewayState, state: BackendState): Promise<IncarnationFinding> => {
-	if (!mayBeOther(state)) {
-		return 'confirmed';
-	}
-
-	const {contactPeriod} = state.agent;
+/** Asks the process behind the address, or waits for the answer to a question that is under way. */
+const askOnce = async (gateway: GatewayState, state: BackendState): Promise<IncarnationFinding> => {
 	const pending = pendingQuestions.get(state);
-	if (pending?.contactPeriod === contactPeriod) {
-		return pending.finding;
+	if (pending !== undefined) {
+		return pending;
 	}
 
 	const finding = askForStart(gateway, state);
-	pendingQuestions.set(state, {contactPeriod, finding});
+	pendingQuestions.set(state, finding);
 	const found = await finding;
-	if (pendingQuestions.get(state)?.finding === finding) {
-		pendingQuestions.delete(state);
+	pendingQuestions.delete(state);
+	return found;
+};
+
+/** Finds out whether the process at the other end of the established connection is the incarnation of the state. */
+export const confirmConnection = async (gateway: GatewayState, state: BackendState, connection: number | undefined): Promise<IncarnationFinding> => {
+	// A question that is under way may have been sent before the connection was established. The next one was not.
+	const wasAsked = pendingQuestions.has(state);
+	if (!mayBeOther(state, connection)) {
+		return 'confirmed';
 	}
 
-	return found;
+	const finding = await askOnce(gateway, state);
+	if (finding !== 'confirmed' || !mayBeOther(state, connection)) {
+		return finding;
+	}
+
+	return wasAsked ? confirmConnection(gateway, state, connection) : 'unknown';
 };
 
+/** Finds out whether the next call gets a connection to the incarnation of the state. The connection on which that was asked is idle then. */
+export const confirmIncarnation = async (gateway: GatewayState, state: BackendState): Promise<IncarnationFinding> =>
+	mayBeOther(state, state.agent.findNextConnection()) ? askOnce(gateway, state) : 'confirmed';
+
 /** Time that a stream waits for the confirmation before it is sent, and before its answer is forwarded. A new one goes on without it. */
 const confirmationWaitMs = 100;
 
@@ -83,10 +98,6 @@
 
 /** Confirms the incarnation before a stream is sent. One that has begun waits for the answer, a new one only shortly. */
 export const confirmBeforeSend = async (gateway: GatewayState, state: BackendState, isContinued: boolean): Promise<IncarnationFinding> => {
-	if (!mayBeOther(state)) {
-		return 'confirmed';
-	}
-
 	const finding = confirmIncarnation(gateway, state);
 	return isContinued ? finding : waitShortly(finding);
 };
@@ -99,16 +110,14 @@
 	readonly later: Promise<string | undefined> | undefined;
 };
 
-/** Determines which version answers, once the head of an answer has arrived. */
-export const determineAnsweringVersion = async (gateway: GatewayState, state: BackendState): Promise<AnsweringVersion> => {
-	if (!mayBeOther(state)) {
+/** Determines which version answers on the connection, once the head of an answer has arrived. */
+export const determineAnsweringVersion = async (gateway: GatewayState, state: BackendState, connection: number | undefined): Promise<AnsweringVersion> => {
+	if (!mayBeOther(state, connection)) {
 		return {softwareVersion: state.entry.softwareVersion, later: undefined};
 	}
 
-	const {contactPeriod} = state.agent;
-	const confirmation = confirmIncarnation(gateway, state);
-	const toVersion = (finding: IncarnationFinding): string | undefined =>
-		finding === 'confirmed' && state.agent.contactPeriod === contactPeriod ? state.entry.softwareVersion : undefined;
+	const confirmation = confirmConnection(gateway, state, connection);
+	const toVersion = (finding: IncarnationFinding): string | undefined => finding === 'confirmed' ? state.entry.softwareVersion : undefined;
 	const softwareVersion = toVersion(await waitShortly(confirmation));
 	const findLater = async (): Promise<string | undefined> => toVersion(await confirmation);
 	return {softwareVersion, later: softwareVersion === undefined ? findLater() : undefined};
--- a/packages/gateway/src/calls/run-at-backend.ts
+++ b/packages/gateway/src/calls/run-at-backend.ts
@@ -234,7 +234,9 @@
 		return {kind: 'may_have_run', reason: isLate ? 'backend_left' : (isSilent ? 'silent' : result.reason), ...(hasCrashed !== undefined && {hasCrashed})};
 	}
 
-	const {response, isComplete} = result;
+	const {
+		response, isComplete, connection, lastConnectionAtSend,
+	} = result;
 	state.failedConnects = 0;
 	state.lastReadAt = gateway.clocks.steady();
 	const head = gateway.wire.parseBackendHeaders(response.statusCode ?? 0, response.headers);
@@ -250,6 +252,11 @@
 		return {kind: 'may_have_run', reason: 'answer_of_another_call'};
 	}
 
+	if (head.requestId !== undefined && state.agent.isConfirmed(connection)) {
+		// The process lived as the call reached it, so connections that were established before lead to it too.
+		state.agent.confirmUpTo(lastConnectionAtSend);
+	}
+
 	if (!head.isOtherBackend) {
 		recordSpeed(gateway, state, head);
 		observeLimit(gateway, state, head.limit, {requestId: call.id, sentAt, status: response.statusCode});
@@ -270,7 +277,7 @@
 		return {kind: 'not_run', reason: head.isOtherBackend ? 'other_backend' : `refused_${response.statusCode ?? 0}`, hasArrived: true};
 	}
 
-	const version: AnsweringVersion = needsVersion ? await determineAnsweringVersion(gateway, state) : {softwareVersion: undefined, later: undefined};
+	const version: AnsweringVersion = needsVersion ? await determineAnsweringVersion(gateway, state, connection) : {softwareVersion: undefined, later: undefined};
 	if (isContinued && version.softwareVersion === undefined) {
 		exchange.abort();
 		end(true);
--- a/packages/gateway/src/ports.ts
+++ b/packages/gateway/src/ports.ts
@@ -98,8 +98,8 @@
 	| {readonly kind: 'failed'; readonly reason: string};
 
 export type Engines = {
-	/** Asks a backend server when it started, over its pooled connections. */
-	readonly readStart: (source: {readonly address: string; readonly agent: Agent}, options: CallOptions) => Promise<StartReply>;
+	/** Asks a backend server when it started, over its pooled connections. `onSend` is called as the question is written. */
+	readonly readStart: (source: {readonly address: string; readonly agent: Agent}, options: CallOptions & {readonly onSend?: () => void}) => Promise<StartReply>;
 	/** Stops a run and copies its KV cache to another backend server. */
 	readonly stopAndMove: (
 		source: {readonly address: string; readonly agent: Agent},
