A member or a report with an address that cannot be called is refused

What callers saw: nothing was reported. Shown by a test: one record among the members, or one report of a peer, with an address such as 10.0.0.1:99999 ended every daemon that read it, with all its calls, in the next round of gossip. Cause: addresses of members and reports were any text. Sending a datagram to such a port throws at once, in a timer, where nobody catches it. Ruled out: reports that get lost on the way to an address of no daemon; those change nothing. Change: decoders state their bounds with the schemas of value-bounds.ts; an address is an IP address and a port that can be called. A refused record of a member is logged once for each key and field as entry_refused, and does not count as a registered daemon. Checks: odd-members.test.ts failed before with ERR_SOCKET_BAD_PORT as an uncaught exception (members, and reports); both tests pass, and peers.test.ts does. Conclusion: what peers and the store name as an address is sent to only if it can be called.

--- /dev/null
+++ b/packages/common/src/value-bounds.ts
@@ -0,0 +1,30 @@
+/** Bounds of values that other programs write. Decoders apply them, so that state holds only values that can have a meaning. */
+import * as z from 'zod';
+
+/** Longest delay that Node's timers take, in milliseconds. A longer one would fire at once. */
+export const maxTimerMs = 2_147_483_647;
+
+/** Returns a delay that a timer takes. What is no number or lies in the past counts as 0. */
+export const limitTimerMs = (ms: number): number => ms > 0 ? Math.min(ms, maxTimerMs) : 0;
+
+/** Beyond it sums of thousands of amounts are no longer exact, or become infinite. */
+export const maxAmount = 1e12;
+
+/** The end of the year 2100, in milliseconds since the epoch. */
+export const maxEpochMs = 4_133_980_799_999;
+
+/** Daemons tell each other versions and services of at most this length. */
+export const maxTextLength = 256;
+
+const octet = String.raw`(?:25[0-5]|2[0-4]\d|1\d\d|[1-9]?\d)`;
+const port = String.raw`(?:6553[0-5]|655[0-2]\d|65[0-4]\d{2}|6[0-4]\d{3}|[1-5]\d{4}|[1-9]\d{0,3})`;
+const addressPattern = new RegExp(String.raw`^${octet}(?:\.${octet}){3}:${port}$`, 'v');
+
+/** IP address and port to which a connection can be opened. */
+export const addressSchema = z.string().max(maxTextLength).regex(addressPattern, 'an IP address and a port such as 10.1.0.16:8360');
+
+/** Text for logs, metrics and records: without control characters, line breaks and half characters. */
+export const textSchema = z.string().min(1).max(maxTextLength).regex(/^[^\p{Cc}\p{Cs}\p{Zl}\p{Zp}]+$/v, 'text without control characters');
+
+/** Text that also stands in header fields. */
+export const tokenSchema = z.string().min(1).max(maxTextLength).regex(/^[\u0021-\u007E]+$/v, 'visible characters of ASCII');
--- a/packages/core/src/gossip/gossip-report.ts
+++ b/packages/core/src/gossip/gossip-report.ts
@@ -3,6 +3,7 @@
  * others. In a large one it sends it to two relays in its zone, which exchange sums, so the gossip traffic of a
  * daemon doesn't grow with the number of daemons.
  */
+import {addressSchema} from '@shallotpass/common/value-bounds.js';
 import * as z from 'zod';
 import {mergeReportedCrashes, noReportedCrashes, reportedCrashesSchema} from '../crashes/reported-evidence.js';
 import {mergeParticipants} from '../limits/participants.js';
@@ -41,7 +42,7 @@
 	id: z.string(),
 	/** Identifies one run of the daemon's process. In a sum it is the prefix `zone:` or `total:` and the relay's zone. */
 	incarnation: z.string(),
-	address: z.string(),
+	address: addressSchema,
 	availabilityZone: z.string(),
 	/** Bandwidth of the sender's network link, in Mbit/s. */
 	linkMbps: z.number(),
--- a/packages/core/src/gossip/pick-relays.ts
+++ b/packages/core/src/gossip/pick-relays.ts
@@ -1,20 +1,8 @@
 /** Selects the daemons of a zone that sum the reports of the others. All daemons select the same ones without coordination. */
 import {rankByRendezvous} from '../routing/rank-by-rendezvous.js';
+import {type GossipMember} from './gossip-member.js';
 
-export type GossipMember = {
-	readonly id: string;
-	/** Address for gossip reports and requests. */
-	readonly address: string;
-	readonly availabilityZone: string;
-	/** Bandwidth of the network link, in Mbit/s. */
-	readonly linkMbps: number;
-	/** Whether it serves calls that other daemons send. Those of earlier versions don't. */
-	readonly takesCalls?: boolean | undefined;
-	/** Whether it may keep limits of client accounts. Those of earlier versions don't. */
-	readonly keepsQuotas?: boolean | undefined;
-	/** Whether it remembers the origins of streams, and continues a stream only at its software version. Those of earlier versions don't. */
-	readonly keepsOrigins?: boolean | undefined;
-};
+export type {GossipMember} from './gossip-member.js';
 
 /** Up to this number, daemons send their reports directly to all others. */
 const maxDirectDaemons = 12;
--- a/packages/core/src/quotas/keeper-report.ts
+++ b/packages/core/src/quotas/keeper-report.ts
@@ -1,4 +1,5 @@
 /** Reports that the keepers of accounts' limits send to each other. Losing one is harmless, as the next one repeats everything. */
+import {addressSchema} from '@shallotpass/common/value-bounds.js';
 import * as z from 'zod';
 
 /** Cost units spent in each slot of the window, newest first, from the slot of `madeAt`. */
@@ -9,7 +10,7 @@
 	id: z.string(),
 	/** Identifies one run of the daemon's process. */
 	incarnation: z.string(),
-	address: z.string(),
+	address: addressSchema,
 	availabilityZone: z.string(),
 	/** True time at which the report was made. */
 	madeAt: z.number(),
--- a/packages/gateway/src/peers/join-members.ts
+++ b/packages/gateway/src/peers/join-members.ts
@@ -1,11 +1,12 @@
 /** Discovers other daemons: each daemon registers itself in the platform's store and reads the other members. */
 import {Buffer} from 'node:buffer';
-import {type GossipMember} from '@shallotpass/core/gossip/pick-relays.js';
+import {decodeJson} from '@shallotpass/common/decode-json.js';
+import {type GossipMember, gossipMemberSchema} from '@shallotpass/core/gossip/gossip-member.js';
 import {type StoreRole} from '@shallotpass/core/gossip/store-role.js';
-import * as z from 'zod';
 import {type GatewayState} from '../gateway-state.js';
 import {pauseFor} from '../pause.js';
 import {type Platform} from '../ports.js';
+import {makeRefusalReporter, type RefusalReporter} from '../store/report-refused.js';
 
 const membersTimeoutMs = 1500;
 const membersRetryMs = 1000;
@@ -18,19 +19,6 @@
 const earlyPeriodMs = 8000;
 const lateReadIntervalMs = 12_000;
 
-const memberSchema = z.object({
-	id: z.string(), address: z.string(), availabilityZone: z.string(), linkMbps: z.number(), takesCalls: z.boolean().optional(), keepsQuotas: z.boolean().optional(), keepsOrigins: z.boolean().optional(),
-});
-
-const parseMember = (value: Uint8Array): GossipMember | undefined => {
-	try {
-		return memberSchema.safeParse(JSON.parse(Buffer.from(value).toString('utf8'))).data;
-	} catch {
-		// The record is not valid JSON. A daemon of another version may have written it.
-		return undefined;
-	}
-};
-
 /** The members known to this daemon. */
 export type MemberList = {
 	readonly list: () => readonly GossipMember[];
@@ -47,22 +35,29 @@
 };
 
 /** Reads the members from the store. Returns whether this daemon is registered, or undefined if the store does not answer. */
-const readMembers = async ({gateway, platform, self, members, signal}: JoinOptions): Promise<boolean | undefined> => {
+const readMembers = async ({gateway, platform, self, members, signal}: JoinOptions, reportRefused: RefusalReporter): Promise<boolean | undefined> => {
 	const listing = await platform.store.readNewest('members', {timeoutMs: membersTimeoutMs, signal});
 	if (listing.kind === 'failed') {
 		return undefined;
 	}
 
 	let isListed = false;
+	let readable = 0;
 	for (const record of listing.records) {
-		const member = record.value && parseMember(record.value);
-		if (member) {
+		const decoded = record.value && decodeJson(record.value, gossipMemberSchema);
+		if (decoded?.kind === 'refused') {
+			reportRefused(record, decoded.field);
+		}
+
+		if (decoded?.kind === 'decoded') {
+			const member = decoded.value;
+			readable++;
 			isListed ||= member.id === self.id && member.address === self.address && member.takesCalls === self.takesCalls && member.keepsQuotas === self.keepsQuotas && member.keepsOrigins === self.keepsOrigins;
 			members.add(member);
 		}
 	}
 
-	gateway.registeredDaemons = listing.records.length;
+	gateway.registeredDaemons = readable;
 	gateway.log.write('state', 'members_read', {members: listing.records.length, known: members.list().length});
 	return isListed;
 };
@@ -85,6 +80,7 @@
 	const isFirstStart = gateway.settings.instance.firstStart;
 	let isRegistered = false;
 	let hasRead = false;
+	const reportRefused = makeRefusalReporter(gateway.log, 'members');
 	if (isFirstStart) {
 		isRegistered = await registerMember(options);
 		await pauseFor(firstStartDelayMs, signal);
@@ -92,7 +88,7 @@
 
 	while (!signal.aborted) {
 		if (!hasRead || !isRegistered || options.getStoreRole().rank === 0) {
-			const isListed = await readMembers(options); // eslint-disable-line no-await-in-loop -- retried until it succeeds
+			const isListed = await readMembers(options, reportRefused); // eslint-disable-line no-await-in-loop -- retried until it succeeds
 			hasRead ||= isListed !== undefined;
 			isRegistered ||= isListed ?? false;
 			if (!isRegistered && hasRead) {
--- a/packages/gateway/src/telemetry/log-events.ts
+++ b/packages/gateway/src/telemetry/log-events.ts
@@ -31,6 +31,10 @@
 	},
 	metrics_unavailable: {meaning: 'The metrics listener failed; calls are served without metrics', fields: ['address', 'reason']},
 	configuration_taken: {meaning: 'A newer configuration was applied', fields: ['version', 'before', 'source', 'routes', 'accounts']},
+	entry_refused: {
+		meaning: 'A record of the store cannot be used, for want of a meaning of the named field (`bytes`: no JSON in UTF-8); the records beside it apply, and so does the last usable one of its key. Logged once for each key and field',
+		fields: ['topic', 'key', 'field', 'offset'],
+	},
 	configuration_unreadable: {meaning: 'A configuration record could not be decoded; the previous configuration stays in force', fields: ['offset', 'bytes']},
 	rollout_requested: {
 		meaning: 'A record of an operator asks for the traffic of a service to be moved to backend servers of another software version; `before` and `beforeTo`: the rollout that it replaces',
