A lease record that cannot be read neither ends a daemon nor frees the lease

What callers saw: nothing was reported. Shown by a test: a daemon that started beside a lease record that is no JSON ended itself, with the calls that it had accepted; one that ran logged duty_failed at each attempt, and no daemon took the lease again. Cause: the record was parsed without a catch, first of all in the loading of spending, whose rejection nobody handles. JSON of another form counted as no lease at all, so that it was taken at once, though whoever wrote it may hold it. Change: such a record is logged as entry_refused, and its offset is observed like that of any other holder: the lease is taken when it would have expired. Checks: odd-lease.test.ts failed before: no JSON with a SyntaxError as an unhandled rejection, the other two as the lease was taken before leaseMs had passed. All three pass. Conclusion: what the record held (usage not yet reported, spending, rollouts) is lost with it; two holders at a time are not risked for it.

--- a/packages/gateway/src/leader/leader-task.ts
+++ b/packages/gateway/src/leader/leader-task.ts
@@ -19,7 +19,9 @@
 	type CloudSender, type CloudSenderOptions, makeCloudSender, toOrderKey,
 } from './cloud-sender.js';
 import {collectUsage, projectSpending} from './collect-usage.js';
-import {type HeldLease, type LeaseRecord, makeLeaseRecord} from './lease-record.js';
+import {
+	getRecordOffset, type HeldLease, type LeaseRecord, makeLeaseRecord,
+} from './lease-record.js';
 
 const tickMs = 250;
 
@@ -195,11 +197,12 @@
 
 		leaseReadAt = steady();
 		const stored = readResult.kind === 'stands' ? readResult.stored : undefined;
-		if (stored !== undefined) {
-			observation = observeLease(observation, {offset: stored.offset, clockDisagreements: countDisagreements()}, steady());
+		const offset = getRecordOffset(readResult);
+		if (offset !== undefined) {
+			observation = observeLease(observation, {offset, clockDisagreements: countDisagreements()}, steady());
 		}
 
-		const isFree = stored === undefined || isLeaseFree(stored.lease, candidate);
+		const isFree = readResult.kind === 'none' || (stored !== undefined && isLeaseFree(stored.lease, candidate));
 		if (!isFree && !isLeaseExpired()) {
 			return;
 		}
--- a/packages/gateway/src/leader/lease-record.ts
+++ b/packages/gateway/src/leader/lease-record.ts
@@ -3,6 +3,7 @@
  * having written since the last read, and the lease counts as held only while it is provably valid.
  */
 import {Buffer} from 'node:buffer';
+import {decodeJson} from '@shallotpass/common/decode-json.js';
 import {
 	getFencingToken, type Lease, leaseSchema, canActOnLease, type StoredLease,
 } from '@shallotpass/core/lease/lease.js';
@@ -11,6 +12,7 @@
 import {type GatewayState} from '../gateway-state.js';
 import {type Platform} from '../ports.js';
 import {adoptRollouts} from '../rollouts/adopt-rollouts.js';
+import {makeRefusalReporter} from '../store/report-refused.js';
 
 /** The store answers an append in 4 ms. After this timeout the response counts as lost and the record is read again. */
 const storeTimeoutMs = 500;
@@ -28,6 +30,8 @@
 export type LeaseReadResult =
 	| {readonly kind: 'stands'; readonly stored: StoredLease}
 	| {readonly kind: 'none'}
+	/** The record cannot be read. Whoever wrote it may hold the lease. */
+	| {readonly kind: 'unreadable'; readonly offset: number}
 	/** The store does not answer. */
 	| {readonly kind: 'unknown'};
 
@@ -57,11 +61,30 @@
 	readonly signal: AbortSignal;
 };
 
+/** Returns the offset of the record that was read, if there is one. */
+export const getRecordOffset = (read: LeaseReadResult): number | undefined => {
+	switch (read.kind) {
+		case 'stands': {
+			return read.stored.offset;
+		}
+
+		case 'unreadable': {
+			return read.offset;
+		}
+
+		case 'none':
+		case 'unknown': {
+			return undefined;
+		}
+	}
+};
+
 export const makeLeaseRecord = ({gateway, platform, onLost, signal}: LeaseRecordOptions): LeaseRecord => {
 	let held: HeldLease | undefined;
 	/** End offset of the topic as last read, the condition of the next append. */
 	let end = 0;
 	const {steady, countDisagreements} = gateway.clocks;
+	const reportRefused = makeRefusalReporter(gateway.log, 'lease');
 
 	/**
 	 * Takes over the spending of accounts and what crashes backend servers from the record. After a restart of all daemons at once no
@@ -86,14 +109,16 @@
 			return {kind: 'none'};
 		}
 
-		const lease = leaseSchema.safeParse(JSON.parse(Buffer.from(record.value).toString('utf8')));
-		if (!lease.success) {
-			return {kind: 'none'};
+		const decoded = decodeJson(record.value, leaseSchema);
+		if (decoded.kind === 'refused') {
+			reportRefused(record, decoded.field);
+			return {kind: 'unreadable', offset: record.offset};
 		}
 
-		inheritKnowledge(lease.data);
-		adoptRollouts(gateway, lease.data.rollouts, 'lease');
-		return {kind: 'stands', stored: {lease: lease.data, offset: record.offset}};
+		const lease = decoded.value;
+		inheritKnowledge(lease);
+		adoptRollouts(gateway, lease.rollouts, 'lease');
+		return {kind: 'stands', stored: {lease, offset: record.offset}};
 	};
 
 	const markLost = (reason: string): void => {
@@ -136,7 +161,7 @@
 		}
 
 		markLost('another daemon holds the lease');
-		return {kind: 'taken', offset: current.kind === 'stands' ? current.stored.offset : undefined};
+		return {kind: 'taken', offset: getRecordOffset(current)};
 	};
 
 	return {
