Entries that name no backend server to use are refused where they are decoded

Cause: the decoder took any address of digits (ports to 99,999, octets to 999), any text and any whole number. Bytes that are no UTF-8 became other text. A sequence of 2^53 - 1 in place of a backend server's own hid all its later entries, also that it leaves. Ruled out: nesting of 60,000, an array of 100,000 and a number beyond range alone; they were refused before. Change: the decoder states its bounds: an address that can be called, a key of visible ASCII, text of up to 256 characters without control characters or halves of them, slots up to the number of ports, sequences up to 10^12, a start until 2100. leaves_ms is limited to what timers take, and a time in the past is 0: who leaves does so whatever it states. A refused entry is logged as entry_refused with key and field, once. Decision: an odd entry in place of a good one leaves the good one in force until the next good one, or until the store drops the key. Its backend server most likely runs and writes again within a heartbeat. Conclusion: nothing that cannot be called is a candidate.

--- a/packages/gateway/src/ports.ts
+++ b/packages/gateway/src/ports.ts
@@ -2,6 +2,7 @@
 import {type Agent, type IncomingHttpHeaders} from 'node:http';
 import {type PromptPart} from '@shallotpass/core/calls/types.js';
 import {type ServingConfiguration} from '@shallotpass/core/calls/serving-configuration.js';
+import {type Decoded} from '@shallotpass/common/decode-json.js';
 import {type BackendEntry} from '@shallotpass/core/directory/types.js';
 import {type BackendOrder} from '@shallotpass/core/lease/lease.js';
 import {type RolloutRequest} from '@shallotpass/core/rollouts/types.js';
@@ -118,7 +119,7 @@
 	readonly outcome: 'running' | 'completed' | 'rolled_back';
 };
 
-/** Decodes records written by others, and encodes those for operators. Decoders return undefined for invalid records. */
+/** Decodes records written by others, and encodes those for operators. Decoders refuse what has no meaning, and name the field. */
 export type RecordFormat = {
 	readonly configurationKey: string;
 	/** Whether a record of the configuration's topic requests a rollout. */
@@ -126,7 +127,7 @@
 	readonly toRollout: (key: string, value: Uint8Array) => RequestedRollout | undefined;
 	readonly encodeRolloutStatus: (status: ReportedRollout) => {readonly key: string; readonly value: Uint8Array};
 	readonly toConfiguration: (value: Uint8Array) => ServingConfiguration | undefined;
-	readonly toBackendEntry: (id: string, value: Uint8Array) => BackendEntry | undefined;
+	readonly toBackendEntry: (id: string, value: Uint8Array) => Decoded<BackendEntry>;
 };
 
 /** Request headers of a caller that the gateway evaluates. */
--- a/packages/gateway/src/store/follow-directory.test.ts
+++ b/packages/gateway/src/store/follow-directory.test.ts
@@ -75,7 +75,7 @@
 			offset: 0, source: 'store', confirmedAt: Number.NEGATIVE_INFINITY, storeAnsweredAt: Number.NEGATIVE_INFINITY,
 		},
 	} as unknown as GatewayState;
-	const platform = {store, records: {toBackendEntry: makeEntry}} as unknown as Platform;
+	const platform = {store, records: {toBackendEntry: (id: string) => ({kind: 'decoded', value: makeEntry(id)})}} as unknown as Platform;
 	const follower = followDirectory({
 		gateway, platform, isPaused: () => isPaused, getMaxRetryDelayMs: () => 1000, signal: controller.signal,
 	});
--- a/packages/gateway/src/store/follow-directory.ts
+++ b/packages/gateway/src/store/follow-directory.ts
@@ -10,6 +10,7 @@
 import {type DirectoryStatus, type GatewayState} from '../gateway-state.js';
 import {type KeyedRecord, type Platform} from '../ports.js';
 import {followTopic} from './follow-topic.js';
+import {makeRefusalReporter} from './report-refused.js';
 import {entryRewriteMs, makeOutageTracker} from './track-outage.js';
 
 /**
@@ -74,11 +75,15 @@
 
 	const getAgeMs = (): number => now() - gateway.directoryStatus.confirmedAt;
 
-	const toRecord = (record: KeyedRecord): DirectoryRecord => ({
-		offset: record.offset,
-		id: record.key,
-		entry: record.value === undefined ? undefined : (platform.records.toBackendEntry(record.key, record.value) ?? 'unreadable'),
-	});
+	const reportRefused = makeRefusalReporter(gateway.log, 'directory');
+	const toRecord = (record: KeyedRecord): DirectoryRecord => {
+		const decoded = record.value && platform.records.toBackendEntry(record.key, record.value);
+		if (decoded?.kind === 'refused') {
+			reportRefused(record, decoded.field);
+		}
+
+		return {offset: record.offset, id: record.key, entry: decoded?.kind === 'refused' ? 'unreadable' : decoded?.value};
+	};
 
 	const logNewlyMissing = (next: Directory, source: string): void => {
 		for (const {entry, missingUntil} of listNewlyMissing(directory, next)) {
