What ends the input of a connection does not end its answers

What callers saw: anything unreadable behind a request on its connection ended the answer before it. The caller read 400, 408 or 431 instead of the answer or in the middle of its stream, also of a call that is not repeatable and had run. Cause: the handler of unreadable input wrote its status and ended the socket at once. Before the handler was attached, and for CONNECT, Node.js destroyed the socket. The time for a head ran while the call before it was served. A connection that is closed with unread bytes is reset, so that even a whole answer could be lost. Ruled out: whole requests, half a body and blank lines behind a call tore nothing. Change: watchInput. An input error, a late head or CONNECT ends the input only: the parser gets nothing more, what comes is read and dropped up to 16 MiB, what is owed is answered in order, then the error is sent, then the connection is half-closed and closed when the caller has closed its side, after 5 s at most. A request whose body is unreadable fails for its reader with the parser's error and is answered 400 or 408 in its turn; it said 499 on a connection that was gone. A late head or body has its whole time from when the answer before it is out. A connection that was idle for its time is closed only if nothing stands unread. It holds from the early listener on. Conclusion: nothing that follows on a connection tears an answer or stands in its place any more.

--- /dev/null
+++ b/packages/common/src/close-gently.ts
@@ -0,0 +1,62 @@
+/** Closes connections so that their callers can read all that was written to them. */
+import type net from 'node:net';
+
+/** For how long a connection that was closed on this side waits for its caller to close it. */
+const closeWithinMs = 5000;
+
+/** Bytes that are read from a connection and dropped. More are left unread. Larger than any body that is uploaded within `closeWithinMs`. */
+const maxDiscardedBytes = 16_777_216;
+
+export type CloseBounds = {
+	readonly withinMs: number;
+	readonly discardedBytes: number;
+};
+
+const defaultBounds: CloseBounds = {withinMs: closeWithinMs, discardedBytes: maxDiscardedBytes};
+
+const discarded = new WeakSet<net.Socket>();
+const closing = new WeakSet<net.Socket>();
+
+/**
+ * Reads and drops what comes on the connection from now on; nothing more of it is parsed. It is read, within bounds, so that
+ * the close of the caller is seen, and as a connection that is closed with unread bytes is reset.
+ */
+export const discardInput = (socket: net.Socket, {discardedBytes} = defaultBounds): void => {
+	if (discarded.has(socket)) {
+		return;
+	}
+
+	discarded.add(socket);
+	let bytes = 0;
+	// The parser reads as a listener of its own, or below the socket until another one is added.
+	socket.removeAllListeners('data');
+	socket.on('data', (chunk: Uint8Array) => {
+		bytes += chunk.length;
+		if (bytes > discardedBytes) {
+			socket.pause();
+		}
+	});
+	socket.resume();
+};
+
+/**
+ * Sends the end of the connection behind all that was written, and closes it when the caller has closed its side or the time
+ * is over. A caller that still sends would lose what it has not read if the connection were closed at once.
+ */
+export const closeGently = (socket: net.Socket, bounds = defaultBounds): void => {
+	if (socket.destroyed || closing.has(socket)) {
+		return;
+	}
+
+	closing.add(socket);
+	// The timeout of idle connections would cut off what is still being read.
+	socket.setTimeout(0);
+	discardInput(socket, bounds);
+	socket.end();
+	const timer = setTimeout(() => {
+		socket.destroy();
+	}, bounds.withinMs);
+	socket.once('close', () => {
+		clearTimeout(timer);
+	});
+};
--- a/packages/common/src/owed-answers.ts
+++ b/packages/common/src/owed-answers.ts
@@ -25,8 +25,14 @@
 	readonly count: () => number;
 	/** Counts the answers that are owed on a connection. */
 	readonly countOn: (socket: net.Socket) => number;
-	/** Calls `listener` once when no answer is owed on the connection any more, or at once if none is. */
-	readonly onSettled: (socket: net.Socket, listener: () => void) => void;
+	/** Calls `listener` once when no more than `remaining` answers, by default none, are owed on the connection, or at once if that is so. */
+	readonly onSettled: (socket: net.Socket, listener: () => void, remaining?: number) => void;
+	/** The request on the connection that is being read: its head was, its end was not. It may have been answered. */
+	readonly findUnread: (socket: net.Socket) => UnreadRequest | undefined;
+	/** Lists the responses that are owed on a connection, in order. */
+	readonly listOn: (socket: net.Socket) => http.ServerResponse[];
+	/** How many heads of requests were read on the connection, and when the last answer was out. */
+	readonly getProgress: (socket: net.Socket) => ConnectionProgress;
 	/** States why a connection is about to be closed, so that the answers still owed on it are reported with this reason. */
 	readonly stateReason: (socket: net.Socket, reason: string) => void;
 	/** Called with each answer that ends before it was delivered whole. Set by the owner. */
@@ -35,13 +41,25 @@
 	readonly reportAll: () => void;
 };
 
+export type UnreadRequest = Pick<UnfinishedAnswer, 'request' | 'response'>;
+
+export type ConnectionProgress = {
+	readonly heads: number;
+	/** On the clock of `performance.now()`. */
+	readonly lastSettledAt: number;
+};
+
 type Connection = {
 	owed: number;
+	heads: number;
+	lastSettledAt: number;
+	/** Not kept beyond the end of its answer if it was read whole. */
+	newest: UnreadRequest | undefined;
 	reason: string | undefined;
-	readonly settledListeners: Array<() => void>;
+	readonly settledListeners: Array<{readonly listener: () => void; readonly remaining: number}>;
 };
 
-type OwedAnswer = Pick<UnfinishedAnswer, 'request' | 'response'> & {readonly bytesBefore: number};
+type OwedAnswer = UnreadRequest & {readonly bytesBefore: number};
 
 const findReason = ({errored, readableEnded}: net.Socket): UnfinishedReason => {
 	if (errored !== null) {
@@ -51,6 +69,15 @@
 	return readableEnded ? 'caller_closed' : 'connection_closed';
 };
 
+const notifySettled = ({owed, settledListeners}: Connection): void => {
+	const isDue = ({remaining}: Connection['settledListeners'][number]): boolean => owed <= remaining;
+	const due = settledListeners.filter(entry => isDue(entry));
+	settledListeners.splice(0, Infinity, ...settledListeners.filter(entry => !isDue(entry)));
+	for (const {listener} of due) {
+		listener();
+	}
+};
+
 export const makeOwedAnswers = (): OwedAnswers => {
 	const owed = new Set<OwedAnswer>();
 	const connections = new WeakMap<net.Socket, Connection>();
@@ -61,7 +88,9 @@
 			return known;
 		}
 
-		const connection = {owed: 0, reason: undefined, settledListeners: []};
+		const connection: Connection = {
+			owed: 0, heads: 0, lastSettledAt: 0, newest: undefined, reason: undefined, settledListeners: [],
+		};
 		connections.set(socket, connection);
 		return connection;
 	};
@@ -82,6 +111,8 @@
 			const answer: OwedAnswer = {request, response, bytesBefore: socket.bytesWritten - socket.writableLength};
 			owed.add(answer);
 			connection.owed++;
+			connection.heads++;
+			connection.newest = answer;
 			const settle = (isDelivered: boolean): void => {
 				if (!owed.delete(answer)) {
 					return;
@@ -93,11 +124,12 @@
 				}
 
 				connection.owed--;
-				if (connection.owed === 0) {
-					for (const listener of connection.settledListeners.splice(0)) {
-						listener();
-					}
+				connection.lastSettledAt = performance.now();
+				if (request.complete && connection.newest === answer) {
+					connection.newest = undefined;
 				}
+
+				notifySettled(connection);
 			};
 
 			const stopWatching = watchConnection(socket, () => {
@@ -112,15 +144,21 @@
 		},
 		count: () => owed.size,
 		countOn: socket => connections.get(socket)?.owed ?? 0,
-		onSettled(socket, listener) {
+		onSettled(socket, listener, remaining = 0) {
 			const connection = getConnection(socket);
-			if (connection.owed === 0) {
+			if (connection.owed <= remaining) {
 				listener();
 				return;
 			}
 
-			connection.settledListeners.push(listener);
+			connection.settledListeners.push({listener, remaining});
+		},
+		findUnread(socket) {
+			const newest = connections.get(socket)?.newest;
+			return newest?.request.complete === false ? newest : undefined;
 		},
+		listOn: socket => [...owed].filter(({request}) => request.socket === socket).map(({response}) => response),
+		getProgress: socket => getConnection(socket),
 		stateReason(socket, reason) {
 			getConnection(socket).reason = reason;
 		},
--- /dev/null
+++ b/packages/common/src/watch-input.ts
@@ -0,0 +1,154 @@
+/**
+ * Keeps what ends the input of a connection from ending its output. When no further request can be read, nothing more is parsed;
+ * what is owed on the connection is answered whole and in order, then the error is sent, then the connection is closed.
+ */
+import type http from 'node:http';
+import type net from 'node:net';
+import {closeGently, discardInput} from './close-gently.js';
+import {type OwedAnswers, type UnreadRequest} from './owed-answers.js';
+import {breakOffRequest, type InputError} from './unreadable-request.js';
+
+export type WatchInputOptions = {
+	readonly server: http.Server;
+	/** Knows all requests of the server. */
+	readonly answers: OwedAnswers;
+	/** Formats the response to what could not be read as a request. */
+	readonly formatError: (error: InputError) => string;
+	/** Called when the input of a connection has ended by an error. */
+	readonly onUnreadable: (error: InputError, socket: net.Socket) => void;
+	/** Whether requests for another protocol are refused. If not, they are served as if they asked for none. */
+	readonly refusesUpgrades: boolean;
+};
+
+const timeoutCode = 'ERR_HTTP_REQUEST_TIMEOUT';
+
+const findInputError = ({code}: NodeJS.ErrnoException): InputError | undefined => {
+	if (code === timeoutCode) {
+		return {kind: 'request_timeout', reason: code};
+	}
+
+	if (code?.startsWith('HPE_') !== true) {
+		return undefined;
+	}
+
+	return {kind: code === 'HPE_HEADER_OVERFLOW' ? 'headers_too_large' : 'invalid_request', reason: code};
+};
+
+/** Starts a timer that ends with the connection. */
+const startTimer = (socket: net.Socket, ms: number, onTime: () => void): void => {
+	const stop = (): void => {
+		clearTimeout(timer);
+	};
+
+	const timer = setTimeout(() => {
+		socket.off('close', stop);
+		onTime();
+	}, ms);
+	socket.once('close', stop);
+};
+
+/** Does what Node does for its connections and no longer does for one that has left HTTP. */
+const keepAnswering = (socket: net.Socket, answers: OwedAnswers): void => {
+	socket.on('error', () => {/* 'close' follows */});
+	socket.once('end', () => {
+		socket.end();
+	});
+	socket.on('drain', () => {
+		for (const response of answers.listOn(socket)) {
+			response.emit('drain');
+		}
+	});
+};
+
+export const watchInput = ({server, answers, formatError, onUnreadable, refusesUpgrades}: WatchInputOptions): void => {
+	const ended = new WeakSet<net.Socket>();
+
+	const endInput = (socket: net.Socket, error: InputError): void => {
+		ended.add(socket);
+		onUnreadable(error, socket);
+		discardInput(socket);
+		const unread = answers.findUnread(socket);
+		if (unread !== undefined) {
+			unread.response.shouldKeepAlive = false;
+			breakOffRequest(unread.request, error);
+		}
+
+		answers.onSettled(socket, () => {
+			// An unread request has its own response, and a closed output can tell nothing.
+			if (unread === undefined && socket.writable) {
+				socket.write(formatError(error));
+			}
+
+			closeGently(socket);
+		});
+	};
+
+	const hasGoneOn = (socket: net.Socket, heads: number, unread: UnreadRequest | undefined): boolean =>
+		socket.destroyed || ended.has(socket) || answers.getProgress(socket).heads !== heads || unread?.request.complete === true;
+
+	/** Ends the input if the late request had all its time since the answer before it was out, or checks again when it has had it. */
+	const judgeTimeout = (socket: net.Socket, error: InputError): void => {
+		const unread = answers.findUnread(socket);
+		const {heads} = answers.getProgress(socket);
+		const end = (): void => {
+			if (!hasGoneOn(socket, heads, unread)) {
+				endInput(socket, error);
+			}
+		};
+
+		const ownAnswers = unread === undefined || unread.response.writableFinished ? 0 : 1;
+		answers.onSettled(socket, () => {
+			const deadline = answers.getProgress(socket).lastSettledAt + (unread === undefined ? server.headersTimeout : server.requestTimeout);
+			const remainingMs = deadline - performance.now();
+			if (remainingMs <= 0) {
+				end();
+			} else if (!hasGoneOn(socket, heads, unread)) {
+				startTimer(socket, remainingMs, end);
+			}
+		}, ownAnswers);
+	};
+
+	server.on('connection', socket => {
+		// Node closes a connection this way behind its last answer, at once, though its caller may still send.
+		socket.destroySoon = () => {
+			closeGently(socket);
+		};
+	});
+	server.on('clientError', (error: NodeJS.ErrnoException, duplex) => {
+		const socket = duplex as net.Socket;
+		if (ended.has(socket)) {
+			return;
+		}
+
+		const inputError = findInputError(error);
+		if (inputError === undefined) {
+			socket.destroy();
+		} else if (inputError.kind === 'request_timeout') {
+			judgeTimeout(socket, inputError);
+		} else {
+			endInput(socket, inputError);
+		}
+	});
+	server.on('timeout', (socket: net.Socket) => {
+		const {bytesRead} = socket;
+		// Timers run before input is read, so a request may stand unread.
+		setImmediate(() => {
+			if (socket.bytesRead === bytesRead && answers.countOn(socket) === 0) {
+				closeGently(socket);
+			}
+		});
+	});
+	const refuseProtocol = (socket: net.Socket, error: InputError): void => {
+		keepAnswering(socket, answers);
+		endInput(socket, error);
+	};
+
+	server.on('connect', (_request, socket) => {
+		refuseProtocol(socket as net.Socket, {kind: 'method_not_allowed', reason: 'connect'});
+	});
+	if (refusesUpgrades) {
+		server.on('upgrade', (_request, socket) => {
+			refuseProtocol(socket as net.Socket, {kind: 'invalid_request', reason: 'upgrade'});
+		});
+	}
+};
--- a/packages/gateway/src/calls/admit-call.ts
+++ b/packages/gateway/src/calls/admit-call.ts
@@ -3,6 +3,7 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import {type ErrorKind} from '@shallotpass/common/error-kinds.js';
 import {type Deadline} from '@shallotpass/common/types.js';
+import {type InputError} from '@shallotpass/common/unreadable-request.js';
 import {computePatience} from '@shallotpass/core/calls/compute-patience.js';
 import {findRoute, type IndexedConfiguration, pickService} from '@shallotpass/core/calls/index-configuration.js';
 import {type Account, type Route} from '@shallotpass/core/calls/serving-configuration.js';
@@ -167,6 +168,10 @@
 	};
 };
 
+const refuseBroken = (inputError: InputError | undefined): RefusedCall => inputError === undefined
+	? refuse('caller_cancelled', 'The request broke off.')
+	: refuse(inputError.kind, `The body cannot be read: ${inputError.reason}.`);
+
 /** Reads a request and decides whether to send it to a backend server. A refused request has not been sent to any. */
 export const admitCall = async (context: CallContext): Promise<AdmittedCall | RefusedCall> => {
 	const {gateway, request, head, caller} = context;
@@ -195,7 +200,7 @@
 	}
 
 	if (bodyResult.kind === 'broken') {
-		return refuse('caller_cancelled', 'The request broke off.');
+		return refuseBroken(bodyResult.inputError);
 	}
 
 	const {account} = target;
--- a/packages/gateway/src/calls/callers-listener.ts
+++ b/packages/gateway/src/calls/callers-listener.ts
@@ -1,6 +1,5 @@
 /** Listeners for callers and for the load balancer's readiness checks. */
 import http from 'node:http';
-import type net from 'node:net';
 import {type GatewayState} from '../gateway-state.js';
 import {parseHostAndPort} from '../host-and-port.js';
 import {type CallersServer, keepAliveMarginMs, openCallersServer} from './callers-server.js';
@@ -27,19 +26,12 @@
 
 /** Serves callers on `openedServer`, or on a new server if there is none. */
 export const listenForCallers = async (gateway: GatewayState, openedServer?: CallersServer): Promise<CallersListener> => {
-	const {server, serve} = openedServer ?? await openCallersServer(gateway.settings.listen.callers, gateway.answers);
-	server.on('clientError', (error: NodeJS.ErrnoException, socket: net.Socket) => {
-		const status = error.code === 'HPE_HEADER_OVERFLOW' ? '431 Request Header Fields Too Large' : (error.code === 'ERR_HTTP_REQUEST_TIMEOUT' ? '408 Request Timeout' : '400 Bad Request');
-		const reason = error.code ?? error.message;
+	const callersServer = openedServer ?? await openCallersServer(gateway.settings.listen.callers, gateway.answers);
+	const {server, serve} = callersServer;
+	callersServer.onUnreadable = ({reason}, socket) => {
 		gateway.log.write('failure', 'request_unreadable', {reason, owedAnswers: gateway.answers.countOn(socket)});
-		gateway.answers.stateReason(socket, reason);
-		if (error.code === 'ECONNRESET' || !socket.writable) {
-			socket.destroy();
-			return;
-		}
+	};
 
-		socket.end(`HTTP/1.1 ${status}\r\nContent-Length: 0\r\nConnection: close\r\n\r\n`);
-	});
 	server.on('connection', gateway.acceptBacklog.recordAccept);
 	serve((request, response) => {
 		void serveCall(gateway, request, response);
--- a/packages/gateway/src/calls/callers-server.ts
+++ b/packages/gateway/src/calls/callers-server.ts
@@ -3,8 +3,12 @@
  * requests are queued instead of rejected. A rejected caller may already have used its only retry.
  */
 import http from 'node:http';
+import type net from 'node:net';
 import {makeOwedAnswers, type OwedAnswers} from '@shallotpass/common/owed-answers.js';
+import {type InputError} from '@shallotpass/common/unreadable-request.js';
+import {watchInput} from '@shallotpass/common/watch-input.js';
 import {parseHostAndPort} from '../host-and-port.js';
+import {formatBareError} from './format-bare-error.js';
 
 /** Limits that apply until a configuration sets others. */
 const initialMaxHeaderBytes = 16_384;
@@ -28,6 +32,8 @@
 	readonly answers: OwedAnswers;
 	/** Host and port as passed to `openCallersServer`. */
 	readonly address: string;
+	/** Called when no further request can be read from a connection. Set by the owner. */
+	onUnreadable: (error: InputError, socket: net.Socket) => void;
 	/** Attaches the request handler and passes it the queued requests first. */
 	readonly serve: (handler: Handler) => void;
 };
@@ -61,17 +67,11 @@
 		response.writeContinue();
 		dispatch(request, response);
 	});
-	await new Promise<void>((resolve, reject) => {
-		server.once('error', reject);
-		server.listen({...parseHostAndPort(address), backlog}, () => {
-			server.off('error', reject);
-			resolve();
-		});
-	});
-	return {
+	const callersServer: CallersServer = {
 		server,
 		answers,
 		address,
+		onUnreadable() {/* set by the owner */},
 		serve(attachedHandler) {
 			handler = attachedHandler;
 			for (const [request, response] of queuedRequests.splice(0)) {
@@ -79,4 +79,18 @@
 			}
 		},
 	};
+	watchInput({
+		server, answers, formatError: formatBareError, refusesUpgrades: false,
+		onUnreadable(error, socket) {
+			callersServer.onUnreadable(error, socket);
+		},
+	});
+	await new Promise<void>((resolve, reject) => {
+		server.once('error', reject);
+		server.listen({...parseHostAndPort(address), backlog}, () => {
+			server.off('error', reject);
+			resolve();
+		});
+	});
+	return callersServer;
 };
--- a/packages/gateway/src/calls/read-request-body.ts
+++ b/packages/gateway/src/calls/read-request-body.ts
@@ -1,20 +1,24 @@
 /** Reads a complete request body up to a size limit. */
 import {Buffer} from 'node:buffer';
 import {type IncomingMessage} from 'node:http';
+import {type InputError, UnreadableRequestError} from '@shallotpass/common/unreadable-request.js';
 
 export type BodyResult =
 	| {readonly kind: 'whole'; readonly body: Buffer}
 	| {readonly kind: 'too_large'}
-	| {readonly kind: 'broken'};
+	/** `inputError` is undefined if the caller has left. */
+	| {readonly kind: 'broken'; readonly inputError: InputError | undefined};
+
+const describeBroken = ({errored}: IncomingMessage): BodyResult => ({kind: 'broken', inputError: errored instanceof UnreadableRequestError ? errored.inputError : undefined});
 
 /**
  * Buffers the complete body before a call is sent. A call that no backend server has run can then be
  * sent to another one, and a slow caller does not occupy a backend server.
  */
 export const readRequestBody = async (request: IncomingMessage, maxBytes: number): Promise<BodyResult> => new Promise(resolve => {
-	// Its caller may have left before it is read: no event tells of it any more.
+	// It may have broken off before it is read: no event tells of it any more.
 	if (request.destroyed) {
-		resolve({kind: 'broken'});
+		resolve(describeBroken(request));
 		return;
 	}
 
@@ -34,9 +38,9 @@
 		resolve({kind: 'whole', body: chunks.length === 1 ? chunks[0]! : Buffer.concat(chunks)});
 	});
 	request.once('error', () => {
-		resolve({kind: 'broken'});
+		resolve(describeBroken(request));
 	});
 	request.once('close', () => {
-		resolve({kind: 'broken'});
+		resolve(describeBroken(request));
 	});
 });
