A caller whose body is too large can read the refusal while it still sends

What callers saw: the refusal of a body that is too large came with Connection: keep-alive, and then nothing was read any more: a caller that sends all before it reads waited until the idle timeout reset its connection, and lost the refusal. Cause: the request was paused for good; the connection could serve no further request.

--- a/packages/gateway/src/calls/refusal.ts
+++ b/packages/gateway/src/calls/refusal.ts
@@ -28,7 +28,8 @@
 		String(Buffer.byteLength(body)),
 		...(requestId === undefined ? [] : ['X-Request-Id', requestId]),
 		...(refusal.retryAfterS === undefined ? [] : ['Retry-After', refusal.retryAfterS.toFixed(2)]),
-		...(isLastOnConnection ? ['Connection', 'close'] : []),
+		// The rest of a body that is too large is not read as such.
+		...(isLastOnConnection || refusal.kind === 'payload_too_large' ? ['Connection', 'close'] : []),
 	]);
 	response.end(body);
 };
