--- a/packages/gateway/src/calls/callers-server.ts
+++ b/packages/gateway/src/calls/callers-server.ts
@@ -4,9 +4,13 @@
  */
 import http from 'node:http';
 import {performance} from 'node:perf_hooks';
+import type net from 'node:net';
 import {makeOwedAnswers, type OwedAnswers} from '@shallotpass/common/owed-answers.js';
+import {type InputError} from '@shallotpass/common/unreadable-request.js';
+import {watchInput} from '@shallotpass/common/watch-input.js';
 import {parseHostAndPort} from '../host-and-port.js';
 import {type CallerConnections, followConnections} from './caller-connections.js';
+import {formatBareError} from './format-bare-error.js';
 
 /** Limits that apply until a configuration sets others. */
 const initialMaxHeaderBytes = 16_384;
@@ -31,6 +35,8 @@
 	readonly connections: CallerConnections;
 	/** Host and port as passed to `openCallersServer`. */
 	readonly address: string;
+	/** Called when no further request can be read from a connection. Set by the owner. */
+	onUnreadable: (error: InputError, socket: net.Socket) => void;
 	/** Attaches the request handler and passes it the queued requests first. */
 	readonly serve: (handler: Handler) => void;
 };
@@ -68,19 +74,19 @@
 		response.writeContinue();
 		dispatch(request, response);
 	});
-	const connections = followConnections(server, answers, () => performance.now());
-	await new Promise<void>((resolve, reject) => {
-		server.once('error', reject);
-		server.listen({...parseHostAndPort(address), backlog}, () => {
-			server.off('error', reject);
-			resolve();
-		});
+	watchInput({
+		server, answers, formatError: formatBareError, refusesUpgrades: false,
+		onUnreadable(error, socket) {
+			callersServer.onUnreadable(error, socket);
+		},
 	});
-	return {
+	const connections = followConnections(server, answers, () => performance.now());
+	const callersServer: CallersServer = {
 		server,
 		answers,
 		connections,
 		address,
+		onUnreadable() {/* set by the owner */},
 		serve(attachedHandler) {
 			handler = attachedHandler;
 			for (const [request, response] of queuedRequests.splice(0)) {
@@ -88,4 +94,12 @@
 			}
 		},
 	};
+	await new Promise<void>((resolve, reject) => {
+		server.once('error', reject);
+		server.listen({...parseHostAndPort(address), backlog}, () => {
+			server.off('error', reject);
+			resolve();
+		});
+	});
+	return callersServer;
 };
