Queued calls that a starting daemon cannot serve are refused

Callers saw: connections reset without an answer when the settings had errors, named another address by then, or when a listener of the daemon could not be opened; calls served up to seconds after their deadline; nothing bounded the queue. Cause: process.exit(2) and closeAllConnections took the queue with them; a failed listener for daemons (TCP) was an event that nobody handled, and its socket for datagrams was waited for without end. The time that a call had been queued did not count: its deadline began when the queue was emptied, and a call past its deadline was sent on all the same. Ruled out: to refuse the queue at the first reading of bad settings. The platform may be writing them, and most are whole within milliseconds. A time limit for the queue beside the callers' own: on slow machines all would be refused. Change: CallersServer.refuseAll answers what is queued and what is read meanwhile with 503, each once its body has been read (a close with unread bytes resets), waits until nothing is owed, 2 s at most, and closes. It is used for all three. A daemon that waits for settings and is asked to stop uses it at once. Queued requests carry the moment of their arrival, with what the loop had stalled by then: the monitor of the loop begins with the early listener. A call past its deadline is refused before its cost is paid. At most 512 requests are queued; further ones get 503 with Retry-After: 0.5 at once. Existing tests: callers-server.test.ts passes its address in an options object; nothing else changed.

--- a/apps/daemon/src/listen-early.ts
+++ b/apps/daemon/src/listen-early.ts
@@ -1,6 +1,7 @@
 /** Starts to listen for callers before the rest of the program is loaded. */
 import {readFileSync} from 'node:fs';
 import {type CallersServer, openCallersServer} from '@shallotpass/gateway/calls/callers-server.js';
+import {wireFormat} from '@shallotpass/platform/wire-format.js';
 import {parse} from 'smol-toml';
 
 /** Reads the address of the callers' listener from the settings file, which is not validated yet. */
@@ -14,7 +15,7 @@
 export const listenEarly = async (path: string): Promise<CallersServer | undefined> => {
 	try {
 		const address = readCallersAddress(path);
-		return address === undefined ? undefined : await openCallersServer(address);
+		return address === undefined ? undefined : await openCallersServer({address, getRequestId: headers => wireFormat.parseCallerHeaders(headers).id});
 	} catch {
 		return undefined;
 	}
--- a/apps/daemon/src/run-platform-daemon.ts
+++ b/apps/daemon/src/run-platform-daemon.ts
@@ -2,13 +2,15 @@
 import process from 'node:process';
 import {formatMistake} from '@shallotpass/common/toml-file.js';
 import {type CallersServer} from '@shallotpass/gateway/calls/callers-server.js';
-import {openEventLog} from '@shallotpass/gateway/telemetry/event-log.js';
-import {startGateway} from '@shallotpass/gateway/start-gateway.js';
+import {type GatewaySettings} from '@shallotpass/gateway/gateway-settings.js';
+import {type EventLog, openEventLog} from '@shallotpass/gateway/telemetry/event-log.js';
+import {type Gateway, startGateway} from '@shallotpass/gateway/start-gateway.js';
 import {openPlatform} from '@shallotpass/platform/open-platform.js';
 import {readGatewaySettings} from '@shallotpass/platform/settings.js';
 import {type StopRequest} from './take-signals.js';
 import {readInitialSettings, watchSettings} from './watch-settings.js';
 
+const failureExitCode = 1;
 const usageExitCode = 2;
 
 export type PlatformDaemonOptions = {
@@ -19,36 +21,78 @@
 	readonly stopRequest: StopRequest;
 };
 
-export const runPlatformDaemon = async ({path, earlyServer, stopRequest}: PlatformDaemonOptions): Promise<void> => {
+const writeError = (line: string): void => {
+	process.stderr.write(`${line}\n`);
+};
+
+/** Refuses the requests that the server has read, and closes it. */
+const closeServer = async (server: CallersServer | undefined, detail: string): Promise<void> => {
+	const owed = await server?.refuseAll({kind: 'draining', detail, retryAfterS: 0}) ?? 0;
+	if (owed > 0) {
+		writeError(`${owed} requests got no whole answer`);
+	}
+};
+
+const readSettings = async ({path, earlyServer, stopRequest}: PlatformDaemonOptions): Promise<GatewaySettings> => {
 	const settings = await readInitialSettings({
 		path,
 		read: readGatewaySettings,
 		onInvalid(mistakes) {
 			for (const mistake of mistakes) {
-				process.stderr.write(`${formatMistake(path, mistake)}\n`);
+				writeError(formatMistake(path, mistake));
 			}
 		},
+		signal: stopRequest.signal,
 	});
 	if (settings === undefined) {
-		process.exit(usageExitCode);
+		await closeServer(earlyServer, 'The settings of this daemon have errors.');
+		process.exit(stopRequest.signal.aborted ? 0 : usageExitCode);
 	}
 
-	let currentSettings = settings;
-	const log = openEventLog(settings.instance.id);
-	if (earlyServer !== undefined && earlyServer.address !== settings.listen.callers) {
-		earlyServer.server.close();
-		earlyServer.server.closeAllConnections();
+	return settings;
+};
+
+type StartOptions = {
+	readonly settings: GatewaySettings;
+	/** Returns the settings that are in force. */
+	readonly getSettings: () => GatewaySettings;
+	readonly log: EventLog;
+	readonly earlyServer: CallersServer | undefined;
+};
+
+/** Ends the process if the daemon cannot start, once its callers have their answers. */
+const startOrExit = async ({settings, getSettings, log, earlyServer}: StartOptions): Promise<Gateway> => {
+	const callersServer = earlyServer?.address === settings.listen.callers ? earlyServer : undefined;
+	if (callersServer === undefined) {
+		await closeServer(earlyServer, 'The address of this daemon has changed.');
 	}
 
-	const gateway = await startGateway({
-		settings,
-		log,
-		callersServer: earlyServer?.address === settings.listen.callers ? earlyServer : undefined,
-		openPlatform: onStoreCall => openPlatform({
-			getStoreAddress: () => currentSettings.store.address,
-			getCloudAddress: () => currentSettings.cloud.address,
-			onStoreCall,
-		}),
+	try {
+		return await startGateway({
+			settings,
+			log,
+			...(callersServer !== undefined && {callersServer}),
+			openPlatform: onStoreCall => openPlatform({
+				getStoreAddress: () => getSettings().store.address,
+				getCloudAddress: () => getSettings().cloud.address,
+				onStoreCall,
+			}),
+		});
+	} catch (error) {
+		writeError(`the daemon cannot start: ${error instanceof Error ? error.message : String(error)}`);
+		await closeServer(callersServer, 'This daemon cannot start.');
+		log.flush();
+		process.exit(failureExitCode);
+	}
+};
+
+export const runPlatformDaemon = async (options: PlatformDaemonOptions): Promise<void> => {
+	const {path, earlyServer, stopRequest} = options;
+	const settings = await readSettings(options);
+	let currentSettings = settings;
+	const log = openEventLog(settings.instance.id);
+	const gateway = await startOrExit({
+		settings, getSettings: () => currentSettings, log, earlyServer,
 	});
 
 	const stop = async (): Promise<void> => {
--- a/apps/daemon/src/watch-settings.ts
+++ b/apps/daemon/src/watch-settings.ts
@@ -32,21 +32,24 @@
 	}
 };
 
-export type InitialReadOptions<Settings> = Pick<SettingsWatchOptions<Settings>, 'path' | 'read' | 'onInvalid'>;
+export type InitialReadOptions<Settings> = Pick<SettingsWatchOptions<Settings>, 'path' | 'read' | 'onInvalid'> & {
+	/** Aborted when the process is asked to stop: an invalid file is not read again then. */
+	readonly signal: AbortSignal;
+};
 
 /**
  * Reads the settings at the start, and returns undefined if they stay invalid. The platform may start the
  * process while it still writes the file. A process that exited immediately would be unavailable to
  * callers until it is started again, and the platform would count the exit as a crash.
  */
-export const readInitialSettings = async <Settings>({path, read, onInvalid}: InitialReadOptions<Settings>): Promise<Settings | undefined> => {
+export const readInitialSettings = async <Settings>({path, read, onInvalid, signal}: InitialReadOptions<Settings>): Promise<Settings | undefined> => {
 	const deadline = performance.now() + initialReadTimeoutMs;
 	let reading = readFile(path, read);
 	if (reading.kind === 'mistakes') {
 		onInvalid(reading.mistakes);
 	}
 
-	while (reading.kind === 'mistakes' && performance.now() < deadline) {
+	while (reading.kind === 'mistakes' && performance.now() < deadline && !signal.aborted) {
 		await sleep(initialReadIntervalMs); // eslint-disable-line no-await-in-loop -- polls
 		reading = readFile(path, read);
 	}
--- a/packages/common/src/listen.ts
+++ b/packages/common/src/listen.ts
@@ -6,7 +6,10 @@
 export const listenAt = async (server: Server, listenAddress: ListenAddress): Promise<string> => {
 	await new Promise<void>((resolve, reject) => {
 		server.once('error', reject);
-		server.listen(listenAddress, resolve);
+		server.listen(listenAddress, () => {
+			server.off('error', reject);
+			resolve();
+		});
 	});
 	const {address, port} = server.address() as AddressInfo;
 	return address.includes(':') ? `[${address}]:${port}` : `${address}:${port}`;
--- a/packages/gateway/src/calls/admit-call.ts
+++ b/packages/gateway/src/calls/admit-call.ts
@@ -15,6 +15,7 @@
 import {type CallerHeaders} from '../ports.js';
 import {type CallerPresence, confirmCallerWaits, readCloses} from './caller-presence.js';
 import {readRequestBody} from './read-request-body.js';
+import {type Arrival} from './request-queue.js';
 import {type Refusal} from './refusal.js';
 import {type OutgoingRequest} from './run-at-backend.js';
 
@@ -129,12 +130,6 @@
 	return index;
 };
 
-/** When a request was read, and when it may have arrived at the earliest, on the steady clock. */
-type Arrival = {
-	readonly readAt: number;
-	readonly arrivedAt: number;
-};
-
 const observeArrival = ({clocks, loop, acceptBacklog}: GatewayState, {socket}: http.IncomingMessage): Arrival => {
 	const readAt = clocks.steady();
 	return {readAt, arrivedAt: readAt - Math.max(loop.getStandingMs(), acceptBacklog.takeWaitMs(socket))};
@@ -168,10 +163,9 @@
 };
 
 /** Reads a request and decides whether to send it to a backend server. A refused request has not been sent to any. */
-export const admitCall = async (context: CallContext): Promise<AdmittedCall | RefusedCall> => {
+export const admitCall = async (context: CallContext, arrival = observeArrival(context.gateway, context.request)): Promise<AdmittedCall | RefusedCall> => {
 	const {gateway, request, head, caller} = context;
 	caller.stage = 'admitting';
-	const arrival = observeArrival(gateway, request);
 	if (arrival.arrivedAt < arrival.readAt) {
 		// The close of a caller that has left stands behind its request.
 		await readCloses(gateway, caller.signal);
@@ -215,6 +209,10 @@
 		return new RefusedCall(crashRefusal);
 	}
 
+	if (call.deadline <= gateway.clocks.steady()) {
+		return refuse('deadline_unreachable', 'The deadline passed before the call was sent.', 0);
+	}
+
 	// What is paid is not returned.
 	if (!await confirmCallerWaits(gateway, caller.signal)) {
 		return refuse('caller_cancelled', 'The caller has left.');
--- a/packages/gateway/src/calls/callers-listener.ts
+++ b/packages/gateway/src/calls/callers-listener.ts
@@ -27,7 +27,7 @@
 
 /** Serves callers on `openedServer`, or on a new server if there is none. */
 export const listenForCallers = async (gateway: GatewayState, openedServer?: CallersServer): Promise<CallersListener> => {
-	const {server, serve} = openedServer ?? await openCallersServer(gateway.settings.listen.callers, gateway.answers);
+	const {server, serve} = openedServer ?? await openCallersServer({address: gateway.settings.listen.callers, answers: gateway.answers, loop: gateway.loop});
 	server.on('clientError', (error: NodeJS.ErrnoException, socket: net.Socket) => {
 		const status = error.code === 'HPE_HEADER_OVERFLOW' ? '431 Request Header Fields Too Large' : (error.code === 'ERR_HTTP_REQUEST_TIMEOUT' ? '408 Request Timeout' : '400 Bad Request');
 		const reason = error.code ?? error.message;
@@ -41,8 +41,8 @@
 		socket.end(`HTTP/1.1 ${status}\r\nContent-Length: 0\r\nConnection: close\r\n\r\n`);
 	});
 	server.on('connection', gateway.acceptBacklog.recordAccept);
-	serve((request, response) => {
-		void serveCall(gateway, request, response);
+	serve((request, response, arrival) => {
+		void serveCall(gateway, request, response, arrival);
 	});
 	return {
 		applyLimits() {
--- a/packages/gateway/src/calls/callers-server.test.ts
+++ b/packages/gateway/src/calls/callers-server.test.ts
@@ -1,8 +1,10 @@
 import assert from 'node:assert/strict';
+import {once} from 'node:events';
 import http from 'node:http';
-import {type AddressInfo} from 'node:net';
+import net, {type AddressInfo} from 'node:net';
 import test from 'node:test';
-import {openCallersServer} from './callers-server.js';
+import {setImmediate} from 'node:timers/promises';
+import {maxQueuedRequests, openCallersServer} from './callers-server.js';
 
 const fetchStatus = async (port: number): Promise<number | undefined> => new Promise((resolve, reject) => {
 	const request = http.get({host: '127.0.0.1', port, agent: false}, response => {
@@ -12,8 +14,14 @@
 	request.on('error', reject);
 });
 
+const waitUntil = async (check: () => boolean): Promise<void> => {
+	while (!check()) {
+		await setImmediate(); // eslint-disable-line no-await-in-loop -- a poll
+	}
+};
+
 test('requests that arrive before a handler is attached are queued and served', async t => {
-	const {server, serve} = await openCallersServer('127.0.0.1:0');
+	const {server, serve} = await openCallersServer({address: '127.0.0.1:0'});
 	t.after(() => {
 		server.close();
 		server.closeAllConnections();
@@ -33,5 +41,57 @@
 });
 
 test('opening the server rejects if the address is not available', async () => {
-	await assert.rejects(openCallersServer('192.0.2.1:1'), {code: 'EADDRNOTAVAIL'});
+	await assert.rejects(openCallersServer({address: '192.0.2.1:1'}), {code: 'EADDRNOTAVAIL'});
+});
+
+test('requests beyond the bound of the queue are refused at once, and those in it are served', async t => {
+	const {server, serve} = await openCallersServer({address: '127.0.0.1:0', getRequestId: headers => String(headers['x-request-id'])});
+	t.after(() => {
+		server.close();
+		server.closeAllConnections();
+	});
+	const {port} = server.address() as AddressInfo;
+	let readRequests = 0;
+	server.on('request', () => {
+		readRequests++;
+	});
+	const openCaller = (requests: number) => {
+		let received = '';
+		const socket = net.connect({host: '127.0.0.1', port}, () => {
+			socket.write('GET / HTTP/1.1\r\nHost: a\r\nX-Request-Id: r\r\n\r\n'.repeat(requests));
+		});
+		socket.on('data', (chunk: Uint8Array) => {
+			received += new TextDecoder().decode(chunk);
+		});
+		t.after(() => socket.destroy());
+		return {socket, countAnswers: (status: number) => received.split(`HTTP/1.1 ${status} `).length - 1, getReceived: () => received};
+	};
+
+	const queued = openCaller(maxQueuedRequests);
+	await waitUntil(() => readRequests === maxQueuedRequests);
+
+	const refused = openCaller(3);
+	await once(refused.socket, 'data');
+	await waitUntil(() => refused.countAnswers(503) === 3);
+
+	assert.match(refused.getReceived(), /Retry-After: 0.50/v);
+	assert.equal(queued.countAnswers(503), 0);
+	serve((_request, response) => {
+		response.statusCode = 204;
+		response.end();
+	});
+	await waitUntil(() => queued.countAnswers(204) === maxQueuedRequests);
+});
+
+test('a server that refuses all answers what it has queued and what it reads meanwhile, and closes', async () => {
+	const {server, answers, refuseAll} = await openCallersServer({address: '127.0.0.1:0'});
+	const {port} = server.address() as AddressInfo;
+	const firstRequest = once(server, 'request');
+	const statuses = [fetchStatus(port)];
+	await firstRequest;
+	const refused = refuseAll({kind: 'draining', detail: 'It cannot start.', retryAfterS: 0});
+	statuses.push(fetchStatus(port));
+	assert.deepEqual(await Promise.all(statuses), [503, 503]);
+	assert.equal(await refused, 0);
+	assert.deepEqual([answers.count(), server.listening], [0, false]);
 });
--- a/packages/gateway/src/calls/serve-call.ts
+++ b/packages/gateway/src/calls/serve-call.ts
@@ -15,6 +15,7 @@
 import {setArrived, setRefusalResult} from './peer-call.js';
 import {sendRefusal} from './refusal.js';
 import {getRepeatAccount, getRepeatLimit} from './repeat-limit.js';
+import {type Arrival} from './request-queue.js';
 import {returnHeldPermit} from './send-permit.js';
 import {servePlain} from './serve-plain.js';
 import {serveStream} from './serve-stream.js';
@@ -124,14 +125,14 @@
 /** Serves a call that was admitted by the daemon that sent it; never throws. */
 export const serveAdmittedCall = async (context: CallContext, admitted: AdmittedCall): Promise<void> => serveAdmission(context, async () => admitted);
 
-/** Serves one request of a caller; never throws. */
-export const serveCall = async (gateway: GatewayState, request: http.IncomingMessage, response: http.ServerResponse): Promise<void> => {
+/** Serves one request of a caller; never throws. `arrival`: when a request that was queued has arrived. */
+export const serveCall = async (gateway: GatewayState, request: http.IncomingMessage, response: http.ServerResponse, arrival?: Arrival): Promise<void> => {
 	const caller = watchCaller(gateway, request, response);
 	const context: CallContext = {
 		gateway, request, response, caller, isFromPeer: false, head: gateway.wire.parseCallerHeaders(request.headers), timing: {firstByteAt: undefined, lastEventAt: 0, longestPauseMs: 0},
 	};
 	try {
-		await serveAdmission(context, async () => admitCall(context));
+		await serveAdmission(context, async () => admitCall(context, arrival));
 	} finally {
 		caller.end();
 	}
--- a/packages/gateway/src/loop-monitor.ts
+++ b/packages/gateway/src/loop-monitor.ts
@@ -10,13 +10,15 @@
 export type LoopMonitor = {
 	/** Returns the longest time that something which is read now may have waited for the loop, in milliseconds. 0 unless the loop has just stalled. */
 	readonly getStandingMs: () => number;
+	/** Called after each stall with its length in milliseconds. May be set later. */
+	onStall: ((stalledMs: number) => void) | undefined;
 };
 
 export type LoopMonitorOptions = {
 	readonly steady: () => number;
-	/** Called after each stall with its length in milliseconds. */
-	readonly onStall: (stalledMs: number) => void;
-	readonly signal: AbortSignal;
+	readonly onStall?: LoopMonitor['onStall'];
+	/** Ends the monitor. Without it the monitor runs as long as the process. */
+	readonly signal?: AbortSignal;
 };
 
 /** Resolves when all that has arrived was read: in the poll phase that precedes the second of two immediates, whichever phase they are begun in. */
@@ -35,18 +37,19 @@
 		tickBeforeAt = lastTickAt;
 		lastTickAt = now;
 		if (stalledMs > minStallMs) {
-			onStall(stalledMs);
+			monitor.onStall?.(stalledMs);
 		}
 	}, tickMs);
 	timer.unref();
-	signal.addEventListener('abort', () => {
+	signal?.addEventListener('abort', () => {
 		clearInterval(timer);
 	}, {once: true});
 
 	const getStandingMs = (): number => {
 		const standingMs = steady() - secondTickBeforeAt - tickMs;
-		return signal.aborted || standingMs < (2 * tickMs) + minStallMs ? 0 : standingMs;
+		return signal?.aborted === true || standingMs < (2 * tickMs) + minStallMs ? 0 : standingMs;
 	};
 
-	return {getStandingMs};
+	const monitor: LoopMonitor = {getStandingMs, onStall};
+	return monitor;
 };
--- a/packages/gateway/src/peers/datagrams.ts
+++ b/packages/gateway/src/peers/datagrams.ts
@@ -60,8 +60,12 @@
 		gateway.log.write('failure', 'peer_socket_failed', {error: error.message});
 	});
 	const {host, port} = parseHostAndPort(gateway.settings.listen.peers);
-	await new Promise<void>(resolve => {
-		socket.bind({address: host, port}, resolve);
+	await new Promise<void>((resolve, reject) => {
+		socket.once('error', reject);
+		socket.bind({address: host, port}, () => {
+			socket.off('error', reject);
+			resolve();
+		});
 	});
 	signal.addEventListener('abort', () => {
 		socket.close();
--- a/packages/gateway/src/peers/shared-state.ts
+++ b/packages/gateway/src/peers/shared-state.ts
@@ -3,6 +3,7 @@
  * that do not read the platform's store, or are refused by it, get them this way.
  */
 import http from 'node:http';
+import {listenAt} from '@shallotpass/common/listen.js';
 import {JSONRPCServer} from 'json-rpc-2.0';
 import {type ServingConfiguration} from '@shallotpass/core/calls/serving-configuration.js';
 import {type PeerBackend, toPeerBackends} from '@shallotpass/core/directory/adopt-peer-directory.js';
@@ -105,10 +106,7 @@
 		gateway.answers.add(request, response);
 		void servePeerCall(gateway, request, response);
 	});
-	const {host, port} = parseHostAndPort(gateway.settings.listen.peers);
-	await new Promise<void>(resolve => {
-		server.listen({host, port}, resolve);
-	});
+	await listenAt(server, parseHostAndPort(gateway.settings.listen.peers));
 	signal.addEventListener('abort', () => {
 		server.close();
 		server.closeAllConnections();
--- a/packages/gateway/src/start-gateway.ts
+++ b/packages/gateway/src/start-gateway.ts
@@ -200,15 +200,15 @@
 	});
 	const controller = new AbortController();
 	const clocks = makeClocks();
-	const loop: LoopMonitor = startLoopMonitor({
-		steady: clocks.steady, signal: controller.signal, onStall(stalledMs) {
-			metrics.loopStallSeconds.observe(stalledMs / 1000);
-			options.log.write('state', 'loop_stalled', {stalledMs: Math.round(stalledMs), activeCalls: state.activeCalls});
-		},
-	});
+	const loop: LoopMonitor = options.callersServer?.loop ?? startLoopMonitor({steady: clocks.steady, signal: controller.signal});
 	const state: GatewayState = makeState(options, platform, {
 		incarnation: randomUUID(), clocks, loop, stopSignal: controller.signal, metrics, startedAt: clocks.steady(),
 	});
+	loop.onStall = stalledMs => {
+		metrics.loopStallSeconds.observe(stalledMs / 1000);
+		options.log.write('state', 'loop_stalled', {stalledMs: Math.round(stalledMs), activeCalls: state.activeCalls});
+	};
+
 	state.registry.onConnected = incarnation => {
 		recordPathSuccess(state, incarnation);
 	};
