An error that nobody handles does not end the platform's daemon

Callers saw: all connections of a daemon reset at once, in the middle of answers, when any of its code threw outside of a call. Each was a process that ended by itself. Cause: the program for the users' platform had no handler for uncaught errors; Node.js ends the process then. Ruled out: to drain and end after such an error, as the ports of callers would be without a daemon for a restart, for an error that mostly concerns one message. To go on before anything listens: it would hide that the daemon cannot start. Change: the entry point takes uncaught errors beside signals. What rejects the start itself still ends it, after the callers were refused.

--- a/apps/daemon/src/run-platform-daemon.ts
+++ b/apps/daemon/src/run-platform-daemon.ts
@@ -5,32 +5,20 @@
 import {type GatewaySettings} from '@shallotpass/gateway/gateway-settings.js';
 import {type EventLog, openEventLog} from '@shallotpass/gateway/telemetry/event-log.js';
 import {type Gateway, startGateway} from '@shallotpass/gateway/start-gateway.js';
+import {reportUncaughtError} from '@shallotpass/gateway/telemetry/report-uncaught-error.js';
 import {openPlatform} from '@shallotpass/platform/open-platform.js';
 import {readGatewaySettings} from '@shallotpass/platform/settings.js';
-import {type StopRequest} from './take-signals.js';
+import {closeEarlyServer} from './close-early-server.js';
+import {type ProcessEvents} from './process-events.js';
 import {readInitialSettings, watchSettings} from './watch-settings.js';
 
-const failureExitCode = 1;
 const usageExitCode = 2;
 
-export type PlatformDaemonOptions = {
+export type PlatformDaemonOptions = ProcessEvents & {
 	/** Path of the settings file. */
 	readonly path: string;
 	/** Server that already listens for callers, if it could be started. */
 	readonly earlyServer: CallersServer | undefined;
-	readonly stopRequest: StopRequest;
-};
-
-const writeError = (line: string): void => {
-	process.stderr.write(`${line}\n`);
-};
-
-/** Refuses the requests that the server has read, and closes it. */
-const closeServer = async (server: CallersServer | undefined, detail: string): Promise<void> => {
-	const owed = await server?.refuseAll({kind: 'draining', detail, retryAfterS: 0}) ?? 0;
-	if (owed > 0) {
-		writeError(`${owed} requests got no whole answer`);
-	}
 };
 
 const readSettings = async ({path, earlyServer, stopRequest}: PlatformDaemonOptions): Promise<GatewaySettings> => {
@@ -39,13 +27,13 @@
 		read: readGatewaySettings,
 		onInvalid(mistakes) {
 			for (const mistake of mistakes) {
-				writeError(formatMistake(path, mistake));
+				process.stderr.write(`${formatMistake(path, mistake)}\n`);
 			}
 		},
 		signal: stopRequest.signal,
 	});
 	if (settings === undefined) {
-		await closeServer(earlyServer, 'The settings of this daemon have errors.');
+		await closeEarlyServer(earlyServer, 'The settings of this daemon have errors.');
 		process.exit(stopRequest.signal.aborted ? 0 : usageExitCode);
 	}
 
@@ -60,40 +48,38 @@
 	readonly earlyServer: CallersServer | undefined;
 };
 
-/** Ends the process if the daemon cannot start, once its callers have their answers. */
-const startOrExit = async ({settings, getSettings, log, earlyServer}: StartOptions): Promise<Gateway> => {
+const start = async ({settings, getSettings, log, earlyServer}: StartOptions): Promise<Gateway> => {
 	const callersServer = earlyServer?.address === settings.listen.callers ? earlyServer : undefined;
 	if (callersServer === undefined) {
-		await closeServer(earlyServer, 'The address of this daemon has changed.');
+		await closeEarlyServer(earlyServer, 'The address of this daemon has changed.');
 	}
 
-	try {
-		return await startGateway({
-			settings,
-			log,
-			...(callersServer !== undefined && {callersServer}),
-			openPlatform: onStoreCall => openPlatform({
-				getStoreAddress: () => getSettings().store.address,
-				getCloudAddress: () => getSettings().cloud.address,
-				onStoreCall,
-			}),
-		});
-	} catch (error) {
-		writeError(`the daemon cannot start: ${error instanceof Error ? error.message : String(error)}`);
-		await closeServer(callersServer, 'This daemon cannot start.');
-		log.flush();
-		process.exit(failureExitCode);
-	}
+	return startGateway({
+		settings,
+		log,
+		...(callersServer !== undefined && {callersServer}),
+		openPlatform: onStoreCall => openPlatform({
+			getStoreAddress: () => getSettings().store.address,
+			getCloudAddress: () => getSettings().cloud.address,
+			onStoreCall,
+		}),
+	});
 };
 
+/** Rejects if the daemon cannot start. */
 export const runPlatformDaemon = async (options: PlatformDaemonOptions): Promise<void> => {
-	const {path, earlyServer, stopRequest} = options;
+	const {
+		path, earlyServer, stopRequest, keepAliveAtErrors,
+	} = options;
 	const settings = await readSettings(options);
 	let currentSettings = settings;
 	const log = openEventLog(settings.instance.id);
-	const gateway = await startOrExit({
+	const gateway = await start({
 		settings, getSettings: () => currentSettings, log, earlyServer,
 	});
+	keepAliveAtErrors((error, origin) => {
+		reportUncaughtError(gateway.state, error, origin);
+	});
 
 	const stop = async (): Promise<void> => {
 		await gateway.drain(stopRequest.getRequestedAt());
--- a/packages/gateway/src/telemetry/gateway-metrics.ts
+++ b/packages/gateway/src/telemetry/gateway-metrics.ts
@@ -46,6 +46,7 @@
 	readonly activeCalls: Gauge;
 	readonly owedAnswers: Gauge;
 	readonly unfinishedAnswers: Counter<'reason'>;
+	readonly uncaughtErrors: Counter<'origin'>;
 };
 
 export type DependencyAnswers = {
@@ -179,6 +180,9 @@
 		unfinishedAnswers: new Counter({
 			name: 'shallotpass_gateway_unfinished_answers_total', help: 'Answers that ended before they were delivered whole, by what ended them', labelNames: ['reason'], registers,
 		}),
+		uncaughtErrors: new Counter({
+			name: 'shallotpass_gateway_uncaught_errors_total', help: 'Errors that nothing handled, after which the daemon went on, by how they arose', labelNames: ['origin'], registers,
+		}),
 	};
 };
 
--- a/packages/gateway/src/telemetry/log-events.ts
+++ b/packages/gateway/src/telemetry/log-events.ts
@@ -147,6 +147,10 @@
 	crash_verdict_lifted: {meaning: 'The verdict has ended: such requests were answered since, the deaths had another cause, or an operator has cleared them', fields: ['on']},
 	crash_trial: {meaning: 'A single call was let through in spite of a verdict, to learn whether it still holds', fields: ['request', 'on', 'ends']},
 	refused_for_crashes: {meaning: 'A call was refused, or not sent on, because of a verdict', fields: ['request', 'on', 'ends', 'score', 'account']},
+	uncaught_error: {
+		meaning: 'An error that nothing handled, with its stack; the daemon goes on. `origin`: whether it was thrown (`uncaughtException`) or rejected a promise (`unhandledRejection`). Please report it',
+		fields: ['origin', 'error', 'activeCalls', 'owedAnswers'],
+	},
 	call_crashed: {meaning: 'Unexpected error while serving a call', fields: ['request', 'error']},
 	limit_reached: {
 		meaning: 'A call, or a further run of it, was refused because its client account reached its limit: `room` is the most that a keeper could grant, a `share` of what is left of `usable` after `known`',
--- a/xo.config.js
+++ b/xo.config.js
@@ -73,7 +73,7 @@
 	},
 	{
 		// These files are the programs themselves.
-		files: ['apps/*/src/main.ts', 'apps/*/src/platform-main.ts', 'apps/*/src/run-platform-daemon.ts', 'apps/*/bin/*.js', 'scripts/**/*.{js,ts}'],
+		files: ['apps/*/src/main.ts', 'apps/*/src/platform-main.ts', 'apps/*/src/{catch-errors,run-platform-daemon,start-platform-daemon}.ts', 'apps/*/bin/*.js', 'scripts/**/*.{js,ts}'],
 		rules: {
 			'unicorn/no-process-exit': 'off',
 			'import-x/no-unassigned-import': 'off',
