--- a/apps/daemon/src/run-platform-daemon.ts
+++ b/apps/daemon/src/run-platform-daemon.ts
@@ -2,24 +2,26 @@
 import process from 'node:process';
 import {formatMistake} from '@shallotpass/common/toml-file.js';
 import {type CallersServer} from '@shallotpass/gateway/calls/callers-server.js';
-import {openEventLog} from '@shallotpass/gateway/telemetry/event-log.js';
-import {startGateway} from '@shallotpass/gateway/start-gateway.js';
+import {type GatewaySettings} from '@shallotpass/gateway/gateway-settings.js';
+import {type EventLog, openEventLog} from '@shallotpass/gateway/telemetry/event-log.js';
+import {type Gateway, startGateway} from '@shallotpass/gateway/start-gateway.js';
+import {reportUncaughtError} from '@shallotpass/gateway/telemetry/report-uncaught-error.js';
 import {openPlatform} from '@shallotpass/platform/open-platform.js';
 import {readGatewaySettings} from '@shallotpass/platform/settings.js';
-import {type StopRequest} from './take-signals.js';
+import {closeEarlyServer} from './close-early-server.js';
+import {type ProcessEvents} from './process-events.js';
 import {readInitialSettings, watchSettings} from './watch-settings.js';
 
 const usageExitCode = 2;
 
-export type PlatformDaemonOptions = {
+export type PlatformDaemonOptions = ProcessEvents & {
 	/** Path of the settings file. */
 	readonly path: string;
 	/** Server that already listens for callers, if it could be started. */
 	readonly earlyServer: CallersServer | undefined;
-	readonly stopRequest: StopRequest;
 };
 
-export const runPlatformDaemon = async ({path, earlyServer, stopRequest}: PlatformDaemonOptions): Promise<void> => {
+const readSettings = async ({path, earlyServer, stopRequest}: PlatformDaemonOptions): Promise<GatewaySettings> => {
 	const settings = await readInitialSettings({
 		path,
 		read: readGatewaySettings,
@@ -28,28 +30,56 @@
 				process.stderr.write(`${formatMistake(path, mistake)}\n`);
 			}
 		},
+		signal: stopRequest.signal,
 	});
 	if (settings === undefined) {
-		process.exit(usageExitCode);
+		await closeEarlyServer(earlyServer, 'The settings of this daemon have errors.');
+		process.exit(stopRequest.signal.aborted ? 0 : usageExitCode);
 	}
 
-	let currentSettings = settings;
-	const log = openEventLog(settings.instance.id);
-	if (earlyServer !== undefined && earlyServer.address !== settings.listen.callers) {
-		earlyServer.server.close();
-		earlyServer.server.closeAllConnections();
+	return settings;
+};
+
+type StartOptions = {
+	readonly settings: GatewaySettings;
+	/** Returns the settings that are in force. */
+	readonly getSettings: () => GatewaySettings;
+	readonly log: EventLog;
+	readonly earlyServer: CallersServer | undefined;
+};
+
+const start = async ({settings, getSettings, log, earlyServer}: StartOptions): Promise<Gateway> => {
+	const callersServer = earlyServer?.address === settings.listen.callers ? earlyServer : undefined;
+	if (callersServer === undefined) {
+		await closeEarlyServer(earlyServer, 'The address of this daemon has changed.');
 	}
 
-	const gateway = await startGateway({
+	return startGateway({
 		settings,
 		log,
-		callersServer: earlyServer?.address === settings.listen.callers ? earlyServer : undefined,
+		...(callersServer !== undefined && {callersServer}),
 		openPlatform: onStoreCall => openPlatform({
-			getStoreAddress: () => currentSettings.store.address,
-			getCloudAddress: () => currentSettings.cloud.address,
+			getStoreAddress: () => getSettings().store.address,
+			getCloudAddress: () => getSettings().cloud.address,
 			onStoreCall,
 		}),
 	});
+};
+
+/** Rejects if the daemon cannot start. */
+export const runPlatformDaemon = async (options: PlatformDaemonOptions): Promise<void> => {
+	const {
+		path, earlyServer, stopRequest, keepAliveAtErrors,
+	} = options;
+	const settings = await readSettings(options);
+	let currentSettings = settings;
+	const log = openEventLog(settings.instance.id);
+	const gateway = await start({
+		settings, getSettings: () => currentSettings, log, earlyServer,
+	});
+	keepAliveAtErrors((error, origin) => {
+		reportUncaughtError(gateway.state, error, origin);
+	});
 
 	const stop = async (): Promise<void> => {
 		await gateway.drain(stopRequest.getRequestedAt());
--- a/packages/gateway/src/calls/callers-listener.ts
+++ b/packages/gateway/src/calls/callers-listener.ts
@@ -26,15 +26,15 @@
 
 /** Serves callers on `openedServer`, or on a new server if there is none. */
 export const listenForCallers = async (gateway: GatewayState, openedServer?: CallersServer): Promise<CallersListener> => {
-	const callersServer = openedServer ?? await openCallersServer(gateway.settings.listen.callers, gateway.answers);
+	const callersServer = openedServer ?? await openCallersServer({address: gateway.settings.listen.callers, answers: gateway.answers, loop: gateway.loop});
 	const {server, serve} = callersServer;
 	callersServer.onUnreadable = ({reason}, socket) => {
 		gateway.log.write('failure', 'request_unreadable', {reason, owedAnswers: gateway.answers.countOn(socket)});
 	};
 
 	server.on('connection', gateway.acceptBacklog.recordAccept);
-	serve((request, response) => {
-		void serveCall(gateway, request, response);
+	serve((request, response, arrival) => {
+		void serveCall(gateway, request, response, arrival);
 	});
 	return {
 		applyLimits() {
