Refusals of streams whose version is not known tell what was not known, and who was asked

What callers saw: nothing new. A refused take-up was logged with counts only, so a record of a daemon that is out of step could not be read. Change: stream_not_taken_up has `unknown` (origin, backend, attempt), the daemons that were asked and those of them that gave no answer, the versions that serve here, and how old the directory is and where it came from. stream_not_continued and run_not_moved are new, stream_began without a version has the reason.

--- a/packages/gateway/src/calls/call-attempts.ts
+++ b/packages/gateway/src/calls/call-attempts.ts
@@ -7,6 +7,7 @@
 import {pauseFor} from '../pause.js';
 import {hasContactSince, isCutOff} from '../paths/track-paths.js';
 import {isVersionServed} from '../origins/continuity.js';
+import {describeDirectory} from '../telemetry/describe-directory.js';
 import {type AdmittedCall, type CallContext} from './admit-call.js';
 import {getLatencyModel} from './backend-view.js';
 import {hasUnevenLoad, returnToLimit, takeFromLimit} from './backend-limits.js';
@@ -157,13 +158,12 @@
 };
 
 /** Describes what this daemon knows of the backend server at the moment of a send, for the log. */
-const describeKnowledge = ({clocks, directoryStatus}: GatewayState, {state, chosenAt}: Placement) => {
-	const now = clocks.steady();
+const describeKnowledge = (gateway: GatewayState, {state, chosenAt}: Placement) => {
+	const now = gateway.clocks.steady();
 	return {
 		chosenMs: Math.round(now - chosenAt),
-		directoryOffset: directoryStatus.offset,
-		directoryAgeMs: Math.round(now - directoryStatus.confirmedAt),
-		directorySource: directoryStatus.source,
+		directoryOffset: gateway.directoryStatus.offset,
+		...describeDirectory(gateway),
 		leavingMs: state.leavingSince === undefined ? undefined : Math.round(now - state.leavingSince),
 		isMissing: state.isMissing || undefined,
 		limit: state.limit?.statement.perSecond,
--- a/packages/gateway/src/calls/serve-stream.ts
+++ b/packages/gateway/src/calls/serve-stream.ts
@@ -6,6 +6,7 @@
 import {type ReadExcess} from '../read-bounds.js';
 import {type Continuity} from '../origins/continuity.js';
 import {recordStream} from '../origins/record-stream.js';
+import {describeDirectory} from '../telemetry/describe-directory.js';
 import {type AdmittedCall, type CallContext} from './admit-call.js';
 import {
 	discardResponse, findSuspension, isDraining, recordBrokenAttempt, recordEvents, recordFirstByte, sendToBestBackend, sendToPlacement,
@@ -140,6 +141,12 @@
 /** Whether the stream may go on elsewhere: it has no events yet, or the version that sent them is known. */
 const canGoOn = ({hasEvents, progress}: StreamState): boolean => !hasEvents || progress.softwareVersion !== undefined;
 
+const logNotContinued = ({context: {gateway}, call}: StreamState, {state, source}: Attempt): void => {
+	gateway.log.write('failure', 'stream_not_continued', {
+		request: call.id, service: call.service, unknown: 'version', backend: state?.entry.id, peer: state === undefined ? source : undefined, ...describeDirectory(gateway),
+	});
+};
+
 /** Records that the stream broke off, or was given up as it exceeded a bound, which says nothing of the connection. */
 const recordInterruption = ({context: {gateway}, call, outgoing, progress}: StreamState, attempt: Attempt, excess: ReadExcess | undefined): void => {
 	if (excess === undefined) {
@@ -215,7 +222,12 @@
 	stream.roomWaitUntil = gateway.clocks.steady() + roomWaitMs;
 	recordInterruption(stream, attempt, forwarded.excess);
 	await stream.pendingVersion;
-	return canGoOn(stream) ? retryStep : endWith(makeStreamFailureOutcome(stream));
+	if (!canGoOn(stream)) {
+		logNotContinued(stream, attempt);
+		return endWith(makeStreamFailureOutcome(stream));
+	}
+
+	return retryStep;
 };
 
 /** Waits until backend servers may have room again, and lets those that turned the stream away be tried once more. */
--- a/packages/gateway/src/origins/continuity.ts
+++ b/packages/gateway/src/origins/continuity.ts
@@ -1,10 +1,11 @@
 /** What a stream is to be continued by: under which key its origin is remembered, and its origin if a caller takes it up. */
 import {isStream, type Repeatability} from '@shallotpass/core/calls/types.js';
 import {maxTakeUpMs} from '@shallotpass/core/origins/reported-origins.js';
-import {type KnownOrigin, type StreamOrigin} from '@shallotpass/core/origins/types.js';
+import {type StreamOrigin} from '@shallotpass/core/origins/types.js';
 import {type CallerHeaders} from '../ports.js';
 import {type GatewayState} from '../gateway-state.js';
 import {type Refusal} from '../calls/refusal.js';
+import {describeDirectory} from '../telemetry/describe-directory.js';
 import {mayReceiveByVersion} from '../rollouts/restrict-versions.js';
 import {findOrigin, type OriginLookup} from './find-origin.js';
 import {computeOriginKey} from './origin-key.js';
@@ -58,14 +59,29 @@
 	kind: 'stream_origin_unknown', detail: 'Neither this daemon nor those that it asked know which version began the stream.', retryAfterS: unknownRetryAfterS,
 };
 
-const describeUnknown = (lookup: KnownOrigin): string => lookup.kind === 'ambiguous' ? 'ambiguous' : 'unknown';
-
 type TakeUp = StreamRequest & {readonly resumes: string};
 
-const logRefusal = (gateway: GatewayState, {head, resumes, services}: TakeUp, reason: string, more: Partial<OriginLookup> & {tookMs: number; version?: string}): void => {
-	gateway.metrics.streamTakeUps.inc({service: services[0] ?? '', version: more.version ?? '', outcome: reason});
+type RefusalCause = {
+	readonly reason: 'unknown' | 'ambiguous' | 'gone' | 'unnamed';
+	readonly lookup?: OriginLookup;
+	readonly tookMs: number;
+	readonly origin?: StreamOrigin;
+};
+
+/** What is not known in each case. */
+const unknownByReason = {
+	unknown: 'origin', ambiguous: 'origin', unnamed: 'attempt', gone: 'backend',
+} as const satisfies Record<RefusalCause['reason'], string>;
+
+const logRefusal = (gateway: GatewayState, {head, resumes, services}: TakeUp, {reason, lookup, origin, tookMs}: RefusalCause): void => {
+	const service = origin?.service ?? services[0] ?? '';
+	gateway.metrics.streamTakeUps.inc({service, version: origin?.softwareVersion ?? '', outcome: reason});
 	gateway.log.write('failure', 'stream_not_taken_up', {
-		request: head.id, resumes, service: services[0], reason, version: more.version, asked: more.asked, answered: more.answered, tookMs: Math.round(more.tookMs),
+		request: head.id, resumes, service, reason, unknown: unknownByReason[reason], version: origin?.softwareVersion, versions: [...gateway.registry.versionsByService.get(service)?.keys() ?? []],
+		...(lookup !== undefined && {
+			asked: lookup.daemons.length, answered: lookup.daemons.length - lookup.silent.length, daemons: lookup.daemons, silent: lookup.silent,
+		}),
+		...describeDirectory(gateway), tookMs: Math.round(tookMs),
 	});
 };
 
@@ -77,13 +93,15 @@
 	const lookup = await findOrigin(gateway, originKey);
 	const tookMs = gateway.clocks.steady() - startedAt;
 	if (lookup.kind !== 'known') {
-		logRefusal(gateway, request, describeUnknown(lookup), {asked: lookup.asked, answered: lookup.answered, tookMs});
+		logRefusal(gateway, request, {reason: lookup.kind, lookup, tookMs});
 		return {kind: 'refused', refusal: unknownOriginRefusal};
 	}
 
 	const {origin} = lookup;
 	if (!services.includes(origin.service) || !isVersionServed(gateway, origin)) {
-		logRefusal(gateway, request, 'gone', {version: origin.softwareVersion, tookMs});
+		logRefusal(gateway, request, {
+			reason: 'gone', lookup, origin, tookMs,
+		});
 		return {kind: 'refused', refusal: makeGoneRefusal(origin)};
 	}
 
@@ -114,7 +132,7 @@
 		}
 
 		case 'none': {
-			logRefusal(gateway, {...request, resumes: ''}, 'unnamed', {tookMs: 0});
+			logRefusal(gateway, {...request, resumes: ''}, {reason: 'unnamed', tookMs: 0});
 			return {kind: 'refused', refusal: {...unknownOriginRefusal, detail: 'The request has Last-Event-Id, but no Resumes that names the attempt which began the stream.'}};
 		}
 
--- a/packages/gateway/src/origins/find-origin.ts
+++ b/packages/gateway/src/origins/find-origin.ts
@@ -12,8 +12,9 @@
 export type OriginLookup = KnownOrigin & {
 	/** Daemon that knew it. Undefined if it is not known. */
 	readonly source: string | undefined;
-	readonly asked: number;
-	readonly answered: number;
+	/** Addresses of the daemons that were asked, and of those that gave no answer. */
+	readonly daemons: readonly string[];
+	readonly silent: readonly string[];
 };
 
 type Answer = {readonly address: string; readonly record: OriginRecord | undefined};
@@ -56,13 +57,13 @@
 	const own = findOriginRecord(origins.ledger, key, clocks.steady());
 	if (own !== undefined) {
 		return {
-			...readOrigin(own), source: settings.instance.id, asked: 0, answered: 0,
+			...readOrigin(own), source: settings.instance.id, daemons: [], silent: [],
 		};
 	}
 
 	const listed = origins.listKnowing(key);
 	let keepers = needsRelays(gateway.listMembers().length) ? listed.slice(0, askedPerStream) : listed;
-	const asked = keepers.length;
+	const daemons = keepers.map(({address}) => address);
 	for (const timeoutMs of keepers.length > 0 ? roundTimeoutsMs : []) {
 		const {found, silent} = await askAll(gateway, keepers, {key, timeoutMs}); // eslint-disable-line no-await-in-loop -- only the silent ones are asked again
 		if (found?.record !== undefined) {
@@ -70,7 +71,7 @@
 			const arrived = findOriginRecord(origins.ledger, key, clocks.steady());
 			const record = arrived === undefined ? found.record : joinRecords(arrived, found.record);
 			return {
-				...readOrigin(record), source: found.address, asked, answered: asked - silent.length,
+				...readOrigin(record), source: found.address, daemons, silent: [],
 			};
 		}
 
@@ -81,6 +82,6 @@
 	}
 
 	return {
-		kind: 'unknown', source: undefined, asked, answered: asked - keepers.length,
+		kind: 'unknown', source: undefined, daemons, silent: keepers.map(({address}) => address),
 	};
 };
--- a/packages/gateway/src/origins/record-stream.ts
+++ b/packages/gateway/src/origins/record-stream.ts
@@ -3,6 +3,7 @@
 import {type Call} from '@shallotpass/core/calls/types.js';
 import {type Attempt} from '../calls/run-at-backend.js';
 import {type GatewayState} from '../gateway-state.js';
+import {describeDirectory} from '../telemetry/describe-directory.js';
 import {type Continuity} from './continuity.js';
 
 export type BegunStream = {
@@ -18,6 +19,7 @@
 	if (softwareVersion === undefined) {
 		gateway.log.write('failure', 'stream_began', {
 			request: call.id, service: call.service, backend: state?.entry.id, peer: state === undefined ? attempt.source : undefined,
+			reason: state === undefined ? 'peer_does_not_tell' : 'incarnation_not_confirmed', directoryAgeMs: describeDirectory(gateway).directoryAgeMs,
 		});
 		return;
 	}
--- a/packages/gateway/src/telemetry/log-events.ts
+++ b/packages/gateway/src/telemetry/log-events.ts
@@ -123,16 +123,24 @@
 		fields: ['request', 'from', 'to', 'fromVersion', 'toVersion', 'outcome', 'reason', 'leavesInMs', 'tookMs'],
 	},
 	stream_began: {
-		meaning: 'The first event of a stream that its caller may take up was received, from a backend server of this software version; `keepers`: daemons that were told. Without `version` it is not known, and the stream cannot go on elsewhere',
-		fields: ['request', 'service', 'backend', 'version', 'peer', 'keepers'],
+		meaning: 'The first event of a stream that its caller may take up was received, from a backend server of this software version; `keepers`: daemons that were told. Without `version` it is not known, for the `reason`, and the stream cannot go on elsewhere',
+		fields: ['request', 'service', 'backend', 'version', 'peer', 'keepers', 'reason', 'directoryAgeMs'],
 	},
 	stream_taken_up: {
 		meaning: 'A caller takes a stream up, which began with the attempt `resumes`; `source`: the daemon that knew its version',
 		fields: ['request', 'resumes', 'service', 'version', 'source', 'ageMs', 'tookMs'],
 	},
 	stream_not_taken_up: {
-		meaning: 'A stream that its caller takes up was refused: the version that began it is not known here or to the daemons asked, the id is ambiguous, or none of its backend servers serves',
-		fields: ['request', 'resumes', 'service', 'reason', 'version', 'asked', 'answered', 'tookMs'],
+		meaning: 'A stream that its caller takes up was refused: the version that began it is not known here or to the daemons asked, the id is ambiguous, or none of its backend servers serves. `unknown`: what is not known; `daemons` were asked, those in `silent` gave no answer',
+		fields: ['request', 'resumes', 'service', 'reason', 'unknown', 'version', 'versions', 'asked', 'answered', 'daemons', 'silent', 'directoryAgeMs', 'directorySource', 'tookMs'],
+	},
+	stream_not_continued: {
+		meaning: 'A stream whose events were sent on broke off and did not go on elsewhere, as the version that sent them is not known, nor whether its backend server still is the one of the directory',
+		fields: ['request', 'service', 'unknown', 'backend', 'peer', 'directoryAgeMs', 'directorySource'],
+	},
+	run_not_moved: {
+		meaning: 'A run was not moved from a leaving backend server, as it is not known which process runs at one of the two addresses; `unknown`: which',
+		fields: ['request', 'service', 'from', 'to', 'unknown', 'finding', 'directoryAgeMs', 'directorySource'],
 	},
 	origin_not_kept: {meaning: 'The version that began a stream was not recorded, as this daemon remembers as many streams as it can', fields: ['request', 'streams']},
 	service_versions: {
