A run is moved only between processes that are known, and goes on only at its version

What callers saw: a draft whose engine left went on, as one whole answer, at an engine of another software version. Cause, two ways. The run was taken for one of the version of the directory's entry: where its engine had started again under its id while an older connection looked open, a run of v2 was moved to an engine of v1. And nothing was checked after the KV cache had been copied: an engine that started again at another version meanwhile got the run, as its id was right. Ruled out: callers; these runs are never repeated. Change: before a run is stopped, the connection on which its answer comes and the process at the other address are confirmed, else it stays and run_not_moved tells which of them is not known. The moved run goes on with its version, so that the send is confirmed before and its answer after, as with streams that are resumed; if the other engine is not the one any more, it returns to its own. Conclusion: engines refuse a KV cache that they do not hold, so the second way needs one that keeps it over its start; the first needs none.

--- a/packages/gateway/src/calls/move-run.ts
+++ b/packages/gateway/src/calls/move-run.ts
@@ -8,10 +8,11 @@
 import {pauseFor} from '../pause.js';
 import {payForRun} from '../quotas/pay-for-run.js';
 import {type MovedKvCache} from '../ports.js';
+import {describeDirectory} from '../telemetry/describe-directory.js';
 import {observeBrittleness} from './backend-brittleness.js';
 import {observeLimit, takeFromLimit} from './backend-limits.js';
 import {confirmCallerWaits} from './caller-presence.js';
-import {confirmIncarnation} from './confirm-incarnation.js';
+import {confirmConnection, confirmIncarnation} from './confirm-incarnation.js';
 import {type Placement, placeCall, type PlacementResult} from './place-call.js';
 import {type BackendState} from './backend-registry.js';
 import {returnPermit, type SendPermit, takeRepeatPermit} from './send-permit.js';
@@ -34,6 +35,8 @@
 
 /** A run that was stopped and can be continued. */
 export type MovedRun = {
+	/** Version of the software that began it. */
+	readonly softwareVersion: string;
 	readonly kvCache: MovedKvCache;
 	/** Placements where it can continue, best first. */
 	readonly placements: readonly Placement[];
@@ -45,6 +48,8 @@
 	readonly gateway: GatewayState;
 	readonly call: Call;
 	readonly state: BackendState;
+	/** Number of the connection on which the answer comes. */
+	readonly connection: number | undefined;
 	readonly signal: AbortSignal;
 };
 
@@ -70,11 +75,11 @@
 	const result: PlacementResult = softwareVersion === undefined
 		? {kind: 'none'}
 		: placeCall(gateway, call, {attemptedIncarnations: new Set([state.incarnation]), hasStarted: true, softwareVersion});
-	return result.kind === 'placed' ? moveRunTo(options, result.placement) : undefined;
+	return result.kind === 'placed' && softwareVersion !== undefined ? moveRunTo(options, result.placement, softwareVersion) : undefined;
 };
 
 /** The same to this backend server, with the permit for the send that continues the run. */
-const moveRunTo = async (options: DepartureWatchOptions, target: Placement): Promise<MovedRun | undefined> => {
+const moveRunTo = async (options: DepartureWatchOptions, target: Placement, softwareVersion: string): Promise<MovedRun | undefined> => {
 	const {gateway, call} = options;
 	const permit = takeRepeatPermit(gateway, call);
 	if (permit === undefined) {
@@ -87,12 +92,26 @@
 		return undefined;
 	}
 
-	return {...stopped, permit};
+	return {...stopped, softwareVersion, permit};
 };
 
-const stopRun = async ({gateway, call, state, signal}: DepartureWatchOptions, target: Placement): Promise<Omit<MovedRun, 'permit'> | undefined> => {
-	const findings = await Promise.all([state, target.state].map(async end => confirmIncarnation(gateway, end)));
-	if (findings.some(finding => finding !== 'confirmed')) {
+/** Whether the run's answer comes from the backend server of the directory, and the other one is that of the directory too. */
+const confirmEnds = async ({gateway, call, state, connection}: DepartureWatchOptions, target: BackendState): Promise<boolean> => {
+	const [source, other] = await Promise.all([confirmConnection(gateway, state, connection), confirmIncarnation(gateway, target)]);
+	if (source === 'confirmed' && other === 'confirmed') {
+		return true;
+	}
+
+	gateway.log.write('failure', 'run_not_moved', {
+		request: call.id, service: call.service, from: state.entry.id, to: target.entry.id,
+		unknown: source === 'confirmed' ? 'to' : 'from', finding: source === 'confirmed' ? other : source, ...describeDirectory(gateway),
+	});
+	return false;
+};
+
+const stopRun = async (options: DepartureWatchOptions, target: Placement): Promise<Pick<MovedRun, 'kvCache' | 'placements'> | undefined> => {
+	const {gateway, call, state, signal} = options;
+	if (!await confirmEnds(options, target.state)) {
 		return undefined;
 	}
 
--- a/packages/gateway/src/calls/run-at-backend.ts
+++ b/packages/gateway/src/calls/run-at-backend.ts
@@ -74,6 +74,8 @@
 	readonly laterVersion: Promise<string | undefined> | undefined;
 	/** Backend server, or address of the peer. */
 	readonly source: string;
+	/** Number of the connection to the backend server. */
+	readonly connection: number | undefined;
 	readonly exchange: Omit<Exchange, 'result'>;
 	/** To be called once the first event of a stream has come. */
 	readonly endContentWait: () => void;
@@ -300,7 +302,7 @@
 	gateway.metrics.attempts.inc({service: call.service, outcome: isServerError(response) ? 'failed' : 'answered'});
 	return {
 		kind: 'answered', response, attempt: {
-			state, softwareVersion: version.softwareVersion, laterVersion: version.later, source: state.entry.id, exchange, recordExcess, endContentWait: trackedCall.endContentWait, isComplete, sentAt: now, predictedMs, answeredAt: state.lastReadAt, versionResult, end,
+			state, softwareVersion: version.softwareVersion, laterVersion: version.later, source: state.entry.id, connection, exchange, recordExcess, endContentWait: trackedCall.endContentWait, isComplete, sentAt: now, predictedMs, answeredAt: state.lastReadAt, versionResult, end,
 		},
 	};
 };
--- a/packages/gateway/src/calls/send-to-peer.ts
+++ b/packages/gateway/src/calls/send-to-peer.ts
@@ -134,7 +134,7 @@
 	const answer = takeResult(response);
 	if (answer === 'answered') {
 		const attempt: Attempt = {
-			state: undefined, softwareVersion: parseVersion(takeField(response, versionField)), laterVersion: undefined, source: address, exchange, endContentWait() {/* The peer watches the stream itself. */}, recordExcess() {/* The peer watches the backend server itself. */}, sentAt, predictedMs: 0, answeredAt: gateway.clocks.steady(), versionResult: inactiveTracker, end,
+			state: undefined, softwareVersion: parseVersion(takeField(response, versionField)), laterVersion: undefined, source: address, connection: undefined, exchange, endContentWait() {/* The peer watches the stream itself. */}, recordExcess() {/* The peer watches the backend server itself. */}, sentAt, predictedMs: 0, answeredAt: gateway.clocks.steady(), versionResult: inactiveTracker, end,
 			isComplete: async () => response.complete && !hasFailed(),
 		};
 		return {
--- a/packages/gateway/src/calls/serve-stream.ts
+++ b/packages/gateway/src/calls/serve-stream.ts
@@ -94,8 +94,9 @@
 /** Returns the id after which the stream goes on: of the last event that was forwarded here, or before by the daemon that sent the call. */
 const getLastEventId = ({splitter, outgoing}: StreamState): string | undefined => splitter.getLastEventId() ?? outgoing.lastEventId;
 
-/** Continues the run with the moved KV cache. It is the same run, so the next attempt is not a retry. */
+/** Continues the run with the moved KV cache, at its version. It is the same run, so the next attempt is not a retry. */
 const resumeMovedRun = (stream: StreamState, moved: MovedRun, stoppedOn: string): NextStep => {
+	stream.progress.softwareVersion = moved.softwareVersion;
 	stream.splitter.discardPartialEvent();
 	stream.stoppedOn.add(stoppedOn);
 	stream.placements = moved.placements;
@@ -178,7 +179,7 @@
 	const departure = state === undefined || stream.stoppedOn.has(state.incarnation)
 		? inactiveWatch
 		: watchDeparture({
-			gateway, call, state, signal,
+			gateway, call, state, connection: attempt.connection, signal,
 		});
 	const forwarded = await forwardEvents({
 		response, isComplete: attempt.isComplete, target, splitter,
