--- a/packages/gateway/src/calls/serve-stream.ts
+++ b/packages/gateway/src/calls/serve-stream.ts
@@ -6,6 +6,7 @@
 import {type ReadExcess} from '../read-bounds.js';
 import {type Continuity} from '../origins/continuity.js';
 import {recordStream} from '../origins/record-stream.js';
+import {describeDirectory} from '../telemetry/describe-directory.js';
 import {type AdmittedCall, type CallContext} from './admit-call.js';
 import {
 	discardResponse, findSuspension, recordBrokenAttempt, recordEvents, recordFirstByte, sendToBestBackend, sendToPlacement,
@@ -94,8 +95,9 @@
 /** Returns the id after which the stream goes on: of the last event that was forwarded here, or before by the daemon that sent the call. */
 const getLastEventId = ({splitter, outgoing}: StreamState): string | undefined => splitter.getLastEventId() ?? outgoing.lastEventId;
 
-/** Continues the run with the moved KV cache. It is the same run, so the next attempt is not a retry. */
+/** Continues the run with the moved KV cache, at its version. It is the same run, so the next attempt is not a retry. */
 const resumeMovedRun = (stream: StreamState, moved: MovedRun, stoppedOn: string): NextStep => {
+	stream.progress.softwareVersion = moved.softwareVersion;
 	stream.splitter.discardPartialEvent();
 	stream.stoppedOn.add(stoppedOn);
 	stream.placements = moved.placements;
@@ -141,6 +143,12 @@
 /** Whether the stream may go on elsewhere: it has no events yet, or the version that sent them is known. */
 const canGoOn = ({hasEvents, progress}: StreamState): boolean => !hasEvents || progress.softwareVersion !== undefined;
 
+const logNotContinued = ({context: {gateway}, call}: StreamState, {state, source}: Attempt): void => {
+	gateway.log.write('failure', 'stream_not_continued', {
+		request: call.id, service: call.service, unknown: 'version', backend: state?.entry.id, peer: state === undefined ? source : undefined, ...describeDirectory(gateway),
+	});
+};
+
 /** Records that the stream broke off, or was given up as it exceeded a bound, which says nothing of the connection. */
 const recordInterruption = ({context: {gateway}, call, outgoing, progress}: StreamState, attempt: Attempt, excess: ReadExcess | undefined): void => {
 	if (excess === undefined) {
@@ -172,7 +180,7 @@
 	const departure = state === undefined || stream.stoppedOn.has(state.incarnation)
 		? inactiveWatch
 		: watchDeparture({
-			gateway, call, state, signal,
+			gateway, call, state, connection: attempt.connection, signal,
 		});
 	const forwarded = await forwardEvents({
 		response, isComplete: attempt.isComplete, target, splitter,
@@ -216,7 +224,12 @@
 	stream.roomWaitUntil = gateway.clocks.steady() + roomWaitMs;
 	recordInterruption(stream, attempt, forwarded.excess);
 	await stream.pendingVersion;
-	return canGoOn(stream) ? retryStep : endWith(makeStreamFailureOutcome(stream));
+	if (!canGoOn(stream)) {
+		logNotContinued(stream, attempt);
+		return endWith(makeStreamFailureOutcome(stream));
+	}
+
+	return retryStep;
 };
 
 /** Waits until backend servers may have room again, and lets those that turned the stream away be tried once more. */
