Shared state of peers is decoded by a schema, and parts without a meaning are left out

What callers saw: nothing was reported. Shown by a test: a peer that answers the question for the shared state with null or with a list of null ended the daemon that asked, with all its calls. Cause: the answer was taken for what it should be, without a check; the loop that asks had no catch, so its rejection ended the process. Ruled out: bodies that are no JSON, and answers with an error; those were caught. Change: the versions are decoded by the schema of gossip, the configuration, each backend server and each member for itself, by schemas with the bounds of the store's decoders. What is refused is left out and logged as peer_message_refused, once for each sender and field. Fields that daemons of earlier versions lack are optional. A peer's word on contact with a backend server and the question for the shared state have schemas too. Conclusion: nothing that a peer answers ends a daemon that asks.

--- a/packages/common/src/decode-json.ts
+++ b/packages/common/src/decode-json.ts
@@ -11,6 +11,17 @@
 
 const utf8 = new TextDecoder('utf8', {fatal: true});
 
+/** Decodes a value of any form by the schema. Never throws. */
+export const decodeValue = <Schema extends z.ZodType>(raw: unknown, schema: Schema): Decoded<z.output<Schema>> => {
+	const parsed = schema.safeParse(raw);
+	if (parsed.success) {
+		return {kind: 'decoded', value: parsed.data};
+	}
+
+	const path = parsed.error.issues[0]?.path.map(String).join('.') ?? '';
+	return {kind: 'refused', field: path === '' ? 'value' : path.slice(0, maxFieldLength)};
+};
+
 /** Decodes the bytes by the schema. Never throws. */
 export const decodeJson = <Schema extends z.ZodType>(bytes: Uint8Array, schema: Schema): Decoded<z.output<Schema>> => {
 	let raw: unknown;
@@ -20,11 +31,5 @@
 		return {kind: 'refused', field: 'bytes'};
 	}
 
-	const parsed = schema.safeParse(raw);
-	if (parsed.success) {
-		return {kind: 'decoded', value: parsed.data};
-	}
-
-	const path = parsed.error.issues[0]?.path.map(String).join('.') ?? '';
-	return {kind: 'refused', field: path === '' ? 'value' : path.slice(0, maxFieldLength)};
+	return decodeValue(raw, schema);
 };
--- a/packages/common/src/value-bounds.ts
+++ b/packages/common/src/value-bounds.ts
@@ -21,10 +21,33 @@
 const addressPattern = new RegExp(String.raw`^${octet}(?:\.${octet}){3}:${port}$`, 'v');
 
 /** IP address and port to which a connection can be opened. */
-export const addressSchema = z.string().max(maxTextLength).regex(addressPattern, 'an IP address and a port such as 10.1.0.16:8360');
+export const addressSchema = z.string().regex(addressPattern, 'an IP address and a port such as 10.1.0.16:8360');
 
 /** Text for logs, metrics and records: without control characters, line breaks and half characters. */
-export const textSchema = z.string().min(1).max(maxTextLength).regex(/^[^\p{Cc}\p{Cs}\p{Zl}\p{Zp}]+$/v, 'text without control characters');
+export const textSchema = z.string().max(maxTextLength).regex(/^[^\p{Cc}\p{Cs}\p{Zl}\p{Zp}]+$/v, 'text without control characters');
 
 /** Text that also stands in header fields. */
-export const tokenSchema = z.string().min(1).max(maxTextLength).regex(/^[\u0021-\u007E]+$/v, 'visible characters of ASCII');
+export const tokenSchema = z.string().regex(/^[\u0021-\u007E]{1,256}$/v, 'visible characters of ASCII');
+
+const limitAmount = (amount: number): number => Math.min(maxAmount, Math.max(0, amount));
+
+/** Number of things or units. What is out of bounds counts as the bound. */
+export const amountSchema = z.number().overwrite(amount => limitAmount(amount));
+
+/** Time span in milliseconds that timers take. */
+export const spanSchema = z.number().overwrite(ms => limitTimerMs(ms));
+
+/** Number of either sign, such as a rank. */
+export const boundedSchema = z.number().overwrite(value => Math.min(maxAmount, Math.max(-maxAmount, value)));
+
+/** Position of a record in a topic. */
+export const offsetSchema = z.int().nonnegative();
+
+/** Text that Node takes as the value of a header field. */
+export const headerTextSchema = z.string().max(maxTextLength).regex(/^[\t\u0020-\u007E\u0080-\u00FF]*$/v, 'text of a header field');
+
+/** Age in milliseconds. What was never confirmed is as old as can be. */
+export const ageSchema = z.number().overwrite(ms => Math.min(Number.MAX_SAFE_INTEGER, Math.max(0, ms)));
+
+/** Version of a configuration. A larger one would hide all that follow. */
+export const configurationVersionSchema = z.number().nonnegative().max(Number.MAX_SAFE_INTEGER);
--- a/packages/core/src/calls/serving-configuration.ts
+++ b/packages/core/src/calls/serving-configuration.ts
@@ -33,7 +33,7 @@
 	readonly most: number;
 	readonly bootMs: number;
 	/** Price of a reclaimable backend server as a fraction of the full price; undefined if none are offered. */
-	readonly reclaimablePrice: number | undefined;
+	readonly reclaimablePrice?: number | undefined;
 	/** Price per second of a backend server, by availability zone. */
 	readonly zonePrices: Readonly<Record<string, number>>;
 };
@@ -48,10 +48,10 @@
 	readonly name: string;
 	/** Maximum number of connections to one backend server, over all daemons. */
 	readonly maxConnections: number;
-	readonly engine: EngineCapacity | undefined;
+	readonly engine?: EngineCapacity | undefined;
 	/** Whether the KV cache of a running call can be transferred to another backend server. */
 	readonly canMoveRuns: boolean;
-	readonly fleet: FleetBounds | undefined;
+	readonly fleet?: FleetBounds | undefined;
 };
 
 export type AccountLimit = {
@@ -68,8 +68,8 @@
 export type Account = {
 	readonly name: string;
 	readonly keys: readonly string[];
-	readonly rank: number | undefined;
-	readonly limit: AccountLimit | undefined;
+	readonly rank?: number | undefined;
+	readonly limit?: AccountLimit | undefined;
 };
 
 /** Limits for the connections and requests of callers. */
--- a/packages/core/src/directory/adopt-peer-directory.ts
+++ b/packages/core/src/directory/adopt-peer-directory.ts
@@ -7,7 +7,7 @@
 	readonly entry: BackendEntry;
 	readonly offset: number;
 	/** Remaining grace period of an entry that is missing and may only have expired, in milliseconds. */
-	readonly missingForMs: number | undefined;
+	readonly missingForMs?: number | undefined;
 };
 
 export type PeerDirectory = {
--- a/packages/core/src/directory/types.ts
+++ b/packages/core/src/directory/types.ts
@@ -11,12 +11,12 @@
 	readonly places: number;
 	readonly isLeaving: boolean;
 	/** Milliseconds until the backend server shuts down, if it has announced that. */
-	readonly leavesInMs: number | undefined;
+	readonly leavesInMs?: number | undefined;
 	readonly isReclaimable: boolean;
 	/** Milliseconds since the epoch, or undefined if the entry doesn't contain it. */
-	readonly startedAt: number | undefined;
+	readonly startedAt?: number | undefined;
 	/** Version of its software, which is fixed for an incarnation. Undefined if a daemon passed the entry on that doesn't know versions. */
-	readonly softwareVersion: string | undefined;
+	readonly softwareVersion?: string | undefined;
 	/** Sequence number of the entry within its incarnation. */
 	readonly sequence: number;
 };
--- a/packages/core/src/gossip/gossip-report.ts
+++ b/packages/core/src/gossip/gossip-report.ts
@@ -3,7 +3,9 @@
  * others. In a large one it sends it to two relays in its zone, which exchange sums, so the gossip traffic of a
  * daemon doesn't grow with the number of daemons.
  */
-import {addressSchema} from '@shallotpass/common/value-bounds.js';
+import {
+	addressSchema, ageSchema, configurationVersionSchema, maxAmount, maxTextLength, offsetSchema,
+} from '@shallotpass/common/value-bounds.js';
 import * as z from 'zod';
 import {mergeReportedCrashes, noReportedCrashes, reportedCrashesSchema} from '../crashes/reported-evidence.js';
 import {mergeParticipants} from '../limits/participants.js';
@@ -18,22 +20,22 @@
 const amounts = z.record(z.string(), z.number());
 
 /** Versions and ages of the store data that a daemon holds. Other daemons compare them with their own without a request. */
-const storeVersions = z.object({
+export const storeVersionsSchema = z.object({
 	/** -1 before a configuration was loaded. */
-	configurationVersion: z.number(),
+	configurationVersion: z.union([z.literal(-1), configurationVersionSchema]),
 	/** Milliseconds since this version was last confirmed to be the newest. */
-	configurationAgeMs: z.number(),
+	configurationAgeMs: ageSchema,
 	/** Offset of the first directory record that has not been read. */
-	directoryNext: z.number(),
-	directoryDigest: z.string(),
-	directoryAgeMs: z.number(),
+	directoryNext: offsetSchema,
+	directoryDigest: z.string().max(maxTextLength),
+	directoryAgeMs: ageSchema,
 	/** Milliseconds since the store itself last answered the daemon. Daemons of earlier versions don't report it. */
-	storeAnswerAgeMs: z.number().optional(),
+	storeAnswerAgeMs: ageSchema.optional(),
 	/** Number of daemons that it knows. */
-	members: z.int(),
+	members: z.int().nonnegative().max(maxAmount),
 });
 
-export type StoreVersions = z.infer<typeof storeVersions>;
+export type StoreVersions = z.infer<typeof storeVersionsSchema>;
 
 const reportedParticipant = z.tuple([z.string(), z.string(), z.number()]);
 
@@ -55,7 +57,7 @@
 	/** Number of daemons in zones that stopped reporting. They may still admit calls that no other daemon counts. */
 	silentDaemons: z.int().default(0),
 	/** Store data held by the sender, which in a sum is the relay. */
-	known: storeVersions,
+	known: storeVersionsSchema,
 	/** Cost units requested per second, by client account. */
 	demands: amounts,
 	/** Cost units admitted in each slot of the rate limit window, newest first, by client account. */
--- a/packages/gateway/src/paths/ask-peer.ts
+++ b/packages/gateway/src/paths/ask-peer.ts
@@ -11,7 +11,9 @@
 
 const backendContactQuery = z.object({incarnation: z.string()});
 
-export type BackendContact = 'reached' | 'unreached' | 'unknown';
+const backendContactSchema = z.enum(['reached', 'unreached', 'unknown']);
+
+export type BackendContact = z.infer<typeof backendContactSchema>;
 
 /** The peer itself probes the backend server before it answers. */
 const responseTimeoutMs = 600;
@@ -22,7 +24,8 @@
 		return 'unknown';
 	}
 
-	return await callPeer<BackendContact>(peer.address, {method: backendContactMethod, params: {incarnation}, responseTimeoutMs}) ?? 'unknown';
+	const result = await callPeer(peer.address, {method: backendContactMethod, params: {incarnation}, responseTimeoutMs});
+	return backendContactSchema.safeParse(result).data ?? 'unknown';
 };
 
 /** Answers a peer's question. */
--- a/packages/gateway/src/peers/call-peer.ts
+++ b/packages/gateway/src/peers/call-peer.ts
@@ -1,5 +1,6 @@
 /** JSON-RPC requests to other daemons. */
 import http from 'node:http';
+import * as z from 'zod';
 import {parseHostAndPort} from '../host-and-port.js';
 import {peerResponseTimeoutMs} from '../hop-times.js';
 import {limitInformationalHeads} from '../limit-informational-heads.js';
@@ -17,8 +18,10 @@
 	readonly responseTimeoutMs?: number;
 };
 
-/** Returns the result, or undefined if the peer does not answer, does not know the method, or its response is truncated or invalid. */
-export const callPeer = async <Result>(address: string, {method, params, responseTimeoutMs = peerResponseTimeoutMs}: PeerRequest): Promise<Result | undefined> => new Promise(resolve => {
+const replySchema = z.object({result: z.unknown()});
+
+/** Returns the result, of any form, or undefined if the peer does not answer, does not know the method, or its response is truncated or invalid. */
+export const callPeer = async (address: string, {method, params, responseTimeoutMs = peerResponseTimeoutMs}: PeerRequest): Promise<unknown> => new Promise(resolve => {
 	const {host, port} = parseHostAndPort(address);
 	const request = http.request({
 		host, port, method: 'POST', path: '/', agent: peerAgent, headers: {'Content-Type': 'application/json'},
@@ -39,8 +42,7 @@
 		clearTimeout(timer);
 		timer = setTimeout(abortRequest, bodyTimeoutMs);
 		try {
-			const reply = JSON.parse(await readMessage(response)) as {result?: Result};
-			resolve(reply.result);
+			resolve(replySchema.parse(JSON.parse(await readMessage(response))).result);
 		} catch {
 			resolve(undefined);
 		}
--- a/packages/gateway/src/peers/query-peers.ts
+++ b/packages/gateway/src/peers/query-peers.ts
@@ -8,6 +8,8 @@
 import {applyConfiguration, getConfigurationStaleMs} from '../store/follow-configuration.js';
 import {getDirectoryPollMs} from '../store/follow-directory.js';
 import {callPeer} from './call-peer.js';
+import {decodeSharedState} from './decode-shared-state.js';
+import {makePeerRefusalReporter, type PeerRefusalReporter} from './report-refused.js';
 import {
 	ageSharedState, type SharedState, type SharedStateOptions, type SharedStateQuery,
 } from './shared-state.js';
@@ -21,8 +23,20 @@
 /** Share of queries that go to the best source. The rest go to other sources, so that an outdated best source is detected. */
 const bestSourceShare = 0.8;
 
-const fetchSharedState = async (address: string, query: SharedStateQuery): Promise<SharedState | undefined> =>
-	callPeer<SharedState>(address, {method: 'shared_state', params: query});
+type FetchOptions = {
+	readonly address: string;
+	readonly query: SharedStateQuery;
+	readonly reportRefused: PeerRefusalReporter;
+};
+
+const fetchSharedState = async ({address, query, reportRefused}: FetchOptions): Promise<SharedState | undefined> => {
+	const result = await callPeer(address, {method: 'shared_state', params: query});
+	return result === undefined
+		? undefined
+		: decodeSharedState(result, field => {
+			reportRefused('shared_state', address, field);
+		});
+};
 
 /** Renews the age of this daemon's state wherever the peer holds the same state. */
 const confirmFreshness = ({gateway, directory}: SharedStateOptions, known: Omit<StoreVersions, 'members'>, address: string): void => {
@@ -76,14 +90,18 @@
 	return configurationAge < getConfigurationStaleMs(bounds) && directory.read().ageMs < getDirectoryPollMs(bounds) + unconfirmedMarginMs;
 };
 
-const queryPeer = async (options: SharedStateOptions, address: string): Promise<void> => {
+const queryPeer = async (options: SharedStateOptions, address: string, reportRefused: PeerRefusalReporter): Promise<void> => {
 	const {gateway, directory, members} = options;
 	const requestedAt = gateway.clocks.steady();
-	const state = await fetchSharedState(address, {
-		configurationVersion: gateway.configuration?.configuration.version ?? -1,
-		directoryNext: directory.read().directory.next,
-		directoryDigest: directory.read().digest,
-		members: members.list().length,
+	const state = await fetchSharedState({
+		address,
+		query: {
+			configurationVersion: gateway.configuration?.configuration.version ?? -1,
+			directoryNext: directory.read().directory.next,
+			directoryDigest: directory.read().digest,
+			members: members.list().length,
+		},
+		reportRefused,
 	});
 	if (state !== undefined) {
 		applySharedState(options, ageSharedState(state, gateway.clocks.steady() - requestedAt), address);
@@ -99,11 +117,12 @@
 export const startPeerQueries = (options: SharedStateOptions): PeerQuerier => {
 	const {gateway, directory, signal} = options;
 	const logSource = makeSourceLogger(options);
+	const reportRefused = makePeerRefusalReporter(gateway.log);
 	let isQuerying = false;
 	const queryUnlessBusy = async (address: string): Promise<void> => {
 		if (!isQuerying) {
 			isQuerying = true;
-			await queryPeer(options, address);
+			await queryPeer(options, address, reportRefused);
 			isQuerying = false;
 		}
 	};
--- a/packages/gateway/src/peers/shared-state.ts
+++ b/packages/gateway/src/peers/shared-state.ts
@@ -7,9 +7,10 @@
 import {type ServingConfiguration} from '@shallotpass/core/calls/serving-configuration.js';
 import {type PeerBackend, toPeerBackends} from '@shallotpass/core/directory/adopt-peer-directory.js';
 import {ageVersions} from '@shallotpass/core/gossip/age-report.js';
-import {type StoreVersions} from '@shallotpass/core/gossip/gossip-report.js';
+import {type StoreVersions, storeVersionsSchema} from '@shallotpass/core/gossip/gossip-report.js';
 import {type GossipMember} from '@shallotpass/core/gossip/pick-relays.js';
 import {type StoreRole} from '@shallotpass/core/gossip/store-role.js';
+import type * as z from 'zod';
 import {peerCallPath} from '../calls/peer-call.js';
 import {servePeerCall} from '../calls/serve-peer-call.js';
 import {backendContactMethod, probeForPeer} from '../paths/ask-peer.js';
@@ -19,17 +20,16 @@
 import {type MemberList} from './join-members.js';
 import {readMessage} from './read-message.js';
 
-export type SharedStateQuery = {
-	readonly configurationVersion: number;
-	readonly directoryNext: number;
-	readonly directoryDigest: string;
-	/** Number of members known to the querying daemon. */
-	readonly members: number;
-};
+/** `members`: number of members known to the querying daemon. */
+const sharedStateQuerySchema = storeVersionsSchema.pick({
+	configurationVersion: true, directoryNext: true, directoryDigest: true, members: true,
+});
+
+export type SharedStateQuery = z.infer<typeof sharedStateQuerySchema>;
 
 export type SharedState = Omit<StoreVersions, 'members'> & {
 	/** Present if it is newer than the version in the query. */
-	readonly configuration?: ServingConfiguration;
+	readonly configuration?: ServingConfiguration | undefined;
 	/** Present if they are newer than those in the query and differ from them. */
 	readonly backends?: readonly PeerBackend[];
 	/** Present if this daemon knows more members than the querying one. */
@@ -83,7 +83,7 @@
 export const listenForPeers = async (options: SharedStateOptions): Promise<void> => {
 	const {gateway, signal} = options;
 	const rpc = new JSONRPCServer();
-	rpc.addMethod('shared_state', (query: SharedStateQuery) => makeSharedState(options, query));
+	rpc.addMethod('shared_state', query => makeSharedState(options, sharedStateQuerySchema.parse(query)));
 	rpc.addMethod(backendContactMethod, async query => probeForPeer(gateway, query));
 	const handleRequest = async (request: http.IncomingMessage, response: http.ServerResponse): Promise<void> => {
 		try {
--- a/packages/gateway/src/telemetry/log-events.ts
+++ b/packages/gateway/src/telemetry/log-events.ts
@@ -89,6 +89,10 @@
 	directory_from_peer: {meaning: 'A newer directory was received from another daemon', fields: ['next', 'before', 'ageMs', 'address']},
 	peer_joined: {meaning: 'The first report of another daemon, or of the sum of a zone, was received', fields: ['peer', 'address', 'incarnation', 'daemons']},
 	peer_forgotten: {meaning: 'A daemon was removed because it sent no report for too long', fields: ['peer', 'silentMs']},
+	peer_message_refused: {
+		meaning: 'A message of another daemon, or the named field of it, cannot be used; the rest applies where it can stand alone. Logged once for each sender and field',
+		fields: ['method', 'address', 'field'],
+	},
 	gossip_unreadable: {meaning: 'A datagram could not be decoded as a gossip report', fields: ['error']},
 	peer_socket_failed: {meaning: 'The gossip socket failed', fields: ['error']},
 	peer_request_failed: {meaning: 'A request of another daemon could not be answered', fields: ['error']},
