Addresses to which nothing can be sent neither throw nor pass the settings

Callers saw: a daemon that ended with all its calls, again and again, when a seed, a member or the store had an address such as 127.0.0.1:99999. Cause: sockets throw for a port beyond 65535, at once and not as an event, and reports are sent by timers. The pattern of addresses in the settings takes any five digits and any numbers between dots. Ruled out: to check only members where they are decoded, which is done elsewhere; one place that sends is the safer bound. Change: a datagram that cannot be sent is logged as peer_socket_failed with its address, as any lost one; settings with such an address are refused with its key.

--- a/packages/gateway/src/gateway-settings.ts
+++ b/packages/gateway/src/gateway-settings.ts
@@ -1,7 +1,16 @@
 /** Settings of one gateway daemon, as rendered from the platform's template. Keys in the file are in snake_case. */
+import net from 'node:net';
 import * as z from 'zod';
+import {parseHostAndPort} from './host-and-port.js';
 
-const address = z.string().regex(/^[\d.]+:\d{1,5}$/v, 'an IP address and a port such as 10.1.0.16:8360');
+const maxPort = 65_535;
+
+const isAddress = (text: string): boolean => {
+	const {host, port} = parseHostAndPort(text);
+	return /:\d{1,5}$/v.test(text) && net.isIPv4(host) && port <= maxPort;
+};
+
+const address = z.string().refine(isAddress, 'an IP address and a port such as 10.1.0.16:8360');
 
 export const gatewaySettingsSchema = z.object({
 	instance: z.object({
--- a/packages/gateway/src/peers/datagrams.ts
+++ b/packages/gateway/src/peers/datagrams.ts
@@ -28,7 +28,12 @@
 	});
 	const send = (address: string, message: unknown): void => {
 		const target = parseHostAndPort(address);
-		socket.send(Buffer.from(JSON.stringify(message)), target.port, target.host);
+		try {
+			socket.send(Buffer.from(JSON.stringify(message)), target.port, target.host);
+		} catch (error) {
+			// The address of another daemon may be one to which nothing can be sent.
+			gateway.log.write('failure', 'peer_socket_failed', {error: `${address}: ${String(error)}`});
+		}
 	};
 
 	const client = new JSONRPCClient<string>((message, address) => {
