Further signals do not end the calls of a draining daemon of the own interface

Callers saw: streams cut when a second SIGTERM or SIGINT came while the daemon drained, and at any SIGHUP. Cause: each signal was taken once, and SIGHUP never; a signal without a handler ends the process. A signal before the start had ended did so too, and a drain that was requested over the listener for operators in that time was lost, as there was no daemon yet to drain. Change: main.ts takes signals by the same module as the platform's daemon, before all others, and drains once the daemon has started, whichever request came first. The listener for callers is opened last: if that for operators could not be opened, the process ended with what callers had sent. Tests: daemon-signals.test.ts; the processes and files of operators.test.ts are in process-fixture.ts now, unchanged. Checks, real processes: two SIGTERM, SIGINT and SIGTERM, two SIGHUP and two SIGINT during a stream. Before: the stream broke (`other side closed`); after: whole, exit code 0. Stops 0, 10 and 30 ms after the listener accepts and two drains over the listener for operators: passed before, too, as this daemon listens only milliseconds before it is ready; kept as a guard. That the order of listeners lost calls was not shown. operators.test.ts passes; its third workflow takes 40 s before and after.

--- a/apps/daemon/src/main.ts
+++ b/apps/daemon/src/main.ts
@@ -1,4 +1,7 @@
-/** Entry point of `shallotpassd`. Reads the settings, runs one daemon, and drains it on SIGTERM or SIGINT. */
+/** Entry point of `shallotpassd`. Reads the settings, runs one daemon, and drains it on SIGTERM or SIGINT. SIGHUP changes nothing. */
+// eslint-disable-next-line import-x/order -- signals may arrive while the other modules load
+import {stopRequest} from './take-signals.js';
+import {once} from 'node:events';
 import {readFileSync} from 'node:fs';
 import process from 'node:process';
 import {defineCommand, runMain} from 'citty';
@@ -32,9 +35,10 @@
 	return reading.kind === 'read' ? text : exitWithUsageError(reading.mistakes.map(mistake => formatMistake(fileName, mistake)));
 };
 
-const drainAndExit = async (daemon: Daemon): Promise<void> => {
-	await daemon.drain();
-	process.exit(0);
+const waitUntilAborted = async (signal: AbortSignal): Promise<void> => {
+	if (!signal.aborted) {
+		await once(signal, 'abort');
+	}
 };
 
 const runDaemon = async (settingsFile: string, configurationFile: string | undefined): Promise<void> => {
@@ -49,13 +53,18 @@
 	}
 
 	const configurationText = readInitialConfiguration(configurationFile);
+	if (stopRequest.signal.aborted) {
+		return;
+	}
+
+	const drainRequest = new AbortController();
 	let daemon: Daemon;
 	try {
 		daemon = await startDaemon({
 			settings,
 			configurationText,
 			onDrainRequested() {
-				void drainAndExit(daemon);
+				drainRequest.abort();
 			},
 		});
 	} catch (error) {
@@ -63,13 +72,10 @@
 	}
 
 	collectProcessMetrics(daemon.environment.metrics);
-	process.once('SIGTERM', () => {
-		void drainAndExit(daemon);
-	});
-	process.once('SIGINT', () => {
-		void drainAndExit(daemon);
-	});
 	process.stdout.write(`ready callers=${daemon.callers} admin=${daemon.admin} peers=${daemon.peers}\n`);
+	await waitUntilAborted(AbortSignal.any([stopRequest.signal, drainRequest.signal]));
+	await daemon.drain();
+	process.exit(0);
 };
 
 const command = defineCommand({
--- a/apps/daemon/src/start-daemon.ts
+++ b/apps/daemon/src/start-daemon.ts
@@ -8,7 +8,7 @@
 import {startAdminListener} from '@shallotpass/admin/listener.js';
 import {makeBackendConnections} from '@shallotpass/backends/backend-connections.js';
 import {makeAdmissionGate} from '@shallotpass/callers/admission-gate.js';
-import {startCallerListener} from '@shallotpass/callers/listener.js';
+import {type CallerListener, startCallerListener} from '@shallotpass/callers/listener.js';
 import {type ConfigurationOffer} from '@shallotpass/core/configuration/types.js';
 import {makeFleetPlanner} from '@shallotpass/core/fleet/plan-fleet.js';
 import {rankByRendezvous} from '@shallotpass/core/routing/rank-by-rendezvous.js';
@@ -196,13 +196,7 @@
 			environment.makeLogger('peers').warn('peer_refused', {reason, remote});
 		},
 	});
-	const callerListener = await startCallerListener({
-		listen: splitAddress(settings.listen.callers),
-		services: {
-			environment, configuration, membership, registry, claims, suspects, connections, gate, tracing, epoch,
-		},
-	});
-
+	const components: {callerListener?: CallerListener} = {};
 	let isDraining = false;
 	let drainPromise: Promise<void> | undefined;
 	const isReady = (): boolean => !isDraining && (configuration.hasReadLog() || configuration.getActiveConfigurations().teams.size > 0);
@@ -227,11 +221,20 @@
 				}
 			},
 			fetchPeerStatuses: peerMessenger.fetchStatuses,
-			countInFlight: callerListener.countInFlight,
+			countInFlight: () => components.callerListener?.countInFlight() ?? 0,
 			countWaiting: gate.countWaiting,
 		},
 	});
 
+	// The last listener, as its calls would be lost if another one could not be opened.
+	const callerListener = await startCallerListener({
+		listen: splitAddress(settings.listen.callers),
+		services: {
+			environment, configuration, membership, registry, claims, suspects, connections, gate, tracing, epoch,
+		},
+	});
+	components.callerListener = callerListener;
+
 	let stopPromise: Promise<void> | undefined;
 	const stopOnce = async (): Promise<void> => {
 		stopController.abort();
--- a/tests/src/operators.test.ts
+++ b/tests/src/operators.test.ts
@@ -1,24 +1,16 @@
 import assert from 'node:assert/strict';
-import {spawn, type ChildProcess} from 'node:child_process';
-import {mkdtempSync, rmSync, writeFileSync} from 'node:fs';
-import {tmpdir} from 'node:os';
+import {spawn} from 'node:child_process';
 import path from 'node:path';
 import process from 'node:process';
-import test, {type TestContext} from 'node:test';
-import {fileURLToPath} from 'node:url';
-import {
-	callerKey,
-	hashKey,
-	makeConfigurationText,
-	operatorKey,
-	waitFor,
-} from '@shallotpass/measure/local-fleet.js';
+import test from 'node:test';
+import {callerKey, operatorKey, waitFor} from '@shallotpass/measure/local-fleet.js';
 import {streamChat, sendReservation} from '@shallotpass/measure/caller-client.js';
 import {startEngineStandIn} from '@shallotpass/stand-ins/engine-stand-in.js';
 import {startPlainServiceStandIn} from '@shallotpass/stand-ins/plain-service-stand-in.js';
 import {startLogStandIn} from '@shallotpass/stand-ins/log-stand-in.js';
-
-const root = fileURLToPath(new URL('../../', import.meta.url));
+import {
+	makeConfigurationFile, makeTemporaryFolder, root, startDaemonProcess, writeSettings,
+} from './process-fixture.js';
 
 type CliResult = {readonly code: number; readonly stdout: string; readonly stderr: string};
 
@@ -38,92 +30,6 @@
 	});
 });
 
-type DaemonProcess = {
-	readonly child: ChildProcess;
-	readonly callers: string;
-	readonly admin: string;
-	readonly exited: Promise<number | undefined>;
-};
-
-/** Starts a daemon process and waits until it reports its addresses. */
-const startDaemonProcess = async (t: TestContext, cliArguments: readonly string[]): Promise<DaemonProcess> => {
-	const child = spawn(process.execPath, [path.join(root, 'apps/daemon/bin/shallotpassd.js'), ...cliArguments], {stdio: ['ignore', 'pipe', 'pipe']});
-	t.after(() => {
-		child.kill('SIGKILL');
-	});
-	const exited = new Promise<number | undefined>(resolve => {
-		child.on('exit', code => {
-			resolve(code ?? undefined);
-		});
-	});
-	const line = await new Promise<string>((resolve, reject) => {
-		let text = '';
-		child.stdout.on('data', chunk => {
-			text += String(chunk);
-			if (text.includes('\n')) {
-				resolve(text);
-			}
-		});
-		child.on('exit', () => {
-			reject(new Error(`the daemon ended before it was ready: ${text}`));
-		});
-	});
-	const match = /^ready callers=(?<callers>\S+) admin=(?<admin>\S+) peers=\S+\n$/v.exec(line);
-	assert.ok(match?.groups, line);
-	return {
-		child, callers: match.groups.callers!, admin: match.groups.admin!, exited,
-	};
-};
-
-const makeTemporaryFolder = (t: TestContext): string => {
-	const folder = mkdtempSync(path.join(tmpdir(), 'shallotpass-'));
-	t.after(() => {
-		rmSync(folder, {recursive: true});
-	});
-	return folder;
-};
-
-const writeSettings = (folder: string, name: string, extra = ''): string => {
-	const file = path.join(folder, `${name}.toml`);
-	writeFileSync(file, `
-[instance]
-id = "${name}"
-availability_zone = "zone-1"
-
-[peers]
-keys = ["a shared key of the peers"]
-
-[[admin_key]]
-name = "night-shift"
-sha256 = "${hashKey(operatorKey)}"
-role = "operator"
-
-[[admin_key]]
-name = "guest"
-sha256 = "${hashKey('the-key-of-the-guest')}"
-role = "viewer"
-${extra}`);
-	return file;
-};
-
-const makeConfigurationFile = (folder: string, engine: string, service: string, name = 'first'): string => {
-	const file = path.join(folder, `${name}.toml`);
-	writeFileSync(file, `${makeConfigurationText(name)}
-[[backend]]
-id = "engine-1"
-address = "${engine}"
-availability_zone = "zone-1"
-services = ["assistant"]
-
-[[backend]]
-id = "reservations-1"
-address = "${service}"
-availability_zone = "zone-1"
-services = ["reservations"]
-`);
-	return file;
-};
-
 test('a single daemon serves its initial configuration, and a planned stop completes running calls', async t => {
 	// An operator stops the daemon during a stream and a reservation. Both calls must complete, the
 	// readiness check must fail at once and the process must exit with 0.
