A request read with a body that is too large before it is answered

What callers saw: of two requests that were read at once, the first with a body that is too large, the second was passed on and run, and the connection was closed behind the refusal of the first: no answer to a run. Only since the refusal states Connection: close. Cause: a request is handled while the parser still works on the bytes behind it, so that the end of a body and the next request may be read after it was decided to close. Change: a body is taken for too large when all of that read has been parsed. If it has ended by then, the connection goes on; if not, nothing more is parsed from that moment on. The same holds for calls of peers, whose connection stood still for good, and which are told 413 instead of 400.

--- a/packages/common/src/close-gently.ts
+++ b/packages/common/src/close-gently.ts
@@ -1,4 +1,5 @@
 /** Closes connections so that their callers can read all that was written to them. */
+import type http from 'node:http';
 import type net from 'node:net';
 
 /** For how long a connection that was closed on this side waits for its caller to close it. */
@@ -39,6 +40,26 @@
 	socket.resume();
 };
 
+/** Resolves when all that came in the same read has been parsed. A request is handled while the parser still works on what follows. */
+export const waitForParser = async (): Promise<void> => new Promise(resolve => {
+	setImmediate(resolve);
+});
+
+/**
+ * Reads no more of a request that is answered before its end was read. Returns whether the connection has to be closed behind
+ * that answer, as the rest of it is not told from a request any more. A request that is read by iteration loses its own socket.
+ * To be called after `waitForParser`.
+ */
+export const discardRest = (request: http.IncomingMessage, socket: net.Socket): boolean => {
+	if (request.complete) {
+		request.resume();
+		return false;
+	}
+
+	discardInput(socket);
+	return true;
+};
+
 /**
  * Sends the end of the connection behind all that was written, and closes it when the caller has closed its side or the time
  * is over. A caller that still sends would lose what it has not read if the connection were closed at once.
--- a/packages/gateway/src/calls/read-request-body.ts
+++ b/packages/gateway/src/calls/read-request-body.ts
@@ -1,6 +1,7 @@
 /** Reads a complete request body up to a size limit. */
 import {Buffer} from 'node:buffer';
 import {type IncomingMessage} from 'node:http';
+import {waitForParser} from '@shallotpass/common/close-gently.js';
 import {type InputError, UnreadableRequestError} from '@shallotpass/common/unreadable-request.js';
 
 export type BodyResult =
@@ -22,18 +23,26 @@
 		return;
 	}
 
+	const resolveWhenParsed = async (): Promise<void> => {
+		await waitForParser();
+		resolve({kind: 'too_large'});
+	};
+
 	const chunks: Buffer[] = [];
 	let receivedBytes = 0;
-	request.on('data', (chunk: Buffer) => {
+	const onData = (chunk: Buffer): void => {
 		receivedBytes += chunk.length;
 		if (receivedBytes > maxBytes) {
+			request.off('data', onData);
 			request.pause();
-			resolve({kind: 'too_large'});
+			void resolveWhenParsed();
 			return;
 		}
 
 		chunks.push(chunk);
-	});
+	};
+
+	request.on('data', onData);
 	request.once('end', () => {
 		resolve({kind: 'whole', body: chunks.length === 1 ? chunks[0]! : Buffer.concat(chunks)});
 	});
--- a/packages/gateway/src/calls/refusal.ts
+++ b/packages/gateway/src/calls/refusal.ts
@@ -1,6 +1,7 @@
 /** Error responses that the daemon itself sends. */
 import {Buffer} from 'node:buffer';
 import {type ServerResponse} from 'node:http';
+import {discardRest} from '@shallotpass/common/close-gently.js';
 import {type ErrorKind, errorResponses} from '@shallotpass/common/error-kinds.js';
 
 export type Refusal = {
@@ -18,6 +19,7 @@
 	}
 
 	const {status, title, executed} = errorResponses[refusal.kind];
+	const isLast = isLastOnConnection || (refusal.kind === 'payload_too_large' && discardRest(response.req, response.req.socket));
 	const body = JSON.stringify({
 		kind: refusal.kind, title, detail: refusal.detail, executed,
 	});
@@ -28,8 +30,7 @@
 		String(Buffer.byteLength(body)),
 		...(requestId === undefined ? [] : ['X-Request-Id', requestId]),
 		...(refusal.retryAfterS === undefined ? [] : ['Retry-After', refusal.retryAfterS.toFixed(2)]),
-		// The rest of a body that is too large is not read as such.
-		...(isLastOnConnection || refusal.kind === 'payload_too_large' ? ['Connection', 'close'] : []),
+		...(isLast ? ['Connection', 'close'] : []),
 	]);
 	response.end(body);
 };
--- a/packages/gateway/src/calls/serve-peer-call.ts
+++ b/packages/gateway/src/calls/serve-peer-call.ts
@@ -95,7 +95,7 @@
 	const decoded = message.kind === 'whole' ? decodePeerCall(message.body) : undefined;
 	const context = makeContext(gateway, exchange, decoded?.data);
 	if (decoded === undefined) {
-		refuse(context, {kind: 'invalid_request', detail: 'The message of the peer is no call.'}, 'unfit');
+		refuse(context, {kind: message.kind === 'too_large' ? 'payload_too_large' : 'invalid_request', detail: 'The message of the peer is no call.'}, 'unfit');
 		return;
 	}
 
