The own interface answers what it has read, whatever follows on the connection

What callers saw: as on the other listener, input that could not be read, an upgrade or a CONNECT ended the answers before it, and half a head or half a body ended those that lasted longer than either may take. Besides, a connection beyond the limit was told 503, and then its request was read and run: a false refusal. Cause: handlers that wrote to the socket at once; a refused connection kept its parser. Change: the listener uses watchInput, as the other one does; its problem details are formatted and no longer written by respond.ts. A refused connection is closed gently, so that nothing of it is parsed. A body that is passed on while it is read fails with the parser's error, executed unknown; it is read by an iterator, as an error of the composed stream that nobody listened to ended the process in a trial of this change. The ledger keeps the socket of each request, since one that is read by iteration loses its own.

--- a/packages/callers/src/caller-call.ts
+++ b/packages/callers/src/caller-call.ts
@@ -1,6 +1,7 @@
 /** Reads a caller's request: authentication, deadline and latency class. */
 import {createHash, randomUUID} from 'node:crypto';
 import {type IncomingMessage, type ServerResponse} from 'node:http';
+import {type Socket} from 'node:net';
 import {type LatencyClass, type Service} from '@shallotpass/common/configuration-schema.js';
 import {ServingError} from '@shallotpass/common/serving-error.js';
 import {type Deadline} from '@shallotpass/common/types.js';
@@ -11,6 +12,8 @@
 export type CallerCall = {
 	readonly request: IncomingMessage;
 	readonly response: ServerResponse;
+	/** Connection of the caller. A request that is read by iteration loses its own. */
+	readonly socket: Socket;
 	readonly requestId: string;
 	readonly url: URL;
 	/** Trace span of the whole call. */
--- a/packages/callers/src/listener.ts
+++ b/packages/callers/src/listener.ts
@@ -3,17 +3,20 @@
 	createServer, type IncomingMessage, type Server, type ServerResponse,
 } from 'node:http';
 import {type Socket} from 'node:net';
+import {closeGently, waitForParser} from '@shallotpass/common/close-gently.js';
 import {listenAt} from '@shallotpass/common/listen.js';
 import {isRepeatable} from '@shallotpass/common/configuration-schema.js';
-import {type ErrorKind} from '@shallotpass/common/error-kinds.js';
+import {makeOwedAnswers} from '@shallotpass/common/owed-answers.js';
 import {ServingError, toServingError} from '@shallotpass/common/serving-error.js';
 import {addMilliseconds} from '@shallotpass/common/types.js';
+import {type InputError} from '@shallotpass/common/unreadable-request.js';
+import {watchInput} from '@shallotpass/common/watch-input.js';
 import {watchConnection} from '@shallotpass/common/watch-connection.js';
 import {
 	getHeader, makeRequestId, markPossiblyExecuted, type CallerCall,
 } from './caller-call.js';
 import {makePlainCallContext} from './plain-call.js';
-import {sendProblem, sendRawProblem} from './respond.js';
+import {formatRawProblem, sendProblem} from './respond.js';
 import {makeRetryBudgets, type RetryBudgets} from './retry-budgets.js';
 import {serveChat} from './serve-chat.js';
 import {serveClaimed} from './serve-claimed.js';
@@ -79,18 +82,17 @@
 	throw new ServingError(`nothing is served at ${pathname.slice(0, 100)}`, {kind: 'not_found'});
 };
 
-const describeParseError = (error: NodeJS.ErrnoException): {kind: ErrorKind; detail: string} => {
-	if (error.code === 'HPE_HEADER_OVERFLOW') {
-		return {kind: 'headers_too_large', detail: 'the header fields are larger than this daemon takes'};
-	}
-
-	if (error.code === 'ERR_HTTP_REQUEST_TIMEOUT') {
-		return {kind: 'request_timeout', detail: 'the request was not sent in time'};
-	}
-
-	return {kind: 'invalid_request', detail: `not HTTP/1.1: ${error.code ?? 'unreadable'}`};
+/** What to tell about input that cannot be read, by error kind. */
+const inputErrorDetails: Readonly<Record<InputError['kind'], string>> = {
+	headers_too_large: 'the header fields are larger than this daemon takes', // eslint-disable-line @typescript-eslint/naming-convention -- error kinds are part of the wire format
+	request_timeout: 'the request was not sent in time', // eslint-disable-line @typescript-eslint/naming-convention -- as above
+	method_not_allowed: 'CONNECT is not served', // eslint-disable-line @typescript-eslint/naming-convention -- as above
+	invalid_request: 'not HTTP/1.1', // eslint-disable-line @typescript-eslint/naming-convention -- as above
 };
 
+const formatInputError = ({kind, reason}: InputError): string =>
+	formatRawProblem(kind, kind === 'invalid_request' ? `${inputErrorDetails[kind]}: ${reason}` : inputErrorDetails[kind], makeRequestId());
+
 const parseUrl = (request: IncomingMessage): URL => {
 	try {
 		return new URL(request.url ?? '/', 'http://callers');
@@ -105,6 +107,7 @@
 	const {limits} = settings;
 	const logger = environment.makeLogger('callers');
 	const budgets = makeRetryBudgets();
+	const answers = makeOwedAnswers();
 	const sockets = new Set<Socket>();
 	let inFlight = 0;
 	let isDraining = false;
@@ -119,12 +122,12 @@
 		}
 	};
 
-	const sendRefusal = (call: Pick<CallerCall, 'response' | 'requestId'>, error: ServingError): void => {
+	const sendRefusal = (call: Pick<CallerCall, 'response' | 'socket' | 'requestId'>, error: ServingError): void => {
 		if (error.kind === 'internal') {
 			logger.error('request_failed', {requestId: call.requestId, error: error.cause ?? error});
 		}
 
-		sendProblem(call.response, error, call.requestId, clock.now());
+		sendProblem(call, error, call.requestId, clock.now());
 	};
 
 	const serve = async (call: CallerCall): Promise<void> => {
@@ -140,6 +143,10 @@
 		} catch (error) {
 			failure = markPossiblyExecuted(toServingError(error), call.execution);
 			result = failure.kind;
+			if (failure.kind === 'payload_too_large') {
+				await waitForParser();
+			}
+
 			sendRefusal(call, failure);
 		} finally {
 			call.span.end(failure);
@@ -158,14 +165,16 @@
 	};
 
 	const handle = (request: IncomingMessage, response: ServerResponse): void => {
+		const {socket} = request;
 		const requestId = makeRequestId();
+		answers.add(request, response);
 		inFlight++;
 		if (isDraining) {
 			response.setHeader('connection', 'close');
 		}
 
 		const callerGone = new AbortController();
-		const stopWatching = watchConnection(request.socket, () => {
+		const stopWatching = watchConnection(socket, () => {
 			if (!response.writableEnded) {
 				callerGone.abort();
 			}
@@ -176,11 +185,11 @@
 			const url = parseUrl(request);
 			const span = tracing.startSpan('caller', getHeader(request, 'traceparent'), {method: request.method ?? '', path: url.pathname, requestId});
 			void serveWatched({
-				request, response, requestId, url, span, startedAt: clock.now(), callerGoneSignal: callerGone.signal, execution: {mayHaveRun: false},
+				request, response, socket, requestId, url, span, startedAt: clock.now(), callerGoneSignal: callerGone.signal, execution: {mayHaveRun: false},
 			}, stopWatching);
 		} catch (error) {
 			stopWatching();
-			sendRefusal({response, requestId}, toServingError(error));
+			sendRefusal({response, socket, requestId}, toServingError(error));
 			markFinished();
 		}
 	};
@@ -202,23 +211,20 @@
 		});
 		if (sockets.size > limits.maxConnections) {
 			socket.on('error', () => {/* the socket is closed in any case */});
-			sendRawProblem(socket, 'connection_limit', `this instance takes ${limits.maxConnections} connections`, makeRequestId());
+			socket.write(formatRawProblem('connection_limit', `this instance takes ${limits.maxConnections} connections`, makeRequestId()));
+			closeGently(socket);
 		}
 	});
-	server.on('clientError', (error: NodeJS.ErrnoException, socket) => {
-		const {kind, detail} = describeParseError(error);
-		metrics.requests.inc({service: 'none', result: kind});
-		sendRawProblem(socket, kind, detail, makeRequestId());
+	watchInput({
+		server, answers, formatError: formatInputError, refusesUpgrades: true,
+		onUnreadable({kind}) {
+			metrics.requests.inc({service: 'none', result: kind});
+		},
 	});
-	server.on('checkExpectation', (_request, response: ServerResponse) => {
+	server.on('checkExpectation', (request: IncomingMessage, response: ServerResponse) => {
+		answers.add(request, response);
 		const requestId = makeRequestId();
-		sendProblem(response, new ServingError('only Expect: 100-continue is understood', {kind: 'invalid_request'}), requestId, clock.now());
-	});
-	server.on('upgrade', (_request, socket) => {
-		sendRawProblem(socket, 'invalid_request', 'upgrades are not served', makeRequestId());
-	});
-	server.on('connect', (_request, socket) => {
-		sendRawProblem(socket, 'method_not_allowed', 'CONNECT is not served', makeRequestId());
+		sendProblem({response, socket: request.socket}, new ServingError('only Expect: 100-continue is understood', {kind: 'invalid_request'}), requestId, clock.now());
 	});
 	const address = await listenAt(server, listen);
 	return {
--- a/packages/callers/src/respond.ts
+++ b/packages/callers/src/respond.ts
@@ -1,13 +1,20 @@
 /** Sends errors as RFC 9457 problem details, before or within a response. */
 import {STATUS_CODES, type ServerResponse} from 'node:http';
-import {type Duplex} from 'node:stream';
+import {type Socket} from 'node:net';
 import {Buffer} from 'node:buffer';
+import {discardRest} from '@shallotpass/common/close-gently.js';
 import {type ErrorKind, errorResponses} from '@shallotpass/common/error-kinds.js';
 import {computeRetryAfterSeconds, makeProblem} from '@shallotpass/common/problem.js';
 import {ServingError} from '@shallotpass/common/serving-error.js';
 
+type Exchange = {
+	readonly response: ServerResponse;
+	/** Connection of the caller. */
+	readonly socket: Socket;
+};
+
 /** Sends an error response. If an event stream has already begun, ends it with an error event and without the end marker. */
-export const sendProblem = (response: ServerResponse, error: ServingError, requestId: string, now: number): void => {
+export const sendProblem = ({response, socket}: Exchange, error: ServingError, requestId: string, now: number): void => {
 	if (response.destroyed || response.writableEnded) {
 		return;
 	}
@@ -32,29 +39,25 @@
 		'content-length': Buffer.byteLength(text),
 		'x-request-id': requestId,
 		...(retryAfter === undefined ? {} : {'retry-after': String(retryAfter)}),
-		...(shouldCloseConnection(error.kind) ? {connection: 'close'} : {}),
+		...(shouldCloseConnection(error.kind, {response, socket}) ? {connection: 'close'} : {}),
 	});
 	response.end(text);
 };
 
 /** Whether the connection is closed after the error, because reading the rest of the request would be useless. */
-const shouldCloseConnection = (kind: ErrorKind): boolean => kind === 'payload_too_large' || kind === 'draining' || kind === 'request_timeout';
+const shouldCloseConnection = (kind: ErrorKind, {response, socket}: Exchange): boolean =>
+	kind === 'payload_too_large' ? discardRest(response.req, socket) : kind === 'draining' || kind === 'request_timeout';
 
 const unavailableStatus = 503;
 
 /** Retry-After for refused connections. Another connection has usually ended by then. */
 const rawRetryAfterSeconds = 1;
 
-/** Writes an error response directly to a socket, for example if its request could not be parsed. */
-export const sendRawProblem = (socket: Duplex, kind: ErrorKind, detail: string, requestId: string): void => {
-	if (!socket.writable) {
-		socket.destroy();
-		return;
-	}
-
+/** Formats an error response to what could not be read as a request, behind which the connection is closed. */
+export const formatRawProblem = (kind: ErrorKind, detail: string, requestId: string): string => {
 	const text = JSON.stringify(makeProblem(new ServingError(detail, {kind}), requestId));
 	const {status} = errorResponses[kind];
-	socket.end([
+	return [
 		`HTTP/1.1 ${status} ${STATUS_CODES[status] ?? 'Error'}`,
 		'Content-Type: application/problem+json',
 		`Content-Length: ${Buffer.byteLength(text)}`,
@@ -63,5 +66,5 @@
 		...(errorResponses[kind].status === unavailableStatus ? [`Retry-After: ${rawRetryAfterSeconds}`] : []),
 		'',
 		text,
-	].join('\r\n'));
+	].join('\r\n');
 };
--- a/packages/callers/src/serve-repeatable.ts
+++ b/packages/callers/src/serve-repeatable.ts
@@ -1,5 +1,5 @@
 /** Serves repeatable calls to plain services: bodies are streamed and failed calls are retried on other backend servers. */
-import {type Readable} from 'node:stream';
+import {Readable} from 'node:stream';
 import {pipeline} from 'node:stream/promises';
 import {ServingError} from '@shallotpass/common/serving-error.js';
 import {BackendCallError, callPlain, type PlainResponse} from '@shallotpass/backends/call-plain.js';
@@ -8,7 +8,7 @@
 import {
 	choosePlainBackend, admitCall, makeNoBackendError, runAtBackend, writeResponseHead, type PlainCallContext,
 } from './plain-call.js';
-import {checkBodyLength, readCallerBody} from './read-body.js';
+import {checkBodyLength, makeBrokenBodyError, readCallerBody} from './read-body.js';
 import {type RetryBudgets} from './retry-budgets.js';
 
 /** Bodies up to this size are buffered, so that the call can be retried. Larger bodies are streamed and sent only once. */
@@ -40,17 +40,25 @@
 
 /** Streams a body with backpressure and fails when it exceeds the maximum size. */
 const limitBody = (request: Readable, maxBytes: number): Readable => {
-	let length = 0;
-	return request.compose(async function * (source: AsyncIterable<Uint8Array>) {
-		for await (const chunk of source) {
-			length += chunk.length;
-			if (length > maxBytes) {
-				throw new ServingError(`the body is larger than ${maxBytes} bytes`, {kind: 'payload_too_large', executed: 'unknown'});
+	const readChunks = async function * (): AsyncGenerator<Uint8Array> {
+		let length = 0;
+		try {
+			for await (const chunk of request as AsyncIterable<Uint8Array>) {
+				length += chunk.length;
+				if (length > maxBytes) {
+					throw new ServingError(`the body is larger than ${maxBytes} bytes`, {kind: 'payload_too_large', executed: 'unknown'});
+				}
+
+				yield chunk;
 			}
-
-			yield chunk;
+		} catch (error) {
+			throw error instanceof ServingError ? error : makeBrokenBodyError(error, 'unknown');
 		}
-	}) as unknown as Readable;
+	};
+
+	const body = Readable.from(readChunks(), {objectMode: false});
+	body.on('error', () => {/* Told to who reads it. While nobody does, it would end the process. */});
+	return body;
 };
 
 const findFinalError = (error: unknown, attemptSignal: AttemptSignal): ServingError | undefined => {
--- a/packages/common/src/owed-answers.ts
+++ b/packages/common/src/owed-answers.ts
@@ -59,7 +59,11 @@
 	readonly settledListeners: Array<{readonly listener: () => void; readonly remaining: number}>;
 };
 
-type OwedAnswer = UnreadRequest & {readonly bytesBefore: number};
+type OwedAnswer = UnreadRequest & {
+	/** A request that is read by iteration loses its own. */
+	readonly socket: net.Socket;
+	readonly bytesBefore: number;
+};
 
 const findReason = ({errored, readableEnded}: net.Socket): UnfinishedReason => {
 	if (errored !== null) {
@@ -95,20 +99,22 @@
 		return connection;
 	};
 
-	const describeUnfinished = ({request, response, bytesBefore}: OwedAnswer, reason: string): UnfinishedAnswer => ({
+	const describeUnfinished = ({request, response, socket, bytesBefore}: OwedAnswer, reason: string): UnfinishedAnswer => ({
 		request,
 		response,
 		reason,
 		wasRead: request.complete,
-		sentBytes: request.socket.bytesWritten - request.socket.writableLength - bytesBefore,
-		unsentBytes: request.socket.writableLength,
+		sentBytes: socket.bytesWritten - socket.writableLength - bytesBefore,
+		unsentBytes: socket.writableLength,
 	});
 
 	const owedAnswers: OwedAnswers = {
 		add(request, response) {
 			const {socket} = request;
 			const connection = getConnection(socket);
-			const answer: OwedAnswer = {request, response, bytesBefore: socket.bytesWritten - socket.writableLength};
+			const answer: OwedAnswer = {
+				request, response, socket, bytesBefore: socket.bytesWritten - socket.writableLength,
+			};
 			owed.add(answer);
 			connection.owed++;
 			connection.heads++;
@@ -157,7 +163,7 @@
 			const newest = connections.get(socket)?.newest;
 			return newest?.request.complete === false ? newest : undefined;
 		},
-		listOn: socket => [...owed].filter(({request}) => request.socket === socket).map(({response}) => response),
+		listOn: socket => [...owed].filter(answer => answer.socket === socket).map(({response}) => response),
 		getProgress: socket => getConnection(socket),
 		stateReason(socket, reason) {
 			getConnection(socket).reason = reason;
@@ -165,7 +171,7 @@
 		onUnfinished() {/* set by the owner */},
 		reportAll() {
 			for (const answer of owed) {
-				owedAnswers.onUnfinished(describeUnfinished(answer, connections.get(answer.request.socket)?.reason ?? 'process_ended'));
+				owedAnswers.onUnfinished(describeUnfinished(answer, connections.get(answer.socket)?.reason ?? 'process_ended'));
 			}
 		},
 	};
