Times of configurations fit timers, and refused configurations name the field

Shown by a trial: with a time limit of 10^10 ms on the routes all calls were answered 504 as they arrived (4 of 4, two engines and two plain servers idle), though the engines ran them. Cause: a timer beyond 31 bits fires after 1 ms. Waits that are computed from a target of 10^300 ms overflowed timers too, without harm that was seen. Conclusion: a time limit that nobody reaches is none, rather than one of 1 ms.

--- a/packages/common/src/value-bounds.ts
+++ b/packages/common/src/value-bounds.ts
@@ -7,6 +7,9 @@
 /** Returns a delay that a timer takes. What is no number or lies in the past counts as 0. */
 export const limitTimerMs = (ms: number): number => ms > 0 ? Math.min(ms, maxTimerMs) : 0;
 
+/** A day, in milliseconds. No call, stream or shutdown lasts longer, and what is computed from it still fits a timer. */
+export const maxSpanMs = 86_400_000;
+
 /** Beyond it sums of thousands of amounts are no longer exact, or become infinite. */
 export const maxAmount = 1e12;
 
@@ -34,8 +37,8 @@
 /** Number of things or units. What is out of bounds counts as the bound. */
 export const amountSchema = z.number().overwrite(amount => limitAmount(amount));
 
-/** Time span in milliseconds that timers take. */
-export const spanSchema = z.number().overwrite(ms => limitTimerMs(ms));
+/** Time span in milliseconds. What is out of bounds counts as the bound. */
+export const spanSchema = z.number().overwrite(ms => Math.min(maxSpanMs, Math.max(0, ms)));
 
 /** Number of either sign, such as a rank. */
 export const boundedSchema = z.number().overwrite(value => Math.min(maxAmount, Math.max(-maxAmount, value)));
--- a/packages/core/src/directory/entry-schema.ts
+++ b/packages/core/src/directory/entry-schema.ts
@@ -1,6 +1,6 @@
 /** Bounds of the entries of backend servers, and their form between daemons. */
 import {
-	addressSchema, maxEpochMs, maxTimerMs, offsetSchema, spanSchema, textSchema, tokenSchema,
+	addressSchema, maxEpochMs, maxSpanMs, offsetSchema, spanSchema, textSchema, tokenSchema,
 } from '@shallotpass/common/value-bounds.js';
 import * as z from 'zod';
 import {type PeerBackend} from './adopt-peer-directory.js';
@@ -33,5 +33,5 @@
 		sequence: sequenceSchema,
 	}),
 	offset: offsetSchema,
-	missingForMs: z.number().min(-maxTimerMs).max(maxTimerMs).optional(),
+	missingForMs: z.number().min(-maxSpanMs).max(maxSpanMs).optional(),
 }) satisfies z.ZodType<PeerBackend>;
--- a/packages/gateway/src/calls/forward-plain-response.ts
+++ b/packages/gateway/src/calls/forward-plain-response.ts
@@ -1,6 +1,7 @@
 /** Forwards a plain response to the caller: buffered if it is small, streamed if it is large. */
 import {Buffer} from 'node:buffer';
 import type http from 'node:http';
+import {limitTimerMs} from '@shallotpass/common/value-bounds.js';
 import {compareIntervalMs} from './compare-waits.js';
 import {type IsComplete} from './backend-exchange.js';
 import {listEndToEndFields} from './end-to-end-fields.js';
@@ -58,7 +59,7 @@
 		bodyTimer = setTimeout(checkBodyTime, compareIntervalMs);
 	};
 
-	let bodyTimer = bodyTimeoutMs === undefined ? undefined : setTimeout(checkBodyTime, bodyTimeoutMs);
+	let bodyTimer = bodyTimeoutMs === undefined ? undefined : setTimeout(checkBodyTime, limitTimerMs(bodyTimeoutMs));
 
 	const startStreaming = (): void => {
 		isStreaming = true;
--- a/packages/gateway/src/calls/serve-call.ts
+++ b/packages/gateway/src/calls/serve-call.ts
@@ -1,5 +1,6 @@
 /** Entry point of all calls: admission, serving, and metrics and logs of the result. */
 import type http from 'node:http';
+import {limitTimerMs} from '@shallotpass/common/value-bounds.js';
 import {isStream} from '@shallotpass/core/calls/types.js';
 import {recordCall} from '@shallotpass/core/retries/repeat-account.js';
 import {type GatewayState} from '../gateway-state.js';
@@ -71,7 +72,7 @@
 	}
 
 	caller.stage = 'waiting';
-	const timer = setTimeout(caller.expire, Math.max(0, call.deadline - gateway.clocks.steady()));
+	const timer = setTimeout(caller.expire, limitTimerMs(call.deadline - gateway.clocks.steady()));
 	if (!isCutOff(gateway)) {
 		recordArrival(gateway, call.service, call.rank);
 	}
--- a/packages/gateway/src/calls/watch-for-head.ts
+++ b/packages/gateway/src/calls/watch-for-head.ts
@@ -1,4 +1,5 @@
 /** Watches a call that gets informational heads and no answer, which nothing else ends before its deadline. */
+import {limitTimerMs} from '@shallotpass/common/value-bounds.js';
 import {type Call, isRepeatable, isStream} from '@shallotpass/core/calls/types.js';
 import {type CurrentWait} from '@shallotpass/core/retries/relative-waits.js';
 import {computeEventTimeout} from '@shallotpass/core/retries/silence-timeout.js';
@@ -49,7 +50,7 @@
 
 	return {
 		onInformation() {
-			timer ??= setTimeout(check, Math.max(0, wait.since + timeoutMs - gateway.clocks.steady()));
+			timer ??= setTimeout(check, limitTimerMs(wait.since + timeoutMs - gateway.clocks.steady()));
 		},
 		stop() {
 			clearTimeout(timer);
--- a/packages/gateway/src/calls/watch-for-late-arrival.ts
+++ b/packages/gateway/src/calls/watch-for-late-arrival.ts
@@ -1,4 +1,5 @@
 /** Watches for calls that may still be on their way to a leaving backend server at the end of its drain time. */
+import {limitTimerMs} from '@shallotpass/common/value-bounds.js';
 import {type GatewayState} from '../gateway-state.js';
 import {type BackendState} from './backend-registry.js';
 
@@ -18,7 +19,7 @@
 	const scheduleCheck = (): void => {
 		const now = gateway.clocks.steady();
 		const drainedAt = (state.leavingSince ?? now) + gateway.settings.bounds.drainMs;
-		timer = setTimeout(check, Math.max(0, drainedAt - now));
+		timer = setTimeout(check, limitTimerMs(drainedAt - now));
 	};
 
 	if (state.leaving.signal.aborted) {
--- a/packages/gateway/src/calls/watch-for-silence.ts
+++ b/packages/gateway/src/calls/watch-for-silence.ts
@@ -1,4 +1,5 @@
 /** Watches for backend servers that stop sending data, and for lost paths that nothing else shows. */
+import {limitTimerMs} from '@shallotpass/common/value-bounds.js';
 import {type Call} from '@shallotpass/core/calls/types.js';
 import {type CurrentWait} from '@shallotpass/core/retries/relative-waits.js';
 import {soundSilenceMs} from '@shallotpass/core/retries/silence-timeout.js';
@@ -60,7 +61,7 @@
 	const check = (): void => {
 		const remainingMs = maxSilenceMs - (gateway.clocks.steady() - Math.max(sentAt, state.lastReadAt));
 		if (remainingMs > 0) {
-			timer = setTimeout(check, remainingMs + 1);
+			timer = setTimeout(check, limitTimerMs(remainingMs + 1));
 			return;
 		}
 
--- a/packages/gateway/src/calls/watch-progress.ts
+++ b/packages/gateway/src/calls/watch-progress.ts
@@ -1,4 +1,5 @@
 /** Watches whether a stream makes progress. A slow caller, for whom it waits, is no want of progress. */
+import {limitTimerMs} from '@shallotpass/common/value-bounds.js';
 import {compareIntervalMs} from './compare-waits.js';
 
 export type ProgressBounds = {
@@ -45,7 +46,7 @@
 			timer ??= setTimeout(() => {
 				repetition = setInterval(onElapsed, compareIntervalMs);
 				onElapsed();
-			}, afterMs);
+			}, limitTimerMs(afterMs));
 			timer.refresh();
 		},
 		stop() {
--- a/packages/gateway/src/ports.ts
+++ b/packages/gateway/src/ports.ts
@@ -124,9 +124,9 @@
 	readonly configurationKey: string;
 	/** Whether a record of the configuration's topic requests a rollout. */
 	readonly isRolloutKey: (key: string) => boolean;
-	readonly toRollout: (key: string, value: Uint8Array) => RequestedRollout | undefined;
+	readonly toRollout: (key: string, value: Uint8Array) => Decoded<RequestedRollout>;
 	readonly encodeRolloutStatus: (status: ReportedRollout) => {readonly key: string; readonly value: Uint8Array};
-	readonly toConfiguration: (value: Uint8Array) => ServingConfiguration | undefined;
+	readonly toConfiguration: (value: Uint8Array) => Decoded<ServingConfiguration>;
 	readonly toBackendEntry: (id: string, value: Uint8Array) => Decoded<BackendEntry>;
 };
 
--- a/packages/gateway/src/rollouts/adopt-rollouts.ts
+++ b/packages/gateway/src/rollouts/adopt-rollouts.ts
@@ -7,6 +7,8 @@
 import {type KeyedRecord, type RecordFormat} from '../ports.js';
 import {getRolloutBounds, type RolloutSource, setRollout} from './rollout-state.js';
 
+const maxLoggedKeyLength = 64;
+
 /** Adopts the states that are newer than those known here. */
 export const adoptRollouts = (gateway: GatewayState, reported: Readonly<Record<string, Rollout>> | undefined, source: RolloutSource): void => {
 	if (reported === undefined || getRolloutBounds(gateway.settings) === undefined) {
@@ -30,12 +32,15 @@
 			continue;
 		}
 
-		const request = toRollout(key, value);
-		if (request === undefined) {
-			gateway.log.write('failure', 'rollout_unreadable', {key, offset, bytes: value.length});
+		const decoded = toRollout(key, value);
+		if (decoded.kind === 'refused') {
+			gateway.log.write('failure', 'rollout_unreadable', {
+				key: key.slice(0, maxLoggedKeyLength), offset, bytes: value.length, field: decoded.field,
+			});
 			continue;
 		}
 
+		const request = decoded.value;
 		const known = gateway.rollouts.byService.get(request.service);
 		const readyVersions = (gateway.registry.byService.get(request.service) ?? []).map(({entry}) => entry.softwareVersion ?? unknownVersion);
 		const next = applyRequest(known, {...request, offset}, gateway.clocks.trueTime(), readyVersions);
--- a/packages/gateway/src/store/follow-configuration.ts
+++ b/packages/gateway/src/store/follow-configuration.ts
@@ -60,13 +60,13 @@
 			return;
 		}
 
-		const configuration = platform.records.toConfiguration(newest.value);
-		if (configuration === undefined) {
-			gateway.log.write('failure', 'configuration_unreadable', {offset: newest.offset, bytes: newest.value.length});
+		const decoded = platform.records.toConfiguration(newest.value);
+		if (decoded.kind === 'refused') {
+			gateway.log.write('failure', 'configuration_unreadable', {offset: newest.offset, bytes: newest.value.length, field: decoded.field});
 			return;
 		}
 
-		if (applyConfiguration(gateway, configuration, 'store')) {
+		if (applyConfiguration(gateway, decoded.value, 'store')) {
 			onConfiguration();
 		}
 	};
--- a/packages/gateway/src/telemetry/log-events.ts
+++ b/packages/gateway/src/telemetry/log-events.ts
@@ -35,12 +35,12 @@
 		meaning: 'A record of the store cannot be used, for want of a meaning of the named field (`bytes`: no JSON in UTF-8); the records beside it apply, and so does the last usable one of its key. Logged once for each key and field',
 		fields: ['topic', 'key', 'field', 'offset'],
 	},
-	configuration_unreadable: {meaning: 'A configuration record could not be decoded; the previous configuration stays in force', fields: ['offset', 'bytes']},
+	configuration_unreadable: {meaning: 'A configuration record could not be decoded; the previous configuration stays in force', fields: ['offset', 'bytes', 'field']},
 	rollout_requested: {
 		meaning: 'A record of an operator asks for the traffic of a service to be moved to backend servers of another software version; `before` and `beforeTo`: the rollout that it replaces',
 		fields: ['service', 'to', 'offset', 'durationMs', 'before', 'beforeTo'],
 	},
-	rollout_unreadable: {meaning: 'A request for a rollout could not be decoded; traffic goes on as before', fields: ['key', 'offset', 'bytes']},
+	rollout_unreadable: {meaning: 'A request for a rollout could not be decoded; traffic goes on as before', fields: ['key', 'offset', 'bytes', 'field']},
 	rollout_stage: {
 		meaning: 'A rollout has a new stage, or the new version gets another share of the first sends; `source`: the operator\'s record, the lease record, the plan of this daemon, or a peer',
 		fields: ['service', 'to', 'offset', 'stage', 'share', 'revision', 'reason', 'source', 'before'],
