Records with keys of others are read by own keys and merged in maps

What callers saw: nothing was reported. Shown by a test: results, limits, usage and rollouts of what is named constructor, toString or __proto__ threw or became no numbers when they were merged; a daemon whose counts are no numbers sends reports that all peers refuse. Cause: such names were looked up in plain objects, which have fields of these names by themselves. Change: records.ts reads a value only if the record itself has the key, and merges in a map. Checks: odd-names.test.ts, all five names failed before with TypeErrors; a name gives the same result as any other word now. The tests of gossip, usage, limits, quotas, rollouts (without the model) and lease pass. Left: zod drops the key __proto__ of a report, so what an account of that name spends at other daemons is not known.

--- a/packages/core/src/engines/plan-backends.ts
+++ b/packages/core/src/engines/plan-backends.ts
@@ -7,6 +7,7 @@
  * The rest is ordered on-demand, and released only when reclaimable servers that run have replaced it. Zones are kept equal
  * in size because a zone that is disconnected by a network partition has to serve its own callers.
  */
+import {getOwn} from '@shallotpass/common/records.js';
 import {type FleetBounds} from '../calls/serving-configuration.js';
 import {type BackendOrder} from '../lease/lease.js';
 
@@ -78,7 +79,7 @@
 
 const sumOverZones = (zones: readonly ZoneFleet[], count: (zone: ZoneFleet) => number): number => zones.reduce((total, zone) => total + count(zone), 0);
 
-const getPrice = (bounds: FleetBounds, zone: ZoneFleet): number => bounds.zonePrices[zone.availabilityZone] ?? 1;
+const getPrice = (bounds: FleetBounds, zone: ZoneFleet): number => getOwn(bounds.zonePrices, zone.availabilityZone) ?? 1;
 
 type KeepOptions = {
 	readonly getRunning: (zone: ZoneFleet) => number;
--- a/packages/core/src/gossip/gossip-report.ts
+++ b/packages/core/src/gossip/gossip-report.ts
@@ -3,6 +3,7 @@
  * others. In a large one it sends it to two relays in its zone, which exchange sums, so the gossip traffic of a
  * daemon doesn't grow with the number of daemons.
  */
+import {getOwn, mergeRecords} from '@shallotpass/common/records.js';
 import {
 	addressSchema, ageSchema, configurationVersionSchema, maxAmount, maxTextLength, offsetSchema,
 } from '@shallotpass/common/value-bounds.js';
@@ -106,28 +107,16 @@
 
 type Amounts = Readonly<Record<string, number>>;
 
-const addAmounts = (left: Amounts, right: Amounts, sign: 1 | -1 = 1): Record<string, number> => {
-	const sum: Record<string, number> = {...left};
-	for (const [key, amount] of Object.entries(right)) {
-		sum[key] = Math.max(0, (sum[key] ?? 0) + (sign * amount));
-	}
-
-	return sum;
-};
+const addAmounts = (left: Amounts, right: Amounts, sign: 1 | -1 = 1): Record<string, number> =>
+	mergeRecords(left, right, (amount, known = 0) => Math.max(0, known + (sign * amount)));
 
 type AmountLists = Readonly<Record<string, number[]>>;
 
-const addLists = (left: AmountLists, right: AmountLists, sign: 1 | -1 = 1): Record<string, number[]> => {
-	const sum: Record<string, number[]> = {...left};
-	for (const [key, items] of Object.entries(right)) {
-		const current = sum[key] ?? [];
-		// A daemon of an earlier version may report fewer items.
-		const length = Math.max(items.length, current.length);
-		sum[key] = Array.from({length}, (_value, index) => Math.max(0, (current[index] ?? 0) + (sign * (items[index] ?? 0))));
-	}
-
-	return sum;
-};
+const addLists = (left: AmountLists, right: AmountLists, sign: 1 | -1 = 1): Record<string, number[]> => mergeRecords(left, right, (items, known = []) => {
+	// A daemon of an earlier version may report fewer items.
+	const length = Math.max(items.length, known.length);
+	return Array.from({length}, (_value, index) => Math.max(0, (known[index] ?? 0) + (sign * (items[index] ?? 0))));
+});
 
 /** Prefix of the incarnation in totals over all zones. */
 const totalPrefix = 'total:';
@@ -140,28 +129,22 @@
 
 /** Sums the usage counts of a zone's daemons under the zone as their source. */
 const sumUsage = (zone: string, all: readonly GossipReport[]): GossipReport['usage'] => {
-	const sum: Record<string, Record<string, Amounts>> = {};
+	const sum = new Map<string, Amounts>();
 	for (const [window, sources] of all.flatMap(({usage}) => Object.entries(usage))) {
 		for (const counts of Object.values(sources)) {
-			sum[window] = {[toZoneSource(zone)]: addAmounts(sum[window]?.[toZoneSource(zone)] ?? {}, counts)};
+			sum.set(window, addAmounts(sum.get(window) ?? {}, counts));
 		}
 	}
 
-	return sum;
+	return Object.fromEntries([...sum].map(([window, counts]) => [window, {[toZoneSource(zone)]: counts}]));
 };
 
-const mergeUsageSources = (left: GossipReport['usage'], right: GossipReport['usage']): GossipReport['usage'] => {
-	const merged = {...left};
-	for (const [window, sources] of Object.entries(right)) {
-		merged[window] = {...merged[window], ...sources};
-	}
-
-	return merged;
-};
+const mergeUsageSources = (left: GossipReport['usage'], right: GossipReport['usage']): GossipReport['usage'] =>
+	mergeRecords(left, right, (sources, known) => ({...known, ...sources}));
 
 const mergeParticipantLists = (left: GossipReport['participants'], right: GossipReport['participants']): GossipReport['participants'] => {
 	const services = new Set([...Object.keys(left), ...Object.keys(right)]);
-	return Object.fromEntries([...services].map(service => [service, mergeParticipants([left[service] ?? [], right[service] ?? []])]));
+	return Object.fromEntries([...services].map(service => [service, mergeParticipants([getOwn(left, service) ?? [], getOwn(right, service) ?? []])]));
 };
 
 /** Leaves the field out where neither report has it, so that deployments without a roll-out send nothing more. */
--- a/packages/core/src/limits/reported-brittleness.ts
+++ b/packages/core/src/limits/reported-brittleness.ts
@@ -1,4 +1,5 @@
 /** Brittle backend servers, as daemons report them to each other. */
+import {mergeRecords} from '@shallotpass/common/records.js';
 import * as z from 'zod';
 
 /** Rejections a second or -1 if it is no longer brittle, true time at which the call was sent whose answer stated it, hash of the incarnation, true time of the last rejection or 0. */
@@ -29,12 +30,5 @@
 };
 
 /** Keeps the newest statement and the last rejection of each backend server. */
-export const mergeBrittlenesses = (left: ReportedBrittlenesses, right: ReportedBrittlenesses): ReportedBrittlenesses => {
-	const merged = {...left};
-	for (const [id, reported] of Object.entries(right)) {
-		const known = merged[id];
-		merged[id] = known === undefined ? reported : merge(known, reported);
-	}
-
-	return trimBrittlenesses(merged);
-};
+export const mergeBrittlenesses = (left: ReportedBrittlenesses, right: ReportedBrittlenesses): ReportedBrittlenesses =>
+	trimBrittlenesses(mergeRecords(left, right, (reported, known) => known === undefined ? reported : merge(known, reported)));
--- a/packages/core/src/limits/reported-limits.ts
+++ b/packages/core/src/limits/reported-limits.ts
@@ -1,4 +1,5 @@
 /** Statements of backend servers on their limits, as daemons report them to each other. */
+import {mergeRecords} from '@shallotpass/common/records.js';
 import * as z from 'zod';
 
 /** Calls per second or -1 if a limit has ended, true time at which the call was sent whose answer stated it, and hash of the backend server's incarnation. */
@@ -23,12 +24,5 @@
 };
 
 /** Keeps the newest statement of each backend server. */
-export const mergeLimits = (left: ReportedLimits, right: ReportedLimits): ReportedLimits => {
-	const merged = {...left};
-	for (const [id, limit] of Object.entries(right)) {
-		const known = merged[id];
-		merged[id] = known === undefined || limit[1] > known[1] ? limit : known;
-	}
-
-	return trimLimits(merged);
-};
+export const mergeLimits = (left: ReportedLimits, right: ReportedLimits): ReportedLimits =>
+	trimLimits(mergeRecords(left, right, (limit, known) => known === undefined || limit[1] > known[1] ? limit : known));
--- a/packages/core/src/quotas/count-losses.ts
+++ b/packages/core/src/quotas/count-losses.ts
@@ -2,6 +2,7 @@
  * Counts what a keeper may have granted after its last report when it was killed. It goes into the ledger under the ended incarnation, so that
  * every keeper hears of it, also one that starts later.
  */
+import {getOwn} from '@shallotpass/common/records.js';
 import {
 	isHeard, type KeeperClock, type KeeperPeer, type KeeperState,
 } from './keeper-state.js';
@@ -16,7 +17,7 @@
 	const peers = [...keeper.peers.values()].filter(other => other === peer || isHeard(other, clock));
 	const share = computeShares(keeper, account, peers).byPeer.get(peer.incarnation) ?? 0;
 	const left = usable - sumAmounts(collectKnown(keeper, account, clock), clock.trueTime, keeper.windowMs);
-	const asked = (peer.claim.demands[account] ?? 0) * unreportedMs / 1000;
+	const asked = (getOwn(peer.claim.demands, account) ?? 0) * unreportedMs / 1000;
 	return Math.min(asked, share * Math.max(0, left));
 };
 
--- a/packages/core/src/quotas/exchange-keeper-reports.ts
+++ b/packages/core/src/quotas/exchange-keeper-reports.ts
@@ -1,4 +1,5 @@
 /** Makes and merges the reports of keepers. Merging the same report twice, late, in another order or by another keeper changes nothing. */
+import {getOwn} from '@shallotpass/common/records.js';
 import {type KeeperReport} from './keeper-report.js';
 import {collectOwn} from './known-spending.js';
 import {
@@ -20,18 +21,18 @@
 /** Makes the report of this keeper, and remembers what it claims. */
 export const makeKeeperReport = (keeper: KeeperState, {address, availabilityZone}: ReportAddress, clock: KeeperClock): KeeperReport => {
 	const {id, incarnation, windowMs, isSettled, weight} = keeper;
-	const accounts: KeeperReport['accounts'] = {};
+	const accounts = new Map<string, KeeperReport['accounts'][string]>();
 	for (const account of new Set([...keeper.demands.keys(), ...keeper.payments.keys()])) {
 		const demand = Math.round(computeAsked(keeper, account, clock));
 		const spent = encodeSlots(collectOwn(keeper, account, clock), clock.trueTime, windowMs);
 		if (spent.length > 0 || demand > 0) {
-			accounts[account] = {demand, spent};
+			accounts.set(account, {demand, spent});
 		}
 	}
 
 	const unheard = [...keeper.peers].filter(([, peer]) => !isHeard(peer, clock)).map(([origin, {spent}]) => [origin, spent] as const);
 	const departed = [...unheard, ...keeper.departed].map(([origin, spent]) => [origin, encodeSpent(spent, windowMs, clock.trueTime)] as const);
-	const claim = {weight, demands: Object.fromEntries(Object.entries(accounts).map(([account, {demand}]) => [account, demand])), madeAt: clock.trueTime};
+	const claim = {weight, demands: Object.fromEntries([...accounts].map(([account, {demand}]) => [account, demand])), madeAt: clock.trueTime};
 	keeper.reported = [...keeper.reported.filter(({madeAt}) => madeAt >= clock.trueTime - goneAfterMs), claim];
 	keeper.reportedAt = clock.steady;
 	return {
@@ -44,7 +45,7 @@
 		isLeaving: false,
 		weight,
 		heard: Object.fromEntries(listHeardPeers(keeper, clock).map(peer => [peer.incarnation, peer.madeAt])),
-		accounts,
+		accounts: Object.fromEntries(accounts),
 		departed: Object.fromEntries(departed.filter(([, spent]) => Object.keys(spent).length > 0)),
 	};
 };
@@ -69,7 +70,7 @@
 	peer.madeAt = report.madeAt;
 	peer.isSettled = report.isSettled;
 	peer.hasLeft = report.isLeaving;
-	peer.heardOwn = report.heard[ownIncarnation] ?? peer.heardOwn;
+	peer.heardOwn = getOwn(report.heard, ownIncarnation) ?? peer.heardOwn;
 	peer.hears = Object.keys(report.heard);
 	peer.heardUntil = Math.min(report.madeAt, ...Object.values(report.heard));
 	peer.claim = {weight: report.weight, demands: Object.fromEntries(Object.entries(report.accounts).map(([account, {demand}]) => [account, demand]))};
@@ -123,7 +124,7 @@
 		}
 	}
 
-	return !report.isSettled && !report.isLeaving && report.heard[keeper.incarnation] === undefined;
+	return !report.isSettled && !report.isLeaving && getOwn(report.heard, keeper.incarnation) === undefined;
 };
 
 const dropExpired = (spent: SpentByAccount, windowMs: number, trueTime: number): void => {
--- a/packages/core/src/quotas/keeper-shares.ts
+++ b/packages/core/src/quotas/keeper-shares.ts
@@ -3,6 +3,7 @@
  * knows reports of another age: a keeper counts of itself the smallest claim since the last one that all others have confirmed, and of each other one the last
  * that it received, which is never smaller than what that one counts of itself. So a jump raises no part before the others have lowered theirs.
  */
+import {getOwn} from '@shallotpass/common/records.js';
 import {
 	type Claim, findConfirmedUntil, type KeeperClock, type KeeperPeer, type KeeperState,
 } from './keeper-state.js';
@@ -29,7 +30,7 @@
 	readonly demand: number;
 };
 
-const toAccountClaim = ({weight, demands}: Claim, account: string): AccountClaim => ({weight, demand: demands[account] ?? 0});
+const toAccountClaim = ({weight, demands}: Claim, account: string): AccountClaim => ({weight, demand: getOwn(demands, account) ?? 0});
 
 /** Returns the smallest of this keeper's claims that some of the peers may still count. */
 const findCertainClaim = ({reported}: KeeperState, account: string, peers: readonly KeeperPeer[]): AccountClaim => {
--- a/packages/core/src/quotas/recorded-spending.ts
+++ b/packages/core/src/quotas/recorded-spending.ts
@@ -1,4 +1,5 @@
 /** Spending as it is written to the store, for daemons that start after all have ended at once. */
+import {getOwn} from '@shallotpass/common/records.js';
 import * as z from 'zod';
 import {
 	addToSlot, decodeSlots, encodeSlots, type SlotAmounts, slotsPerWindow, toSlot,
@@ -45,7 +46,7 @@
 
 /** Returns the slots of an account in the record, with what may have been spent after it was written, until all daemons had ended at a true time. */
 export const readRecordedSlots = ({at, accounts, expectedMs}: RecordedSpending, account: string, {windowMs, endedBy}: {readonly windowMs: number; readonly endedBy: number}): SlotAmounts => {
-	const {spent, expected} = accounts[account] ?? {spent: [], expected: 0};
+	const {spent, expected} = getOwn(accounts, account) ?? {spent: [], expected: 0};
 	const amounts = decodeSlots(spent, toSlot(at, windowMs));
 	const runMs = Math.min(expectedMs, Math.max(0, endedBy - at));
 	addToSlot(amounts, toSlot(at + runMs, windowMs), expected * runMs / Math.max(1, expectedMs));
--- a/packages/core/src/retries/unsoundness.ts
+++ b/packages/core/src/retries/unsoundness.ts
@@ -2,6 +2,7 @@
  * Backend servers whose answers are none: what is held against them, how many are left alone at a time and for how long, and what
  * daemons report of them to each other. What ends an answer is decided elsewhere; most of it says nothing of the backend server.
  */
+import {mergeRecords} from '@shallotpass/common/records.js';
 import * as z from 'zod';
 
 /**
@@ -70,13 +71,6 @@
 
 /** Keeps the longest pause of each backend server. */
 export const mergeUnsoundness = (some: Readonly<Record<string, ReportedUnsoundness>>, more: Readonly<Record<string, ReportedUnsoundness>>): Record<string, ReportedUnsoundness> => {
-	const merged = {...some};
-	for (const [id, reported] of Object.entries(more)) {
-		const known = merged[id];
-		if (known === undefined || reported[2] > known[2]) {
-			merged[id] = reported;
-		}
-	}
-
+	const merged = mergeRecords(some, more, (reported, known) => known === undefined || reported[2] > known[2] ? reported : known);
 	return Object.fromEntries(Object.entries(merged).toSorted(([, left], [, right]) => right[2] - left[2]).slice(0, maxReported));
 };
--- a/packages/core/src/rollouts/merge-rollouts.ts
+++ b/packages/core/src/rollouts/merge-rollouts.ts
@@ -1,4 +1,5 @@
 /** Merges the states of rollouts that different daemons know. */
+import {mergeRecords} from '@shallotpass/common/records.js';
 import {type Rollout} from './types.js';
 
 type Rollouts = Readonly<Record<string, Rollout>>;
@@ -22,12 +23,5 @@
 };
 
 /** Merges the rollouts of two daemons, by service. */
-export const mergeRollouts = (left: Rollouts, right: Rollouts): Record<string, Rollout> => {
-	const merged = {...left};
-	for (const [service, rollout] of Object.entries(right)) {
-		const known = merged[service];
-		merged[service] = known === undefined ? rollout : pickNewerRollout(known, rollout);
-	}
-
-	return merged;
-};
+export const mergeRollouts = (left: Rollouts, right: Rollouts): Record<string, Rollout> =>
+	mergeRecords(left, right, (rollout, known) => known === undefined ? rollout : pickNewerRollout(known, rollout));
--- a/packages/core/src/rollouts/record-result.ts
+++ b/packages/core/src/rollouts/record-result.ts
@@ -1,4 +1,5 @@
 /** Counts the calls and results of the old and the new version of a service. All counts add up over daemons, so that relays can sum them. */
+import {getOwn, mergeRecords} from '@shallotpass/common/records.js';
 import {hashText} from '../routing/rank-by-rendezvous.js';
 import {addDuration} from './duration-sums.js';
 import {type RolloutResults, type RouteResults, type VersionResults} from './types.js';
@@ -35,7 +36,7 @@
 
 export const emptyResults = (offset: number): RolloutResults => ({offset, routes: {}});
 
-export const getRouteResults = ({routes}: RolloutResults, route: string): RouteResults => routes[route] ?? emptyRouteResults;
+export const getRouteResults = ({routes}: RolloutResults, route: string): RouteResults => getOwn(routes, route) ?? emptyRouteResults;
 
 const withVersion = (results: RolloutResults, route: string, isNew: boolean, change: (version: VersionResults) => VersionResults): RolloutResults => {
 	const known = getRouteResults(results, route);
@@ -80,11 +81,7 @@
 
 /** Adds cells to others, or subtracts them. Empty ones are left out. */
 export const addCells = (left: VersionResults['failureCells'], right: VersionResults['failureCells'], sign: 1 | -1): Pick<VersionResults, 'failureCells'> => {
-	const sum = {...left};
-	for (const [cell, count] of Object.entries(right ?? {})) {
-		sum[cell] = (sum[cell] ?? 0) + (sign * count);
-	}
-
+	const sum = mergeRecords(left ?? {}, right ?? {}, (count, known = 0) => known + (sign * count));
 	const cells = Object.entries(sum).filter(([, count]) => count > 0);
 	return cells.length === 0 ? {} : {failureCells: Object.fromEntries(cells)};
 };
@@ -100,15 +97,12 @@
 	...addCells(left.failureCells, right.failureCells, sign),
 });
 
-const addRoutes = (left: RolloutResults, right: RolloutResults, sign: 1 | -1): RolloutResults => {
-	const routes = {...left.routes};
-	for (const [route, versions] of Object.entries(right.routes)) {
-		const known = getRouteResults(left, route);
-		routes[route] = {old: addVersions(known.old, versions.old, sign), new: addVersions(known.new, versions.new, sign)};
-	}
-
-	return {...left, routes};
-};
+const addRoutes = (left: RolloutResults, right: RolloutResults, sign: 1 | -1): RolloutResults => ({
+	...left,
+	routes: mergeRecords(left.routes, right.routes, (versions, known = emptyRouteResults) => ({
+		old: addVersions(known.old, versions.old, sign), new: addVersions(known.new, versions.new, sign),
+	})),
+});
 
 /** Adds the results of two daemons. Those of an older request are dropped. */
 export const mergeResults = (left: RolloutResults, right: RolloutResults): RolloutResults => {
@@ -131,16 +125,12 @@
 type ResultsByService = Readonly<Record<string, RolloutResults>>;
 
 /** Adds the results of two daemons, by service. */
-export const mergeResultsByService = (left: ResultsByService, right: ResultsByService): Record<string, RolloutResults> => {
-	const merged = {...left};
-	for (const [service, results] of Object.entries(right)) {
-		const known = merged[service];
-		merged[service] = known === undefined ? results : mergeResults(known, results);
-	}
-
-	return merged;
-};
+export const mergeResultsByService = (left: ResultsByService, right: ResultsByService): Record<string, RolloutResults> =>
+	mergeRecords(left, right, (results, known) => known === undefined ? results : mergeResults(known, results));
 
 /** Subtracts a daemon's own results from a sum, by service. */
 export const subtractResultsByService = (sum: ResultsByService, own: ResultsByService): Record<string, RolloutResults> =>
-	Object.fromEntries(Object.entries(sum).map(([service, results]) => [service, own[service] === undefined ? results : subtractResults(results, own[service])]));
+	Object.fromEntries(Object.entries(sum).map(([service, results]) => {
+		const ownResults = getOwn(own, service);
+		return [service, ownResults === undefined ? results : subtractResults(results, ownResults)];
+	}));
--- a/packages/gateway/src/leader/collect-usage.ts
+++ b/packages/gateway/src/leader/collect-usage.ts
@@ -7,7 +7,7 @@
 import {type SlotAmounts, sumAmounts} from '@shallotpass/core/quotas/slot-amounts.js';
 import {computeMaxUsable} from '@shallotpass/core/quotas/compute-ceiling.js';
 import {predictSlots, computeSpentSlots} from '@shallotpass/core/quotas/spending.js';
-import {mergeUsage, type UsageTable} from '@shallotpass/core/usage/count-starts.js';
+import {listOwnCounts, mergeUsage, type UsageTable} from '@shallotpass/core/usage/count-starts.js';
 import {type GatewayState} from '../gateway-state.js';
 import {readKeeperClock} from '../quotas/quota-state.js';
 import {sumDemands} from '../quotas/sum-demands.js';
@@ -20,7 +20,7 @@
 
 /** Counts the calls that each account started in each usage window, as seen by this daemon and its known peers. The lease record holds the counts of daemons that have stopped. */
 export const collectUsage = (gateway: GatewayState): UsageTable => {
-	let table: UsageTable = Object.fromEntries([...gateway.usage].map(([window, counts]) => [window, {[gateway.incarnation]: counts}]));
+	let table: UsageTable = Object.fromEntries(listOwnCounts(gateway.usage).map(([window, counts]) => [window, {[gateway.incarnation]: counts}]));
 	for (const {usage} of gateway.peers.values()) {
 		table = mergeUsage(table, usage);
 	}
@@ -28,16 +28,17 @@
 	return table;
 };
 
-type AccountSlots = Record<string, number[]>;
+type AccountSlots = Map<string, number[]>;
 
 /** Sums what each account has spent on all daemons in each slot of the quota window, by the reports of gossip. */
 const sumReportedSlots = (gateway: GatewayState): AccountSlots => {
 	const now = gateway.clocks.steady();
 	const ownSlots = Object.fromEntries([...gateway.quota.keeper.payments].map(([account, spending]) => [account, computeSpentSlots(spending, now).map(cost => Math.round(cost))]));
-	const sums: AccountSlots = {};
+	const sums: AccountSlots = new Map();
 	for (const spent of [ownSlots, ...[...gateway.peers.values()].map(peer => peer.spent)]) {
 		for (const [account, slots] of Object.entries(spent)) {
-			sums[account] = slots.map((cost, index) => cost + (sums[account]?.[index] ?? 0));
+			const known = sums.get(account);
+			sums.set(account, slots.map((cost, index) => cost + (known?.[index] ?? 0)));
 		}
 	}
 
@@ -66,7 +67,7 @@
 	const demands = sumDemands(gateway);
 	const figures = new Map<string, AccountFigures>();
 	for (const {name, limit} of gateway.configuration?.configuration.accounts ?? []) {
-		const slots = slotsByAccount[name] ?? [];
+		const slots = slotsByAccount.get(name) ?? [];
 		if (limit === undefined || limit.perSecond <= 0) {
 			continue;
 		}
@@ -75,11 +76,11 @@
 		const demand = demands.get(name) ?? 0;
 		const known = collectAccount(gateway, name, slots);
 		figures.set(name, {known, demand, left: usable - sumAmounts(known, trueTime, bounds.quotaWindowMs)});
-		slotsByAccount[name] = predictSlots({
+		slotsByAccount.set(name, predictSlots({
 			slots, demand, usable, aheadMs: recordDelayMs, windowMs: bounds.quotaWindowMs,
-		}).map(cost => Math.round(cost));
+		}).map(cost => Math.round(cost)));
 	}
 
 	const recorded = makeRecordedSpending(figures, {at: Math.round(trueTime), windowMs: bounds.quotaWindowMs, expectedMs: recordDelayMs});
-	return {at: Math.round(trueTime + recordDelayMs), accounts: slotsByAccount, recorded};
+	return {at: Math.round(trueTime + recordDelayMs), accounts: Object.fromEntries(slotsByAccount), recorded};
 };
--- a/packages/gateway/src/leader/order-planner.ts
+++ b/packages/gateway/src/leader/order-planner.ts
@@ -1,4 +1,5 @@
 /** Computes the backend server orders from the directory and the load. */
+import {getOwn} from '@shallotpass/common/records.js';
 import {type BackendOrder} from '@shallotpass/core/lease/lease.js';
 import {
 	updateDemandEstimate, type DemandEstimate, roundWithHysteresis,
@@ -89,7 +90,7 @@
 	const estimateDemand = (service: string): Pick<PlanInput, 'needed' | 'assumed'> => {
 		const since = now() - peerExpiryMs;
 		const ownWorkRate = gateway.workRates.get(service);
-		const peerRates = [...gateway.peers.values()].filter(peer => peer.receivedAt >= since).map(peer => peer.work[service] ?? 0);
+		const peerRates = [...gateway.peers.values()].filter(peer => peer.receivedAt >= since).map(peer => getOwn(peer.work, service) ?? 0);
 		const promptTokensPerSecond = peerRates.reduce((total, rate) => total + rate, computeWorkRate(ownWorkRate, now()));
 		const serviceConfiguration = gateway.configuration?.servicesByName.get(service);
 		const demand = updateDemandEstimate(demandByService.get(service), {
--- a/packages/gateway/src/peers/make-report.ts
+++ b/packages/gateway/src/peers/make-report.ts
@@ -2,6 +2,7 @@
 import {reportCrashes} from '@shallotpass/core/crashes/reported-evidence.js';
 import {decayPrefillRecord} from '@shallotpass/core/placement/engine-latency.js';
 import {decayPlainRecord, reportPlainCalls} from '@shallotpass/core/placement/plain-durations.js';
+import {listOwnCounts} from '@shallotpass/core/usage/count-starts.js';
 import {computeWorkRate} from '@shallotpass/core/engines/work-rate.js';
 import {type GossipReport, type StoreVersions} from '@shallotpass/core/gossip/gossip-report.js';
 import {computeAsked} from '@shallotpass/core/quotas/keeper-shares.js';
@@ -43,7 +44,7 @@
 		}
 	}
 
-	const windows = [...usage].toSorted(([left], [right]) => right - left).slice(0, reportedWindowCount);
+	const windows = listOwnCounts(usage).toSorted(([left], [right]) => right - left).slice(0, reportedWindowCount);
 	return {
 		id: settings.instance.id,
 		incarnation,
--- a/packages/gateway/src/peers/share-limits.ts
+++ b/packages/gateway/src/peers/share-limits.ts
@@ -1,4 +1,5 @@
 /** What daemons tell each other of the limits that backend servers state: the newest statements, and the daemons that share the limits. */
+import {getOwn} from '@shallotpass/common/records.js';
 import {computeWorkRate} from '@shallotpass/core/engines/work-rate.js';
 import {type GossipReport} from '@shallotpass/core/gossip/gossip-report.js';
 import {needsRelays} from '@shallotpass/core/gossip/pick-relays.js';
@@ -39,7 +40,7 @@
 	const now = gateway.clocks.steady();
 	const {id, availabilityZone} = gateway.settings.instance;
 	const limitedServices = needsRelays(countDaemons(gateway)) ? listLimitedServices(gateway) : undefined;
-	const reported: GossipReport['participants'] = {};
+	const reported = new Map<string, GossipReport['participants'][string]>();
 	for (const [service, rate] of gateway.callRates) {
 		const level = updateLevel(gateway.participantLevels.get(service), computeWorkRate(rate, now));
 		if (level === undefined || gateway.drainingSince !== undefined) {
@@ -49,11 +50,11 @@
 
 		gateway.participantLevels.set(service, level);
 		if (limitedServices?.has(service) !== false) {
-			reported[service] = [[id, availabilityZone, level]];
+			reported.set(service, [[id, availabilityZone, level]]);
 		}
 	}
 
-	return reported;
+	return Object.fromEntries(reported);
 };
 
 /** Adopts the statements of a report about backend servers that run here under the same incarnation. */
@@ -97,9 +98,9 @@
 	const services = new Set([...gateway.participants.keys(), ...Object.keys(ownReport.participants), ...peers.flatMap(peer => Object.keys(peer.participants))]);
 	for (const service of services) {
 		const history = followParticipants(gateway.participants.get(service) ?? [], {
-			own: isInReports ? [] : ownReport.participants[service] ?? [],
+			own: isInReports ? [] : getOwn(ownReport.participants, service) ?? [],
 			reports: peers.map(({id, daemons, participants, receivedAt}) => ({
-				id, daemons, participants: participants[service] ?? [], receivedAt,
+				id, daemons, participants: getOwn(participants, service) ?? [], receivedAt,
 			})),
 			startedAt: gateway.startedAt,
 			hasPeers,
--- a/packages/gateway/src/quotas/grant-cost.ts
+++ b/packages/gateway/src/quotas/grant-cost.ts
@@ -1,4 +1,5 @@
 /** Grants the cost of a call as a keeper of its account's limit, for this daemon's own calls and those of others. */
+import {getOwn} from '@shallotpass/common/records.js';
 import {type AccountLimit} from '@shallotpass/core/calls/serving-configuration.js';
 import {computeMaxUsable, computeUsable} from '@shallotpass/core/quotas/compute-ceiling.js';
 import {decidePayment, type Standing} from '@shallotpass/core/quotas/decide-payment.js';
@@ -57,7 +58,7 @@
 	const since = clocks.steady() - peerExpiryMs;
 	let sum = 0;
 	for (const peer of peers.values()) {
-		sum += peer.keepsQuotas === undefined && peer.daemons === 1 && peer.receivedAt >= since ? sumSlots(peer.spent[account]) : 0;
+		sum += peer.keepsQuotas === undefined && peer.daemons === 1 && peer.receivedAt >= since ? sumSlots(getOwn(peer.spent, account)) : 0;
 	}
 
 	return sum;
--- a/packages/gateway/src/rollouts/report-rollouts.ts
+++ b/packages/gateway/src/rollouts/report-rollouts.ts
@@ -1,4 +1,5 @@
 /** Reports rollouts and their results to other daemons, and sums the results that daemons report. */
+import {getOwn} from '@shallotpass/common/records.js';
 import {type GossipReport} from '@shallotpass/core/gossip/gossip-report.js';
 import {emptyResults, mergeResults} from '@shallotpass/core/rollouts/record-result.js';
 import {isEnded} from '@shallotpass/core/rollouts/is-ended.js';
@@ -28,7 +29,7 @@
 
 /** Sums the results of all daemons, also of those that ended so lately that their reports are still kept. */
 export const sumResults = ({rollouts, peers}: GatewayState, {service, offset}: Rollout): RolloutResults => {
-	const reports = [rollouts.results.get(service), ...[...peers.values()].map(({rolloutResults}) => rolloutResults?.[service])];
+	const reports = [rollouts.results.get(service), ...[...peers.values()].map(({rolloutResults}) => getOwn(rolloutResults, service))];
 	let sum = emptyResults(offset);
 	for (const results of reports) {
 		if (results?.offset === offset) {
