A process that drains lasts until callers have read what it owes them

What callers saw: answers of 12 MB, plain or as a stream, under way at SIGTERM to readers of 1.8 MB/s, were torn by a reset though 3 s of the grace period were left. Cause: the drain waited for activeCalls, which falls when the last byte is handed to the socket, and the process ended once it was 0 and 3.2 s were over. What the system still held was sent after the exit, unless the caller sent anything: data for a connection without a process resets it. At its end it closed idle connections as http.Server.close() does, which destroys those whose answers are written but not sent, and any with bytes unread. Connections that waited to be accepted were reset. Ruled out: lost bytes without any input of the caller. With readers that send nothing 8 of 8 answers came whole after the process had ended; those of readers that send blank lines behind their request, as HTTP allows, were torn, 8 of 8. Change: the drain is a module of its own (drain-gateway.ts). It waits for the answers that are owed, from the head of a request to the last byte that leaves the process. From 2.6 s after SIGTERM, when calls are not taken any more, it ends connections that have been answered, so that the next call of their callers goes elsewhere instead of being refused; until then answers say close, as before. At 3.2 s it accepts the connections that wait, stops listening without closing any, and ends the rest. Ended connections are read until their callers close them. The process ends when all have, at the latest 0.3 s before the end of the grace period; callers whose connections were idle all the while are waited for 0.5 s. What is then still owed is logged. A second call of drain joins the first. Checks: scripts/soak/src/drains.test.ts with processes.

--- a/packages/gateway/src/calls/admit-call.ts
+++ b/packages/gateway/src/calls/admit-call.ts
@@ -25,7 +25,7 @@
 const configurationUnconfirmedAfterMs = 1500;
 
 /** Milliseconds after SIGTERM during which new calls are still accepted. The load balancer stops sending calls after two failed readiness checks, one second apart. */
-const acceptDuringDrainMs = 2600;
+export const acceptDuringDrainMs = 2600;
 
 /** Resolution of the traffic split between the services of a route. */
 const trafficSplitSteps = 10_000;
--- a/packages/gateway/src/calls/callers-listener.ts
+++ b/packages/gateway/src/calls/callers-listener.ts
@@ -1,17 +1,19 @@
 /** Listeners for callers and for the load balancer's readiness checks. */
 import http from 'node:http';
-import type net from 'node:net';
+import net from 'node:net';
 import {type GatewayState} from '../gateway-state.js';
 import {parseHostAndPort} from '../host-and-port.js';
+import {waitForPoll} from '../loop-monitor.js';
+import {type CallerConnections} from './caller-connections.js';
 import {type CallersServer, keepAliveMarginMs, openCallersServer} from './callers-server.js';
 import {serveCall} from './serve-call.js';
 
 export type CallersListener = {
 	/** Applies the limits of the active configuration. */
 	readonly applyLimits: () => void;
-	/** Closes connections without a call in flight. */
-	readonly closeIdle: () => void;
-	readonly close: () => void;
+	readonly connections: CallerConnections;
+	/** Stops listening once the connections that wait to be accepted are accepted and what they have sent is read. The open ones stay. */
+	readonly stopAccepting: () => Promise<void>;
 	/** Stops listening and closes all connections, including those with a call in flight. */
 	readonly closeAll: () => void;
 };
@@ -25,9 +27,21 @@
 	});
 });
 
+/** Most connections that are accepted before the listener closes. More of them come than can be answered. */
+const maxLastAccepts = 4096;
+
+/** Resolves when no connection waits to be accepted. Node accepts one in a turn of the loop. */
+const acceptWaiting = async ({countAccepted}: CallerConnections): Promise<void> => {
+	const end = countAccepted() + maxLastAccepts;
+	for (let accepted = -1; countAccepted() !== accepted && accepted < end;) {
+		accepted = countAccepted();
+		await waitForPoll(); // eslint-disable-line no-await-in-loop -- a poll
+	}
+};
+
 /** Serves callers on `openedServer`, or on a new server if there is none. */
 export const listenForCallers = async (gateway: GatewayState, openedServer?: CallersServer): Promise<CallersListener> => {
-	const {server, serve} = openedServer ?? await openCallersServer(gateway.settings.listen.callers, gateway.answers);
+	const {server, serve, connections} = openedServer ?? await openCallersServer(gateway.settings.listen.callers, gateway.answers);
 	server.on('clientError', (error: NodeJS.ErrnoException, socket: net.Socket) => {
 		const status = error.code === 'HPE_HEADER_OVERFLOW' ? '431 Request Header Fields Too Large' : (error.code === 'ERR_HTTP_REQUEST_TIMEOUT' ? '408 Request Timeout' : '400 Bad Request');
 		const reason = error.code ?? error.message;
@@ -52,11 +66,12 @@
 				server.keepAliveTimeout = limits.idleMs + keepAliveMarginMs;
 			}
 		},
-		closeIdle() {
-			server.closeIdleConnections();
-		},
-		close() {
-			server.close();
+		connections,
+		async stopAccepting() {
+			await acceptWaiting(connections);
+			// That of `http.Server` would destroy connections whose answers are written but not sent.
+			net.Server.prototype.close.call(server);
+			await waitForPoll();
 		},
 		closeAll() {
 			server.close();
--- /dev/null
+++ b/packages/gateway/src/drain-gateway.ts
@@ -0,0 +1,58 @@
+/** Lets a daemon leave: it answers what it owes, tells callers to go elsewhere, and stops. */
+import {setTimeout as sleep} from 'node:timers/promises';
+import {acceptDuringDrainMs} from './calls/admit-call.js';
+import {type CallersListener} from './calls/callers-listener.js';
+import {type GatewayState} from './gateway-state.js';
+
+/** Interval between checks while the daemon drains. */
+const drainPollMs = 50;
+
+/** Draining ends this long before the platform kills the process. */
+const killMarginMs = 300;
+
+/** New connections are accepted this long after SIGTERM: the load balancer may send some until then, and an answer tells callers to go elsewhere. */
+const acceptConnectionsMs = 3200;
+
+/** Time for callers with idle connections to close their side. */
+const idleCloseMs = 500;
+
+export type DrainOptions = {
+	readonly gateway: GatewayState;
+	readonly listener: CallersListener;
+	/** Stops all components but the listeners for callers and for readiness checks. */
+	readonly stopComponents: () => void;
+};
+
+/** Resolves when the process may exit: nothing is owed and callers have closed their connections, or the grace period ends. */
+export const drainGateway = async ({gateway, listener: {connections, stopAccepting}, stopComponents}: DrainOptions): Promise<void> => {
+	const {answers, clocks, log, settings: {bounds: {graceMs}}} = gateway;
+	const since = clocks.steady();
+	const endAt = since + graceMs - killMarginMs;
+	const waitUntil = async (check: () => boolean): Promise<void> => {
+		while (!check() && clocks.steady() < endAt) {
+			await sleep(drainPollMs); // eslint-disable-line no-await-in-loop -- a poll
+		}
+	};
+
+	gateway.drainingSince = since;
+	log.write('state', 'draining', {activeCalls: gateway.activeCalls, owedAnswers: answers.count(), graceMs});
+	await waitUntil(() => {
+		// A call on a connection that stays open would be refused from now on. On another one it reaches another daemon.
+		if (clocks.steady() >= since + acceptDuringDrainMs) {
+			connections.endSettled({isAnswered: true});
+		}
+
+		return clocks.steady() >= since + acceptConnectionsMs && answers.count() === 0;
+	});
+	await stopAccepting();
+	const closeIdleAt = clocks.steady() + idleCloseMs;
+	await waitUntil(() => {
+		connections.endSettled({isAnswered: false});
+		return answers.count() === 0;
+	});
+	answers.reportAll();
+	stopComponents();
+	// What callers have not read yet lies with the system, which drops it if they send anything after this process has exited.
+	await waitUntil(() => connections.countOpen() === 0 || (clocks.steady() >= closeIdleAt && connections.countAnsweredSince(since) === 0));
+	log.write('state', 'stopped', {activeCalls: gateway.activeCalls, owedAnswers: answers.count(), tookMs: Math.round(clocks.steady() - since)});
+};
--- a/packages/gateway/src/start-gateway.ts
+++ b/packages/gateway/src/start-gateway.ts
@@ -3,7 +3,6 @@
 import {setMaxListeners} from 'node:events';
 import {performance} from 'node:perf_hooks';
 import process from 'node:process';
-import {setTimeout as sleep} from 'node:timers/promises';
 import {makeOwedAnswers} from '@shallotpass/common/owed-answers.js';
 import {initialStoreRole, getMaxRetryPauseMs} from '@shallotpass/core/gossip/store-role.js';
 import {initialPathState} from '@shallotpass/core/paths/path-state.js';
@@ -12,10 +11,11 @@
 import {type OpenConnection} from './calls/backend-agent.js';
 import {makeBackendRegistry} from './calls/backend-registry.js';
 import {listReadyBackends} from './calls/count-versions.js';
-import {type CallersListener, listenForCallers, listenForReadinessChecks} from './calls/callers-listener.js';
+import {listenForCallers, listenForReadinessChecks} from './calls/callers-listener.js';
 import {type CallersServer} from './calls/callers-server.js';
 import {computeInheritsRepeatsUntil} from './calls/repeat-limit.js';
 import {makeClocks} from './clocks.js';
+import {drainGateway} from './drain-gateway.js';
 import {type LoopMonitor, startLoopMonitor} from './loop-monitor.js';
 import {type LeaderTask, startLeaderTask} from './leader/leader-task.js';
 import {type EventLog} from './telemetry/event-log.js';
@@ -42,21 +42,12 @@
 import {startKeeperExchange} from './quotas/keeper-exchange.js';
 import {makeQuotaState} from './quotas/quota-state.js';
 
-/** Interval between checks for calls in flight while the daemon drains. */
-const drainPollMs = 100;
-
-/** Draining ends this long before the platform kills the process. */
-const killMarginMs = 300;
-
 /** Interval between `figures` log lines. */
 const figuresIntervalMs = 10_000;
 
 /** Bound of the listeners on the signal that ends all components. More would show a leak. */
 const maxSignalListeners = 30;
 
-/** Idle connections are kept open this long after SIGTERM, so that a response notifies callers of the shutdown. */
-const keepIdleConnectionsMs = 3200;
-
 export type GatewayOptions = {
 	readonly settings: GatewaySettings;
 	readonly log: EventLog;
@@ -71,7 +62,7 @@
 
 export type Gateway = {
 	readonly state: GatewayState;
-	/** Finishes the calls in flight, refuses new ones after a grace period, and resolves when the process may exit. */
+	/** Answers the calls in flight, refuses new ones after a while, and resolves when the process may exit. */
 	readonly drain: () => Promise<void>;
 	/** Applies changed settings. Those of the listeners and of the instance take effect only at the next start. */
 	readonly reload: (settings: GatewaySettings) => void;
@@ -136,24 +127,6 @@
 	listMembers: () => [],
 });
 
-const drain = async (state: GatewayState, listener: CallersListener, controller: AbortController): Promise<void> => {
-	const now = (): number => state.clocks.steady();
-	const since = now();
-	state.drainingSince = since;
-	state.log.write('state', 'draining', {activeCalls: state.activeCalls, owedAnswers: state.answers.count(), graceMs: state.settings.bounds.graceMs});
-	const endAt = since + state.settings.bounds.graceMs - killMarginMs;
-	while (now() < endAt && (state.activeCalls > 0 || now() < since + keepIdleConnectionsMs)) {
-		// eslint-disable-next-line no-await-in-loop -- a poll
-		await sleep(drainPollMs);
-	}
-
-	state.answers.reportAll();
-	listener.close();
-	listener.closeIdle();
-	controller.abort();
-	state.log.write('state', 'stopped', {activeCalls: state.activeCalls, owedAnswers: state.answers.count(), tookMs: Math.round(now() - since)});
-};
-
 /** Periodically logs the main metrics, for operators who only have logs. */
 const logFigures = (state: GatewayState, storeCalls: ReadonlyMap<string, number>, signal: AbortSignal): void => {
 	const timer = setInterval(() => {
@@ -248,9 +221,17 @@
 	void startPathProbes(state, signal);
 	logFigures(state, storeCalls, signal);
 	state.log.write('state', 'started', {incarnation: state.incarnation, listen: state.settings.listen, isFirstStart: state.settings.instance.firstStart});
+	let drained: Promise<void> | undefined;
 	return {
 		state,
-		drain: async () => drain(state, listener, controller),
+		async drain() {
+			drained ??= drainGateway({
+				gateway: state, listener, stopComponents() {
+					controller.abort();
+				},
+			});
+			return drained;
+		},
 		reload(settings) {
 			state.settings = {...settings, listen: state.settings.listen, instance: state.settings.instance};
 			clearParts(state);
--- /dev/null
+++ b/scripts/soak/src/drains.test.ts
@@ -0,0 +1,193 @@
+import assert from 'node:assert/strict';
+import {mkdtempSync, readFileSync, rmSync} from 'node:fs';
+import os from 'node:os';
+import path from 'node:path';
+import test, {type TestContext} from 'node:test';
+import {setTimeout as sleep} from 'node:timers/promises';
+import {makeRandom} from '@shallotpass/core/testing/make-random.js';
+import {openPacedCaller, type PacedCaller, splitAnswers} from '@shallotpass/platform/stand-ins/paced-caller.js';
+import {type RawRequest} from '@shallotpass/platform/stand-ins/raw-caller.js';
+import {
+	makeConfiguration, makeSettings, type PlatformFixture, startPlatformFixture, waitUntil,
+} from '@shallotpass/platform/stand-ins/platform-fixture.js';
+import {type DaemonProcess, makeDaemonProcess} from './daemon-process.js';
+
+const makeLongConfiguration = () => {
+	const configuration = makeConfiguration(1);
+
+	return {...configuration, routes: configuration.routes.map(route => ({...route, timeout_ms: 30_000}))};
+};
+
+/** Long, so that a busy machine does not end it. */
+const graceMs = 20_000;
+
+type Started = {
+	readonly fixture: PlatformFixture;
+	readonly daemon: DaemonProcess;
+	readonly readLog: () => ReadonlyArray<Readonly<Record<string, unknown>>>;
+	/** Resolves when the last line of the daemon's log is written. */
+	readonly waitForLog: () => Promise<void>;
+};
+
+const isReady = async (address: string): Promise<boolean> => {
+	try {
+		const answer = await fetch(`http://${address}/ready`);
+		return answer.status === 200;
+	} catch {
+		// The daemon does not listen yet.
+		return false;
+	}
+};
+
+const start = async (t: TestContext): Promise<Started> => {
+	const fixture = await startPlatformFixture({
+		daemons: 0, engines: 1, apps: 1, configuration: makeLongConfiguration(),
+	});
+	const folder = mkdtempSync(path.join(os.tmpdir(), 'drains-'));
+	const settings = makeSettings('daemon', fixture.store.address, fixture.cloud.address);
+	const daemon = makeDaemonProcess({...settings, bounds: {...settings.bounds, graceMs}}, folder);
+	t.after(async () => {
+		await daemon.end('SIGKILL');
+		await fixture.close();
+		rmSync(folder, {recursive: true});
+	});
+	daemon.start();
+	await waitUntil('the daemon is ready', async () => isReady(daemon.settings.listen.ready));
+	const readLog: Started['readLog'] = () => {
+		const text = readFileSync(path.join(folder, 'daemon.log'), 'utf8');
+		return text.slice(0, text.lastIndexOf('\n')).split('\n').map(line => JSON.parse(line) as Readonly<Record<string, unknown>>);
+	};
+
+	return {
+		fixture, daemon, readLog,
+		async waitForLog() {
+			await waitUntil('the daemon has told that it stopped', () => readLog().some(({event}) => event === 'stopped'));
+		},
+	};
+};
+
+const largeBytes = 12_000_000;
+const slowBytesPerMs = 1800;
+
+for (const sendsLines of [false, true]) {
+	for (const route of ['read', 'ask'] as const) {
+		test(`a process lasts until slow readers have read large answers that were under way at SIGTERM, route: ${route}, blank lines behind the request: ${sendsLines}`, async t => {
+			const {
+				fixture, daemon, readLog, waitForLog,
+			} = await start(t);
+			const events = 120;
+			const [engine, app] = [fixture.engines[0]!, fixture.apps[0]!];
+			engine.events = events;
+			engine.paddingBytes = largeBytes / events;
+			app.paddingBytes = largeBytes;
+			const callers = await Promise.all([0, 1, 2, 3].map(async () => openPacedCaller(daemon.settings.listen.callers)));
+			for (const [index, caller] of callers.entries()) {
+				caller.setPace(slowBytesPerMs);
+				caller.send({route, id: `r-${index}`, deadlineMs: 30_000});
+			}
+
+			await waitUntil('all callers read', () => callers.every(caller => caller.countReceived() > 0));
+			const timer = setInterval(() => {
+				for (const caller of sendsLines ? callers : []) {
+					caller.write('\r\n');
+				}
+			}, 50);
+			const ended = daemon.end('SIGTERM');
+			const wereRunning = await Promise.all(callers.map(async caller => {
+				await caller.closed;
+				return daemon.isRunning();
+			}));
+			clearInterval(timer);
+			await ended;
+			const ends = callers.map((caller, index) => {
+				const [answer] = splitAnswers(caller.getReceived());
+				return `${answer?.status} ${answer?.isComplete ? 'whole' : 'torn'} ${caller.getError() ?? ''}, process ${wereRunning[index] ? 'running' : 'ended before'}`;
+			});
+			assert.deepEqual(ends, callers.map(() => '200 whole , process running'));
+			await waitForLog();
+			assert.equal(readLog().find(({event}) => event === 'stopped')?.owedAnswers, 0);
+			assert.deepEqual(readLog().filter(({event}) => event === 'answer_unfinished'), []);
+		});
+	}
+}
+
+type Conversation = {
+	readonly caller: PacedCaller;
+	/** Ids of the requests that were written at once. */
+	readonly batches: ReadonlyArray<readonly string[]>;
+};
+
+const hasEnded = (caller: PacedCaller): boolean => caller.hasEnded() || caller.getError() !== undefined;
+
+const routes = ['read', 'book', 'ask', 'draft'] as const;
+
+test('requests at all moments of a drain, pipelined on kept connections, are answered whole or not run', async t => {
+	const {
+		fixture, daemon, readLog, waitForLog,
+	} = await start(t);
+	const [engine, app] = [fixture.engines[0]!, fixture.apps[0]!];
+	engine.delayMs = 30;
+	app.delayMs = 10;
+	const random = makeRandom(7001);
+	const conversations: Conversation[] = [];
+	let sent = 0;
+	const makeRequest = (): RawRequest => ({route: routes[Math.floor(random() * routes.length)]!, id: `r-${sent++}`});
+	/** Sends batches of requests one after another on a connection, until it ends. Returns whether there was one. */
+	const sendBatches = async (): Promise<boolean> => {
+		let caller: PacedCaller;
+		try {
+			caller = await openPacedCaller(daemon.settings.listen.callers);
+		} catch {
+			return false;
+		}
+
+		const batches: string[][] = [];
+		conversations.push({caller, batches});
+		while (!hasEnded(caller)) {
+			const requests = Array.from({length: 1 + Math.floor(random() * 3)}, () => makeRequest());
+			batches.push(requests.map(({id}) => id));
+			caller.send(...requests);
+			// eslint-disable-next-line no-await-in-loop -- a caller waits for its answers
+			await waitUntil('the batch was answered', () => hasEnded(caller) || splitAnswers(caller.getReceived()).filter(({isComplete}) => isComplete).length === batches.flat().length);
+			await sleep(random() * 40); // eslint-disable-line no-await-in-loop -- a pause
+		}
+
+		return true;
+	};
+
+	const runCaller = async (): Promise<void> => {
+		while (await sendBatches()) { // eslint-disable-line no-await-in-loop -- one connection after another
+			await sleep(random() * 20); // eslint-disable-line no-await-in-loop -- a pause
+		}
+	};
+
+	const running = Promise.all(Array.from({length: 24}, async () => runCaller()));
+	await waitUntil('calls run', () => engine.executions.length > 20);
+	await daemon.end('SIGTERM');
+	await running;
+	await waitForLog();
+
+	const executed = new Set([...engine.executions, ...app.executions].map(({id}) => id));
+	const faults = conversations.flatMap(({caller, batches}) => {
+		const answers = splitAnswers(caller.getReceived());
+		// The system resets a connection that it opened between the last accept and the close of the listener.
+		const wasAccepted = answers.length > 0 || caller.getError() !== 'ECONNRESET';
+		return batches.flat().flatMap((id, index) => {
+			const answer = answers[index];
+			const isRun = executed.has(id);
+			const isSound = answer === undefined ? !isRun : answer.isComplete && answer.requestId === id && (answer.status === 200 || (answer.status === 503 && !isRun));
+			return isSound && (!wasAccepted || caller.getError() === undefined)
+				? []
+				: [{
+					id, isRun, ...answer, error: caller.getError(),
+				}];
+		});
+	});
+	t.diagnostic(`${sent} requests on ${conversations.length} connections; ${faults.filter(({isRun}) => isRun).length} were run and not answered whole`);
+	assert.deepEqual(faults, []);
+	assert.equal(readLog().find(({event}) => event === 'stopped')?.owedAnswers, 0);
+	assert.deepEqual(readLog().filter(({event}) => event === 'answer_unfinished'), []);
+	const unanswered = conversations.reduce((count, {caller, batches}) => count + batches.flat().length - splitAnswers(caller.getReceived()).length, 0);
+	assert.ok(sent > 300, `sent ${sent}`);
+	t.diagnostic(`${unanswered} requests crossed the end of their connection`);
+});
