Requests that came together are all refused by a daemon that drains

What callers saw: of pipelined requests that came in one packet after 2.6 s of a drain, the first was refused and the others got nothing, as their connection was closed behind it. Cause: a request is parsed, admitted and refused before the next one of the same packet is parsed, so that the first refusal is the only answer that is owed at that moment and says close. Change: a daemon that drains reads what has arrived before it admits a request. Checks: "requests at all moments of a drain", which now also asks that what a caller has sent at once is answered whole or not at all.

--- a/packages/gateway/src/calls/admit-call.ts
+++ b/packages/gateway/src/calls/admit-call.ts
@@ -11,6 +11,7 @@
 import {type Continuity, determineContinuity} from '../origins/continuity.js';
 import {checkVerdict} from '../crashes/check-verdict.js';
 import {type GatewayState} from '../gateway-state.js';
+import {waitForPoll} from '../loop-monitor.js';
 import {takeQuota} from '../quotas/take-quota.js';
 import {type CallerHeaders} from '../ports.js';
 import {type CallerPresence, confirmCallerWaits, readCloses} from './caller-presence.js';
@@ -172,6 +173,11 @@
 	const {gateway, request, head, caller} = context;
 	caller.stage = 'admitting';
 	const arrival = observeArrival(gateway, request);
+	if (gateway.drainingSince !== undefined) {
+		// The first refusal would end the connection while requests that came with this one are not read yet.
+		await waitForPoll();
+	}
+
 	if (arrival.arrivedAt < arrival.readAt) {
 		// The close of a caller that has left stands behind its request.
 		await readCloses(gateway, caller.signal);
--- a/scripts/soak/src/drains.test.ts
+++ b/scripts/soak/src/drains.test.ts
@@ -187,6 +187,11 @@
 	assert.deepEqual(faults, []);
 	assert.equal(readLog().find(({event}) => event === 'stopped')?.owedAnswers, 0);
 	assert.deepEqual(readLog().filter(({event}) => event === 'answer_unfinished'), []);
+	const halfAnswered = conversations.flatMap(({caller, batches}) => {
+		const answered = new Set(splitAnswers(caller.getReceived()).map(({requestId}) => requestId));
+		return batches.filter(ids => ids.some(id => answered.has(id)) && !ids.every(id => answered.has(id)));
+	});
+	assert.deepEqual(halfAnswered, [], 'what a caller has sent at once is answered if any of it is');
 	const unanswered = conversations.reduce((count, {caller, batches}) => count + batches.flat().length - splitAnswers(caller.getReceived()).length, 0);
 	assert.ok(sent > 300, `sent ${sent}`);
 	t.diagnostic(`${unanswered} requests crossed the end of their connection`);
