Calls through peers in drains are tested

Two tests: a peer that drains answers the calls that it runs for a daemon without links and refuses the others as not run, at many moments of the drain; a daemon without links that drains answers a stream and a booking that run through its peer, sent on one connection. The second failed before: the connection was closed behind the first of the two answers. The first passed before as well. A request on a peer's connection that is owed nothing is not served.

--- a/packages/gateway/src/peers/shared-state.ts
+++ b/packages/gateway/src/peers/shared-state.ts
@@ -102,8 +102,9 @@
 			return;
 		}
 
-		gateway.answers.add(request, response);
-		void servePeerCall(gateway, request, response);
+		if (gateway.answers.add(request, response)) {
+			void servePeerCall(gateway, request, response);
+		}
 	});
 	const {host, port} = parseHostAndPort(gateway.settings.listen.peers);
 	await new Promise<void>(resolve => {
