Signals that come again in a drain do not end it

What callers saw: nothing, as far as known; a second SIGTERM ended the process at once, with all that it owed. Cause: the handler of SIGTERM was removed with the first signal, and the second one had its default effect. Change: the handler stays. A drain that has begun goes on. Check: "signals that come again in a drain do not end it" sends SIGHUP, SIGTERM, SIGHUP and SIGTERM within 1.2 s of a drain while a call of 4 s runs. Before: failed, the process ended with the call. After: the call is answered, one draining line, owedAnswers 0.

--- a/apps/daemon/src/run-platform-daemon.ts
+++ b/apps/daemon/src/run-platform-daemon.ts
@@ -55,7 +55,7 @@
 		process.exit(0);
 	};
 
-	process.once('SIGTERM', () => {
+	process.on('SIGTERM', () => {
 		void stop();
 	});
 	const watcher = watchSettings({
--- a/scripts/soak/src/drains.test.ts
+++ b/scripts/soak/src/drains.test.ts
@@ -111,6 +111,31 @@
 	}
 }
 
+test('signals that come again in a drain do not end it', async t => {
+	const {
+		fixture, daemon, readLog, waitForLog,
+	} = await start(t);
+	const app = fixture.apps[0]!;
+	const caller = await openPacedCaller(daemon.settings.listen.callers);
+	app.delayMs = 4000;
+	caller.send({route: 'book', id: 'r-0', deadlineMs: 30_000});
+	await waitUntil('the call runs', () => app.executions.length === 1);
+	const ended = daemon.end('SIGTERM');
+	for (const signal of ['SIGHUP', 'SIGTERM', 'SIGHUP', 'SIGTERM'] as const) {
+		await sleep(300); // eslint-disable-line no-await-in-loop -- in the middle of the drain
+		daemon.writeSettings('whole', signal);
+		daemon.send(signal);
+	}
+
+	await caller.closed;
+	await ended;
+	const [answer] = splitAnswers(caller.getReceived());
+	assert.deepEqual([answer?.status, answer?.isComplete, caller.getError()], [200, true, undefined]);
+	await waitForLog();
+	assert.equal(readLog().filter(({event}) => event === 'draining').length, 1);
+	assert.equal(readLog().find(({event}) => event === 'stopped')?.owedAnswers, 0);
+});
+
 type Conversation = {
 	readonly caller: PacedCaller;
 	/** Ids of the requests that were written at once. */
