--- a/packages/common/src/owed-answers.ts
+++ b/packages/common/src/owed-answers.ts
@@ -52,8 +52,8 @@
 
 export type ConnectionProgress = {
 	readonly heads: number;
-	/** On the clock of `performance.now()`. */
-	readonly lastSettledAt: number;
+	/** On the clock of `performance.now()`. Undefined before the first answer. */
+	readonly lastSettledAt: number | undefined;
 };
 
 type Connection = {
@@ -61,7 +61,7 @@
 	/** Whether requests that are read from now on are owed nothing. */
 	isEnding: boolean;
 	heads: number;
-	lastSettledAt: number;
+	lastSettledAt: number | undefined;
 	/** Not kept beyond the end of its answer if it was read whole. */
 	newest: UnreadRequest | undefined;
 	reason: string | undefined;
@@ -102,7 +102,7 @@
 		}
 
 		const connection: Connection = {
-			owed: 0, isEnding: false, heads: 0, lastSettledAt: 0, newest: undefined, reason: undefined, settledListeners: [],
+			owed: 0, isEnding: false, heads: 0, lastSettledAt: undefined, newest: undefined, reason: undefined, settledListeners: [],
 		};
 		connections.set(socket, connection);
 		return connection;
--- a/packages/common/src/watch-input.ts
+++ b/packages/common/src/watch-input.ts
@@ -98,7 +98,7 @@
 
 		const ownAnswers = unread === undefined || unread.response.writableFinished ? 0 : 1;
 		answers.onSettled(socket, () => {
-			const deadline = answers.getProgress(socket).lastSettledAt + (unread === undefined ? server.headersTimeout : server.requestTimeout);
+			const deadline = (answers.getProgress(socket).lastSettledAt ?? 0) + (unread === undefined ? server.headersTimeout : server.requestTimeout);
 			const remainingMs = deadline - performance.now();
 			if (remainingMs <= 0) {
 				end();
@@ -111,6 +111,7 @@
 	server.on('connection', socket => {
 		// Node closes a connection this way behind its last answer, at once, though its caller may still send.
 		socket.destroySoon = () => {
+			answers.endOn(socket);
 			closeGently(socket);
 		};
 	});
--- a/packages/gateway/src/calls/admit-call.ts
+++ b/packages/gateway/src/calls/admit-call.ts
@@ -12,6 +12,7 @@
 import {type Continuity, determineContinuity} from '../origins/continuity.js';
 import {checkVerdict} from '../crashes/check-verdict.js';
 import {type GatewayState} from '../gateway-state.js';
+import {waitForPoll} from '../loop-monitor.js';
 import {takeQuota} from '../quotas/take-quota.js';
 import {type CallerHeaders} from '../ports.js';
 import {type CallerPresence, confirmCallerWaits, readCloses} from './caller-presence.js';
@@ -27,7 +28,7 @@
 const configurationUnconfirmedAfterMs = 1500;
 
 /** Milliseconds after SIGTERM during which new calls are still accepted. The load balancer stops sending calls after two failed readiness checks, one second apart. */
-const acceptDuringDrainMs = 2600;
+export const acceptDuringDrainMs = 2600;
 
 /** Resolution of the traffic split between the services of a route. */
 const trafficSplitSteps = 10_000;
@@ -171,6 +172,11 @@
 export const admitCall = async (context: CallContext, arrival = observeArrival(context.gateway, context.request)): Promise<AdmittedCall | RefusedCall> => {
 	const {gateway, request, head, caller} = context;
 	caller.stage = 'admitting';
+	if (gateway.drainingSince !== undefined) {
+		// The first refusal would end the connection while requests that came with this one are not read yet.
+		await waitForPoll();
+	}
+
 	if (arrival.arrivedAt < arrival.readAt) {
 		// The close of a caller that has left stands behind its request.
 		await readCloses(gateway, caller.signal);
--- a/packages/gateway/src/calls/callers-server.ts
+++ b/packages/gateway/src/calls/callers-server.ts
@@ -10,9 +10,9 @@
 import {type InputError} from '@shallotpass/common/unreadable-request.js';
 import {watchInput} from '@shallotpass/common/watch-input.js';
 import {parseHostAndPort} from '../host-and-port.js';
+import {type LoopMonitor, startLoopMonitor} from '../loop-monitor.js';
 import {type CallerConnections, followConnections} from './caller-connections.js';
 import {formatBareError} from './format-bare-error.js';
-import {type LoopMonitor, startLoopMonitor} from '../loop-monitor.js';
 import {type GetRequestId, refuseWhenRead} from './refuse-request.js';
 import {type Refusal, sendRefusal} from './refusal.js';
 import {type Arrival, makeRequestQueue} from './request-queue.js';
@@ -125,7 +125,7 @@
 			callersServer.onUnreadable(error, socket);
 		},
 	});
-	const connections = followConnections(server, answers, () => performance.now());
+	const connections = followConnections(server, answers);
 	const callersServer: CallersServer = {
 		server,
 		answers,
--- a/packages/gateway/src/peers/shared-state.ts
+++ b/packages/gateway/src/peers/shared-state.ts
@@ -103,8 +103,9 @@
 			return;
 		}
 
-		gateway.answers.add(request, response);
-		void servePeerCall(gateway, request, response);
+		if (gateway.answers.add(request, response)) {
+			void servePeerCall(gateway, request, response);
+		}
 	});
 	await listenAt(server, parseHostAndPort(gateway.settings.listen.peers));
 	signal.addEventListener('abort', () => {
