The listeners for peers, readiness and metrics answer what they have read

What callers saw: input that could not be read behind a message of a peer or a scrape replaced its answer by Node's 400. Cause: these servers had no handler of their own, so Node.js destroyed the connection. Change: they use watchInput. A message of a peer that cannot be read is answered 400 in its turn; before, the connection was destroyed. Checks: a message of a peer, a scrape and a readiness check with unreadable bytes behind them; the first two failed before, as 400 was read alone (the third answers at once and was not run before); all pass after.

--- a/packages/gateway/src/calls/callers-listener.ts
+++ b/packages/gateway/src/calls/callers-listener.ts
@@ -1,8 +1,11 @@
 /** Listeners for callers and for the load balancer's readiness checks. */
 import http from 'node:http';
+import {makeOwedAnswers} from '@shallotpass/common/owed-answers.js';
+import {watchInput} from '@shallotpass/common/watch-input.js';
 import {type GatewayState} from '../gateway-state.js';
 import {parseHostAndPort} from '../host-and-port.js';
 import {type CallersServer, keepAliveMarginMs, openCallersServer} from './callers-server.js';
+import {formatBareError} from './format-bare-error.js';
 import {serveCall} from './serve-call.js';
 
 export type CallersListener = {
@@ -61,11 +64,16 @@
 
 /** Answers readiness checks: 200 while this daemon accepts calls, otherwise 503. */
 export const listenForReadinessChecks = async (gateway: GatewayState): Promise<http.Server> => {
-	const server = http.createServer({keepAliveTimeout: 15_000}, (_request, response) => {
+	const answers = makeOwedAnswers();
+	const server = http.createServer({keepAliveTimeout: 15_000}, (request, response) => {
+		answers.add(request, response);
 		response.statusCode = isReady(gateway) ? 200 : 503;
 		response.setHeader('Content-Length', '0');
 		response.end();
 	});
+	watchInput({
+		server, answers, formatError: formatBareError, refusesUpgrades: false, onUnreadable() {/* Nothing to log: no call is lost here. */},
+	});
 	await listenOn(server, gateway.settings.listen.ready);
 	return server;
 };
--- a/packages/gateway/src/peers/shared-state.ts
+++ b/packages/gateway/src/peers/shared-state.ts
@@ -4,12 +4,16 @@
  */
 import http from 'node:http';
 import {JSONRPCServer} from 'json-rpc-2.0';
+import {errorResponses} from '@shallotpass/common/error-kinds.js';
+import {makeOwedAnswers} from '@shallotpass/common/owed-answers.js';
+import {watchInput} from '@shallotpass/common/watch-input.js';
 import {type ServingConfiguration} from '@shallotpass/core/calls/serving-configuration.js';
 import {type PeerBackend, toPeerBackends} from '@shallotpass/core/directory/adopt-peer-directory.js';
 import {ageVersions} from '@shallotpass/core/gossip/age-report.js';
 import {type StoreVersions} from '@shallotpass/core/gossip/gossip-report.js';
 import {type GossipMember} from '@shallotpass/core/gossip/pick-relays.js';
 import {type StoreRole} from '@shallotpass/core/gossip/store-role.js';
+import {formatBareError} from '../calls/format-bare-error.js';
 import {peerCallPath} from '../calls/peer-call.js';
 import {servePeerCall} from '../calls/serve-peer-call.js';
 import {backendContactMethod, probeForPeer} from '../paths/ask-peer.js';
@@ -19,6 +23,8 @@
 import {type MemberList} from './join-members.js';
 import {readMessage} from './read-message.js';
 
+const {status: invalidRequestStatus} = errorResponses.invalid_request;
+
 export type SharedStateQuery = {
 	readonly configurationVersion: number;
 	readonly directoryNext: number;
@@ -92,11 +98,15 @@
 			response.end(JSON.stringify(reply));
 		} catch (error) {
 			gateway.log.write('failure', 'peer_request_failed', {error: String(error)});
-			response.destroy();
+			response.writeHead(invalidRequestStatus, {'Content-Length': '0', Connection: 'close'}).end(); // eslint-disable-line @typescript-eslint/naming-convention -- names of fields
 		}
 	};
 
+	// Unlike the gateway's, it counts messages too.
+	const answers = makeOwedAnswers();
+
 	const server = http.createServer({noDelay: true}, (request, response) => {
+		answers.add(request, response);
 		if (request.url !== peerCallPath) {
 			void handleRequest(request, response);
 			return;
@@ -105,6 +115,12 @@
 		gateway.answers.add(request, response);
 		void servePeerCall(gateway, request, response);
 	});
+	watchInput({
+		server, answers, formatError: formatBareError, refusesUpgrades: false,
+		onUnreadable({reason}, socket) {
+			gateway.log.write('failure', 'request_unreadable', {reason, owedAnswers: answers.countOn(socket)});
+		},
+	});
 	const {host, port} = parseHostAndPort(gateway.settings.listen.peers);
 	await new Promise<void>(resolve => {
 		server.listen({host, port}, resolve);
--- a/packages/gateway/src/telemetry/metrics-listener.ts
+++ b/packages/gateway/src/telemetry/metrics-listener.ts
@@ -1,5 +1,8 @@
 /** Serves metrics on a separate address, so that bursts of calls and readiness checks are not delayed by scrapes. */
 import http from 'node:http';
+import {makeOwedAnswers} from '@shallotpass/common/owed-answers.js';
+import {watchInput} from '@shallotpass/common/watch-input.js';
+import {formatBareError} from '../calls/format-bare-error.js';
 import {parseHostAndPort} from '../host-and-port.js';
 import {type GatewayState} from '../gateway-state.js';
 
@@ -26,9 +29,14 @@
 		return undefined;
 	}
 
+	const answers = makeOwedAnswers();
 	const server = http.createServer((request, response) => {
+		answers.add(request, response);
 		void handleScrape(gateway, request, response);
 	});
+	watchInput({
+		server, answers, formatError: formatBareError, refusesUpgrades: false, onUnreadable() {/* Nothing to log: no call is lost here. */},
+	});
 	server.on('error', error => {
 		gateway.log.write('failure', 'metrics_unavailable', {address, reason: error.message});
 	});
