A request that asks for another protocol is the last one on its connection

What callers saw: a request with the field Upgrade was served as if it asked for none, and whatever came behind it in the same read got no answer. Where the next request was split there, its body was taken for a request and run: a backend server ran what no caller had sent. Cause: the parser of Node.js stops behind such a request, and without a listener for upgrades the bytes behind it are dropped. Ruled out: refusing such requests, which are proper; an upgrade may be ignored. Change: such a request is answered with Connection: close, and nothing behind it is parsed. What remains: one with a body whose reading is delayed beyond the next read of its connection, as while a daemon loads, is not covered. Checks: an idempotent and a booked call with Upgrade, behind an answer under way and before a split request: before, the body of the split one ran as a request in both; after, both pass and nothing but the two calls ran.

--- a/packages/common/src/watch-input.ts
+++ b/packages/common/src/watch-input.ts
@@ -60,6 +60,27 @@
 	});
 };
 
+/**
+ * Makes a request for another protocol the last one on its connection. Node serves it as if it asked for none, but drops what
+ * came behind it in the same read, so that the rest of a request could be taken for one.
+ */
+const endBehindUpgrade = (request: http.IncomingMessage, response: http.ServerResponse): void => {
+	const {headers, socket} = request;
+	if (headers.upgrade === undefined) {
+		return;
+	}
+
+	response.shouldKeepAlive = false;
+	if (headers['content-length'] === undefined && headers['transfer-encoding'] === undefined) {
+		discardInput(socket);
+		return;
+	}
+
+	request.once('end', () => {
+		discardInput(socket);
+	});
+};
+
 export const watchInput = ({server, answers, formatError, onUnreadable, refusesUpgrades}: WatchInputOptions): void => {
 	const ended = new WeakSet<net.Socket>();
 
@@ -150,5 +171,8 @@
 		server.on('upgrade', (_request, socket) => {
 			refuseProtocol(socket as net.Socket, {kind: 'invalid_request', reason: 'upgrade'});
 		});
+	} else {
+		server.prependListener('request', endBehindUpgrade);
+		server.prependListener('checkContinue', endBehindUpgrade);
 	}
 };
