A daemon that drains waits for callers that were answered shortly before

Cause: the end of the process waited for callers with answers since SIGTERM. An answer that was handed to the system just before may still be read: it holds up to 4 MB of a connection. Callers that had none were waited for longer than their close takes. Change: answers of the 4 s before SIGTERM count as well; callers of connections that were idle longer have 0.25 s. Checks: by reasoning for the 4 s, no test.

--- a/packages/gateway/src/drain-gateway.ts
+++ b/packages/gateway/src/drain-gateway.ts
@@ -14,7 +14,10 @@
 const acceptConnectionsMs = 3200;
 
 /** Time for callers with idle connections to close their side. */
-const idleCloseMs = 500;
+const idleCloseMs = 250;
+
+/** Answers that were sent earlier before the drain have been read: the system holds up to 4 MB of a connection, and slow links take 1 MB in a second. */
+const maxReadMs = 4000;
 
 export type DrainOptions = {
 	readonly gateway: GatewayState;
@@ -53,6 +56,6 @@
 	answers.reportAll();
 	stopComponents();
 	// What callers have not read yet lies with the system, which drops it if they send anything after this process has exited.
-	await waitUntil(() => connections.countOpen() === 0 || (clocks.steady() >= closeIdleAt && connections.countAnsweredSince(since) === 0));
+	await waitUntil(() => connections.countOpen() === 0 || (clocks.steady() >= closeIdleAt && connections.countAnsweredSince(since - maxReadMs) === 0));
 	log.write('state', 'stopped', {activeCalls: gateway.activeCalls, owedAnswers: answers.count(), tookMs: Math.round(clocks.steady() - since)});
 };
--- a/scripts/soak/src/drains.test.ts
+++ b/scripts/soak/src/drains.test.ts
@@ -18,6 +18,9 @@
 	return {...configuration, routes: configuration.routes.map(route => ({...route, timeout_ms: 30_000}))};
 };
 
+/** Time for which a daemon that drains accepts connections. */
+const drainMs = 3200;
+
 /** Long, so that a busy machine does not end it. */
 const graceMs = 20_000;
 
@@ -136,6 +139,26 @@
 	assert.equal(readLog().find(({event}) => event === 'stopped')?.owedAnswers, 0);
 });
 
+test('connections that wait to be accepted while a daemon that drains is suspended beyond its time are answered', async t => {
+	const {daemon, readLog, waitForLog} = await start(t);
+	const ended = daemon.end('SIGTERM');
+	await waitUntil('the daemon drains', () => readLog().some(({event}) => event === 'draining'));
+	daemon.send('SIGSTOP');
+	await sleep(drainMs + 300);
+	const callers = await Promise.all(Array.from({length: 20}, async () => openPacedCaller(daemon.settings.listen.callers)));
+	for (const [index, caller] of callers.entries()) {
+		caller.send({route: 'book', id: `r-${index}`});
+	}
+
+	daemon.send('SIGCONT');
+	await Promise.all(callers.map(async ({closed}) => closed));
+	await ended;
+	const answers = callers.map(caller => [...splitAnswers(caller.getReceived()).map(({status, requestId}) => `${status} ${requestId}`), caller.getError()]);
+	assert.deepEqual(answers, callers.map((_caller, index) => [`503 r-${index}`, undefined]));
+	await waitForLog();
+	assert.equal(readLog().find(({event}) => event === 'stopped')?.owedAnswers, 0);
+});
+
 type Conversation = {
 	readonly caller: PacedCaller;
 	/** Ids of the requests that were written at once. */
