A request that is read after its connection has closed does not end the process

Cause: a connection that has closed calls its watcher back at once, before the function that stops watching exists. Requests are read behind the close when a process has been suspended, and nobody catches the error. Change: the function exists from the beginning. Check: a test adds a request whose connection has closed.

--- a/packages/common/src/owed-answers.test.ts
+++ b/packages/common/src/owed-answers.test.ts
@@ -129,3 +129,15 @@
 	await once(socket!, 'close');
 	assert.equal(unfinished.length, 1);
 });
+
+test('a request that is read after its connection has closed is owed nothing, and does not end the process', async t => {
+	const {answers, unfinished, caller, responses, waitForRequests} = await startServer(t);
+	caller.write(request);
+	await waitForRequests(1);
+	const [response] = responses;
+	caller.destroy();
+	await once(response!.req.socket, 'close');
+	answers.add(response!.req, response!);
+	assert.equal(answers.count(), 0);
+	assert.deepEqual(unfinished.map(({reason}) => reason), ['caller_closed', 'caller_closed']);
+});
--- a/packages/common/src/owed-answers.ts
+++ b/packages/common/src/owed-answers.ts
@@ -96,6 +96,7 @@
 			const answer: OwedAnswer = {request, response, bytesBefore: socket.bytesWritten - socket.writableLength};
 			owed.add(answer);
 			connection.owed++;
+			let stopWatching = (): void => {/* A connection that has closed already calls back before it is watched. */};
 			const settle = (isDelivered: boolean): void => {
 				if (!owed.delete(answer)) {
 					return;
@@ -114,7 +115,7 @@
 				}
 			};
 
-			const stopWatching = watchConnection(socket, () => {
+			stopWatching = watchConnection(socket, () => {
 				settle(response.writableFinished);
 			});
 			response.once('finish', () => {
