The fault soak has callers that pipeline, and some that read large answers slowly

Their random numbers are their own, so that the plans of known seeds stay. With planned work only, each request that ran has a whole answer in its turn before its deadline; in all runs no answer belongs to another request, and a call that must not be repeated and ran is not refused. Checks: check-history.test.ts.

--- a/scripts/soak/src/check-history.test.ts
+++ b/scripts/soak/src/check-history.test.ts
@@ -5,7 +5,7 @@
 import {findViolations} from './check-history.js';
 import {formatExpectedStream} from './format-events.js';
 import {
-	type CallOutcome, type CompletedCall, type History, type BackendRun,
+	type CallOutcome, type CompletedCall, type History, type BackendRun, type PipelinedCall,
 } from './history.js';
 
 const makeAnswer = (changes: Partial<CallOutcome & {kind: 'answered'}> = {}): CallOutcome => ({
@@ -24,6 +24,7 @@
 	calls: [makeCall()], limitedCalls: [],
 	crashingCalls: [],
 	leavingCalls: [],
+	pipelinedCalls: [],
 	crashes: [], streams: [], lastingVersions: ['v1'], runs: [makeRun()], duties: [], disturbances: [], bans: [], arrivals: [], limits: [], linkDisturbances: [], cuts: [], brittleSpans: [], rejections: [], ownEnds: [], neverReady: [], calmFrom: 9000, hasOnlyPlannedWork: false, ...changes,
 });
 
@@ -206,3 +207,19 @@
 	assert.deepEqual(find({arrivals: arrivals.slice(1)}), []);
 	assert.deepEqual(find({linkDisturbances: [{backend: 'engine-0', from: leftAt, until: leftAt + 400}]}), []);
 });
+
+const pipelinedCall: PipelinedCall = {
+	id: 'p-1', route: 'book', daemon: 'daemon-0', sentAt: 1000, endedAt: 2000, error: undefined, hasEnded: true, answer: {status: 200, requestId: 'p-1', isWhole: true},
+};
+
+test('a pipelined call that ran is reported if planned work loses its answer, if it is refused, or if it gets the answer of another one', () => {
+	const run = makeRun({id: 'p-1'});
+	const find = (change: Partial<PipelinedCall>): string[] => findViolations(makeHistory({pipelinedCalls: [{...pipelinedCall, ...change}], runs: [makeRun(), run], hasOnlyPlannedWork: true})).filter(text => text.includes('pipelined'));
+	const {answer: _answer, ...unanswered} = pipelinedCall;
+	assert.deepEqual(find({}), []);
+	assert.equal(find({answer: {status: 200, requestId: 'p-1', isWhole: false}}).length, 1);
+	assert.equal(find({answer: {status: 503, requestId: 'p-1', isWhole: true}}).length, 1);
+	assert.equal(find({answer: {status: 200, requestId: 'p-2', isWhole: true}}).length, 1);
+	assert.equal(findViolations(makeHistory({pipelinedCalls: [unanswered], runs: [makeRun(), run], hasOnlyPlannedWork: true})).filter(text => text.includes('pipelined')).length, 1);
+	assert.deepEqual(findViolations(makeHistory({pipelinedCalls: [unanswered], hasOnlyPlannedWork: true})).filter(text => text.includes('pipelined')), [], 'it crossed the end of its connection');
+});
--- a/scripts/soak/src/check-history.ts
+++ b/scripts/soak/src/check-history.ts
@@ -6,6 +6,7 @@
 import {findLimitViolations} from './check-limits.js';
 import {findContinuityViolations} from './check-continuity.js';
 import {findLeaveViolations} from './leaving-callers.js';
+import {findPipeliningViolations} from './pipelining-callers.js';
 import {findRepeatViolations} from './check-repeats.js';
 import {formatExpectedStream, listVersions, removeVersions} from './format-events.js';
 import {findQuotaViolations} from './limited-account.js';
@@ -172,7 +173,7 @@
 export const findViolations = (history: History): string[] => {
 	const runsById = groupById(history.runs);
 	const sentIds = new Set([
-		...[...history.calls, ...history.limitedCalls, ...history.crashingCalls, ...history.leavingCalls].map(call => call.id),
+		...[...history.calls, ...history.limitedCalls, ...history.crashingCalls, ...history.leavingCalls, ...history.pipelinedCalls].map(call => call.id),
 		...history.streams.flatMap(({attemptIds}) => attemptIds),
 	]);
 	const unrequested = [...runsById.keys()].filter(id => !sentIds.has(id)).map(id => `${id}: ran, but no caller sent it`);
@@ -193,6 +194,7 @@
 		...findCrashViolations(history, (daemon, at) => isDisturbed(history, daemon, at, at)),
 		...findContinuityViolations(history),
 		...findLeaveViolations(history),
+		...findPipeliningViolations(history),
 		...findRepeatViolations(history),
 		...checkRecovery(history),
 	];
--- a/scripts/soak/src/history.ts
+++ b/scripts/soak/src/history.ts
@@ -116,12 +116,29 @@
 	readonly leftAt: number;
 };
 
+/** One of several requests that a caller sent at once. */
+export type PipelinedCall = {
+	readonly id: string;
+	readonly route: RouteName;
+	readonly daemon: string;
+	readonly sentAt: number;
+	/** When its caller closed the connection or saw its end. */
+	readonly endedAt: number;
+	/** What came in its turn. Undefined if nothing did. */
+	readonly answer?: {readonly status: number; readonly requestId: string; readonly isWhole: boolean};
+	/** How the connection failed. */
+	readonly error: string | undefined;
+	/** Whether the connection ended before its caller closed it. */
+	readonly hasEnded: boolean;
+};
+
 export type History = {
 	readonly calls: readonly CompletedCall[];
 	/** Calls of the account that exceeds its limit. */
 	readonly limitedCalls: readonly CompletedCall[];
 	readonly crashingCalls: readonly CrashingCall[];
 	readonly leavingCalls: readonly LeavingCall[];
+	readonly pipelinedCalls: readonly PipelinedCall[];
 	/** When engines crashed under such requests. */
 	readonly crashes: readonly number[];
 	/** Streams whose callers lose their connections and take them up again. */
--- a/scripts/soak/src/run-soak.ts
+++ b/scripts/soak/src/run-soak.ts
@@ -6,6 +6,7 @@
 import {runStreams} from '@shallotpass/platform/stand-ins/stream-callers.js';
 import {runCrashingCaller} from './crashing-part.js';
 import {leavingCallers, runLeavingCaller} from './leaving-callers.js';
+import {pipeliningCallers, runPipeliningCaller} from './pipelining-callers.js';
 import {limitedCallers, runLimitedCaller} from './limited-account.js';
 import {eventsPerStream} from './format-events.js';
 import {runCaller} from './run-caller.js';
@@ -44,6 +45,9 @@
 /** Added to the seeds of the callers that leave. */
 const leavingSeedOffset = 800;
 
+/** Added to the seeds of the callers that send several requests at once. */
+const pipeliningSeedOffset = 900;
+
 /** Added to the seed of the callers that take up streams, how many streams begin, and the share of their attempts that lose the connection. */
 const streamSeedOffset = 700;
 const streamsPerSecond = 6;
@@ -130,6 +134,9 @@
 		const leavingRuns = Array.from({length: leavingCallers}, async (_value, index) => runLeavingCaller({
 			cluster, name: `leaving-${index}`, random: makeRandom((options.seed * 1000) + leavingSeedOffset + index), signal: faultsController.signal,
 		}));
+		const pipeliningRuns = Array.from({length: pipeliningCallers}, async (_value, index) => runPipeliningCaller({
+			cluster, name: `pipelining-${index}`, random: makeRandom((options.seed * 1000) + pipeliningSeedOffset + index), signal: faultsController.signal,
+		}));
 		const streamsRun = runStreams({
 			listAddresses: () => cluster.daemons.map(({process}) => process.settings.listen.callers),
 			name: 'stream', random: makeRandom((options.seed * 1000) + streamSeedOffset), cutShare: streamCutShare, events: eventsPerStream, perSecond: streamsPerSecond, signal: callersController.signal,
@@ -147,11 +154,13 @@
 		const calls: CompletedCall[] = callsByCaller.flat();
 		const limitedCallsByCaller = await Promise.all(limitedRuns);
 		const leavingCallsByCaller = await Promise.all(leavingRuns);
+		const pipelinedCallsByCaller = await Promise.all(pipeliningRuns);
 		const history: History = {
 			calls,
 			limitedCalls: limitedCallsByCaller.flat(),
 			crashingCalls: await crashingRun,
 			leavingCalls: leavingCallsByCaller.flat(),
+			pipelinedCalls: pipelinedCallsByCaller.flat(),
 			crashes: cluster.crashes,
 			streams: await streamsRun,
 			lastingVersions: [lastingVersion],
