--- a/packages/common/src/owed-answers.ts
+++ b/packages/common/src/owed-answers.ts
@@ -132,6 +132,7 @@
 			connection.owed++;
 			connection.heads++;
 			connection.newest = answer;
+			let stopWatching = (): void => {/* A connection that has closed already calls back before it is watched. */};
 			const settle = (isDelivered: boolean): void => {
 				if (!owed.delete(answer)) {
 					return;
@@ -151,7 +152,7 @@
 				notifySettled(connection);
 			};
 
-			const stopWatching = watchConnection(socket, () => {
+			stopWatching = watchConnection(socket, () => {
 				settle(response.writableFinished);
 			});
 			response.once('finish', () => {
