A stream that begins at an engine which has started again goes on once the directory tells its version

What callers saw: 503 at each try to take up a stream whose engine had started again under its id just before, though the entry told of it soon. Cause: the first event was sent on while the question for the start was open; the answer named a later start than the entry's, and was dropped. The stream had no origin for good. Ruled out: the records and their keepers (all five daemons that were asked answered, within 41 ms). Change: the agent remembers which connections lead to a process that started later: those between the first connection on which it answered and the last one before a question that it answered. The stream is recorded with the version of the entry that names the same id, address and start, within 2.5 s; a stream that broke off waits 0.6 s for it. Nothing is assumed: without that entry the stream is refused as before.

--- a/packages/gateway/src/calls/backend-agent.ts
+++ b/packages/gateway/src/calls/backend-agent.ts
@@ -67,6 +67,12 @@
 	socket.end();
 };
 
+/** Numbers of the first and the last connection of which it is known that they lead to a process. */
+type ConnectionSpan = {readonly first: number; readonly last: number};
+
+/** Processes at the address that are remembered beside the one of the directory. */
+const maxLaterProcesses = 4;
+
 export class BackendAgent extends http.Agent {
 	/** Number of open connections, in use or idle. */
 	openConnections = 0;
@@ -77,6 +83,8 @@
 	 * process. That other connections look open says nothing of a new one, as the end of a process may not have been seen yet.
 	 */
 	confirmedConnection = 0;
+	/** Connections of processes that started later, by the start that they told. */
+	private readonly laterProcesses = new Map<number, ConnectionSpan>();
 
 	constructor(private readonly connectionOptions: BackendAgentOptions = {}) {
 		super({
@@ -146,6 +154,21 @@
 		this.confirmedConnection = Math.max(this.confirmedConnection, connection);
 	}
 
+	/** Records that a process that started later answered on a connection, to a question that was written when another one had been established last. */
+	recordLaterProcess(startedAt: number, answeredOn: number, lastConnection: number): void {
+		const known = this.laterProcesses.get(startedAt) ?? {first: answeredOn, last: lastConnection};
+		this.laterProcesses.set(startedAt, {first: Math.min(known.first, answeredOn), last: Math.max(known.last, lastConnection)});
+		if (this.laterProcesses.size > maxLaterProcesses) {
+			this.laterProcesses.delete(this.laterProcesses.keys().next().value!);
+		}
+	}
+
+	/** Returns the start of the later process to which the connection leads: it lived before the connection was established, and after it. */
+	findLaterProcess(connection: number | undefined): number | undefined {
+		const isWithin = ({first, last}: ConnectionSpan): boolean => connection !== undefined && first <= connection && connection <= last;
+		return [...this.laterProcesses].find(([, span]) => isWithin(span))?.[0];
+	}
+
 	/** Returns the number of the idle connection that the next request gets. Undefined if it gets a new one. */
 	findNextConnection(): number | undefined {
 		const idle = Object.values(this.freeSockets).flatMap(sockets => sockets ?? []);
--- a/packages/gateway/src/calls/confirm-incarnation.ts
+++ b/packages/gateway/src/calls/confirm-incarnation.ts
@@ -4,6 +4,8 @@
  */
 import {setTimeout as sleep} from 'node:timers/promises';
 import {type GatewayState} from '../gateway-state.js';
+import {pauseFor} from '../pause.js';
+import {getConnectionNumber} from './backend-agent.js';
 import {type BackendState} from './backend-registry.js';
 
 /** Timeout of the question. Backend servers answer it beside their calls, within some milliseconds unless they are very busy. */
@@ -25,10 +27,12 @@
 const askForStart = async (gateway: GatewayState, state: BackendState): Promise<IncarnationFinding> => {
 	const {agent, entry} = state;
 	let lastConnection = 0;
+	let connection: number | undefined;
 	const reply = await gateway.engines.readStart({address: entry.address, agent}, {
 		timeoutMs: askTimeoutMs, signal: gateway.stopSignal,
-		onSend() {
+		onSend(socket) {
 			lastConnection = agent.lastConnection;
+			connection = getConnectionNumber(socket);
 		},
 	});
 	switch (reply.kind) {
@@ -48,6 +52,7 @@
 				return 'confirmed';
 			}
 
+			agent.recordLaterProcess(reply.startedAt, connection ?? Infinity, lastConnection);
 			state.suspendedUntil = gateway.clocks.steady() + entryLagMs;
 			gateway.log.write('state', 'backend_unreachable', {
 				backend: entry.id, address: entry.address, reason: 'other_incarnation', failures: 0, pauseMs: entryLagMs,
@@ -102,6 +107,33 @@
 	return isContinued ? finding : waitShortly(finding);
 };
 
+const entryPollMs = 50;
+
+/** Finds the version of the process to which the connection leads, if it started after that of the state, once the directory tells of it. */
+const findLaterVersion = async (gateway: GatewayState, state: BackendState, connection: number | undefined): Promise<string | undefined> => {
+	const {agent, entry: {id, address}} = state;
+	if (agent.findLaterProcess(connection) === undefined) {
+		await askOnce(gateway, state);
+	}
+
+	const startedAt = agent.findLaterProcess(connection);
+	if (startedAt === undefined) {
+		return undefined;
+	}
+
+	const until = gateway.clocks.steady() + entryLagMs;
+	while (gateway.clocks.steady() < until && !gateway.stopSignal.aborted) {
+		const entry = gateway.registry.byId.get(id)?.entry;
+		if (entry?.startedAt === startedAt && entry.address === address) {
+			return entry.softwareVersion;
+		}
+
+		await pauseFor(entryPollMs, gateway.stopSignal); // eslint-disable-line no-await-in-loop -- a poll
+	}
+
+	return undefined;
+};
+
 /** What is known of the version that answers when the answer begins. */
 export type AnsweringVersion = {
 	/** Undefined if it is not known yet. */
@@ -119,6 +151,6 @@
 	const confirmation = confirmConnection(gateway, state, connection);
 	const toVersion = (finding: IncarnationFinding): string | undefined => finding === 'confirmed' ? state.entry.softwareVersion : undefined;
 	const softwareVersion = toVersion(await waitShortly(confirmation));
-	const findLater = async (): Promise<string | undefined> => toVersion(await confirmation);
+	const findLater = async (): Promise<string | undefined> => toVersion(await confirmation) ?? findLaterVersion(gateway, state, connection);
 	return {softwareVersion, later: softwareVersion === undefined ? findLater() : undefined};
 };
--- a/packages/gateway/src/calls/serve-stream.ts
+++ b/packages/gateway/src/calls/serve-stream.ts
@@ -53,6 +53,9 @@
 const roomWaitMs = 1500;
 const roomRetryMs = 100;
 
+/** Time for which a stream that broke off waits for the version of its events. */
+const versionWaitMs = 600;
+
 /** What follows an attempt: the end of the call, or another attempt if it is allowed. */
 type NextStep =
 	| {readonly kind: 'end'; readonly outcome: CallOutcome}
@@ -222,7 +225,10 @@
 
 	stream.roomWaitUntil = gateway.clocks.steady() + roomWaitMs;
 	recordInterruption(stream, attempt, forwarded.excess);
-	await stream.pendingVersion;
+	if (stream.pendingVersion !== undefined) {
+		await Promise.race([stream.pendingVersion, pauseFor(versionWaitMs, signal)]);
+	}
+
 	if (!canGoOn(stream)) {
 		logNotContinued(stream, attempt);
 		return endWith(makeStreamFailureOutcome(stream));
--- a/packages/gateway/src/ports.ts
+++ b/packages/gateway/src/ports.ts
@@ -1,5 +1,6 @@
 /** Interfaces between the gateway and the platform it runs on, in the gateway's own terms. The package in `platform/` implements them. */
 import {type Agent, type IncomingHttpHeaders} from 'node:http';
+import {type Socket} from 'node:net';
 import {type PromptPart} from '@shallotpass/core/calls/types.js';
 import {type ServingConfiguration} from '@shallotpass/core/calls/serving-configuration.js';
 import {type BackendEntry} from '@shallotpass/core/directory/types.js';
@@ -98,8 +99,8 @@
 	| {readonly kind: 'failed'; readonly reason: string};
 
 export type Engines = {
-	/** Asks a backend server when it started, over its pooled connections. `onSend` is called as the question is written. */
-	readonly readStart: (source: {readonly address: string; readonly agent: Agent}, options: CallOptions & {readonly onSend?: () => void}) => Promise<StartReply>;
+	/** Asks a backend server when it started, over its pooled connections. `onSend` is called with the connection as the question is written. */
+	readonly readStart: (source: {readonly address: string; readonly agent: Agent}, options: CallOptions & {readonly onSend?: (socket: Socket) => void}) => Promise<StartReply>;
 	/** Stops a run and copies its KV cache to another backend server. */
 	readonly stopAndMove: (
 		source: {readonly address: string; readonly agent: Agent},
