A busy daemon waits for the answer to its question before it begins a stream without it

What callers saw: 503 at each try to take up one in some hundred streams, on machines with more to run than cores, while engines start again under their ids at another version. Cause: a stream waits 100 ms for the confirmation of its engine. One timer that fires late ends that wait before what has arrived is read, so streams began at engines of which the answer said a moment later that they had started again. Change: the wait is made of five steps of 20 ms, so that the loop reads between them. Conclusion: without load the wait is as long as before.

--- a/packages/gateway/src/calls/confirm-incarnation.ts
+++ b/packages/gateway/src/calls/confirm-incarnation.ts
@@ -96,10 +96,21 @@
 export const confirmIncarnation = async (gateway: GatewayState, state: BackendState): Promise<IncarnationFinding> =>
 	mayBeOther(state, state.agent.findNextConnection()) ? askOnce(gateway, state) : 'confirmed';
 
-/** Time that a stream waits for the confirmation before it is sent, and before its answer is forwarded. A new one goes on without it. */
-const confirmationWaitMs = 100;
+/**
+ * Time that a stream waits for the confirmation before it is sent, and before its answer is forwarded, in steps: a busy process is late with the timer and with
+ * reading the answer, and one late timer would end the wait before anything was read. A new stream goes on without the confirmation.
+ */
+const confirmationStepMs = 20;
+const confirmationSteps = 5;
 
-const waitShortly = async (finding: Promise<IncarnationFinding>): Promise<IncarnationFinding> => Promise.race([finding, sleep(confirmationWaitMs, 'unknown' as const)]);
+const waitShortly = async (finding: Promise<IncarnationFinding>): Promise<IncarnationFinding> => {
+	let found: IncarnationFinding | undefined;
+	for (let step = 0; step < confirmationSteps && found === undefined; step++) {
+		found = await Promise.race([finding, sleep(confirmationStepMs, undefined)]); // eslint-disable-line no-await-in-loop -- one step after the other
+	}
+
+	return found ?? 'unknown';
+};
 
 /** Confirms the incarnation before a stream is sent. One that has begun waits for the answer, a new one only shortly. */
 export const confirmBeforeSend = async (gateway: GatewayState, state: BackendState, isContinued: boolean): Promise<IncarnationFinding> => {
