An engine whose entry does not tell its start has no known version

What callers saw: a stream of v2 went on at v1, as one whole answer. Cause: an entry without a start was taken at its word and never compared with the process, so an engine that had started again under its id at another version was taken for the one before until its entry told. Change: such an engine serves, but its streams have no version: they are not continued, and refused when they are taken up. Test, written first: on it failed, the stream went on at v1; passes now. Conclusion: the protocol says that each entry has its start, so nothing is lost by it.

--- a/packages/gateway/src/calls/confirm-incarnation.ts
+++ b/packages/gateway/src/calls/confirm-incarnation.ts
@@ -21,11 +21,15 @@
 const pendingQuestions = new WeakMap<BackendState, Promise<IncarnationFinding>>();
 
 /** Whether the connection may lead to another incarnation than the directory tells. */
-const mayBeOther = ({agent, entry}: BackendState, connection: number | undefined): boolean =>
-	entry.startedAt !== undefined && !agent.isConfirmed(connection);
+const mayBeOther = ({agent}: BackendState, connection: number | undefined): boolean => !agent.isConfirmed(connection);
 
 const askForStart = async (gateway: GatewayState, state: BackendState): Promise<IncarnationFinding> => {
 	const {agent, entry} = state;
+	if (entry.startedAt === undefined) {
+		// No answer could tell whether it is the process that wrote the entry.
+		return 'unknown';
+	}
+
 	let lastConnection = 0;
 	let connection: number | undefined;
 	const reply = await gateway.engines.readStart({address: entry.address, agent}, {
