--- a/packages/gateway/src/calls/confirm-incarnation.ts
+++ b/packages/gateway/src/calls/confirm-incarnation.ts
@@ -4,6 +4,8 @@
  */
 import {setTimeout as sleep} from 'node:timers/promises';
 import {type GatewayState} from '../gateway-state.js';
+import {pauseFor} from '../pause.js';
+import {getConnectionNumber} from './backend-agent.js';
 import {type BackendState} from './backend-registry.js';
 
 /** Timeout of the question. Backend servers answer it beside their calls, within some milliseconds unless they are very busy. */
@@ -19,16 +21,22 @@
 const pendingQuestions = new WeakMap<BackendState, Promise<IncarnationFinding>>();
 
 /** Whether the connection may lead to another incarnation than the directory tells. */
-const mayBeOther = ({agent, entry}: BackendState, connection: number | undefined): boolean =>
-	entry.startedAt !== undefined && !agent.isConfirmed(connection);
+const mayBeOther = ({agent}: BackendState, connection: number | undefined): boolean => !agent.isConfirmed(connection);
 
 const askForStart = async (gateway: GatewayState, state: BackendState): Promise<IncarnationFinding> => {
 	const {agent, entry} = state;
+	if (entry.startedAt === undefined) {
+		// No answer could tell whether it is the process that wrote the entry.
+		return 'unknown';
+	}
+
 	let lastConnection = 0;
+	let connection: number | undefined;
 	const reply = await gateway.engines.readStart({address: entry.address, agent}, {
 		timeoutMs: askTimeoutMs, signal: gateway.stopSignal,
-		onSend() {
+		onSend(socket) {
 			lastConnection = agent.lastConnection;
+			connection = getConnectionNumber(socket);
 		},
 	});
 	switch (reply.kind) {
@@ -48,6 +56,7 @@
 				return 'confirmed';
 			}
 
+			agent.recordLaterProcess(reply.startedAt, connection ?? Infinity, lastConnection);
 			state.suspendedUntil = gateway.clocks.steady() + entryLagMs;
 			gateway.log.write('state', 'backend_unreachable', {
 				backend: entry.id, address: entry.address, reason: 'other_incarnation', failures: 0, pauseMs: entryLagMs,
@@ -91,10 +100,21 @@
 export const confirmIncarnation = async (gateway: GatewayState, state: BackendState): Promise<IncarnationFinding> =>
 	mayBeOther(state, state.agent.findNextConnection()) ? askOnce(gateway, state) : 'confirmed';
 
-/** Time that a stream waits for the confirmation before it is sent, and before its answer is forwarded. A new one goes on without it. */
-const confirmationWaitMs = 100;
+/**
+ * Time that a stream waits for the confirmation before it is sent, and before its answer is forwarded, in steps: a busy process is late with the timer and with
+ * reading the answer, and one late timer would end the wait before anything was read. A new stream goes on without the confirmation.
+ */
+const confirmationStepMs = 20;
+const confirmationSteps = 5;
 
-const waitShortly = async (finding: Promise<IncarnationFinding>): Promise<IncarnationFinding> => Promise.race([finding, sleep(confirmationWaitMs, 'unknown' as const)]);
+const waitShortly = async (finding: Promise<IncarnationFinding>): Promise<IncarnationFinding> => {
+	let found: IncarnationFinding | undefined;
+	for (let step = 0; step < confirmationSteps && found === undefined; step++) {
+		found = await Promise.race([finding, sleep(confirmationStepMs, undefined)]); // eslint-disable-line no-await-in-loop -- one step after the other
+	}
+
+	return found ?? 'unknown';
+};
 
 /** Confirms the incarnation before a stream is sent. One that has begun waits for the answer, a new one only shortly. */
 export const confirmBeforeSend = async (gateway: GatewayState, state: BackendState, isContinued: boolean): Promise<IncarnationFinding> => {
@@ -102,6 +122,33 @@
 	return isContinued ? finding : waitShortly(finding);
 };
 
+const entryPollMs = 50;
+
+/** Finds the version of the process to which the connection leads, if it started after that of the state, once the directory tells of it. */
+const findLaterVersion = async (gateway: GatewayState, state: BackendState, connection: number | undefined): Promise<string | undefined> => {
+	const {agent, entry: {id, address}} = state;
+	if (agent.findLaterProcess(connection) === undefined) {
+		await askOnce(gateway, state);
+	}
+
+	const startedAt = agent.findLaterProcess(connection);
+	if (startedAt === undefined) {
+		return undefined;
+	}
+
+	const until = gateway.clocks.steady() + entryLagMs;
+	while (gateway.clocks.steady() < until && !gateway.stopSignal.aborted) {
+		const entry = gateway.registry.byId.get(id)?.entry;
+		if (entry?.startedAt === startedAt && entry.address === address) {
+			return entry.softwareVersion;
+		}
+
+		await pauseFor(entryPollMs, gateway.stopSignal); // eslint-disable-line no-await-in-loop -- a poll
+	}
+
+	return undefined;
+};
+
 /** What is known of the version that answers when the answer begins. */
 export type AnsweringVersion = {
 	/** Undefined if it is not known yet. */
@@ -119,6 +166,6 @@
 	const confirmation = confirmConnection(gateway, state, connection);
 	const toVersion = (finding: IncarnationFinding): string | undefined => finding === 'confirmed' ? state.entry.softwareVersion : undefined;
 	const softwareVersion = toVersion(await waitShortly(confirmation));
-	const findLater = async (): Promise<string | undefined> => toVersion(await confirmation);
+	const findLater = async (): Promise<string | undefined> => toVersion(await confirmation) ?? findLaterVersion(gateway, state, connection);
 	return {softwareVersion, later: softwareVersion === undefined ? findLater() : undefined};
 };
