--- a/packages/gateway/src/calls/callers-server.ts
+++ b/packages/gateway/src/calls/callers-server.ts
@@ -29,7 +29,7 @@
 export const keepAliveMarginMs = 500;
 
 /** Maximum number of connections waiting to be accepted. */
-const backlog = 1024;
+export const acceptBacklogLength = 1024;
 
 /** Maximum number of queued requests. Each holds its header fields and about 64 kB of its body, 130 kB in all at most; the rest of the body stays in the kernel. */
 export const maxQueuedRequests = 512;
@@ -70,7 +70,7 @@
 
 const listenOn = async (server: http.Server, address: string): Promise<void> => new Promise((resolve, reject) => {
 	server.once('error', reject);
-	server.listen({...parseHostAndPort(address), backlog}, () => {
+	server.listen({...parseHostAndPort(address), backlog: acceptBacklogLength}, () => {
 		server.off('error', reject);
 		resolve();
 	});
--- a/packages/gateway/src/drain-gateway.ts
+++ b/packages/gateway/src/drain-gateway.ts
@@ -10,7 +10,7 @@
 /** Draining ends this long before the platform kills the process. */
 const killMarginMs = 300;
 
-/** New connections are accepted this long after SIGTERM: the load balancer may send some until then, and an answer tells callers to go elsewhere. */
+/** New connections are accepted this long after SIGTERM, as the load balancer may send some until then. */
 const acceptConnectionsMs = 3200;
 
 /** Time for callers with idle connections to close their side. */
@@ -22,8 +22,8 @@
 export type DrainOptions = {
 	readonly gateway: GatewayState;
 	readonly listener: CallersListener;
-	/** When the stop was requested, on the steady clock. All periods count from then. */
-	readonly requestedAt: number;
+	/** When the stop was requested, on the steady clock, from which the periods count. Now by default. */
+	readonly requestedAt?: number | undefined;
 	/** Stops all components but the listeners for callers and for readiness checks. */
 	readonly stopComponents: () => void;
 };
@@ -31,23 +31,25 @@
 /** Resolves when the process may exit: nothing is owed and callers have closed their connections, or the grace period ends. */
 export const drainGateway = async ({gateway, listener: {connections, stopAccepting}, requestedAt, stopComponents}: DrainOptions): Promise<void> => {
 	const {answers, clocks, log, settings: {bounds: {graceMs}}} = gateway;
-	const endAt = requestedAt + graceMs - killMarginMs;
+	const since = requestedAt ?? clocks.steady();
+	const endAt = since + graceMs - killMarginMs;
 	const waitUntil = async (check: () => boolean): Promise<void> => {
 		while (!check() && clocks.steady() < endAt) {
 			await sleep(drainPollMs); // eslint-disable-line no-await-in-loop -- a poll
 		}
 	};
 
-	gateway.drainingSince = requestedAt;
+	gateway.drainingSince = since;
 	log.write('state', 'draining', {activeCalls: gateway.activeCalls, owedAnswers: answers.count(), graceMs});
 	await waitUntil(() => {
 		// A call on a connection that stays open would be refused from now on. On another one it reaches another daemon.
-		if (clocks.steady() >= requestedAt + acceptDuringDrainMs) {
+		if (clocks.steady() >= since + acceptDuringDrainMs) {
 			connections.endSettled({isAnswered: true});
 		}
 
-		return clocks.steady() >= requestedAt + acceptConnectionsMs && answers.count() === 0;
+		return clocks.steady() >= since + acceptConnectionsMs;
 	});
+	// New callers would keep it from ever owing nothing.
 	await stopAccepting();
 	const closeIdleAt = clocks.steady() + idleCloseMs;
 	await waitUntil(() => {
@@ -57,6 +59,6 @@
 	answers.reportAll();
 	stopComponents();
 	// What callers have not read yet lies with the system, which drops it if they send anything after this process has exited.
-	await waitUntil(() => connections.countOpen() === 0 || (clocks.steady() >= closeIdleAt && connections.countAnsweredSince(requestedAt - maxReadMs) === 0));
-	log.write('state', 'stopped', {activeCalls: gateway.activeCalls, owedAnswers: answers.count(), tookMs: Math.round(clocks.steady() - requestedAt)});
+	await waitUntil(() => connections.countOpen() === 0 || (clocks.steady() >= closeIdleAt && connections.countAnsweredSince(since - maxReadMs) === 0));
+	log.write('state', 'stopped', {activeCalls: gateway.activeCalls, owedAnswers: answers.count(), tookMs: Math.round(clocks.steady() - since)});
 };
--- a/packages/gateway/src/start-gateway.ts
+++ b/packages/gateway/src/start-gateway.ts
@@ -63,8 +63,8 @@
 export type Gateway = {
 	readonly state: GatewayState;
 	/**
-	 * Answers the calls in flight, refuses new ones after a while, and resolves when the process may exit. The periods count from
-	 * when the stop was requested, on the steady clock, or from now.
+	 * Answers the calls in flight, refuses new ones after a while, and resolves when the process may exit. The periods count from when
+	 * the stop was requested, on the steady clock, or from now. A second call joins the first.
 	 */
 	readonly drain: (requestedAt?: number) => Promise<void>;
 	/** Applies changed settings. Those of the listeners and of the instance take effect only at the next start. */
@@ -227,7 +227,7 @@
 	let drained: Promise<void> | undefined;
 	return {
 		state,
-		async drain(requestedAt = clocks.steady()) {
+		async drain(requestedAt) {
 			drained ??= drainGateway({
 				gateway: state, listener, requestedAt, stopComponents() {
 					controller.abort();
