--- a/packages/common/src/value-bounds.ts
+++ b/packages/common/src/value-bounds.ts
@@ -54,3 +54,16 @@
 
 /** Version of a configuration. A larger one would hide all that follow. */
 export const configurationVersionSchema = z.number().nonnegative().max(Number.MAX_SAFE_INTEGER);
+
+const isAmount = (amount: number): boolean => amount >= 0 && amount <= maxAmount;
+
+/** Amounts by a key. They are checked at once, as reports have thousands of them several times a second. */
+export const amountsSchema = z.record(z.string(), z.number()).transform(amounts => Object.values(amounts).every(amount => isAmount(amount))
+	? amounts
+	: Object.fromEntries(Object.entries(amounts).map(([key, amount]) => [key, limitAmount(amount)])));
+
+/** Amounts by their position. */
+export const amountListSchema = z.array(z.number()).transform(amounts => amounts.every(amount => isAmount(amount)) ? amounts : amounts.map(amount => limitAmount(amount)));
+
+/** True time in milliseconds since the epoch. */
+export const trueTimeSchema = z.number().nonnegative().max(maxEpochMs);
--- a/packages/core/src/crashes/reported-evidence.ts
+++ b/packages/core/src/crashes/reported-evidence.ts
@@ -1,4 +1,5 @@
 /** Evidence in gossip reports, and in the lease record. It is bounded, so that control stays small while many parts are suspected. */
+import {trueTimeSchema} from '@shallotpass/common/value-bounds.js';
 import * as z from 'zod';
 import {getSlot, listDeaths, mergeEvidence} from './crash-evidence.js';
 import {
@@ -23,7 +24,7 @@
 const repeatSuspicionsMs = 60_000;
 
 /** Incarnation, true time, account, request, and 1 if the answer had begun. */
-const reportedDeathSchema = z.tuple([z.int(), z.number(), z.int(), z.int(), z.int()]);
+const reportedDeathSchema = z.tuple([z.int(), trueTimeSchema, z.int(), z.int(), z.int()]);
 
 export const reportedEvidenceSchema = z.object({
 	kind: z.enum(['part', 'request']),
@@ -38,7 +39,7 @@
 export const reportedCrashesSchema = z.object({
 	entries: z.array(reportedEvidenceSchema),
 	/** Incarnations that were taken for dead, and the latest true time at which they were not. */
-	refuted: z.array(z.tuple([z.int(), z.number()])),
+	refuted: z.array(z.tuple([z.int(), trueTimeSchema])),
 });
 
 export type ReportedCrashes = z.infer<typeof reportedCrashesSchema>;
--- a/packages/core/src/gossip/gossip-report.ts
+++ b/packages/core/src/gossip/gossip-report.ts
@@ -5,7 +5,7 @@
  */
 import {getOwn, mergeRecords} from '@shallotpass/common/records.js';
 import {
-	addressSchema, ageSchema, configurationVersionSchema, maxAmount, maxTextLength, offsetSchema,
+	addressSchema, ageSchema, amountListSchema, amountSchema, amountsSchema, configurationVersionSchema, maxAmount, maxTextLength, offsetSchema, textSchema, trueTimeSchema,
 } from '@shallotpass/common/value-bounds.js';
 import * as z from 'zod';
 import {mergeReportedCrashes, noReportedCrashes, reportedCrashesSchema} from '../crashes/reported-evidence.js';
@@ -18,7 +18,8 @@
 import {rolloutResultsSchema, rolloutSchema} from '../rollouts/types.js';
 import {toZoneSource} from '../usage/count-starts.js';
 
-const amounts = z.record(z.string(), z.number());
+/** Daemons in a deployment. Limits are shared among as many as are reported. */
+const daemonCountSchema = z.int().nonnegative().max(100_000);
 
 /** Versions and ages of the store data that a daemon holds. Other daemons compare them with their own without a request. */
 export const storeVersionsSchema = z.object({
@@ -38,46 +39,49 @@
 
 export type StoreVersions = z.infer<typeof storeVersionsSchema>;
 
-const reportedParticipant = z.tuple([z.string(), z.string(), z.number()]);
+/** Levels are logarithms of calls per second. */
+const maxLevel = 32;
+
+const reportedParticipant = z.tuple([z.string(), z.string(), z.number().min(-maxLevel).max(maxLevel)]);
 
 export const gossipReportSchema = z.object({
 	/** Id of the daemon, or of the relay that computed the sum. */
-	id: z.string(),
+	id: textSchema,
 	/** Identifies one run of the daemon's process. In a sum it is the prefix `zone:` or `total:` and the relay's zone. */
-	incarnation: z.string(),
+	incarnation: textSchema,
 	address: addressSchema,
-	availabilityZone: z.string(),
+	availabilityZone: textSchema,
 	/** Bandwidth of the sender's network link, in Mbit/s. */
-	linkMbps: z.number(),
+	linkMbps: amountSchema,
 	/** Whether the daemon may keep limits of client accounts. Those of earlier versions count for themselves. */
 	keepsQuotas: z.boolean().optional(),
 	/** Whether the daemon remembers the origins of streams. Those of earlier versions don't. */
 	keepsOrigins: z.boolean().optional(),
 	/** Number of daemons that the report covers. */
-	daemons: z.int(),
+	daemons: daemonCountSchema,
 	/** Number of daemons in zones that stopped reporting. They may still admit calls that no other daemon counts. */
-	silentDaemons: z.int().default(0),
+	silentDaemons: daemonCountSchema.default(0),
 	/** Store data held by the sender, which in a sum is the relay. */
 	known: storeVersionsSchema,
 	/** Cost units requested per second, by client account. */
-	demands: amounts,
+	demands: amountsSchema,
 	/** Cost units admitted in each slot of the rate limit window, newest first, by client account. */
-	spent: z.record(z.string(), z.array(z.number())),
+	spent: z.record(z.string(), amountListSchema),
 	/**
 	 * Load by backend id: running calls, pending prompt tokens by rank, then the measured prefill as tokens and milliseconds, then the
 	 * measured plain calls as number in hundredths and milliseconds. Daemons of earlier versions don't report the last two.
 	 */
-	loads: z.record(z.string(), z.array(z.number())),
+	loads: z.record(z.string(), amountListSchema),
 	/** Calls started, by window, source and client account. A source is a daemon's incarnation, or `zone:` and a zone for the sum of its daemons. */
-	usage: z.record(z.string(), z.record(z.string(), amounts)),
+	usage: z.record(z.string(), z.record(z.string(), amountsSchema)),
 	/** Prompt tokens that callers send per second, cached or not, by service. */
-	work: amounts,
+	work: amountsSchema,
 	/** The same of long prompts only. Daemons of earlier versions don't report it. */
-	longWork: amounts.default({}),
+	longWork: amountsSchema.default({}),
 	/** Offset of the lease record that a daemon holds, or -1. */
-	leaseOffset: z.number(),
+	leaseOffset: z.int().min(-1),
 	/** The sender's true time, which daemons synchronize with each other, in milliseconds since the epoch. */
-	trueTime: z.number(),
+	trueTime: trueTimeSchema,
 	/** Always empty. Daemons of earlier versions require it. */
 	crashes: z.record(z.string(), z.array(z.string())),
 	/** Evidence about requests that may crash backend servers. Daemons of earlier versions don't report it. */
@@ -97,7 +101,7 @@
 	/** What the sender can do for daemons that reach no backend server. Daemons of earlier versions don't report it. */
 	peerCalls: z.object({
 		/** Further calls that it can serve. */
-		room: z.int(),
+		room: z.int().min(-maxAmount).max(maxAmount),
 		/** Whether it reaches no backend server itself. */
 		isCutOff: z.boolean(),
 	}).optional(),
--- a/packages/core/src/lease/lease.ts
+++ b/packages/core/src/lease/lease.ts
@@ -5,13 +5,16 @@
  * Clocks of different machines are never compared. The holder counts the lease from the time it sent the
  * renewal. Other daemons count from the time they saw the record, which is later, and add a margin.
  */
+import {
+	amountListSchema, amountsSchema, maxAmount, trueTimeSchema,
+} from '@shallotpass/common/value-bounds.js';
 import * as z from 'zod';
 import {reportedEvidenceSchema} from '../crashes/reported-evidence.js';
 import {recordedSpendingSchema} from '../quotas/recorded-spending.js';
 import {rolloutSchema} from '../rollouts/types.js';
 
 const windowReport = z.object({
-	window: z.int(),
+	window: z.int().nonnegative(),
 	counts: z.record(z.string(), z.int().nonnegative()),
 	isDelivered: z.boolean(),
 });
@@ -20,7 +23,7 @@
 	service: z.string(),
 	availabilityZone: z.string(),
 	isReclaimable: z.boolean(),
-	count: z.int().nonnegative(),
+	count: z.int().nonnegative().max(maxAmount),
 });
 
 /** The lease record: the holder, and everything it sends to the cloud API, written before it is sent. */
@@ -31,15 +34,15 @@
 	/** Identifies one run of the holder's process. */
 	incarnation: z.string(),
 	/** Fencing token: the offset of the record with which the holder took the lease, or -1 in that record itself. */
-	fence: z.int(),
+	fence: z.int().min(-1),
 	reports: z.array(windowReport),
 	orders: z.array(backendOrder),
 	/** Usage counts by window, daemon incarnation and client account, for windows that are not reported yet. */
-	counted: z.record(z.string(), z.record(z.string(), z.record(z.string(), z.number()))),
+	counted: z.record(z.string(), z.record(z.string(), amountsSchema)),
 	/** Cost units spent by each client account on all daemons, per slot of the rate limit window, as of the true time `at`. */
 	spent: z.object({
-		at: z.number(),
-		accounts: z.record(z.string(), z.array(z.number())),
+		at: trueTimeSchema,
+		accounts: z.record(z.string(), amountListSchema),
 		/** The same without what is expected until the next record. Daemons of earlier versions don't write it. */
 		recorded: recordedSpendingSchema.optional(),
 	}),
--- a/packages/core/src/limits/reported-brittleness.ts
+++ b/packages/core/src/limits/reported-brittleness.ts
@@ -1,9 +1,10 @@
 /** Brittle backend servers, as daemons report them to each other. */
+import {maxAmount, trueTimeSchema} from '@shallotpass/common/value-bounds.js';
 import {mergeRecords} from '@shallotpass/common/records.js';
 import * as z from 'zod';
 
 /** Rejections a second or -1 if it is no longer brittle, true time at which the call was sent whose answer stated it, hash of the incarnation, true time of the last rejection or 0. */
-export const reportedBrittlenessSchema = z.tuple([z.number(), z.number(), z.number(), z.number()]);
+export const reportedBrittlenessSchema = z.tuple([z.number().min(-1).max(maxAmount), trueTimeSchema, z.number(), trueTimeSchema]);
 
 export type ReportedBrittleness = z.infer<typeof reportedBrittlenessSchema>;
 
--- a/packages/core/src/limits/reported-limits.ts
+++ b/packages/core/src/limits/reported-limits.ts
@@ -1,9 +1,10 @@
 /** Statements of backend servers on their limits, as daemons report them to each other. */
+import {maxAmount, trueTimeSchema} from '@shallotpass/common/value-bounds.js';
 import {mergeRecords} from '@shallotpass/common/records.js';
 import * as z from 'zod';
 
 /** Calls per second or -1 if a limit has ended, true time at which the call was sent whose answer stated it, and hash of the backend server's incarnation. */
-export const reportedLimitSchema = z.tuple([z.number(), z.number(), z.number()]);
+export const reportedLimitSchema = z.tuple([z.number().min(-1).max(maxAmount), trueTimeSchema, z.number()]);
 
 export type ReportedLimit = z.infer<typeof reportedLimitSchema>;
 
--- a/packages/core/src/quotas/recorded-spending.ts
+++ b/packages/core/src/quotas/recorded-spending.ts
@@ -1,4 +1,7 @@
 /** Spending as it is written to the store, for daemons that start after all have ended at once. */
+import {
+	amountListSchema, amountSchema, spanSchema, trueTimeSchema,
+} from '@shallotpass/common/value-bounds.js';
 import {getOwn} from '@shallotpass/common/records.js';
 import * as z from 'zod';
 import {
@@ -7,14 +10,14 @@
 
 export const recordedSpendingSchema = z.object({
 	/** True time at which it was written. */
-	at: z.number(),
+	at: trueTimeSchema,
 	accounts: z.record(z.string(), z.object({
 		/** Cost units spent in each slot of the window, newest first, from the slot of `at`. */
-		spent: z.array(z.number()),
+		spent: amountListSchema,
 		/** Cost units that may be spent in `expectedMs` after `at`, until the next record is written. */
-		expected: z.number(),
+		expected: amountSchema,
 	})),
-	expectedMs: z.number(),
+	expectedMs: spanSchema,
 });
 
 export type RecordedSpending = z.infer<typeof recordedSpendingSchema>;
--- a/packages/core/src/retries/unsoundness.ts
+++ b/packages/core/src/retries/unsoundness.ts
@@ -2,6 +2,7 @@
  * Backend servers whose answers are none: what is held against them, how many are left alone at a time and for how long, and what
  * daemons report of them to each other. What ends an answer is decided elsewhere; most of it says nothing of the backend server.
  */
+import {amountSchema} from '@shallotpass/common/value-bounds.js';
 import {mergeRecords} from '@shallotpass/common/records.js';
 import * as z from 'zod';
 
@@ -62,7 +63,7 @@
 };
 
 /** Hash of the incarnation, failures in a row, and milliseconds that the pause still lasts. */
-export const reportedUnsoundnessSchema = z.tuple([z.number(), z.number(), z.number()]);
+export const reportedUnsoundnessSchema = z.tuple([z.number(), amountSchema, z.number().overwrite(ms => Math.min(longestPauseMs, Math.max(-longestPauseMs, ms)))]);
 
 export type ReportedUnsoundness = z.infer<typeof reportedUnsoundnessSchema>;
 
--- a/packages/core/src/rollouts/types.ts
+++ b/packages/core/src/rollouts/types.ts
@@ -1,4 +1,7 @@
 /** Types of rollouts, which move the calls of a service to backend servers of another software version. */
+import {
+	amountListSchema, amountSchema, amountsSchema, textSchema, trueTimeSchema,
+} from '@shallotpass/common/value-bounds.js';
 import * as z from 'zod';
 
 /** What an operator asks for. */
@@ -21,27 +24,27 @@
 
 /** State of a rollout. The lease record holds it, and gossip reports carry it to all daemons. */
 export const rolloutSchema = z.object({
-	service: z.string(),
-	toVersion: z.string(),
+	service: textSchema,
+	toVersion: textSchema,
 	/** Offset of the operator's record. */
 	offset: z.int(),
 	/** When the request was first seen, in true time in milliseconds. */
-	orderedAt: z.number(),
+	orderedAt: trueTimeSchema,
 	/** When the rollout must have ended, in true time in milliseconds. */
-	deadline: z.number(),
+	deadline: trueTimeSchema,
 	stage: rolloutStageSchema,
 	/** Part of the first sends that goes to the new version, from 0 to 1. */
-	share: z.number(),
+	share: z.number().min(0).max(1),
 	/** Increases with each change of the stage or the share. */
 	revision: z.int(),
 	/** Versions of earlier requests that were not completed. They get no calls. */
-	withheldVersions: z.array(z.string()),
+	withheldVersions: z.array(textSchema),
 	/** Why the rollout was rolled back. */
 	reason: z.string().optional(),
 	/** When a holder of the lease last confirmed the state, in true time in milliseconds. A trial that is not confirmed is paused. */
-	confirmedAt: z.number(),
+	confirmedAt: trueTimeSchema,
 	/** When the stage began, in true time in milliseconds. */
-	stageAt: z.number(),
+	stageAt: trueTimeSchema,
 });
 
 export type Rollout = z.infer<typeof rolloutSchema>;
@@ -59,14 +62,14 @@
 /** Answers of the servers of one version on one route, counted since the rollout was ordered. All numbers add up over daemons. */
 export const versionResultsSchema = z.object({
 	/** Calls that were sent and may have reached a backend server. */
-	sent: z.number(),
+	sent: amountSchema,
 	/** Calls whose outcome is known, failures included. */
-	answers: z.number(),
-	failures: z.number(),
+	answers: amountSchema,
+	failures: amountSchema,
 	/** Four sums for each size class of prompts, which `duration-sums.ts` names. */
-	durations: z.array(z.number()),
+	durations: amountListSchema,
 	/** Failures of the new version, by the second and the backend server in which they occurred. Absent where there are none. */
-	failureCells: z.record(z.string(), z.number()).optional(),
+	failureCells: amountsSchema.optional(),
 });
 
 export type VersionResults = z.infer<typeof versionResultsSchema>;
--- a/packages/gateway/src/calls/peer-call.ts
+++ b/packages/gateway/src/calls/peer-call.ts
@@ -5,6 +5,9 @@
  */
 import {Buffer} from 'node:buffer';
 import type http from 'node:http';
+import {
+	amountSchema, headerTextSchema, maxSpanMs, spanSchema, textSchema, trueTimeSchema,
+} from '@shallotpass/common/value-bounds.js';
 import {type ErrorKind, errorResponses} from '@shallotpass/common/error-kinds.js';
 import {type Deadline} from '@shallotpass/common/types.js';
 import {leastPatienceMs} from '@shallotpass/core/calls/compute-patience.js';
@@ -65,7 +68,7 @@
 /** Returns undefined if the text is no encoded version. */
 export const parseVersion = (text: string | undefined): string | undefined => {
 	try {
-		return text === undefined ? undefined : decodeURIComponent(text);
+		return text === undefined ? undefined : textSchema.safeParse(decodeURIComponent(text)).data;
 	} catch {
 		// A stream whose version is not known does not go on elsewhere.
 		return undefined;
@@ -79,44 +82,47 @@
 	}
 };
 
+/** Time left, which may have passed. */
+const remainingSchema = z.number().overwrite(ms => Math.min(maxSpanMs, Math.max(-maxSpanMs, ms)));
+
 const peerCallSchema = z.object({
 	jsonrpc: z.literal('2.0'),
 	method: z.literal(runCallMethod),
 	params: z.object({
 		/** Daemon that sends the call, for the log. */
-		sender: z.string(),
+		sender: textSchema,
 		/** True time at which it was sent, which daemons synchronize, in milliseconds since the epoch. */
-		sentAt: z.number(),
+		sentAt: trueTimeSchema,
 		/** Time left when it was sent, and until its target. */
-		remainingMs: z.number(),
-		targetMs: z.number(),
+		remainingMs: remainingSchema,
+		targetMs: remainingSchema,
 		/** Whether the call earns repeats at the peer and no longer at the sender. Daemons of earlier versions don't send it. */
 		earnsRepeats: z.boolean().default(false),
 		call: z.object({
-			id: z.string(),
-			account: z.string().optional(),
+			id: headerTextSchema,
+			account: headerTextSchema.optional(),
 			routeName: z.string(),
 			service: z.string(),
 			repeatability: z.enum(['idempotent', 'once', 'resumable_stream', 'stream_once']),
 			/** Daemons of earlier versions don't send it. */
-			patienceMs: z.number().default(leastPatienceMs),
-			rank: z.int(),
+			patienceMs: spanSchema.default(leastPatienceMs),
+			rank: amountSchema,
 			/** Backend servers that may still run it. */
-			maxAttempts: z.int(),
-			promptTokens: z.number(),
-			outputTokens: z.number(),
-			promptParts: z.array(z.object({id: z.string(), tokens: z.number()})),
+			maxAttempts: amountSchema,
+			promptTokens: amountSchema,
+			outputTokens: amountSchema,
+			promptParts: z.array(z.object({id: z.string(), tokens: amountSchema})),
 		}),
 		outgoing: z.object({
-			method: z.string(),
-			path: z.string(),
-			callerFields: z.array(z.string()),
+			method: z.string().regex(/^[A-Z\-]{1,32}$/v),
+			path: z.string().regex(/^[\u0021-\u00FF]+$/v),
+			callerFields: z.array(z.string().regex(/^[\t\u0020-\u007E\u0080-\u00FF]*$/v)),
 			digest: z.string(),
 			lastEventId: z.string().optional(),
 			/** Version of the software at which a stream goes on that has begun. Daemons of earlier versions don't send it. */
-			softwareVersion: z.string().optional(),
+			softwareVersion: textSchema.optional(),
 			/** What decides about its version in a rollout, and whether it was sent elsewhere before. Daemons of earlier versions don't send them. */
-			versionFraction: z.number().optional(),
+			versionFraction: z.number().min(0).max(1).optional(),
 			wasSentBefore: z.boolean().optional(),
 		}),
 	}),
--- a/packages/gateway/src/calls/send-to-peer.ts
+++ b/packages/gateway/src/calls/send-to-peer.ts
@@ -4,6 +4,7 @@
 import {type PeerCandidate} from '@shallotpass/core/paths/choose-peer.js';
 import {isRepeatable} from '@shallotpass/core/calls/types.js';
 import {withdrawCall} from '@shallotpass/core/retries/repeat-account.js';
+import * as z from 'zod';
 import {type GatewayState} from '../gateway-state.js';
 import {pickPeer} from '../peers/pick-peer.js';
 import {readMessage} from '../peers/read-message.js';
@@ -62,14 +63,19 @@
 
 const takeRuns = (response: http.IncomingMessage): number | undefined => {
 	const runs = Number(takeField(response, runsField) ?? Number.NaN);
-	return Number.isInteger(runs) && runs > 0 ? runs : undefined;
+	return Number.isSafeInteger(runs) && runs > 0 ? runs : undefined;
 };
 
+const refusalSchema = z.object({kind: z.unknown().optional(), detail: z.unknown().optional()});
+
+/** Callers that wait longer come back in any case. */
+const maxRetryAfterS = 3600;
+
 const readRefusal = async (response: http.IncomingMessage): Promise<Refusal> => {
 	const retryAfterS = Number(response.headers['retry-after'] ?? Number.NaN);
-	let body: {kind?: unknown; detail?: unknown} = {};
+	let body: z.output<typeof refusalSchema> = {};
 	try {
-		body = JSON.parse(await readMessage(response, maxRefusalBytes)) as typeof body;
+		body = refusalSchema.parse(JSON.parse(await readMessage(response, maxRefusalBytes)));
 	} catch {
 		// The field alone tells that the call has not run.
 	}
@@ -77,7 +83,7 @@
 	return {
 		kind: isErrorKind(body.kind) ? body.kind : 'no_backend',
 		detail: typeof body.detail === 'string' ? body.detail : 'Another daemon could not serve the call either.',
-		...(Number.isFinite(retryAfterS) && {retryAfterS}),
+		...(retryAfterS >= 0 && {retryAfterS: Math.min(maxRetryAfterS, retryAfterS)}),
 	};
 };
 
--- a/packages/gateway/src/origins/origin-exchange.ts
+++ b/packages/gateway/src/origins/origin-exchange.ts
@@ -7,12 +7,14 @@
 import {expireOrigins, findOriginRecord, recordOrigin} from '@shallotpass/core/origins/origin-ledger.js';
 import {type OriginKeeper, pickOriginKeepers, rankOriginKeepers} from '@shallotpass/core/origins/pick-origin-keepers.js';
 import {
-	type ReportedOrigin, reportedOriginsSchema, toOriginRecord, toReportedOrigin,
+	type ReportedOrigin, reportedOriginSchema, toOriginRecord, toReportedOrigin,
 } from '@shallotpass/core/origins/reported-origins.js';
 import {hashText} from '@shallotpass/core/routing/rank-by-rendezvous.js';
 import * as z from 'zod';
 import {type GatewayState, peerExpiryMs} from '../gateway-state.js';
 import {type Datagrams} from '../peers/datagrams.js';
+import {decodeList} from '../peers/decode-list.js';
+import {makePeerRefusalReporter} from '../peers/report-refused.js';
 
 /** Interval at which records are dropped, and told to daemons that have come. */
 const roundMs = 300;
@@ -109,10 +111,12 @@
 
 	origins.ask = async ({address}, key, timeoutMs) => datagrams.request(address, 'ask_origin', [key], timeoutMs);
 
-	datagrams.handle('origins', parameters => {
+	const reportRefused = makePeerRefusalReporter(gateway.log);
+	datagrams.handle('origins', (parameters, sender) => {
 		const now = clocks.steady();
-		const records = reportedOriginsSchema.safeParse(parameters).data ?? [];
-		for (const reported of records) {
+		for (const reported of decodeList(parameters, reportedOriginSchema, field => {
+			reportRefused('origins', sender, field);
+		})) {
 			const [key] = reported;
 			if (recordOrigin(origins.ledger, toOriginRecord(reported, now), now) === 'full') {
 				gateway.log.write('failure', 'origin_not_kept', {streams: origins.ledger.size});
--- a/packages/gateway/src/peers/datagrams.ts
+++ b/packages/gateway/src/peers/datagrams.ts
@@ -12,8 +12,8 @@
 	readonly notify: (address: string, method: string, parameters: unknown) => void;
 	/** Asks a daemon. Rejects if no answer arrives in time. */
 	readonly request: (address: string, method: string, parameters: unknown, timeoutMs: number) => Promise<unknown>;
-	/** Sets the handler of a method. What it returns answers a request. */
-	readonly handle: (method: string, handler: (parameters: unknown) => unknown) => void;
+	/** Sets the handler of a method, which gets the sender's address too. What it returns answers a request. */
+	readonly handle: (method: string, handler: (parameters: unknown, sender: string) => unknown) => void;
 };
 
 const messageSchema = z.object({id: z.union([z.string(), z.number()]).optional(), method: z.string().optional()});
@@ -21,7 +21,7 @@
 /** Opens the socket on the address for daemons. It is closed when the signal is aborted. */
 export const openDatagrams = async (gateway: GatewayState, signal: AbortSignal): Promise<Datagrams> => {
 	const socket = dgram.createSocket('udp4');
-	const server = new JSONRPCServer({
+	const server = new JSONRPCServer<string>({
 		errorListener(message, error) {
 			gateway.log.write('failure', 'gossip_unreadable', {error: `${message} ${String(error)}`});
 		},
@@ -43,7 +43,7 @@
 			return;
 		}
 
-		const response = await server.receive(parsed as Parameters<typeof server.receive>[0]);
+		const response = await server.receive(parsed as Parameters<typeof server.receive>[0], sender);
 		if (response !== null && id !== undefined && !signal.aborted) {
 			send(sender, response);
 		}
--- a/packages/gateway/src/peers/decode-shared-state.ts
+++ b/packages/gateway/src/peers/decode-shared-state.ts
@@ -5,6 +5,7 @@
 import {gossipMemberSchema} from '@shallotpass/core/gossip/gossip-member.js';
 import {storeVersionsSchema} from '@shallotpass/core/gossip/gossip-report.js';
 import * as z from 'zod';
+import {decodeList} from './decode-list.js';
 import {type SharedState} from './shared-state.js';
 
 const sharedStateSchema = storeVersionsSchema.omit({members: true}).extend({
@@ -26,9 +27,6 @@
 	return undefined;
 };
 
-const decodeList = <Schema extends z.ZodType>(raw: readonly unknown[], schema: Schema, name: string, onRefused: OnRefused): Array<z.output<Schema>> =>
-	raw.map(item => decodePart(item, schema, name, onRefused)).filter(item => item !== undefined);
-
 /** Returns undefined if the answer as a whole has no meaning. */
 export const decodeSharedState = (raw: unknown, onRefused: OnRefused): SharedState | undefined => {
 	const decoded = decodeValue(raw, sharedStateSchema);
@@ -41,7 +39,15 @@
 	return {
 		...known,
 		...(configuration !== undefined && {configuration: decodePart(configuration, servingConfigurationSchema, 'configuration', onRefused)}),
-		...(backends !== undefined && {backends: decodeList(backends, peerBackendSchema, 'backends', onRefused)}),
-		...(members !== undefined && {members: decodeList(members, gossipMemberSchema, 'members', onRefused)}),
+		...(backends !== undefined && {
+			backends: decodeList(backends, peerBackendSchema, field => {
+				onRefused(`backends.${field}`);
+			}),
+		}),
+		...(members !== undefined && {
+			members: decodeList(members, gossipMemberSchema, field => {
+				onRefused(`members.${field}`);
+			}),
+		}),
 	};
 };
--- a/packages/gateway/src/peers/gossip.ts
+++ b/packages/gateway/src/peers/gossip.ts
@@ -10,7 +10,6 @@
 import {ageReport} from '@shallotpass/core/gossip/age-report.js';
 import {type GossipMember, needsRelays} from '@shallotpass/core/gossip/pick-relays.js';
 import {type StoreRole} from '@shallotpass/core/gossip/store-role.js';
-import * as z from 'zod';
 import {observeDaemons} from '../calls/repeat-limit.js';
 import {adoptCrashes, maintainCrashes} from '../crashes/share-evidence.js';
 import {type GatewayState, type PeerReport, peerExpiryMs} from '../gateway-state.js';
@@ -19,12 +18,14 @@
 import {adoptRollouts} from '../rollouts/adopt-rollouts.js';
 import {observeDemands} from '../quotas/excess-demand.js';
 import {type Datagrams} from './datagrams.js';
+import {decodeList} from './decode-list.js';
 import {deleteBefore} from './delete-before.js';
 import {makeStoreRoleFinder} from './find-store-role.js';
 import {joinMembers, type MemberList} from './join-members.js';
 import {isHeardAgain, listReportTargets} from './list-report-targets.js';
 import {makeReport, type ReportInput} from './make-report.js';
 import {makeRelayExchange} from './relay-reports.js';
+import {makePeerRefusalReporter} from './report-refused.js';
 import {adoptLimits, updateParticipants} from './share-limits.js';
 import {sumOtherLoads} from './sum-other-loads.js';
 
@@ -40,8 +41,6 @@
 /** Peers that were silent for this long are removed, together with the usage they reported. */
 const removeAfterMs = 40_000;
 
-const reportsSchema = z.array(gossipReportSchema);
-
 export type GossipOptions = {
 	readonly gateway: GatewayState;
 	readonly platform: Platform;
@@ -172,9 +171,11 @@
 		relayExchange.handleReport(report, ownReport);
 	};
 
-	datagrams.handle('gossip', parameters => {
-		const parsed = reportsSchema.safeParse(parameters);
-		for (const report of parsed.data ?? []) {
+	const reportRefused = makePeerRefusalReporter(gateway.log);
+	datagrams.handle('gossip', (parameters, sender) => {
+		for (const report of decodeList(parameters, gossipReportSchema, field => {
+			reportRefused('gossip', sender, field);
+		})) {
 			handleReport(report);
 		}
 
--- a/packages/gateway/src/quotas/grant-cost.ts
+++ b/packages/gateway/src/quotas/grant-cost.ts
@@ -1,4 +1,7 @@
 /** Grants the cost of a call as a keeper of its account's limit, for this daemon's own calls and those of others. */
+import {
+	amountSchema, boundedSchema, maxAmount, spanSchema,
+} from '@shallotpass/common/value-bounds.js';
 import {getOwn} from '@shallotpass/common/records.js';
 import {type AccountLimit} from '@shallotpass/core/calls/serving-configuration.js';
 import {computeMaxUsable, computeUsable} from '@shallotpass/core/quotas/compute-ceiling.js';
@@ -15,13 +18,13 @@
 export const quotaAskSchema = z.object({
 	account: z.string(),
 	/** Prompt and output tokens of the call, 0 if it states none. */
-	tokens: z.number(),
+	tokens: amountSchema,
 	/** 0 is the most urgent. */
-	rank: z.number(),
+	rank: boundedSchema,
 	/** Whether no other keeper was asked before. */
 	isFirstAsked: z.boolean(),
 	/** Cost units to grant, if several keepers pay for the call together. Otherwise its whole cost. */
-	amount: z.number().positive().optional(),
+	amount: z.number().positive().max(maxAmount).optional(),
 });
 
 export type QuotaAsk = z.infer<typeof quotaAskSchema>;
@@ -30,13 +33,13 @@
 	z.object({kind: z.literal('granted')}),
 	z.object({
 		kind: z.literal('refused'),
-		cost: z.number(),
+		cost: amountSchema,
 		/** Time until the call is likely to be granted, in milliseconds. */
-		waitMs: z.number(),
-		room: z.number(),
-		known: z.number(),
-		usable: z.number(),
-		share: z.number(),
+		waitMs: spanSchema,
+		room: boundedSchema,
+		known: boundedSchema,
+		usable: boundedSchema,
+		share: boundedSchema,
 	}),
 	/** The daemon keeps no limits, or must hear the other keepers first. */
 	z.object({kind: z.literal('unfit')}),
--- a/packages/gateway/src/quotas/keeper-exchange.ts
+++ b/packages/gateway/src/quotas/keeper-exchange.ts
@@ -2,6 +2,7 @@
  * Exchanges reports with the other keepers of account limits, and answers daemons that ask for the cost of a call. Up to the number
  * of daemons that report directly to each other all of them are keepers; beyond it two of each zone are.
  */
+import {decodeValue} from '@shallotpass/common/decode-json.js';
 import {type GossipMember} from '@shallotpass/core/gossip/pick-relays.js';
 import {dropExpiredSpending, makeKeeperReport, mergeKeeperReport} from '@shallotpass/core/quotas/exchange-keeper-reports.js';
 import {keeperReportSchema} from '@shallotpass/core/quotas/keeper-report.js';
@@ -13,6 +14,7 @@
 import {isIntroducing, unsettle} from '@shallotpass/core/quotas/settle-keeper.js';
 import {type GatewayState} from '../gateway-state.js';
 import {type Datagrams} from '../peers/datagrams.js';
+import {makePeerRefusalReporter} from '../peers/report-refused.js';
 import {grantCost, quotaAskSchema, settle} from './grant-cost.js';
 import {readKeeperClock} from './quota-state.js';
 import {makeSpendingWatch} from './watch-spending.js';
@@ -123,9 +125,15 @@
 	};
 
 	let answerTimer: NodeJS.Timeout | undefined;
-	datagrams.handle('quota_report', parameters => {
-		const parsed = keeperReportSchema.safeParse(parameters);
-		if (parsed.success && mergeKeeperReport(keeper, parsed.data, readKeeperClock(clocks))) {
+	const reportRefused = makePeerRefusalReporter(gateway.log);
+	datagrams.handle('quota_report', (parameters, sender) => {
+		const decoded = decodeValue(parameters, keeperReportSchema);
+		if (decoded.kind === 'refused') {
+			reportRefused('quota_report', sender, decoded.field);
+			return;
+		}
+
+		if (mergeKeeperReport(keeper, decoded.value, readKeeperClock(clocks))) {
 			answerTimer ??= setTimeout(() => {
 				answerTimer = undefined;
 				runRound();
