--- a/packages/gateway/src/peers/shared-state.ts
+++ b/packages/gateway/src/peers/shared-state.ts
@@ -89,7 +89,11 @@
 /** Serves JSON-RPC requests and calls of peers on this daemon's peer address. */
 export const listenForPeers = async (options: SharedStateOptions): Promise<void> => {
 	const {gateway, signal} = options;
-	const rpc = new JSONRPCServer();
+	const rpc = new JSONRPCServer({
+		errorListener(message, error) {
+			gateway.log.write('failure', 'peer_request_failed', {error: `${message} ${String(error)}`});
+		},
+	});
 	rpc.addMethod('shared_state', query => makeSharedState(options, sharedStateQuerySchema.parse(query)));
 	rpc.addMethod(backendContactMethod, async query => probeForPeer(gateway, query));
 	const handleRequest = async (request: http.IncomingMessage, response: http.ServerResponse): Promise<void> => {
