--- a/packages/common/src/watch-input.ts
+++ b/packages/common/src/watch-input.ts
@@ -84,6 +84,12 @@
 export const watchInput = ({server, answers, formatError, onUnreadable, refusesUpgrades}: WatchInputOptions): void => {
 	const ended = new WeakSet<net.Socket>();
 
+	/** One function for all connections, so that each takes no more memory. */
+	function closeBehindLastAnswer(this: net.Socket): void {
+		answers.endOn(this);
+		closeGently(this);
+	}
+
 	const endInput = (socket: net.Socket, error: InputError): void => {
 		ended.add(socket);
 		onUnreadable(error, socket);
@@ -131,10 +137,7 @@
 
 	server.on('connection', socket => {
 		// Node closes a connection this way behind its last answer, at once, though its caller may still send.
-		socket.destroySoon = () => {
-			answers.endOn(socket);
-			closeGently(socket);
-		};
+		socket.destroySoon = closeBehindLastAnswer;
 	});
 	server.on('clientError', (error: NodeJS.ErrnoException, duplex) => {
 		const socket = duplex as net.Socket;
