A take-up waits for a version that a daemon is finding out

What callers saw: 503 at each of five tries to take up a stream that had begun at an engine just started again, though the daemon that served it learned the version 2 s later. Cause: the daemon that waits for the engine's entry answered that it knows no such stream, so each try was refused within some ms, and all tries were through in 1.6 s. Change: a daemon knows for which streams it is finding out the version. A take-up there waits up to 520 ms for it, and the answer to another daemon up to 300 ms, which the asking daemon's second round of 400 ms allows. Nothing waits for streams that nobody serves. Tests, written first: a caller that comes back at the same and at another daemon, entry 2 s late; both were refused five times before, both go on at v2 now. unknown-versions and the telemetry tests: 24 of 24.

--- a/packages/gateway/src/calls/serve-stream.ts
+++ b/packages/gateway/src/calls/serve-stream.ts
@@ -5,6 +5,7 @@
 import {pauseFor} from '../pause.js';
 import {type ReadExcess} from '../read-bounds.js';
 import {type Continuity} from '../origins/continuity.js';
+import {trackPendingOrigin} from '../origins/origin-state.js';
 import {recordStream} from '../origins/record-stream.js';
 import {describeDirectory} from '../telemetry/describe-directory.js';
 import {type AdmittedCall, type CallContext} from './admit-call.js';
@@ -124,6 +125,10 @@
 	stream.hasEvents = true;
 	if (attempt.softwareVersion === undefined && attempt.laterVersion !== undefined) {
 		stream.pendingVersion = recordLaterVersion(stream, attempt, attempt.laterVersion);
+		if (stream.continuity !== undefined) {
+			void trackPendingOrigin(stream.context.gateway.origins, stream.continuity.originKey, stream.pendingVersion);
+		}
+
 		return;
 	}
 
--- a/packages/gateway/src/origins/find-origin.ts
+++ b/packages/gateway/src/origins/find-origin.ts
@@ -5,10 +5,14 @@
 import {type KnownOrigin, type OriginRecord} from '@shallotpass/core/origins/types.js';
 import {needsRelays} from '@shallotpass/core/gossip/pick-relays.js';
 import {type GatewayState} from '../gateway-state.js';
+import {waitForPendingOrigin} from './origin-state.js';
 
 /** Timeouts of the rounds of questions: a datagram may be lost on its way, or a daemon be busy. */
 const roundTimeoutsMs = [120, 400] as const;
 
+/** Time for which a take-up waits for a version that this daemon is finding out, as long as for those of others. */
+const pendingWaitMs = 520;
+
 export type OriginLookup = KnownOrigin & {
 	/** Daemon that knew it. Undefined if it is not known. */
 	readonly source: string | undefined;
@@ -54,6 +58,7 @@
 /** Looks up the origin. Takes no time if this daemon knows it, and some ten milliseconds if another one does. */
 export const findOrigin = async (gateway: GatewayState, key: string): Promise<OriginLookup> => {
 	const {origins, clocks, settings} = gateway;
+	await waitForPendingOrigin(origins, key, {timeoutMs: pendingWaitMs, signal: gateway.stopSignal});
 	const own = findOriginRecord(origins.ledger, key, clocks.steady());
 	if (own !== undefined) {
 		return {
--- a/packages/gateway/src/origins/origin-exchange.ts
+++ b/packages/gateway/src/origins/origin-exchange.ts
@@ -13,6 +13,7 @@
 import * as z from 'zod';
 import {type GatewayState, peerExpiryMs} from '../gateway-state.js';
 import {type Datagrams} from '../peers/datagrams.js';
+import {waitForPendingOrigin} from './origin-state.js';
 
 /** Interval at which records are dropped, and told to daemons that have come. */
 const roundMs = 300;
@@ -26,6 +27,9 @@
 /** Records in a datagram, so that it fits into one packet. */
 const maxRecordsPerDatagram = 15;
 
+/** Time for which an answer waits for a version that is being found out. The daemon that asks waits longer for it in its second round. */
+const pendingWaitMs = 300;
+
 const askSchema = z.tuple([z.string().min(1).max(64)]);
 
 export type OriginExchangeOptions = {
@@ -122,8 +126,9 @@
 			toldKeepers.set(key, hashKeepers(pickTold(key)));
 		}
 	});
-	datagrams.handle('ask_origin', parameters => {
+	datagrams.handle('ask_origin', async parameters => {
 		const key = askSchema.safeParse(parameters).data?.[0];
+		await waitForPendingOrigin(origins, key ?? '', {timeoutMs: pendingWaitMs, signal});
 		const now = clocks.steady();
 		const record = key === undefined ? undefined : findOriginRecord(origins.ledger, key, now);
 		return record === undefined ? [] : [toReportedOrigin(record, now)];
