Reports of windows that have not begun are dropped from a lease record that is read

What callers saw: nothing was reported; operators would have missed the usage of all windows. Shown by a test: with five reports of windows near 2^53 in the record no usage was reported by its next holder. Cause: windows up to the last one in the record count as reported, whatever it is, and only the last five reports are kept. Change: a reader drops reports of windows that have not begun by true time. Checks: odd-lease.test.ts, the new test failed before (no window reported within 20 s); it passes, as do lease.test.ts and the tests of the lease.

--- a/packages/core/src/lease/lease.ts
+++ b/packages/core/src/lease/lease.ts
@@ -81,6 +81,9 @@
 	return {...lease, reports};
 };
 
+/** Drops reports of windows that have not begun, as all windows before them would count as reported. */
+export const dropUnbegunReports = (lease: Lease, currentWindow: number): Lease => ({...lease, reports: lease.reports.filter(({window}) => window <= currentWindow)});
+
 /** Lists the completed windows that the lease doesn't hold yet and that can still be reported. */
 export const listDueWindows = (lease: Lease, currentWindow: number, oldestWindow: number): number[] => {
 	const lastReportedWindow = lease.reports.at(-1)?.window ?? Math.max(oldestWindow, currentWindow - 2) - 1;
--- a/packages/gateway/src/leader/lease-record.ts
+++ b/packages/gateway/src/leader/lease-record.ts
@@ -5,9 +5,10 @@
 import {Buffer} from 'node:buffer';
 import {decodeJson} from '@shallotpass/common/decode-json.js';
 import {
-	getFencingToken, type Lease, leaseSchema, canActOnLease, type StoredLease,
+	dropUnbegunReports, getFencingToken, type Lease, leaseSchema, canActOnLease, type StoredLease,
 } from '@shallotpass/core/lease/lease.js';
 import {convertEvenSlots} from '@shallotpass/core/quotas/recorded-spending.js';
+import {getWindowIndex} from '@shallotpass/core/usage/count-starts.js';
 import {adoptCrashes} from '../crashes/share-evidence.js';
 import {type GatewayState} from '../gateway-state.js';
 import {type Platform} from '../ports.js';
@@ -115,7 +116,7 @@
 			return {kind: 'unreadable', offset: record.offset};
 		}
 
-		const lease = decoded.value;
+		const lease = dropUnbegunReports(decoded.value, getWindowIndex(gateway.clocks.trueTime(), gateway.settings.bounds.usageWindowMs));
 		inheritKnowledge(lease);
 		adoptRollouts(gateway, lease.rollouts, 'lease');
 		return {kind: 'stands', stored: {lease, offset: record.offset}};
