An offset that a peer states beyond all records does not hide later entries

What callers saw: nothing was reported. Shown by a test: one report of a peer with the same digest and an offset of 2^53 - 1, and the daemon, and by its own reports all others, took no entry of the store any more. Cause: a peer that knows the same backend servers confirms them as of its offset, and records before the offset count as applied. Ruled out: the schema of reports; any whole number may be an offset. Change: an offset more than a million records ahead confirms nothing but the age. Left: a whole list of backend servers that a peer answers with such an offset; it is adopted as it stands, since a daemon that has just started knows no offset to compare.

--- a/packages/gateway/src/store/follow-directory.test.ts
+++ b/packages/gateway/src/store/follow-directory.test.ts
@@ -166,3 +166,14 @@
 		assert.deepEqual(listIds(), ['y']);
 	});
 }
+
+test('a peer that states an offset which the store cannot have reached does not hide later entries', async t => {
+	// All records before the offset count as applied, so that no daemon that heard of it would learn of a backend server again.
+	const {follower, listIds, answerPoll} = await startFollower(t);
+	follower.confirm(Number.MAX_SAFE_INTEGER, 0, peerAddress);
+	follower.confirm(3, 0, peerAddress);
+	await answerPoll({
+		kind: 'records', records: [makeRecord(2, 'known by the peer'), makeRecord(3, 'z')], end: 4, bytes: 0,
+	});
+	assert.deepEqual(listIds(), ['x', 'y', 'z']);
+});
--- a/packages/gateway/src/store/follow-directory.ts
+++ b/packages/gateway/src/store/follow-directory.ts
@@ -26,6 +26,9 @@
 /** If a peer's directory is younger than this, the store was available to the peer and only this daemon was disconnected from it. */
 const peerFreshMs = 2000;
 
+/** Records that a peer with the same backend servers may have read beyond this daemon. The store takes fewer within minutes. */
+const maxRecordsAhead = 1_000_000;
+
 /** Interval between checks for entries that have been missing for too long. */
 const missingCheckIntervalMs = 50;
 
@@ -213,7 +216,7 @@
 		confirm(next, ageMs, address) {
 			openGraceAfterOutage();
 			recordPeerFreshness(next, now() - ageMs, address);
-			directory = {...directory, next: Math.max(directory.next, next)};
+			directory = {...directory, next: next <= directory.next + maxRecordsAhead ? Math.max(directory.next, next) : directory.next};
 			updateStatus({});
 		},
 	};
