--- a/packages/callers/src/attempt-signal.ts
+++ b/packages/callers/src/attempt-signal.ts
@@ -1,5 +1,6 @@
 /** Combines everything that can end an attempt at a backend server into one abort signal and keeps the reason. */
 import {type Deadline} from '@shallotpass/common/types.js';
+import {limitTimerMs} from '@shallotpass/common/value-bounds.js';
 
 export type AttemptEndReason = 'caller_gone' | 'deadline' | 'leaving' | 'quiet';
 
@@ -23,9 +24,6 @@
 	readonly onQuiet?: () => Promise<boolean>;
 };
 
-/** Longest delay that `setTimeout` supports. */
-const maxTimerMs = 2_147_483_647;
-
 export const makeAttemptSignal = (options: AttemptSignalOptions): AttemptSignal => {
 	const controller = new AbortController();
 	let endReason: AttemptEndReason | undefined;
@@ -55,7 +53,7 @@
 
 	const deadlineTimer = setTimeout(() => {
 		abort('deadline');
-	}, Math.min(maxTimerMs, Math.max(0, options.deadline - options.now)));
+	}, limitTimerMs(options.deadline - options.now));
 
 	const checkQuiet = async (): Promise<void> => {
 		if (await options.onQuiet?.()) {
--- a/packages/common/src/clock.ts
+++ b/packages/common/src/clock.ts
@@ -1,5 +1,6 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import {type Deadline} from './types.js';
+import {limitTimerMs} from './value-bounds.js';
 
 /** Source of the current time. Tests pass a clock that they advance manually. */
 export type Clock = {
@@ -9,13 +10,10 @@
 	readonly waitUntil: (deadline: Deadline, signal?: AbortSignal) => Promise<void>;
 };
 
-/** Longest delay that a Node.js timer accepts. */
-const maxTimerMs = 2_147_483_647;
-
 export const systemClock: Clock = {
 	now: () => Date.now(),
 	async waitUntil(deadline, signal) {
-		const delayMs = Math.min(Math.max(0, deadline - Date.now()), maxTimerMs);
+		const delayMs = limitTimerMs(deadline - Date.now());
 		await sleep(delayMs, undefined, {signal});
 	},
 };
