--- a/packages/gateway/src/calls/callers-listener.ts
+++ b/packages/gateway/src/calls/callers-listener.ts
@@ -30,7 +30,7 @@
 });
 
 /** Resolves when no connection waits to be accepted. Node accepts one in a turn of the loop. */
-const acceptWaiting = async ({countAccepted}: CallerConnections): Promise<void> => {
+const waitForAccepts = async ({countAccepted}: CallerConnections): Promise<void> => {
 	// No more can have waited. Callers may come without a pause.
 	const end = countAccepted() + acceptBacklogLength;
 	for (let accepted = -1; countAccepted() !== accepted && accepted < end;) {
@@ -68,7 +68,7 @@
 		},
 		connections,
 		async stopAccepting() {
-			await acceptWaiting(connections);
+			await waitForAccepts(connections);
 			// That of `http.Server` would destroy connections whose answers are written but not sent.
 			net.Server.prototype.close.call(server);
 			await waitForPoll();
--- a/scripts/soak/src/pipelining-callers.ts
+++ b/scripts/soak/src/pipelining-callers.ts
@@ -76,7 +76,7 @@
 	});
 };
 
-const converse = async (options: PipeliningCallerOptions, conversation: Conversation, makeId: () => string): Promise<void> => {
+const runConversation = async (options: PipeliningCallerOptions, conversation: Conversation, makeId: () => string): Promise<void> => {
 	const {random, signal} = options;
 	const isSlow = random() < slowShare;
 	if (isSlow) {
@@ -113,7 +113,7 @@
 		try {
 			// eslint-disable-next-line no-await-in-loop -- one connection after the other
 			const conversation: Conversation = {caller: await openPacedCaller(daemon.process.settings.listen.callers), daemon: daemon.process.id, requests: []};
-			await converse(options, conversation, makeId); // eslint-disable-line no-await-in-loop -- one connection after the other
+			await runConversation(options, conversation, makeId); // eslint-disable-line no-await-in-loop -- one connection after the other
 			calls.push(...listCalls(conversation));
 			conversation.caller.close();
 		} catch {
