The soak stops daemons while they start

What was missing: no fault of the soak stopped a process in its first half second, so that the loss of queued calls was never seen there. Change: up to four times in a run a daemon is stopped, started, and stopped again 0 to 500 ms after its start, one to three times in a row, planned by random numbers of their own, so that the other faults of known seeds stay as they are; also in runs with planned work only.

--- a/scripts/soak/src/check-history.test.ts
+++ b/scripts/soak/src/check-history.test.ts
@@ -24,7 +24,7 @@
 	calls: [makeCall()], limitedCalls: [],
 	crashingCalls: [],
 	leavingCalls: [],
-	crashes: [], streams: [], lastingVersions: ['v1'], runs: [makeRun()], duties: [], disturbances: [], bans: [], arrivals: [], limits: [], linkDisturbances: [], cuts: [], brittleSpans: [], rejections: [], ownEnds: [], neverReady: [], calmFrom: 9000, hasOnlyPlannedWork: false, ...changes,
+	crashes: [], streams: [], lastingVersions: ['v1'], runs: [makeRun()], duties: [], disturbances: [], bans: [], arrivals: [], limits: [], linkDisturbances: [], cuts: [], startingStops: [], brittleSpans: [], rejections: [], ownEnds: [], neverReady: [], calmFrom: 9000, hasOnlyPlannedWork: false, ...changes,
 });
 
 /** Served calls, so that histories with refused calls still pass the recovery check. */
@@ -45,6 +45,13 @@
 const violationCases: ReadonlyArray<{readonly name: string; readonly history: Partial<History>; readonly expected: RegExp}> = [
 	{name: 'an account that runs more than its limit', history: {limitedCalls, runs: [makeRun(), ...limitedRuns]}, expected: /300 runs of the account bazaar in the window from 10000, 220 allowed/v},
 	{name: 'a booking that was executed twice', history: {runs: [makeRun(), makeRun({backend: 'app-1'})]}, expected: /ran 2 times/v},
+	{
+		name: 'a call that was lost by a daemon which was stopped while it started',
+		history: {
+			calls: [...servedCalls, makeCall({end: {kind: 'cut', reason: 'read ECONNRESET'}})], runs: servedRuns, startingStops: [{daemon: 'daemon-0', from: 9900, until: 13_000}],
+		},
+		expected: /c-1 \(book by daemon-0\): got no answer from a daemon that was stopped while it started/v,
+	},
 	{
 		name: 'callers of a daemon that is cut off whose calls are refused',
 		history: {
--- a/scripts/soak/src/check-history.ts
+++ b/scripts/soak/src/check-history.ts
@@ -7,6 +7,7 @@
 import {findContinuityViolations} from './check-continuity.js';
 import {findLeaveViolations} from './leaving-callers.js';
 import {findRepeatViolations} from './check-repeats.js';
+import {findStartingStopViolations} from './check-starting-stops.js';
 import {formatExpectedStream, listVersions, removeVersions} from './format-events.js';
 import {findQuotaViolations} from './limited-account.js';
 import {
@@ -190,6 +191,7 @@
 		...findBrittleViolations(history, (daemon, at) => isDisturbed(history, daemon, at, at)),
 		...findCutViolations(history, (daemon, at) => isDisturbed(history, daemon, at, at)),
 		...findQuotaViolations(history),
+		...findStartingStopViolations(history),
 		...findCrashViolations(history, (daemon, at) => isDisturbed(history, daemon, at, at)),
 		...findContinuityViolations(history),
 		...findLeaveViolations(history),
--- a/scripts/soak/src/history.ts
+++ b/scripts/soak/src/history.ts
@@ -105,6 +105,13 @@
 	until: number;
 };
 
+/** The life of a process that was stopped while it started, from its start to its exit. */
+export type StartingStop = {
+	readonly daemon: string;
+	readonly from: number;
+	readonly until: number;
+};
+
 /** A request of which one part crashes engines. It is not owed an answer. */
 export type CrashingCall = Pick<SentCall, 'id' | 'daemon' | 'sentAt'>;
 
@@ -136,6 +143,7 @@
 	readonly limits: readonly BackendLimitSpan[];
 	readonly linkDisturbances: readonly LinkDisturbance[];
 	readonly cuts: readonly Cut[];
+	readonly startingStops: readonly StartingStop[];
 	readonly brittleSpans: readonly BrittleSpan[];
 	/** Calls that backend servers turned away for want of room. */
 	readonly rejections: readonly BackendArrival[];
--- a/scripts/soak/src/inject-fault.ts
+++ b/scripts/soak/src/inject-fault.ts
@@ -64,6 +64,20 @@
 	daemon.process.start();
 };
 
+/** Stops the daemon and starts it again, and stops it so long after each start; then it may run. */
+const stopStartingDaemon = async (cluster: SoakCluster, {process}: SoakDaemon, afterMs: readonly number[]): Promise<void> => {
+	await process.end('SIGTERM');
+	for (const ms of afterMs) {
+		const from = performance.now();
+		process.start();
+		await sleep(ms); // eslint-disable-line no-await-in-loop -- one start after the other
+		await process.end('SIGTERM'); // eslint-disable-line no-await-in-loop -- one start after the other
+		cluster.startingStops.push({daemon: process.id, from, until: performance.now()});
+	}
+
+	process.start();
+};
+
 /** Writes a new configuration version with or without the second key. A ban of the second key from an earlier version ends now. */
 const changeAccountKeys = (cluster: SoakCluster, hasSecondKey: boolean): void => {
 	cluster.version++;
@@ -154,6 +168,11 @@
 			return;
 		}
 
+		case 'stop_starting': {
+			await withUndisturbedDaemon(cluster, fault.daemon, async daemon => stopStartingDaemon(cluster, daemon, fault.afterMs));
+			return;
+		}
+
 		case 'reload': {
 			const {process} = cluster.daemons[fault.daemon]!;
 			process.writeSettings('whole', String(performance.now()));
--- a/scripts/soak/src/limited-account.ts
+++ b/scripts/soak/src/limited-account.ts
@@ -3,7 +3,9 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import {makeLimitedTenant} from '@shallotpass/platform/stand-ins/platform-fixture.js';
 import {sendCall} from '@shallotpass/platform/stand-ins/send-call.js';
-import {type BackendRun, type CompletedCall, type History} from './history.js';
+import {
+	type BackendRun, type CallOutcome, type CompletedCall, type History,
+} from './history.js';
 import {type SoakCluster} from './soak-cluster.js';
 
 const limitedKey = 'key-of-the-bazaar';
@@ -56,23 +58,23 @@
 		const daemon = cluster.daemons[Math.floor(random() * cluster.daemons.length)]!;
 		const id = `${name}-${callIndex}`;
 		const sentAt = performance.now();
-		let status = 0;
+		const timeout = AbortSignal.timeout(callTimeoutMs);
+		let end: CallOutcome | undefined;
 		try {
 			// eslint-disable-next-line no-await-in-loop -- one call after the other
-			({status} = await sendCall({
-				address: daemon.process.settings.listen.callers, route: 'read', id, key: limitedKey, agent, signal: AbortSignal.timeout(callTimeoutMs),
-			}));
-		} catch {
-			// The daemon is down, or did not answer; only runs count.
+			const {status} = await sendCall({
+				address: daemon.process.settings.listen.callers, route: 'read', id, key: limitedKey, agent, signal: timeout,
+			});
+			end = {
+				kind: 'answered', status, vouchedBy: '', requestId: id, body: '', isWhole: true,
+			};
+		} catch (error) {
+			end = timeout.aborted ? undefined : {kind: 'cut', reason: String(error)};
 		}
 
 		calls.push({
 			id, daemon: daemon.process.id, route: 'read', key: limitedKey, path: '/read/a', body: '', sentAt, endedAt: performance.now(),
-			end: status === 0
-				? undefined
-				: {
-					kind: 'answered', status, vouchedBy: '', requestId: id, body: '', isWhole: true,
-				},
+			end,
 		});
 		await sleep(pauseMs * random() * 2); // eslint-disable-line no-await-in-loop -- one call after the other
 	}
--- a/scripts/soak/src/plan-faults.ts
+++ b/scripts/soak/src/plan-faults.ts
@@ -27,6 +27,8 @@
 	| {readonly kind: 'kill'; readonly daemon: number; readonly forMs: number}
 	/** Stops the process with SIGTERM and restarts it. */
 	| {readonly kind: 'stop'; readonly daemon: number; readonly forMs: number}
+	/** Restarts the process and stops it with SIGTERM while it starts, once for each of these times after its start. */
+	| {readonly kind: 'stop_starting'; readonly daemon: number; readonly afterMs: readonly number[]}
 	/** Changes the settings file. `isTold` states whether a SIGHUP follows. */
 	| {readonly kind: 'reload'; readonly daemon: number; readonly isTold: boolean}
 	/** Truncates the settings file temporarily. */
@@ -273,6 +275,26 @@
 	}));
 };
 
+/** Added to the seed, as for notices. */
+const startingStopSeedOffset = 8_000_000;
+
+const maxStartingStops = 4;
+const maxStopsInSeries = 3;
+const maxStartingMs = 500;
+
+/** Plans that daemons are stopped while they start, at times several in a row. */
+const planStartingStops = ({seed, daemons, forMs}: FaultOptions): PlannedFault[] => {
+	const random = makeRandomBeside(seed, startingStopSeedOffset);
+	return Array.from({length: Math.floor(random() * (maxStartingStops + 1))}, () => ({
+		at: Math.round(random() * forMs),
+		fault: {
+			kind: 'stop_starting',
+			daemon: Math.floor(random() * daemons),
+			afterMs: Array.from({length: 1 + Math.floor(random() * maxStopsInSeries)}, () => Math.round(random() * maxStartingMs)),
+		},
+	}));
+};
+
 /** Draws the limit that a backend server states after the last fault, when no daemon is excused any more. */
 export const planLimitAfterFaults = ({seed, backends}: Pick<FaultOptions, 'seed' | 'backends'>, forMs: number): Fault => {
 	const random = makeRandom(seed + limitSeedOffset + 1);
@@ -303,5 +325,5 @@
 	}
 
 	const limits = options.hasOnlyPlannedWork ? [] : [...planLimits(options), ...planCuts(options), ...planBrittleness(options), ...planDatagramFaults(options), ...planEndlessAnswers(options), ...planKillSeries(options)];
-	return [...addNotices(planned.toSorted((left, right) => left.at - right.at), options.seed), ...limits];
+	return [...addNotices(planned.toSorted((left, right) => left.at - right.at), options.seed), ...limits, ...planStartingStops(options)];
 };
--- a/scripts/soak/src/run-soak.ts
+++ b/scripts/soak/src/run-soak.ts
@@ -163,6 +163,7 @@
 			limits: cluster.limits,
 			linkDisturbances: cluster.linkDisturbances,
 			cuts: cluster.cuts,
+			startingStops: cluster.startingStops,
 			brittleSpans: cluster.brittleSpans,
 			rejections: cluster.backends.flatMap(({standIn}) => standIn.rejections.map(({id, at}) => ({backend: standIn.id, id, at}))),
 			neverReady,
--- a/scripts/soak/src/soak-cluster.ts
+++ b/scripts/soak/src/soak-cluster.ts
@@ -10,7 +10,7 @@
 import {eventsPerStream} from './format-events.js';
 import {limitedTenant} from './limited-account.js';
 import {
-	type Ban, type BackendLimitSpan, type BrittleSpan, type Cut, type Disturbance, type LinkDisturbance,
+	type Ban, type BackendLimitSpan, type BrittleSpan, type Cut, type Disturbance, type LinkDisturbance, type StartingStop,
 } from './history.js';
 
 export type SoakBackend = {
@@ -43,6 +43,7 @@
 	readonly limits: BackendLimitSpan[];
 	readonly linkDisturbances: LinkDisturbance[];
 	readonly cuts: Cut[];
+	readonly startingStops: StartingStop[];
 	readonly brittleSpans: BrittleSpan[];
 	/** When engines crashed under a prompt, and the addresses of those that are not back yet. */
 	readonly crashes: number[];
@@ -165,7 +166,7 @@
 	}
 
 	const cluster: SoakCluster = {
-		fixture, backends, daemons: startedDaemons, disturbances: [], bans: [], limits: [], linkDisturbances: [], cuts: [], brittleSpans: [], crashes: [], crashed: new Set(), version: 1, addNote,
+		fixture, backends, daemons: startedDaemons, disturbances: [], bans: [], limits: [], linkDisturbances: [], cuts: [], startingStops: [], brittleSpans: [], crashes: [], crashed: new Set(), version: 1, addNote,
 	};
 	await waitForReady(cluster);
 	await waitUntil('a daemon holds the lease and calls the cloud', () => fixture.cloud.calls.length > 0);
