A daemon that cannot start accepts what waits before it refuses all, and cuts off nobody

What callers saw: of six callers of a daemon whose port for other daemons was taken, four got a reset instead of their 503 once (in a trial of the joined parts, beside load). Cause: refuseAll ended with http.Server.close() and closeAllConnections, which reset connections that were not accepted, and those whose answers were written but not sent. Change: it stops accepting as a drain does (stop-accepting.ts, moved from the listener), ends settled connections, and waits until callers have closed them, 2 s at most as before.

--- a/packages/gateway/src/calls/callers-listener.ts
+++ b/packages/gateway/src/calls/callers-listener.ts
@@ -1,17 +1,14 @@
 /** Listeners for callers and for the load balancer's readiness checks. */
 import http from 'node:http';
-import net from 'node:net';
 import {makeOwedAnswers} from '@shallotpass/common/owed-answers.js';
 import {watchInput} from '@shallotpass/common/watch-input.js';
 import {type GatewayState} from '../gateway-state.js';
 import {parseHostAndPort} from '../host-and-port.js';
-import {waitForPoll} from '../loop-monitor.js';
 import {type CallerConnections} from './caller-connections.js';
-import {
-	acceptBacklogLength, type CallersServer, keepAliveMarginMs, openCallersServer,
-} from './callers-server.js';
+import {type CallersServer, keepAliveMarginMs, openCallersServer} from './callers-server.js';
 import {formatBareError} from './format-bare-error.js';
 import {serveCall} from './serve-call.js';
+import {acceptBacklogLength, stopAccepting} from './stop-accepting.js';
 
 export type CallersListener = {
 	/** Applies the limits of the active configuration. */
@@ -26,22 +23,12 @@
 const listenOn = async (server: http.Server, address: string): Promise<void> => new Promise((resolve, reject) => {
 	const {host, port} = parseHostAndPort(address);
 	server.once('error', reject);
-	server.listen({host, port, backlog: 1024}, () => {
+	server.listen({host, port, backlog: acceptBacklogLength}, () => {
 		server.off('error', reject);
 		resolve();
 	});
 });
 
-/** Resolves when no connection waits to be accepted. Node accepts one in a turn of the loop. */
-const waitForAccepts = async ({countAccepted}: CallerConnections): Promise<void> => {
-	// No more can have waited. Callers may come without a pause.
-	const end = countAccepted() + acceptBacklogLength;
-	for (let accepted = -1; countAccepted() !== accepted && accepted < end;) {
-		accepted = countAccepted();
-		await waitForPoll(); // eslint-disable-line no-await-in-loop -- a poll
-	}
-};
-
 /** Serves callers on `openedServer`, or on a new server if there is none. */
 export const listenForCallers = async (gateway: GatewayState, openedServer?: CallersServer): Promise<CallersListener> => {
 	const callersServer = openedServer ?? await openCallersServer({address: gateway.settings.listen.callers, answers: gateway.answers, loop: gateway.loop});
@@ -63,12 +50,7 @@
 			}
 		},
 		connections,
-		async stopAccepting() {
-			await waitForAccepts(connections);
-			// That of `http.Server` would destroy connections whose answers are written but not sent.
-			net.Server.prototype.close.call(server);
-			await waitForPoll();
-		},
+		stopAccepting: async () => stopAccepting(server, connections),
 		closeAll() {
 			server.close();
 			server.closeAllConnections();
--- a/packages/gateway/src/calls/callers-server.ts
+++ b/packages/gateway/src/calls/callers-server.ts
@@ -16,6 +16,7 @@
 import {type GetRequestId, refuseWhenRead} from './refuse-request.js';
 import {type Refusal, sendRefusal} from './refusal.js';
 import {type Arrival, makeRequestQueue} from './request-queue.js';
+import {acceptBacklogLength, stopAccepting} from './stop-accepting.js';
 
 /** Limits that apply until a configuration sets others. */
 const initialMaxHeaderBytes = 16_384;
@@ -28,15 +29,12 @@
 /** Added to the idle timeout, so that a request sent just before it expires is still accepted. */
 export const keepAliveMarginMs = 500;
 
-/** Maximum number of connections waiting to be accepted. */
-export const acceptBacklogLength = 1024;
-
 /** Maximum number of queued requests. Each holds its header fields and about 64 kB of its body, 130 kB in all at most; the rest of the body stays in the kernel. */
 export const maxQueuedRequests = 512;
 
 const queueFullRefusal: Refusal = {kind: 'over_capacity', detail: 'This daemon is starting, and too many requests wait for it.', retryAfterS: 0.5};
 
-/** Time for which a server that refuses all requests waits until they are read and their answers are delivered. */
+/** Time for which a server that refuses all requests waits until callers have read their answers and closed their connections. */
 const refusalWithinMs = 2000;
 const refusalPollMs = 20;
 
@@ -55,8 +53,8 @@
 	/** Attaches the request handler and passes it the queued requests first. */
 	readonly serve: (handler: Handler) => void;
 	/**
-	 * Refuses the queued requests and all that follow, and closes the server once no answer is owed, also none that the handler
-	 * has begun. Resolves with the number of answers that are still owed when the time for it is over.
+	 * Stops accepting and refuses the queued requests and all that follow. Resolves once callers have closed their connections, or
+	 * the time for it is over, with the number of answers that are still owed, also by the handler.
 	 */
 	readonly refuseAll: (refusal: Refusal) => Promise<number>;
 };
@@ -141,13 +139,13 @@
 				});
 			});
 			const endAt = performance.now() + refusalWithinMs;
-			// Waits at least once, so that connections which are not accepted yet are read.
+			await stopAccepting(server, connections);
 			do {
 				await sleep(refusalPollMs); // eslint-disable-line no-await-in-loop -- a poll
-			} while (answers.count() > 0 && performance.now() < endAt);
+				connections.endSettled({isAnswered: false});
+			} while (connections.countOpen() > 0 && performance.now() < endAt);
 
 			const owed = answers.count();
-			server.close();
 			server.closeAllConnections();
 			return owed;
 		},
