No stream is sent to an engine that has just refused a connection for the question

What callers saw: 503 at each try to take up a stream that had begun as its engine started again. Cause: the question for the start failed, as the engine was down, and the stream was sent all the same; its connection reached the successor. It cannot be told afterwards to which process that connection leads, as the successor first answered on a later one. Change: an engine that takes no connection for the question counts as one that takes none for the call: it is left out for the usual pause, and the stream is placed elsewhere. A question that was sent and not answered in time still lets a new stream go on without it. Test, written first: the first connection is refused and the next reaches a successor at another version; on the stream began without a version.

--- a/packages/gateway/src/calls/confirm-incarnation.ts
+++ b/packages/gateway/src/calls/confirm-incarnation.ts
@@ -7,6 +7,7 @@
 import {pauseFor} from '../pause.js';
 import {getConnectionNumber} from './backend-agent.js';
 import {type BackendState} from './backend-registry.js';
+import {recordConnectFailure} from './connect-failures.js';
 
 /** Timeout of the question. Backend servers answer it beside their calls, within some milliseconds unless they are very busy. */
 const askTimeoutMs = 600;
@@ -14,8 +15,8 @@
 /** Time for which a backend server gets no calls that has started again: by then its entry tells of it, also after an outage of the store. */
 const entryLagMs = 2500;
 
-/** `other`: another incarnation answers. `unknown`: nobody does. */
-export type IncarnationFinding = 'confirmed' | 'other' | 'unknown';
+/** `other`: another incarnation answers. `unreachable`: no connection was opened. `unknown`: nobody answers. */
+export type IncarnationFinding = 'confirmed' | 'other' | 'unreachable' | 'unknown';
 
 /** Questions under way, by backend server. */
 const pendingQuestions = new WeakMap<BackendState, Promise<IncarnationFinding>>();
@@ -30,6 +31,7 @@
 		return 'unknown';
 	}
 
+	const startedAt = gateway.clocks.steady();
 	let lastConnection = 0;
 	let connection: number | undefined;
 	const reply = await gateway.engines.readStart({address: entry.address, agent}, {
@@ -41,7 +43,12 @@
 	});
 	switch (reply.kind) {
 		case 'failed': {
-			return 'unknown';
+			if (reply.isSent) {
+				return 'unknown';
+			}
+
+			recordConnectFailure(gateway, state, {reason: reply.reason, startedAt});
+			return 'unreachable';
 		}
 
 		case 'untold': {
--- a/packages/gateway/src/calls/run-at-backend.ts
+++ b/packages/gateway/src/calls/run-at-backend.ts
@@ -116,7 +116,7 @@
 	const isContinued = outgoing.softwareVersion !== undefined;
 	const needsVersion = isContinued || call.repeatability === 'resumable_stream';
 	const findingBefore = needsVersion ? await confirmBeforeSend(gateway, state, isContinued) : 'confirmed';
-	if (findingBefore === 'other' || (isContinued && findingBefore === 'unknown')) {
+	if (findingBefore === 'other' || findingBefore === 'unreachable' || (isContinued && findingBefore === 'unknown')) {
 		return {kind: 'not_run', reason: `incarnation_${findingBefore}`, hasArrived: false};
 	}
 
--- a/packages/gateway/src/ports.ts
+++ b/packages/gateway/src/ports.ts
@@ -96,7 +96,8 @@
 	| {readonly kind: 'started'; readonly startedAt: number}
 	/** It answers, but does not tell. */
 	| {readonly kind: 'untold'}
-	| {readonly kind: 'failed'; readonly reason: string};
+	/** `isSent`: whether the question may have reached it. */
+	| {readonly kind: 'failed'; readonly reason: string; readonly isSent: boolean};
 
 export type Engines = {
 	/** Asks a backend server when it started, over its pooled connections. `onSend` is called with the connection as the question is written. */
