A stream whose last event cannot be named ends, rather than begin anew at another engine

What callers saw: nothing was reported. Shown by a test: where the last event that was forwarded had an empty id, or none, and its engine broke off, the stream was sent to another engine without Last-Event-Id, and its first events followed in the same answer: two runs joined. With a control character in the id the attempt failed as call_crashed. Cause: whatever id the last event had was written into the field, and nothing if there was none. Ruled out: whole ids; those go on as before. Change: a stream with events goes on only if the id of the last one is no empty text and fits a field (256 characters). It is not complete otherwise, so that its caller sees it. Checks: odd-event-ids.test.ts, three of five failed before (a second run twice, call_crashed once); all pass. calls, software-versions, moves, peer-calls and hedged-calls pass (78 tests). Left: a moved run names its last event in the same way, and was not tested without an id.

--- a/packages/gateway/src/calls/serve-stream.ts
+++ b/packages/gateway/src/calls/serve-stream.ts
@@ -1,4 +1,5 @@
 /** Serves streams: forwards their events and, where possible, continues them on another backend server. */
+import {headerTextSchema} from '@shallotpass/common/value-bounds.js';
 import {isRepeatable} from '@shallotpass/core/calls/types.js';
 import {computeEventTimeout, streamStallTimeoutMs} from '@shallotpass/core/retries/silence-timeout.js';
 import {trackSurvival} from '../crashes/record-evidence.js';
@@ -93,6 +94,12 @@
 /** Returns the id after which the stream goes on: of the last event that was forwarded here, or before by the daemon that sent the call. */
 const getLastEventId = ({splitter, outgoing}: StreamState): string | undefined => splitter.getLastEventId() ?? outgoing.lastEventId;
 
+/** Whether another attempt can name the last event that was forwarded. Without its id in a header field the run would begin anew. */
+const canNameLastEvent = (stream: StreamState): boolean => {
+	const id = getLastEventId(stream);
+	return id !== undefined && id !== '' && headerTextSchema.safeParse(id).success;
+};
+
 /** Continues the run with the moved KV cache. It is the same run, so the next attempt is not a retry. */
 const resumeMovedRun = (stream: StreamState, moved: MovedRun, stoppedOn: string): NextStep => {
 	stream.splitter.discardPartialEvent();
@@ -137,8 +144,8 @@
 	recordVersion(stream, attempt, await laterVersion);
 };
 
-/** Whether the stream may go on elsewhere: it has no events yet, or the version that sent them is known. */
-const canGoOn = ({hasEvents, progress}: StreamState): boolean => !hasEvents || progress.softwareVersion !== undefined;
+/** Whether the stream may go on elsewhere: it has no events yet, or the version that sent them is known and the last one can be named. */
+const canGoOn = (stream: StreamState): boolean => !stream.hasEvents || (stream.progress.softwareVersion !== undefined && canNameLastEvent(stream));
 
 /** Records that the stream broke off, or was given up as it exceeded a bound, which says nothing of the connection. */
 const recordInterruption = ({context: {gateway}, call, outgoing, progress}: StreamState, attempt: Attempt, excess: ReadExcess | undefined): void => {
