--- a/packages/gateway/src/calls/serve-stream.ts
+++ b/packages/gateway/src/calls/serve-stream.ts
@@ -1,4 +1,5 @@
 /** Serves streams: forwards their events and, where possible, continues them on another backend server. */
+import {headerTextSchema} from '@shallotpass/common/value-bounds.js';
 import {isRepeatable} from '@shallotpass/core/calls/types.js';
 import {computeEventTimeout, streamStallTimeoutMs} from '@shallotpass/core/retries/silence-timeout.js';
 import {trackSurvival} from '../crashes/record-evidence.js';
@@ -99,6 +100,12 @@
 /** Returns the id after which the stream goes on: of the last event that was forwarded here, or before by the daemon that sent the call. */
 const getLastEventId = ({splitter, outgoing}: StreamState): string | undefined => splitter.getLastEventId() ?? outgoing.lastEventId;
 
+/** Whether another attempt can name the last event that was forwarded. Without its id in a header field the run would begin anew. */
+const canNameLastEvent = (stream: StreamState): boolean => {
+	const id = getLastEventId(stream);
+	return id !== undefined && id !== '' && headerTextSchema.safeParse(id).success;
+};
+
 /** Continues the run with the moved KV cache, at its version. It is the same run, so the next attempt is not a retry. */
 const resumeMovedRun = (stream: StreamState, moved: MovedRun, stoppedOn: string): NextStep => {
 	stream.progress.softwareVersion = moved.softwareVersion;
@@ -148,12 +155,12 @@
 	recordVersion(stream, attempt, await laterVersion);
 };
 
-/** Whether the stream may go on elsewhere: it has no events yet, or the version that sent them is known. */
-const canGoOn = ({hasEvents, progress}: StreamState): boolean => !hasEvents || progress.softwareVersion !== undefined;
+/** Whether the stream may go on elsewhere: it has no events yet, or the version that sent them is known and the last one can be named. */
+const canGoOn = (stream: StreamState): boolean => !stream.hasEvents || (stream.progress.softwareVersion !== undefined && canNameLastEvent(stream));
 
-const logNotContinued = ({context: {gateway}, call}: StreamState, {state, source}: Attempt): void => {
+const logNotContinued = ({context: {gateway}, call, progress}: StreamState, {state, source}: Attempt): void => {
 	gateway.log.write('failure', 'stream_not_continued', {
-		request: call.id, service: call.service, unknown: 'version', backend: state?.entry.id, peer: state === undefined ? source : undefined, ...describeDirectory(gateway),
+		request: call.id, service: call.service, unknown: progress.softwareVersion === undefined ? 'version' : 'last_event', backend: state?.entry.id, peer: state === undefined ? source : undefined, ...describeDirectory(gateway),
 	});
 };
 
