A server that refuses all waits until nothing is left to be read

Callers saw: connections reset by a daemon that could not start, though its server had refused what it had read: 4 of 6 calls in one of seven runs of failed-starts.test.js beside other work, and one failure of that test before. Cause: refuseAll closed the server when nothing was owed after one poll. Node.js accepts one connection in each turn of its loop, and reads its request in a later one, so that others waited behind the load of the modules. Change: it closes after five polls in a row in which no connection and no request came and nothing is owed, 2 s at most as before. Counted are polls, as a stall would make any time look quiet. Checks: failed-starts.test.ts passed in eight runs, and its three tests of refusals in twelve, three at a time. A connection that is opened within the last 20 ms before the close may still be reset unread.

--- a/packages/gateway/src/calls/callers-server.ts
+++ b/packages/gateway/src/calls/callers-server.ts
@@ -35,6 +35,9 @@
 const refusalWithinMs = 2000;
 const refusalPollMs = 20;
 
+/** Polls without a new connection or request after which none waits to be read any more. Node.js accepts one connection in each turn of its loop. */
+const quietPolls = 5;
+
 type Handler = (request: http.IncomingMessage, response: http.ServerResponse, arrival?: Arrival) => void;
 
 export type CallersServer = {
@@ -80,7 +83,10 @@
 		}
 	};
 
+	/** Connections and requests so far. */
+	let arrivals = 0;
 	const dispatch = (request: http.IncomingMessage, response: http.ServerResponse): void => {
+		arrivals++;
 		answers.add(request, response);
 		handler(request, response);
 	};
@@ -107,6 +113,22 @@
 		response.writeContinue();
 		dispatch(request, response);
 	});
+	server.on('connection', () => {
+		arrivals++;
+	});
+	/** Resolves when nothing is owed and nothing waits to be read, or after the time for it. */
+	const waitUntilQuiet = async (): Promise<void> => {
+		const endAt = performance.now() + refusalWithinMs;
+		let quietSince = 0;
+		for (let poll = 0; poll - quietSince < quietPolls && performance.now() < endAt; poll++) {
+			const arrivalsBefore = arrivals;
+			await sleep(refusalPollMs); // eslint-disable-line no-await-in-loop -- a poll
+			if (arrivals > arrivalsBefore || answers.count() > 0) {
+				quietSince = poll + 1;
+			}
+		}
+	};
+
 	await listenOn(server, address);
 	return {
 		server,
@@ -120,12 +142,7 @@
 					request, response, refusal, requestId: getRequestId(request.headers), isLastOnConnection: () => answers.countOn(request.socket) <= 1,
 				});
 			});
-			const endAt = performance.now() + refusalWithinMs;
-			// Waits at least once, so that connections which are not accepted yet are read.
-			do {
-				await sleep(refusalPollMs); // eslint-disable-line no-await-in-loop -- a poll
-			} while (answers.count() > 0 && performance.now() < endAt);
-
+			await waitUntilQuiet();
 			const owed = answers.count();
 			server.close();
 			server.closeAllConnections();
