--- a/packages/gateway/src/telemetry/log-events.ts
+++ b/packages/gateway/src/telemetry/log-events.ts
@@ -143,7 +143,7 @@
 		fields: ['request', 'resumes', 'service', 'reason', 'unknown', 'version', 'versions', 'asked', 'answered', 'daemons', 'silent', 'directoryAgeMs', 'directorySource', 'tookMs'],
 	},
 	stream_not_continued: {
-		meaning: 'A stream whose events were sent on broke off and did not go on elsewhere, as the version that sent them is not known, nor whether its backend server still is the one of the directory',
+		meaning: 'A stream whose events were sent on broke off and did not go on elsewhere, as the version that sent them is not known (`version`: nor whether its backend server still is the one of the directory), or the last event has no id that can be sent (`last_event`)',
 		fields: ['request', 'service', 'unknown', 'backend', 'peer', 'directoryAgeMs', 'directorySource'],
 	},
 	run_not_moved: {
