A request without a host does not end the answers of those behind it

Callers that pipeline saw: a request of HTTP/1.1 without a Host field was answered 400, and requests that came in the same read were passed on to backend servers and got no answer, as the connection was closed.

Cause: Node answers such a request itself, with "Connection: close", and does not tell the handler. It goes on parsing, so what follows is handed on and is owed an answer; behind the 400 the connection is ended with these answers on it.

Ruled out: "Connection: close" of the caller, as the parser refuses what follows it; refusals of a draining daemon, which end a connection only if nothing else is owed on it.

Change: Node's check is switched off for the server for callers. The request is counted, read to its end and refused with 400 in its turn, and the connection stays open.

Checks: the new test failed before (answers 400 only, 400 and 204 expected) and passes; the other 4 tests of the file pass. The listeners for readiness, peers and metrics and the own interface still have Node's check.

--- a/packages/gateway/src/calls/callers-server.test.ts
+++ b/packages/gateway/src/calls/callers-server.test.ts
@@ -95,3 +95,27 @@
 	assert.equal(await refused, 0);
 	assert.deepEqual([answers.count(), server.listening], [0, false]);
 });
+
+test('a request without a host is refused, and those that came with it are answered', async t => {
+	const {server, serve, answers} = await openCallersServer({address: '127.0.0.1:0'});
+	t.after(() => {
+		server.close();
+		server.closeAllConnections();
+	});
+	serve((_request, response) => {
+		response.statusCode = 204;
+		response.end();
+	});
+	const {port} = server.address() as AddressInfo;
+	let received = '';
+	const socket = net.connect({host: '127.0.0.1', port}, () => {
+		socket.write('GET / HTTP/1.1\r\n\r\nGET / HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n');
+	});
+	socket.on('data', chunk => {
+		received += chunk.toString();
+	});
+	await once(socket, 'end');
+	socket.destroy();
+	assert.deepEqual([...received.matchAll(/HTTP\/1\.1 (\d+)/gv)].map(match => match[1]), ['400', '204']);
+	assert.equal(answers.count(), 0);
+});
--- a/packages/gateway/src/calls/callers-server.ts
+++ b/packages/gateway/src/calls/callers-server.ts
@@ -36,6 +36,10 @@
 
 const queueFullRefusal: Refusal = {kind: 'over_capacity', detail: 'This daemon is starting, and too many requests wait for it.', retryAfterS: 0.5};
 
+const noHostRefusal: Refusal = {kind: 'invalid_request', detail: 'A request of HTTP/1.1 needs a Host field.'};
+
+const lacksHost = ({httpVersion, headers}: http.IncomingMessage): boolean => httpVersion === '1.1' && headers.host === undefined;
+
 /** Time for which a server that refuses all requests waits until they are read and their answers are delivered. */
 const refusalWithinMs = 2000;
 const refusalPollMs = 20;
@@ -94,6 +98,13 @@
 			return;
 		}
 
+		if (lacksHost(request)) {
+			refuseWhenRead({
+				request, response, refusal: noHostRefusal, requestId: getRequestId(request.headers), isLastOnConnection: () => false,
+			});
+			return;
+		}
+
 		handler(request, response);
 	};
 
@@ -109,6 +120,8 @@
 		headersTimeout: initialHeadersTimeoutMs,
 		keepAliveTimeout: initialIdleTimeoutMs + keepAliveMarginMs,
 		connectionsCheckingInterval: timeoutCheckIntervalMs,
+		// Node would close the connection behind its answer, and drop the requests that were read behind it.
+		requireHostHeader: false,
 		noDelay: true,
 		keepAlive: true,
 		keepAliveInitialDelay: 2000,
