An answer whose status line cannot be sent on is no answer

Cause: Node reads answers with a status below 100, and with control characters in the reason phrase, but throws when such a head is written. The answer is forwarded in a callback whose error nobody handles, so the call never ends, its answer stays owed and a drain lasts all its grace. A final answer of 101 would be passed on as an informational head.

Ruled out: characters in field values, which the parser refuses as the writer does; peers, as no daemon can write such a head.

Change: such an answer counts as a failure after which the call may have run. It is closed, and told as `invalid_status_line`.

--- a/packages/gateway/src/calls/backend-exchange.test.ts
+++ b/packages/gateway/src/calls/backend-exchange.test.ts
@@ -249,3 +249,22 @@
 		});
 	}), {seed: 1, numRuns: 60});
 });
+
+test('an answer whose status line cannot be sent on to the caller is none', async t => {
+	for (const statusLine of ['000 OK', '099 OK', '101 OK', '200 O\u0001K', '200 O\u007FK']) {
+		const backend = await openBackend(socket => { // eslint-disable-line no-await-in-loop -- one after another
+			socket.write(`HTTP/1.1 ${statusLine}\r\nContent-Length: 2\r\n\r\nok`);
+		});
+		const agent = new BackendAgent();
+		t.after(() => {
+			agent.destroy();
+			backend.close();
+		});
+		const {result} = sendToBackend({
+			agent, address: backend.address, method: 'GET', path: '/a', fields: ['Host', 'a'], body: undefined, connectTimeoutMs: 5000, ...waitingCaller(),
+		});
+		assert.deepEqual(await result, { // eslint-disable-line no-await-in-loop -- one after another
+			kind: 'failed', delivery: 'unknown', reason: 'invalid_status_line', isConnectFailure: false,
+		}, statusLine);
+	}
+});
--- a/packages/gateway/src/calls/backend-exchange.ts
+++ b/packages/gateway/src/calls/backend-exchange.ts
@@ -64,6 +64,10 @@
 	reset() {/* Nothing was sent. */},
 };
 
+/** A final status of three digits, and a reason phrase that can be sent on. Node reads others too, but does not write them. */
+const isValidStatusLine = ({statusCode = 0, statusMessage = ''}: http.IncomingMessage): boolean =>
+	statusCode >= 200 && /^[\t\u0020-\u007E\u0080-\u00FF]*$/v.test(statusMessage);
+
 /** Sends a call, unless nobody waits for its answer. There is no built-in deadline: the signal is aborted when the deadline passes. */
 export const sendToBackend = (options: ExchangeOptions): Exchange => {
 	const {host, port} = parseHostAndPort(options.address);
@@ -132,6 +136,12 @@
 		request.on('response', response => {
 			hasArrived = true;
 			clearTimeout(connectTimer);
+			if (!isValidStatusLine(response)) {
+				fail('invalid_status_line');
+				closeRequest(request);
+				return;
+			}
+
 			const {socket} = request;
 			if (!request.writableFinished) {
 				// The response arrived before the request body was sent completely. The server would
