A daemon of the own interface that drains delivers the answers that it has written

Callers of the own interface that read slowly saw torn answers when a daemon drained.

Cause: the drain waited until no request was in flight, which is when the last byte is handed to the response. It then closed the idle connections of the server, and Node counts a connection as idle whose answer was written and not sent, so it was destroyed.

Ruled out: repeatable calls to plain services, which are piped and end with their delivery; the users' platform, whose drain counts owed answers and does not use Node's close.

Change: the drain also waits until nothing is owed on any connection, at most 10 s, as this interface has no grace period of its own.

--- a/packages/callers/src/listener.ts
+++ b/packages/callers/src/listener.ts
@@ -3,6 +3,7 @@
 	createServer, type IncomingMessage, type Server, type ServerResponse,
 } from 'node:http';
 import {type Socket} from 'node:net';
+import {setTimeout as sleep} from 'node:timers/promises';
 import {closeGently, waitForParser} from '@shallotpass/common/close-gently.js';
 import {listenAt} from '@shallotpass/common/listen.js';
 import {isRepeatable} from '@shallotpass/common/configuration-schema.js';
@@ -29,11 +30,14 @@
 	readonly countInFlight: () => number;
 	/** Refuses new requests from now on, and closes connections after their current response. */
 	readonly startDraining: () => void;
-	/** Resolves when no request is in flight. */
+	/** Resolves when no request is in flight, and the answers are delivered or the time for that is over. */
 	readonly waitUntilIdle: () => Promise<void>;
 	readonly close: () => Promise<void>;
 };
 
+/** Time for callers to read answers that are written, for 16 MB at 1.6 MB a second. */
+const deliverWithinMs = 10_000;
+
 type ListenerOptions = {
 	readonly listen: {readonly host: string; readonly port: number};
 	readonly services: CallerServices;
@@ -113,6 +117,13 @@
 	let isDraining = false;
 	const idleWaiters: Array<() => void> = [];
 
+	const waitUntilDelivered = async (): Promise<void> => {
+		const deliveries = [...sockets].map(async socket => new Promise<void>(resolve => {
+			answers.onSettled(socket, resolve);
+		}));
+		await Promise.race([Promise.all(deliveries), sleep(deliverWithinMs, undefined, {ref: false})]);
+	};
+
 	const markFinished = (): void => {
 		inFlight--;
 		if (inFlight === 0) {
@@ -234,13 +245,13 @@
 			isDraining = true;
 		},
 		async waitUntilIdle() {
-			if (inFlight === 0) {
-				return;
+			if (inFlight > 0) {
+				await new Promise<void>(resolve => {
+					idleWaiters.push(resolve);
+				});
 			}
 
-			await new Promise<void>(resolve => {
-				idleWaiters.push(resolve);
-			});
+			await waitUntilDelivered();
 		},
 		async close() {
 			server.closeIdleConnections();
--- /dev/null
+++ b/tests/src/slow-readers.test.ts
@@ -0,0 +1,28 @@
+import assert from 'node:assert/strict';
+import test from 'node:test';
+import {setTimeout as sleep} from 'node:timers/promises';
+import {callerKey, waitFor} from '@shallotpass/measure/local-fleet.js';
+import {openPacedCaller} from '@shallotpass/platform/stand-ins/paced-caller.js';
+import {parseAnswers} from '@shallotpass/platform/stand-ins/parse-answers.js';
+import {startFleet} from './fleet-fixture.js';
+
+const bodyBytes = 12_000_000;
+
+test('answers that are written when a daemon drains are delivered to callers that read slowly', async t => {
+	// Closing the idle connections of the server destroyed those whose answers were written but not sent.
+	const fleet = await startFleet(t, {daemons: 1, limits: {maxBodyBytes: 2 * bodyBytes}});
+	const [daemon] = fleet.daemons;
+	const caller = await openPacedCaller(daemon!.callers);
+	caller.setPace(0);
+	caller.write([
+		'POST /services/reservations/x HTTP/1.1', 'Host: x', `Authorization: Bearer ${callerKey}`, 'Idempotency-Key: k-1', `Content-Length: ${bodyBytes}`, '', 'x'.repeat(bodyBytes),
+	].join('\r\n'));
+	await waitFor('the call has run', () => fleet.countExecutions() === 1);
+	const drained = daemon!.drain();
+	await sleep(2000);
+	caller.setPace(Infinity);
+	await Promise.all([caller.closed, drained]);
+	const [answer] = parseAnswers(caller.getReceived());
+	assert.deepEqual([answer?.status, answer?.isComplete, caller.getError()], [200, true, undefined], `${caller.countReceived()} bytes`);
+	assert.ok(caller.countReceived() > bodyBytes);
+});
