The body of a request is bounded in time also if its head was late

A caller could hold a connection, an owed answer and a part of a body without limit, and a drain for all its grace: half a head behind a request under way, the rest of the head after the time for heads, and no body.

Cause: Node tells once that a request is late and then no longer watches it. The time was judged again only for the part that was late: when the head had come, nothing watched for the body. If it came while the answer before was under way, nothing was judged at all, as the request counted as owed itself.

Ruled out: bodies that are late by themselves and heads that never come, for which tests pass before and after.

Change: a late request is judged by its number on the connection until it is read whole or given up: every 500 ms while answers before it are under way, then when its time is over.

Checks: two new tests; the first one hung before (given up after 15 s; the time for a request there is 0.4 s), the second one was not reached. Both pass, as do the 5 others of the file. A 408 for a late head comes up to 0.5 s later than before behind a slow answer.

--- a/packages/common/src/watch-input.test.ts
+++ b/packages/common/src/watch-input.test.ts
@@ -124,3 +124,30 @@
 	assert.ok(server!.bytesRead < 1_048_576, `${server!.bytesRead}`);
 	assert.ok(caller.writableLength > 0);
 });
+
+test('a body that does not come is given up though its head was late behind an answer', async t => {
+	// Node tells once that a request is late, so the time for the rest of it was not watched any more.
+	const {answers, caller, held, getReceived} = await startHeldServer(t);
+	caller.write(get + halfPost.slice(0, 10));
+	await waitUntil(() => held.length === 1);
+	await sleep(2 * withinMs);
+	caller.write(halfPost.slice(10));
+	await waitUntil(() => answers.count() === 2);
+	held[0]!.end('first');
+	await waitUntil(() => caller.readableEnded);
+	assert.match(getReceived(), /first.*408.*Connection: close.*unread/sv);
+	assert.equal(answers.count(), 0);
+});
+
+test('a body that does not come is given up though its head came late after the answer before it', async t => {
+	const {answers, caller, held, getReceived} = await startHeldServer(t);
+	caller.write(get + halfPost.slice(0, 10));
+	await waitUntil(() => held.length === 1);
+	await sleep(2 * withinMs);
+	held[0]!.end('first');
+	await waitUntil(() => getReceived().endsWith('first'));
+	caller.write(halfPost.slice(10));
+	await waitUntil(() => caller.readableEnded);
+	assert.match(getReceived(), /first.*408.*Connection: close.*unread/sv);
+	assert.equal(answers.count(), 0);
+});
--- a/packages/common/src/watch-input.ts
+++ b/packages/common/src/watch-input.ts
@@ -20,6 +20,9 @@
 	readonly refusesUpgrades: boolean;
 };
 
+/** How often a late request is looked at while answers before it are under way. Node checks its connections as often. */
+const recheckMs = 500;
+
 const timeoutCode = 'ERR_HTTP_REQUEST_TIMEOUT';
 
 const findInputError = ({code}: NodeJS.ErrnoException): InputError | undefined => {
@@ -104,31 +107,34 @@
 		});
 	};
 
-	const hasGoneOn = (socket: net.Socket, heads: number, unread: UnreadRequest | undefined): boolean =>
-		socket.destroyed || ended.has(socket) || answers.getProgress(socket).heads !== heads || unread?.request.complete === true;
-
-	/** Ends the input if the late request had all its time since the answer before it was out, or checks again when it has had it. */
-	const judgeTimeout = (socket: net.Socket, error: InputError): void => {
+	/**
+	 * Ends the input if the late request had all its time since the answer before it was out, or checks again later: Node tells
+	 * only once that a request is late, be it in its head or its body. `number` counts the requests of the connection.
+	 */
+	const judgeTimeout = (socket: net.Socket, error: InputError, number: number): void => {
+		const {heads, lastSettledAt = 0} = answers.getProgress(socket);
 		const unread = answers.findUnread(socket);
-		const {heads} = answers.getProgress(socket);
-		const end = (): void => {
-			if (!hasGoneOn(socket, heads, unread)) {
-				endInput(socket, error);
-			}
-		};
+		const isRead = heads > number || (heads === number && unread === undefined);
+		if (socket.destroyed || ended.has(socket) || isRead) {
+			return;
+		}
 
 		const ownAnswers = unread === undefined || unread.response.writableFinished ? 0 : 1;
-		answers.onSettled(socket, () => {
-			const deadline = (answers.getProgress(socket).lastSettledAt ?? 0) + (unread === undefined ? server.headersTimeout : server.requestTimeout);
-			const remainingMs = deadline - performance.now();
-			if (remainingMs <= 0) {
-				end();
-			} else if (!hasGoneOn(socket, heads, unread)) {
-				startTimer(socket, remainingMs, end);
-			}
-		}, ownAnswers);
+		const isBehindAnswers = answers.countOn(socket) > ownAnswers;
+		const deadline = lastSettledAt + (unread === undefined ? server.headersTimeout : server.requestTimeout);
+		const remainingMs = isBehindAnswers ? recheckMs : deadline - performance.now();
+		if (remainingMs <= 0) {
+			endInput(socket, error);
+			return;
+		}
+
+		startTimer(socket, remainingMs, () => {
+			judgeTimeout(socket, error, number);
+		});
 	};
 
+	const findLate = (socket: net.Socket): number => answers.getProgress(socket).heads + (answers.findUnread(socket) === undefined ? 1 : 0);
+
 	server.on('connection', socket => {
 		// Node closes a connection this way behind its last answer, at once, though its caller may still send.
 		socket.destroySoon = () => {
@@ -146,7 +152,7 @@
 		if (inputError === undefined) {
 			socket.destroy();
 		} else if (inputError.kind === 'request_timeout') {
-			judgeTimeout(socket, inputError);
+			judgeTimeout(socket, inputError, findLate(socket));
 		} else {
 			endInput(socket, inputError);
 		}
