A request without a host does not end the answers of those behind it on the own interface

Callers that pipeline saw one 400 and a closed connection, while a call that had come with the request without a Host field ran.

Cause: as on the users' platform, Node refuses such a request itself with "Connection: close", and goes on parsing.

Ruled out: the refusals of this interface, of which only those of requests that were not read whole close the connection, and those of a daemon that drains.

Change: Node's check is switched off, and the request is refused with 400 in its turn as any other that is not well formed.

Checks: the new test (with a reservation behind the request) failed before, as the connection was closed behind 400, and passes.

--- a/packages/callers/src/listener.ts
+++ b/packages/callers/src/listener.ts
@@ -97,6 +97,12 @@
 const formatInputError = ({kind, reason}: InputError): string =>
 	formatRawProblem(kind, kind === 'invalid_request' ? `${inputErrorDetails[kind]}: ${reason}` : inputErrorDetails[kind], makeRequestId());
 
+const checkHost = ({httpVersion, headers}: IncomingMessage): void => {
+	if (httpVersion === '1.1' && headers.host === undefined) {
+		throw new ServingError('a request of HTTP/1.1 needs a Host field', {kind: 'invalid_request'});
+	}
+};
+
 const parseUrl = (request: IncomingMessage): URL => {
 	try {
 		return new URL(request.url ?? '/', 'http://callers');
@@ -193,6 +199,7 @@
 		request.on('error', () => {/* handled by the reader of the body */});
 		response.on('error', () => {/* the caller has disconnected */});
 		try {
+			checkHost(request);
 			const url = parseUrl(request);
 			const span = tracing.startSpan('caller', getHeader(request, 'traceparent'), {method: request.method ?? '', path: url.pathname, requestId});
 			void serveWatched({
@@ -211,6 +218,8 @@
 		requestTimeout: limits.bodyWithinMs,
 		connectionsCheckingInterval: connectionCheckIntervalMs,
 		keepAliveTimeout: 65_000,
+		// Node would close the connection behind its answer, and drop the requests that were read behind it.
+		requireHostHeader: false,
 		noDelay: true,
 	}, handle);
 	server.on('connection', socket => {
--- a/tests/src/input-ends.test.ts
+++ b/tests/src/input-ends.test.ts
@@ -116,3 +116,16 @@
 	assert.ok(second !== undefined && reservation.isWhole(second), caller.getReceived());
 	caller.leave('close');
 });
+
+test('a request without a host is refused, and one that came with it is answered', async t => {
+	// Node closed the connection behind its own refusal, while the other request ran.
+	const {fleet, address} = await start(t, {});
+	const caller = await openRawCaller(address);
+	caller.sendText(`GET /v1/models HTTP/1.1\r\n\r\n${reservation.text}`);
+	await waitFor('both are answered', () => parseAnswers(caller.getReceived()).length === 2 || caller.isClosed());
+	await waitFor('the call has run', () => fleet.countExecutions() === 1);
+	const [first, second] = parseAnswers(caller.getReceived());
+	assert.equal(first?.status, 400);
+	assert.ok(second !== undefined && reservation.isWhole(second), caller.getReceived());
+	caller.leave('close');
+});
