A request of HTTP/1.0 behind an answer under way is not passed on

Callers of HTTP/1.0 that pipeline on a kept connection would have lost answers: the request behind a stream, or behind a large plain answer, ran and its connection was closed. Found by reading Node's rules, and shown by the test only.

Cause: an answer to HTTP/1.0 that states no length ends with its connection, which is decided when its head is written. By then the requests behind it had been passed on.

Ruled out: requests of HTTP/1.1, whose answers are chunked then; requests of HTTP/1.0 that come one after another.

Change: a request of HTTP/1.0 that is read while an answer is owed on its connection is not passed on, and the connection is closed once the answers before it are out. HTTP/1.0 has no pipelining.

--- a/packages/gateway/src/calls/callers-server.test.ts
+++ b/packages/gateway/src/calls/callers-server.test.ts
@@ -143,3 +143,39 @@
 	assert.deepEqual([...received.matchAll(/HTTP\/1\.1 (\d+)/gv)].map(match => match[1]), ['400', '204']);
 	assert.equal(answers.count(), 0);
 });
+
+test('a request of HTTP/1.0 behind an answer under way is not passed on, as that answer may end with the connection', async t => {
+	const {server, serve, answers} = await openCallersServer({address: '127.0.0.1:0'});
+	t.after(() => {
+		server.close();
+		server.closeAllConnections();
+	});
+	const served: http.ServerResponse[] = [];
+	let unfinished = 0;
+	answers.onUnfinished = () => {
+		unfinished++;
+	};
+
+	serve((_request, response) => {
+		served.push(response);
+	});
+	const {port} = server.address() as AddressInfo;
+	let received = '';
+	const socket = net.connect({host: '127.0.0.1', port}, () => {
+		socket.write('GET / HTTP/1.0\r\nConnection: keep-alive\r\n\r\n'.repeat(2));
+	});
+	socket.on('data', chunk => {
+		received += chunk.toString();
+	});
+	await waitUntil(() => served.length > 0);
+	await setImmediate();
+	for (const response of served) {
+		response.write('a');
+		response.end('b');
+	}
+
+	await once(socket, 'end');
+	socket.destroy();
+	assert.equal(received.split('\r\n\r\n')[1], 'ab');
+	assert.deepEqual([served.length, unfinished, answers.count()], [1, 0, 0]);
+});
--- a/packages/gateway/src/calls/callers-server.ts
+++ b/packages/gateway/src/calls/callers-server.ts
@@ -6,6 +6,7 @@
 import {performance} from 'node:perf_hooks';
 import type net from 'node:net';
 import {setTimeout as sleep} from 'node:timers/promises';
+import {closeGently} from '@shallotpass/common/close-gently.js';
 import {makeOwedAnswers, type OwedAnswers} from '@shallotpass/common/owed-answers.js';
 import {type InputError} from '@shallotpass/common/unreadable-request.js';
 import {watchInput} from '@shallotpass/common/watch-input.js';
@@ -92,7 +93,20 @@
 		}
 	};
 
+	/** Passes the request on to nobody, and closes the connection behind the answers before it. */
+	const endBefore = ({socket}: http.IncomingMessage): void => {
+		answers.endOn(socket);
+		answers.onSettled(socket, () => {
+			closeGently(socket);
+		});
+	};
+
 	const dispatch = (request: http.IncomingMessage, response: http.ServerResponse): void => {
+		// An answer to HTTP/1.0 that states no length ends with its connection, so none can follow it.
+		if (request.httpVersion === '1.0' && answers.countOn(request.socket) > 0) {
+			endBefore(request);
+		}
+
 		if (!answers.add(request, response)) {
 			request.resume();
 			return;
