--- a/packages/gateway/src/calls/callers-server.test.ts
+++ b/packages/gateway/src/calls/callers-server.test.ts
@@ -119,3 +119,63 @@
 	assert.equal(await refused, 0);
 	assert.deepEqual([answers.count(), server.listening], [0, false]);
 });
+
+test('a request without a host is refused, and those that came with it are answered', async t => {
+	const {server, serve, answers} = await openCallersServer({address: '127.0.0.1:0'});
+	t.after(() => {
+		server.close();
+		server.closeAllConnections();
+	});
+	serve((_request, response) => {
+		response.statusCode = 204;
+		response.end();
+	});
+	const {port} = server.address() as AddressInfo;
+	let received = '';
+	const socket = net.connect({host: '127.0.0.1', port}, () => {
+		socket.write('GET / HTTP/1.1\r\n\r\nGET / HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n');
+	});
+	socket.on('data', chunk => {
+		received += chunk.toString();
+	});
+	await once(socket, 'end');
+	socket.destroy();
+	assert.deepEqual([...received.matchAll(/HTTP\/1\.1 (\d+)/gv)].map(match => match[1]), ['400', '204']);
+	assert.equal(answers.count(), 0);
+});
+
+test('a request of HTTP/1.0 behind an answer under way is not passed on, as that answer may end with the connection', async t => {
+	const {server, serve, answers} = await openCallersServer({address: '127.0.0.1:0'});
+	t.after(() => {
+		server.close();
+		server.closeAllConnections();
+	});
+	const served: http.ServerResponse[] = [];
+	let unfinished = 0;
+	answers.onUnfinished = () => {
+		unfinished++;
+	};
+
+	serve((_request, response) => {
+		served.push(response);
+	});
+	const {port} = server.address() as AddressInfo;
+	let received = '';
+	const socket = net.connect({host: '127.0.0.1', port}, () => {
+		socket.write('GET / HTTP/1.0\r\nConnection: keep-alive\r\n\r\n'.repeat(2));
+	});
+	socket.on('data', chunk => {
+		received += chunk.toString();
+	});
+	await waitUntil(() => served.length > 0);
+	await setImmediate();
+	for (const response of served) {
+		response.write('a');
+		response.end('b');
+	}
+
+	await once(socket, 'end');
+	socket.destroy();
+	assert.equal(received.split('\r\n\r\n')[1], 'ab');
+	assert.deepEqual([served.length, unfinished, answers.count()], [1, 0, 0]);
+});
--- a/packages/gateway/src/calls/callers-server.ts
+++ b/packages/gateway/src/calls/callers-server.ts
@@ -6,6 +6,7 @@
 import {performance} from 'node:perf_hooks';
 import type net from 'node:net';
 import {setTimeout as sleep} from 'node:timers/promises';
+import {closeGently} from '@shallotpass/common/close-gently.js';
 import {makeOwedAnswers, type OwedAnswers} from '@shallotpass/common/owed-answers.js';
 import {type InputError} from '@shallotpass/common/unreadable-request.js';
 import {watchInput} from '@shallotpass/common/watch-input.js';
@@ -34,6 +35,10 @@
 
 const queueFullRefusal: Refusal = {kind: 'over_capacity', detail: 'This daemon is starting, and too many requests wait for it.', retryAfterS: 0.5};
 
+const noHostRefusal: Refusal = {kind: 'invalid_request', detail: 'A request of HTTP/1.1 needs a Host field.'};
+
+const lacksHost = ({httpVersion, headers}: http.IncomingMessage): boolean => httpVersion === '1.1' && headers.host === undefined;
+
 /** Time for which a server that refuses all requests waits until callers have read their answers and closed their connections. */
 const refusalWithinMs = 2000;
 const refusalPollMs = 20;
@@ -86,12 +91,32 @@
 		}
 	};
 
+	/** Passes the request on to nobody, and closes the connection behind the answers before it. */
+	const endBefore = ({socket}: http.IncomingMessage): void => {
+		answers.endOn(socket);
+		answers.onSettled(socket, () => {
+			closeGently(socket);
+		});
+	};
+
 	const dispatch = (request: http.IncomingMessage, response: http.ServerResponse): void => {
+		// An answer to HTTP/1.0 that states no length ends with its connection, so none can follow it.
+		if (request.httpVersion === '1.0' && answers.countOn(request.socket) > 0) {
+			endBefore(request);
+		}
+
 		if (!answers.add(request, response)) {
 			request.resume();
 			return;
 		}
 
+		if (lacksHost(request)) {
+			refuseWhenRead({
+				request, response, refusal: noHostRefusal, requestId: getRequestId(request.headers), isLastOnConnection: () => false,
+			});
+			return;
+		}
+
 		handler(request, response);
 	};
 
@@ -107,6 +132,8 @@
 		headersTimeout: initialHeadersTimeoutMs,
 		keepAliveTimeout: initialIdleTimeoutMs + keepAliveMarginMs,
 		connectionsCheckingInterval: timeoutCheckIntervalMs,
+		// Node would close the connection behind its answer, and drop the requests that were read behind it.
+		requireHostHeader: false,
 		noDelay: true,
 		keepAlive: true,
 		keepAliveInitialDelay: 2000,
