The measured speed of engines leaves out queued tokens that a call overtakes, and slow moments count in the plan of the fleet

Cause: the latency model of an engine divides the tokens that were ahead of a call by the time to its first event. It counted all queued tokens, also those of calls that yield to this one and are overtaken, so that a queue of yielding calls made an engine look as many times faster as the queue was longer, and the plan ordered fewer engines the more calls waited. Stated slow moments were left out of the speeds that the plan divides by. Change: tokens of yielding calls ahead of one that does not yield count as at most 2,000, as they do in placing; the plan divides by the mean slowness that the engines of a service state, smoothed over some 50 readings. It takes effect where streams yield and engines state their slowness.

--- a/packages/core/src/placement/choose-backend.test.ts
+++ b/packages/core/src/placement/choose-backend.test.ts
@@ -1,7 +1,9 @@
 import assert from 'node:assert/strict';
 import test from 'node:test';
 import fc from 'fast-check';
-import {chooseBackend, type PlacementRequest, predictWait} from './choose-backend.js';
+import {
+	chooseBackend, countTokensAhead, type PlacementRequest, predictWait,
+} from './choose-backend.js';
 import {type BackendView} from './types.js';
 
 const idle = {running: 0, pendingTokens: [0, 0, 0]};
@@ -73,3 +75,10 @@
 	assert.equal(choose(views, {...streamCall, slackMs: 1000}), choose(views, streamCall));
 	assert.equal(chooseBackend(views, {...streamCall, slackMs: 1000}, () => 0)?.cost, chooseBackend(views, streamCall, () => 0)?.cost);
 });
+
+test('the tokens ahead of a call leave out those of calls that yield to it', () => {
+	// Counted in full, a queue of yielding calls makes an engine look as many times faster as the queue is longer, and the fleet shrinks under load.
+	assert.equal(countTokensAhead([1000, 2000, 90_000], {rank: 1, yieldingRank: 2}), 5000);
+	assert.equal(countTokensAhead([1000, 2000, 90_000], {rank: 2, yieldingRank: 2}), 93_000);
+	assert.equal(countTokensAhead([1000, 2000, 90_000], {rank: 1, yieldingRank: undefined}), 93_000);
+});
--- a/packages/core/src/placement/choose-backend.ts
+++ b/packages/core/src/placement/choose-backend.ts
@@ -56,11 +56,19 @@
 /** Most tokens of yielding calls that count as a delay of another call. They queue for seconds, and it overtakes all but a chunk in progress. */
 const maxYieldingTokens = 2000;
 
+type RankedCall = Pick<PlacementRequest, 'rank' | 'yieldingRank'>;
+
+/** Limits queued prompt tokens of a rank, if they are of yielding calls and the call does not yield. */
+const limitYieldingTokens = (tokens: number, queuedRank: number, {rank, yieldingRank = Infinity}: RankedCall): number =>
+	rank < yieldingRank && queuedRank >= yieldingRank ? Math.min(tokens, maxYieldingTokens) : tokens;
+
+/** Counts the queued prompt tokens, indexed by rank, that an engine may prefill before the call. */
+export const countTokensAhead = (pendingTokens: readonly number[], call: RankedCall): number =>
+	pendingTokens.reduce((sum, tokens, queuedRank) => sum + limitYieldingTokens(tokens, queuedRank, call), 0);
+
 /** Weighs queued prompt tokens of a rank by how much they delay the call. Tokens of less urgent calls count in part. */
-const weighQueuedTokens = (tokens: number, queuedRank: number, {rank, yieldingRank = Infinity}: PlacementRequest): number => {
-	const weighted = queuedRank <= rank ? tokens : tokens * lowerPriorityWeight;
-	return rank < yieldingRank && queuedRank >= yieldingRank ? Math.min(weighted, maxYieldingTokens) : weighted;
-};
+const weighQueuedTokens = (tokens: number, queuedRank: number, call: PlacementRequest): number =>
+	limitYieldingTokens(queuedRank <= call.rank ? tokens : tokens * lowerPriorityWeight, queuedRank, call);
 
 /** Counts the queued prompt tokens, indexed by rank, that delay the call. Uses `reduce`, as a loop over `entries()` took more than half of the time of a choice among 500 backend servers. */
 const countQueuedTokens = (pendingTokens: readonly number[], call: PlacementRequest): number =>
--- a/packages/gateway/src/calls/backend-registry.ts
+++ b/packages/gateway/src/calls/backend-registry.ts
@@ -110,6 +110,8 @@
 	versionsByService: VersionsByService;
 	/** Latency model by service, also assumed for new backend servers. */
 	readonly latencyModels: Map<string, LatencyModel>;
+	/** Mean of the stated slowness by service, over the servers and the time. The latency models leave it out. */
+	readonly meanSlowness: Map<string, number>;
 	/** Bytes of the largest whole body of a plain answer, by service. */
 	readonly largestBodies: Map<string, number>;
 	readonly openConnection: OpenConnection;
@@ -118,7 +120,7 @@
 };
 
 export const makeBackendRegistry = (openConnection: OpenConnection = net.connect): BackendRegistry => ({
-	byId: new Map(), byService: new Map(), versionsByService: new Map(), latencyModels: new Map(), largestBodies: new Map(), openConnection, onConnected() {/* set by the owner */},
+	byId: new Map(), byService: new Map(), versionsByService: new Map(), latencyModels: new Map(), meanSlowness: new Map(), largestBodies: new Map(), openConnection, onConnected() {/* set by the owner */},
 });
 
 /** Each call at the backend server listens, so their number has no bound. */
--- a/packages/gateway/src/calls/call-attempts.ts
+++ b/packages/gateway/src/calls/call-attempts.ts
@@ -143,10 +143,11 @@
 	});
 	const {gateway: {clocks, random}} = context;
 	const isPredictable = isStream(admitted.call.repeatability) || isPlainEstimateCurrent(placement.state, clocks.steady());
+	// A stream that yields is refused by the wait with its own rank: calls that overtake it may end soon.
 	const retryAfterS = progress.attempts > 0 || !isPredictable
 		? undefined
 		: computeRetryAfter({
-			predictedMs: placement.choice.predictedMs, deadline: call.deadline, now: clocks.steady(), random, isSpread: isOfMixedService(context.gateway, call),
+			predictedMs: result.placement.choice.predictedMs, deadline: call.deadline, now: clocks.steady(), random, isSpread: isOfMixedService(context.gateway, call),
 		});
 	if (retryAfterS !== undefined) {
 		return {kind: 'unreachable', retryAfterS};
--- a/packages/gateway/src/calls/record-latency.test.ts
+++ b/packages/gateway/src/calls/record-latency.test.ts
@@ -18,9 +18,10 @@
 });
 
 /** Responds to a plain call and a stream in turn, each after `tookMs` for work that usually takes 20 ms and 200 ms. */
-const recordAnswers = (knowledge: Knowledge, slowness: number | undefined, factor: number): void => {
+const recordAnswers = (knowledge: Knowledge, slowness: number | undefined, factor: number): ReadonlyMap<string, number> => {
 	let now = 0;
-	const gateway = {clocks: {steady: () => now}, registry: {latencyModels: new Map([['s', {tokensPerMs: 100, fixedMs: 0}]])}} as unknown as GatewayState;
+	const meanSlowness = new Map<string, number>();
+	const gateway = {clocks: {steady: () => now}, registry: {latencyModels: new Map([['s', {tokensPerMs: 100, fixedMs: 0}]]), meanSlowness}} as unknown as GatewayState;
 	const state = Object.assign(knowledge, {entry: {service: 's'}}) as unknown as BackendState;
 	for (let answer = 0; answer < 10; answer++) {
 		const sentAt = now;
@@ -32,6 +33,8 @@
 		recordSpeed(gateway, state, {slowness, waiting: undefined});
 		recordStreamLatency(gateway, state, {sentAt: streamSentAt, workTokens: 20_000});
 	}
+
+	return meanSlowness;
 };
 
 test('a slow moment that a backend server states does not make it count as slow afterwards', () => {
@@ -54,3 +57,10 @@
 	recordAnswers(knowledge, undefined, 1);
 	assert.equal(knowledge.speed, speed);
 });
+
+test('the mean slowness of a service follows many readings, and one slow moment hardly', () => {
+	// The plan of the fleet divides by it: taken at its word, one slow machine would double the orders for seconds.
+	assert.ok(recordAnswers(makeKnowledge(), 2.5, 1).get('s')! < 1.6);
+	assert.equal(recordAnswers(makeKnowledge(), 1, 1).get('s'), 1);
+	assert.equal(recordAnswers(makeKnowledge(), undefined, 1).get('s'), undefined);
+});
--- a/packages/gateway/src/calls/record-latency.ts
+++ b/packages/gateway/src/calls/record-latency.ts
@@ -9,11 +9,16 @@
 import {type BackendHeaders} from '../ports.js';
 import {type BackendState} from './backend-registry.js';
 
+/** Weight of a reading in the mean slowness of a service: a slow moment of one machine should not change it, one of all machines within some seconds. */
+const slownessSampleWeight = 0.02;
+
 /** Records what a response states about the current speed of the backend server's machine, and of its queue. One that states nothing leaves the last reading. */
-export const recordSpeed = ({clocks}: GatewayState, state: BackendState, {slowness, waiting}: Pick<BackendHeaders, 'slowness' | 'waiting'>): void => {
+export const recordSpeed = ({registry, clocks}: GatewayState, state: BackendState, {slowness, waiting}: Pick<BackendHeaders, 'slowness' | 'waiting'>): void => {
 	state.waiting = waiting ?? state.waiting;
 	if (slowness !== undefined) {
 		state.speed = {slowness, at: clocks.steady()};
+		const mean = registry.meanSlowness.get(state.entry.service) ?? 1;
+		registry.meanSlowness.set(state.entry.service, mean + (slownessSampleWeight * (slowness - mean)));
 	}
 };
 
--- a/packages/gateway/src/calls/run-at-backend.ts
+++ b/packages/gateway/src/calls/run-at-backend.ts
@@ -3,6 +3,7 @@
 import type http from 'node:http';
 import {type Call, isStream} from '@shallotpass/core/calls/types.js';
 import {recordWork} from '@shallotpass/core/engines/work-rate.js';
+import {countTokensAhead} from '@shallotpass/core/placement/choose-backend.js';
 import {computeSilenceTimeout} from '@shallotpass/core/retries/silence-timeout.js';
 import {getWindowIndex, recordStart} from '@shallotpass/core/usage/count-starts.js';
 import {type GatewayState} from '../gateway-state.js';
@@ -30,6 +31,7 @@
 import {trackRunningCall} from './track-running-call.js';
 import {recordWaitEnd} from './compare-waits.js';
 import {watchForHead} from './watch-for-head.js';
+import {getYieldingRank} from './yielding-rank.js';
 import {watchForLateArrival} from './watch-for-late-arrival.js';
 import {watchForSilence} from './watch-for-silence.js';
 
@@ -128,7 +130,8 @@
 	const now = gateway.clocks.steady();
 	const sentAt = gateway.clocks.trueTime();
 	const uncachedTokens = Math.max(0, call.promptTokens - placement.cachedTokens);
-	const workTokens = uncachedTokens + state.pendingTokens.reduce((sum, tokens) => sum + tokens, 0) + state.othersPendingTokens.reduce((sum, tokens) => sum + tokens, 0);
+	const rankedCall = {rank: call.rank, yieldingRank: getYieldingRank(gateway, call.service)};
+	const workTokens = uncachedTokens + countTokensAhead(state.pendingTokens, rankedCall) + countTokensAhead(state.othersPendingTokens, rankedCall);
 	// Cached tokens count as well: the fleet is planned for backend servers that have just started, as after a mass reclaim, and have nothing cached.
 	gateway.workRates.set(call.service, recordWork(gateway.workRates.get(call.service), call.promptTokens, now));
 	recordPrompt(gateway, call, now);
--- a/packages/gateway/src/leader/order-planner.ts
+++ b/packages/gateway/src/leader/order-planner.ts
@@ -72,11 +72,12 @@
 		};
 	});
 
-	/** Mean prefill speed of the ready backend servers in tokens per millisecond, or the speed assumed for new ones if none is ready. */
+	/** Mean prefill speed of the ready backend servers in tokens per millisecond, or the speed assumed for new ones if none is ready. Slow moments of their machines count. */
 	const computeMeanPrefillSpeed = (service: string): number => {
 		const ready = listInService(gateway, service);
 		const total = ready.reduce((sum, state) => sum + getLatencyModel(gateway.registry, state, now()).tokensPerMs, 0);
-		return ready.length === 0 ? (gateway.registry.latencyModels.get(service) ?? defaultLatencyModel).tokensPerMs : total / ready.length;
+		const usual = ready.length === 0 ? (gateway.registry.latencyModels.get(service) ?? defaultLatencyModel).tokensPerMs : total / ready.length;
+		return usual / (gateway.registry.meanSlowness.get(service) ?? 1);
 	};
 
 	const countPendingTokens = (service: string): number => (gateway.registry.byService.get(service) ?? [])
