A request is refused also if its body cannot be read

A caller whose request was to be refused, as its daemon could not start, got no answer if the body broke off by a parser error: the connection stayed open, and the process reported an answer that it owed.

Cause: the refusal waited for the end of the request, which does not come when it is broken off. The error of the request was taken for its caller having left. The refusal of requests without a host waits in the same way.

Ruled out: requests that are passed on, whose body is read by readRequestBody, which tells of each way to break off.

Change: the refusal is sent when the request has ended in any way.

--- a/packages/gateway/src/calls/callers-server.test.ts
+++ b/packages/gateway/src/calls/callers-server.test.ts
@@ -179,3 +179,27 @@
 	assert.equal(received.split('\r\n\r\n')[1], 'ab');
 	assert.deepEqual([served.length, unfinished, answers.count()], [1, 0, 0]);
 });
+
+for (const host of ['', 'Host: a\r\n']) {
+	test(`a request ${host === '' ? 'without a host' : 'that is queued'} whose body cannot be read is refused`, async t => {
+		// It waited for the end of the body, and its connection for the answer.
+		const callersServer = await openCallersServer({address: '127.0.0.1:0'});
+		const {server, refuseAll} = callersServer;
+		const unreadable = new Promise<void>(resolve => {
+			callersServer.onUnreadable = () => {
+				resolve();
+			};
+		});
+		let received = '';
+		const socket = net.connect({host: '127.0.0.1', port: (server.address() as AddressInfo).port}, () => {
+			socket.write(`POST / HTTP/1.1\r\n${host}Transfer-Encoding: chunked\r\n\r\n2\r\nxx\r\nzz\r\n`);
+		});
+		t.after(() => socket.destroy());
+		socket.on('data', chunk => {
+			received += chunk.toString();
+		});
+		await unreadable;
+		assert.equal(await refuseAll({kind: 'draining', detail: 'It cannot start.', retryAfterS: 0}), 0);
+		assert.match(received, host === '' ? /^HTTP\/1\.1 400 /v : /^HTTP\/1\.1 503 /v);
+	});
+}
--- a/packages/gateway/src/calls/refuse-request.ts
+++ b/packages/gateway/src/calls/refuse-request.ts
@@ -1,5 +1,6 @@
 /** Refuses requests of callers that are not passed to the program, because it has not been loaded or cannot start. */
 import type http from 'node:http';
+import {finished} from 'node:stream';
 import {type Refusal, sendRefusal} from './refusal.js';
 
 /** Returns the id that the caller gave its request. */
@@ -16,16 +17,9 @@
 
 /** Reads the request to its end and refuses it then. A connection that is closed with unread bytes is reset, which may destroy the answer. */
 export const refuseWhenRead = ({request, response, refusal, requestId, isLastOnConnection}: RefuseOptions): void => {
-	const refuse = (): void => {
+	// The body may have broken off while its connection still waits for the answer.
+	finished(request, () => {
 		sendRefusal(response, refusal, requestId, isLastOnConnection);
-	};
-
-	if (request.readableEnded) {
-		refuse();
-		return;
-	}
-
-	request.on('error', () => {/* its caller has left */});
-	request.once('end', refuse);
+	});
 	request.resume();
 };
