What is reported once has one check, settings of a process are formatted in one place, and an unused bound is gone

The records of the store and the messages of daemons had the same memory of what was logged; the soak and the stand-ins of processes formatted settings alike; onSettled counted down to a number that nobody passes since late requests are looked at again.

--- a/packages/common/src/owed-answers.ts
+++ b/packages/common/src/owed-answers.ts
@@ -32,8 +32,8 @@
 	readonly endWith: (request: http.IncomingMessage) => boolean;
 	/** Owes no answer to requests that are read from now on, as the connection is about to be ended. */
 	readonly endOn: (socket: net.Socket) => void;
-	/** Calls `listener` once when no more than `remaining` answers, by default none, are owed on the connection, or at once if that is so. */
-	readonly onSettled: (socket: net.Socket, listener: () => void, remaining?: number) => void;
+	/** Calls `listener` once when no answer is owed on the connection any more, or at once if none is. */
+	readonly onSettled: (socket: net.Socket, listener: () => void) => void;
 	/** The request on the connection that is being read: its head was, its end was not. It may have been answered. */
 	readonly findUnread: (socket: net.Socket) => UnreadRequest | undefined;
 	/** Lists the responses that are owed on a connection, in order. */
@@ -56,8 +56,6 @@
 	readonly lastSettledAt: number | undefined;
 };
 
-type SettledListener = {readonly listener: () => void; readonly remaining: number};
-
 type Connection = {
 	owed: number;
 	/** Whether requests that are read from now on are owed nothing. */
@@ -68,7 +66,7 @@
 	newest: UnreadRequest | undefined;
 	reason: string | undefined;
 	/** Undefined while there was none, as most connections have none. */
-	settledListeners: SettledListener[] | undefined;
+	settledListeners: Array<() => void> | undefined;
 };
 
 type OwedAnswer = UnreadRequest & {
@@ -85,15 +83,12 @@
 	return readableEnded ? 'caller_closed' : 'connection_closed';
 };
 
-const notifySettled = (connection: Connection): void => {
-	const {owed, settledListeners} = connection;
-	if (settledListeners === undefined) {
+const notifySettled = ({owed, settledListeners}: Connection): void => {
+	if (owed > 0) {
 		return;
 	}
 
-	const isDue = ({remaining}: SettledListener): boolean => owed <= remaining;
-	connection.settledListeners = settledListeners.filter(entry => !isDue(entry));
-	for (const {listener} of settledListeners.filter(entry => isDue(entry))) {
+	for (const listener of settledListeners?.splice(0) ?? []) {
 		listener();
 	}
 };
@@ -184,15 +179,15 @@
 		endOn(socket) {
 			getConnection(socket).isEnding = true;
 		},
-		onSettled(socket, listener, remaining = 0) {
+		onSettled(socket, listener) {
 			const connection = getConnection(socket);
-			if (connection.owed <= remaining) {
+			if (connection.owed === 0) {
 				listener();
 				return;
 			}
 
 			connection.settledListeners ??= [];
-			connection.settledListeners.push({listener, remaining});
+			connection.settledListeners.push(listener);
 		},
 		findUnread(socket) {
 			const newest = connections.get(socket)?.newest;
--- a/packages/gateway/src/store/report-refused.ts
+++ b/packages/gateway/src/store/report-refused.ts
@@ -1,29 +1,20 @@
-/** Logs records of the store that cannot be used. Their writers repeat them, each second at times, so a record is logged once. */
+/** Logs records of the store that cannot be used. Their writers repeat them, each second at times, so each field of a key is logged once. */
 import {type EventLog} from '../telemetry/event-log.js';
+import {makeFirstTimeCheck} from '../telemetry/first-time-check.js';
 import {type KeyedRecord, type Topic} from '../ports.js';
 
-/** Keys whose last refusal is remembered. Beyond that, the rate limit of the log bounds the lines. */
-const maxRememberedKeys = 256;
-
 const maxLoggedKeyLength = 64;
 
 export type RefusalReporter = (record: KeyedRecord, field: string) => void;
 
-/** Makes what logs refused records of the topic: each key again only if another field of its record is refused. */
+/** Makes what logs refused records of the topic. */
 export const makeRefusalReporter = (log: EventLog, topic: Topic): RefusalReporter => {
-	const fieldsByKey = new Map<string, string>();
+	const isFirstTime = makeFirstTimeCheck();
 	return ({key, offset}, field) => {
-		if (fieldsByKey.get(key) === field) {
-			return;
-		}
-
-		if (fieldsByKey.size >= maxRememberedKeys) {
-			fieldsByKey.delete(fieldsByKey.keys().next().value!);
+		if (isFirstTime(`${key} ${field}`)) {
+			log.write('routine', 'entry_refused', {
+				topic, key: key.slice(0, maxLoggedKeyLength), field, offset,
+			});
 		}
-
-		fieldsByKey.set(key, field);
-		log.write('routine', 'entry_refused', {
-			topic, key: key.slice(0, maxLoggedKeyLength), field, offset,
-		});
 	};
 };
--- a/scripts/soak/src/daemon-process.ts
+++ b/scripts/soak/src/daemon-process.ts
@@ -3,8 +3,8 @@
 import {createWriteStream, renameSync, writeFileSync} from 'node:fs';
 import path from 'node:path';
 import process from 'node:process';
-import {stringify} from 'smol-toml';
 import {type GatewaySettings} from '@shallotpass/gateway/gateway-settings.js';
+import {formatSettings} from '@shallotpass/platform/stand-ins/bundle-process.js';
 import {
 	type DaemonLinks, type DatagramFaults, noDatagramFaults, toDatagramFaultsPath,
 } from './daemon-links.js';
@@ -34,12 +34,6 @@
 	readonly writeSettings: (how: 'whole' | 'cut_short', comment?: string) => void;
 };
 
-const toSnakeCase = (name: string): string => name.replaceAll(/[A-Z]/gv, letter => `_${letter.toLowerCase()}`);
-
-const convertKeysToSnakeCase = (value: unknown): unknown => typeof value === 'object' && value !== null && !Array.isArray(value)
-	? Object.fromEntries(Object.entries(value).map(([name, nested]) => [toSnakeCase(name), convertKeysToSnakeCase(nested)]))
-	: value;
-
 export const makeDaemonProcess = (settings: GatewaySettings, folder: string): DaemonProcess => {
 	const {id} = settings.instance;
 	const settingsPath = path.join(folder, `${id}.toml`);
@@ -48,9 +42,9 @@
 	const log = createWriteStream(path.join(folder, `${id}.log`), {flags: 'a'});
 	/** Whether the process has not been started yet. */
 	let isFirstStart = true;
-	const formatSettings = (): string => stringify(convertKeysToSnakeCase({...settings, instance: {...settings.instance, firstStart: isFirstStart}}));
+	const formatCurrentSettings = (): string => formatSettings({...settings, instance: {...settings.instance, firstStart: isFirstStart}});
 	const writeSettings: DaemonProcess['writeSettings'] = (how, comment = '') => {
-		const text = formatSettings();
+		const text = formatCurrentSettings();
 		writeFileSync(settingsPath, how === 'whole' ? `# ${comment}\n${text}` : text.slice(0, text.length / 3));
 	};
 
