Each request that a draining daemon of the own interface has read is refused

Callers that pipeline at a daemon of the own interface that drains got one refusal and a closed connection; the requests that had come in the same read were answered by nothing. They did not run.

Cause: each answer of a draining daemon said "Connection: close", so Node closed the connection behind the first one.

Ruled out: calls that began before the drain, whose answers do not say so.

Change: a refusal in a drain waits until all that came with its request has been parsed, and says "Connection: close" if nothing else is owed on the connection. A request that is read behind such an answer is not passed on.

--- a/packages/callers/src/listener.ts
+++ b/packages/callers/src/listener.ts
@@ -153,6 +153,12 @@
 		let failure: ServingError | undefined;
 		try {
 			if (isDraining) {
+				// The first refusal would end the connection while requests that came with this one are not read yet.
+				await waitForParser();
+				if (answers.endWith(call.request)) {
+					call.response.setHeader('connection', 'close');
+				}
+
 				throw new ServingError('this instance is leaving', {kind: 'draining', retryAt: addMilliseconds(clock.now(), retryAfterMs)});
 			}
 
@@ -184,12 +190,12 @@
 	const handle = (request: IncomingMessage, response: ServerResponse): void => {
 		const {socket} = request;
 		const requestId = makeRequestId();
-		answers.add(request, response);
-		inFlight++;
-		if (isDraining) {
-			response.setHeader('connection', 'close');
+		if (!answers.add(request, response)) {
+			request.resume();
+			return;
 		}
 
+		inFlight++;
 		const callerGone = new AbortController();
 		const stopWatching = watchConnection(socket, () => {
 			if (!response.writableEnded) {
--- a/packages/callers/src/respond.ts
+++ b/packages/callers/src/respond.ts
@@ -46,7 +46,7 @@
 
 /** Whether the connection is closed after the error, because reading the rest of the request would be useless. */
 const shouldCloseConnection = (kind: ErrorKind, {response, socket}: Exchange): boolean =>
-	kind === 'payload_too_large' ? discardRest(response.req, socket) : kind === 'draining' || kind === 'request_timeout';
+	kind === 'payload_too_large' ? discardRest(response.req, socket) : kind === 'request_timeout';
 
 const unavailableStatus = 503;
 
--- a/tests/src/slow-readers.test.ts
+++ b/tests/src/slow-readers.test.ts
@@ -26,3 +26,20 @@
 	assert.deepEqual([answer?.status, answer?.isComplete, caller.getError()], [200, true, undefined], `${caller.countReceived()} bytes`);
 	assert.ok(caller.countReceived() > bodyBytes);
 });
+
+test('all requests that were read together while a daemon drains are refused', async t => {
+	// The first refusal closed the connection, and the others were not written.
+	const fleet = await startFleet(t, {daemons: 1});
+	const [daemon] = fleet.daemons;
+	fleet.services[0]!.faults.add({on: 'call', kind: 'delay', delayMs: 4000});
+	const head = ['Host: x', `Authorization: Bearer ${callerKey}`];
+	const busy = await openPacedCaller(daemon!.callers);
+	busy.write(['POST /services/reservations/x HTTP/1.1', ...head, 'Idempotency-Key: k-1', 'Content-Length: 2', '', '{}'].join('\r\n'));
+	await waitFor('the call runs', () => fleet.countExecutions() === 1);
+	const caller = await openPacedCaller(daemon!.callers);
+	const drained = daemon!.drain();
+	await sleep(1500);
+	caller.write(['GET /v1/models HTTP/1.1', ...head, '', ''].join('\r\n').repeat(3));
+	await Promise.all([caller.closed, busy.closed, drained]);
+	assert.deepEqual(parseAnswers(caller.getReceived()).map(({status, isComplete}) => [status, isComplete]), [[503, true], [503, true], [503, true]]);
+});
