An answer whose end cannot be judged fails its call

Callers would get no answer, not even at their deadline, and a drain would last its whole grace: the error of a judgement of the end was handled by nobody, the call waited on, and its answer stayed owed. Since errors that nobody handles do not end the process any more, nothing else ends it. Found by a review, by reading; no trigger is known since unwritable status lines are refused. Change: forwarding rejects, so that the call crashes as others do: refused if nothing was sent, closed if something was.

--- a/packages/gateway/src/calls/forward-plain-response.ts
+++ b/packages/gateway/src/calls/forward-plain-response.ts
@@ -44,7 +44,7 @@
 	readonly isLastOnConnection: () => boolean;
 };
 
-export const forwardPlainResponse = async ({response, isComplete, target, method, isLastOnConnection, bodyTimeoutMs, isBodyLate, onBytes}: ForwardOptions): Promise<ForwardResult> => new Promise(resolve => {
+export const forwardPlainResponse = async ({response, isComplete, target, method, isLastOnConnection, bodyTimeoutMs, isBodyLate, onBytes}: ForwardOptions): Promise<ForwardResult> => new Promise((resolve, reject) => {
 	const buffered: Buffer[] = [];
 	let receivedBytes = 0;
 	let isStreaming = false;
@@ -116,7 +116,11 @@
 	};
 
 	const onResponseClose = async (): Promise<void> => {
-		finish(await isComplete());
+		try {
+			finish(await isComplete());
+		} catch (error) {
+			reject(error instanceof Error ? error : new Error(String(error)));
+		}
 	};
 
 	// The call may have been given up while it was decided what becomes of its answer.
--- a/packages/gateway/src/calls/forward-stream.ts
+++ b/packages/gateway/src/calls/forward-stream.ts
@@ -39,7 +39,7 @@
 };
 
 /** Forwards events until the stream ends. Does not end `target`, as an interrupted stream may be resumed on another backend server. */
-export const forwardEvents = async (options: ForwardEventsOptions): Promise<ForwardEventsResult> => new Promise(resolve => {
+export const forwardEvents = async (options: ForwardEventsOptions): Promise<ForwardEventsResult> => new Promise((resolve, reject) => {
 	const {response, isComplete, target, splitter, stallTimeoutMs, eventTimeoutMs, isStalled, findExcess, onEvents} = options;
 	let excess: ReadExcess | undefined;
 	const breakOff = (found: ReadExcess): void => {
@@ -67,7 +67,7 @@
 		resolve({kind: 'caller_left'});
 	};
 
-	const onResponseClose = async (): Promise<void> => {
+	const finish = async (): Promise<void> => {
 		progress.stop();
 		const isWhole = await isComplete();
 		target.off('close', onTargetClose);
@@ -84,6 +84,14 @@
 		resolve({kind: 'complete'});
 	};
 
+	const onResponseClose = async (): Promise<void> => {
+		try {
+			await finish();
+		} catch (error) {
+			reject(error instanceof Error ? error : new Error(String(error)));
+		}
+	};
+
 	// The call may have been given up while its answer was waited for.
 	if (response.closed) {
 		void onResponseClose();
