--- a/scripts/soak/src/history.ts
+++ b/scripts/soak/src/history.ts
@@ -109,6 +109,8 @@
 export type StartingStop = {
 	readonly daemon: string;
 	readonly from: number;
+	/** When SIGTERM was sent. */
+	readonly signalledAt: number;
 	readonly until: number;
 };
 
--- a/scripts/soak/src/inject-fault.ts
+++ b/scripts/soak/src/inject-fault.ts
@@ -71,8 +71,11 @@
 		const from = performance.now();
 		process.start();
 		await sleep(ms); // eslint-disable-line no-await-in-loop -- one start after the other
+		const signalledAt = performance.now();
 		await process.end('SIGTERM'); // eslint-disable-line no-await-in-loop -- one start after the other
-		cluster.startingStops.push({daemon: process.id, from, until: performance.now()});
+		cluster.startingStops.push({
+			daemon: process.id, from, signalledAt, until: performance.now(),
+		});
 	}
 
 	process.start();
