The log tells which backend servers an unfinished answer was at, and what its call waited for

Now the line has what was awaited and since when, and each send with its result and what ended it, before the fields that lines cut at 200 characters lose; run_given_up is written and counted when a run is given up midway. No decision changes.

--- a/packages/gateway/src/calls/admit-call.ts
+++ b/packages/gateway/src/calls/admit-call.ts
@@ -10,6 +10,7 @@
 import {type Call} from '@shallotpass/core/calls/types.js';
 import {hashText, hashText64} from '@shallotpass/core/routing/rank-by-rendezvous.js';
 import {type Continuity, determineContinuity} from '../origins/continuity.js';
+import {type CallTrace} from '../telemetry/call-trace.js';
 import {checkVerdict} from '../crashes/check-verdict.js';
 import {type GatewayState} from '../gateway-state.js';
 import {waitForPoll} from '../loop-monitor.js';
@@ -42,6 +43,7 @@
 	readonly isFromPeer: boolean;
 	readonly timing: ResponseTiming;
 	readonly caller: CallerPresence;
+	readonly trace: CallTrace;
 };
 
 /** Timing of the response as sent to the caller; times are on the steady clock. */
--- a/packages/gateway/src/calls/call-attempts.ts
+++ b/packages/gateway/src/calls/call-attempts.ts
@@ -7,6 +7,7 @@
 import {pauseFor} from '../pause.js';
 import {hasContactSince, isCutOff} from '../paths/track-paths.js';
 import {isVersionServed} from '../origins/continuity.js';
+import {recordAwaited, recordSend} from '../telemetry/call-trace.js';
 import {describeDirectory} from '../telemetry/describe-directory.js';
 import {type AdmittedCall, type CallContext} from './admit-call.js';
 import {getLatencyModel} from './backend-view.js';
@@ -183,6 +184,7 @@
 	}
 
 	context.caller.stage = 'sent';
+	recordAwaited(context.trace, 'head', startedAt);
 	progress.attempts++;
 	progress.attemptedIncarnations.add(state.incarnation);
 	const knownAtSend = describeKnowledge(gateway, placement);
@@ -205,6 +207,7 @@
 		own: state.running, others: state.othersRunning, tokensPerMs: Math.round(getLatencyModel(gateway.registry, state, gateway.clocks.steady()).tokensPerMs), offer: progress.attempts,
 		result: result.kind, reason: result.kind === 'answered' ? result.response.statusCode : result.reason, ...knownAtSend,
 	});
+	recordSend(context.trace, state.entry.id, result.kind === 'answered' ? result.response.statusCode : result.reason);
 	if (result.kind !== 'answered') {
 		progress.lastFailure = result.reason;
 	}
@@ -242,21 +245,23 @@
 };
 
 /** Records that an answer begins. To be called before its head is sent. */
-export const recordFirstByte = ({gateway, timing, isFromPeer, response, caller}: CallContext, call: Call, progress: CallProgress): void => {
+export const recordFirstByte = ({gateway, timing, isFromPeer, response, caller, trace}: CallContext, call: Call, progress: CallProgress): void => {
 	if (isFromPeer) {
 		setRuns(response, progress.possibleRuns);
 	}
 
 	const now = gateway.clocks.steady();
 	caller.stage = 'answering';
+	recordAwaited(trace, 'answer', now);
 	timing.firstByteAt = now;
 	timing.lastEventAt = now;
 	gateway.metrics.firstByteSeconds.observe({service: call.service, kind: call.repeatability}, (now - call.arrivedAt) / 1000);
 };
 
 /** Records that events of a stream were sent to the caller. */
-export const recordEvents = ({gateway, timing}: CallContext): void => {
+export const recordEvents = ({gateway, timing, trace}: CallContext): void => {
 	const now = gateway.clocks.steady();
+	recordAwaited(trace, 'answer', now);
 	timing.longestPauseMs = Math.max(timing.longestPauseMs, now - timing.lastEventAt);
 	timing.lastEventAt = now;
 };
--- a/packages/gateway/src/calls/forward-stream.ts
+++ b/packages/gateway/src/calls/forward-stream.ts
@@ -17,10 +17,12 @@
 	target.flushHeaders();
 };
 
+/** The backend server's response was interrupted, or given up as it exceeded a bound or was silent. The complete events received before were forwarded. */
+export type BrokenStream = {readonly kind: 'broken'; readonly excess: ReadExcess | undefined; readonly isStalled: boolean};
+
 export type ForwardEventsResult =
 	| {readonly kind: 'complete'}
-	/** The backend server's response was interrupted, or given up as it exceeded a bound. The complete events received before were forwarded. */
-	| {readonly kind: 'broken'; readonly excess: ReadExcess | undefined}
+	| BrokenStream
 	| {readonly kind: 'caller_left'};
 
 export type ForwardEventsOptions = ProgressBounds & {
@@ -42,6 +44,7 @@
 export const forwardEvents = async (options: ForwardEventsOptions): Promise<ForwardEventsResult> => new Promise((resolve, reject) => {
 	const {response, isComplete, target, splitter, stallTimeoutMs, eventTimeoutMs, isStalled, findExcess, onEvents} = options;
 	let excess: ReadExcess | undefined;
+	let hasStalled = false;
 	const breakOff = (found: ReadExcess): void => {
 		excess = found;
 		response.destroy();
@@ -51,6 +54,7 @@
 		stallTimeoutMs, eventTimeoutMs,
 		onStall() {
 			if (isStalled()) {
+				hasStalled = true;
 				response.destroy();
 			}
 		},
@@ -72,7 +76,7 @@
 		const isWhole = await isComplete();
 		target.off('close', onTargetClose);
 		if (!isWhole || excess !== undefined || splitter.hasPartialEvent()) {
-			resolve({kind: 'broken', excess});
+			resolve({kind: 'broken', excess, isStalled: hasStalled});
 			return;
 		}
 
--- a/packages/gateway/src/calls/send-to-peer.ts
+++ b/packages/gateway/src/calls/send-to-peer.ts
@@ -8,6 +8,7 @@
 import {type GatewayState} from '../gateway-state.js';
 import {pickPeer} from '../peers/pick-peer.js';
 import {readMessage} from '../peers/read-message.js';
+import {recordAwaited, recordSend} from '../telemetry/call-trace.js';
 import {inactiveTracker} from '../rollouts/track-result.js';
 import {maxRefusalBytes} from '../read-bounds.js';
 import {type AdmittedCall, type CallContext} from './admit-call.js';
@@ -195,6 +196,7 @@
 		}
 
 		context.caller.stage = 'sent';
+		recordAwaited(context.trace, 'head', gateway.clocks.steady());
 		progress.triedPeers.add(peer.address);
 		progress.attempts++;
 		const startedAt = gateway.clocks.steady();
@@ -202,6 +204,7 @@
 		const result = await sendToOnePeer(context, admitted, {peer, progress, permit}, signal);
 		settlePermit(gateway, call, {permit, progress, mayHaveArrived: result.kind !== 'unsent' && (result.kind !== 'refused' || result.hasArrived)});
 		recordResult(gateway, peer, call.service, result);
+		recordSend(context.trace, peer.address, result.kind === 'answered' ? result.response.statusCode : (result.kind === 'refused' ? result.refusal.kind : result.reason));
 		gateway.metrics.peerCallsSent.inc({service: call.service, outcome: result.kind});
 		gateway.log.write(result.kind === 'answered' ? 'routine' : 'failure', 'call_sent_to_peer', {
 			request: call.id, service: call.service, peer: peer.address, zone: peer.availabilityZone, offer: progress.attempts, result: result.kind,
--- a/packages/gateway/src/calls/serve-call.ts
+++ b/packages/gateway/src/calls/serve-call.ts
@@ -5,6 +5,7 @@
 import {recordCall} from '@shallotpass/core/retries/repeat-account.js';
 import {type GatewayState} from '../gateway-state.js';
 import {isCutOff} from '../paths/track-paths.js';
+import {recordAwaited, trackCall} from '../telemetry/call-trace.js';
 import {
 	admitCall, type AdmittedCall, type CallContext, RefusedCall,
 } from './admit-call.js';
@@ -35,7 +36,11 @@
 };
 
 const finishCall = (context: CallContext, outcome: CallOutcome, admitted: AdmittedCall | undefined): void => {
-	const {gateway, response, head, timing, isFromPeer} = context;
+	const {gateway, response, head, timing, isFromPeer, trace} = context;
+	if (outcome.refusal !== undefined || response.writableEnded) {
+		recordAwaited(trace, 'delivery', gateway.clocks.steady());
+	}
+
 	if (outcome.refusal) {
 		if (isFromPeer) {
 			setRefusalResult(response, outcome.refusal.kind);
@@ -130,7 +135,7 @@
 export const serveCall = async (gateway: GatewayState, request: http.IncomingMessage, response: http.ServerResponse, arrival?: Arrival): Promise<void> => {
 	const caller = watchCaller(gateway, request, response);
 	const context: CallContext = {
-		gateway, request, response, caller, isFromPeer: false, head: gateway.wire.parseCallerHeaders(request.headers), timing: {firstByteAt: undefined, lastEventAt: 0, longestPauseMs: 0},
+		gateway, request, response, caller, isFromPeer: false, head: gateway.wire.parseCallerHeaders(request.headers), timing: {firstByteAt: undefined, lastEventAt: 0, longestPauseMs: 0}, trace: trackCall(response, gateway.clocks.steady()),
 	};
 	try {
 		await serveAdmission(context, async () => admitCall(context, arrival));
--- a/packages/gateway/src/calls/serve-peer-call.ts
+++ b/packages/gateway/src/calls/serve-peer-call.ts
@@ -6,6 +6,7 @@
 import {countPeerCallRoom, type GatewayState, maxPeerCalls} from '../gateway-state.js';
 import {unknownOriginRefusal} from '../origins/continuity.js';
 import {isCutOff} from '../paths/track-paths.js';
+import {trackCall} from '../telemetry/call-trace.js';
 import {type AdmittedCall, type CallContext} from './admit-call.js';
 import {type CallerPresence, watchCaller} from './caller-presence.js';
 import {isLastOnConnection} from './last-on-connection.js';
@@ -62,6 +63,7 @@
 		id: data?.call.id, key: undefined, callerTimeoutMs: undefined, promptTokens: undefined, outputTokens: undefined, promptParts: [], lastEventId: undefined, resumes: {kind: 'none'},
 	},
 	timing: {firstByteAt: undefined, lastEventAt: 0, longestPauseMs: 0},
+	trace: trackCall(response, gateway.clocks.steady()),
 });
 
 const serve = async (context: CallContext, admitted: AdmittedCall, {sender, earnsRepeats}: PeerCallData): Promise<void> => {
--- a/packages/gateway/src/calls/serve-stream.ts
+++ b/packages/gateway/src/calls/serve-stream.ts
@@ -8,6 +8,7 @@
 import {type Continuity} from '../origins/continuity.js';
 import {trackPendingOrigin} from '../origins/origin-state.js';
 import {recordStream} from '../origins/record-stream.js';
+import {recordAwaited, recordSendEnd} from '../telemetry/call-trace.js';
 import {describeDirectory} from '../telemetry/describe-directory.js';
 import {type AdmittedCall, type CallContext} from './admit-call.js';
 import {
@@ -25,7 +26,7 @@
 import {setVersion} from './peer-call.js';
 import {type Attempt} from './run-at-backend.js';
 import {forwardPlainResponse} from './forward-plain-response.js';
-import {forwardEvents, writeStreamHead} from './forward-stream.js';
+import {type BrokenStream, forwardEvents, writeStreamHead} from './forward-stream.js';
 import {type Placement} from './place-call.js';
 import {prepareRepeat} from './prepare-repeat.js';
 import {takeRetry} from './take-retry.js';
@@ -178,6 +179,21 @@
 	progress.lastFailure = `the stream from ${attempt.source} was given up for ${excess}`;
 };
 
+/** Records why an answer ended early: given up here, or broken off by the other side. */
+const recordRunEnd = (stream: StreamState, {source}: Attempt, {excess, isStalled}: BrokenStream): void => {
+	const {context: {gateway, trace, timing}, call} = stream;
+	const reason = isStalled ? 'silent' : excess;
+	recordSendEnd(trace, source, reason === undefined ? 'broke_off' : `given_up_${reason}`);
+	if (reason === undefined) {
+		return;
+	}
+
+	gateway.metrics.runsGivenUp.inc({reason});
+	gateway.log.write('failure', 'run_given_up', {
+		request: call.id, reason, backend: source, pauseMs: Math.round(gateway.clocks.steady() - timing.lastEventAt), canGoOn: canGoOn(stream), service: call.service,
+	});
+};
+
 const forwardStream = async (stream: StreamState, {response, attempt}: AnsweredAttempt): Promise<NextStep> => {
 	const {
 		context: {gateway, response: target}, call, progress, splitter, signal,
@@ -238,7 +254,9 @@
 
 	stream.roomWaitUntil = gateway.clocks.steady() + roomWaitMs;
 	recordInterruption(stream, attempt, forwarded.excess);
+	recordRunEnd(stream, attempt, forwarded);
 	if (stream.pendingVersion !== undefined) {
+		recordAwaited(stream.context.trace, 'version', gateway.clocks.steady());
 		await Promise.race([stream.pendingVersion, pauseFor(versionWaitMs, signal)]);
 	}
 
@@ -252,7 +270,8 @@
 
 /** Waits until backend servers may have room again, and lets those that turned the stream away be tried once more. */
 const waitForRoom = async (stream: StreamState): Promise<NextStep> => {
-	const {progress, signal} = stream;
+	const {context, progress, signal} = stream;
+	recordAwaited(context.trace, 'room', context.gateway.clocks.steady());
 	await pauseFor(roomRetryMs, signal);
 	if (signal.aborted) {
 		return endWith(makeStreamFailureOutcome(stream));
--- a/packages/gateway/src/telemetry/gateway-metrics.ts
+++ b/packages/gateway/src/telemetry/gateway-metrics.ts
@@ -45,7 +45,8 @@
 	readonly loopStallSeconds: Histogram;
 	readonly activeCalls: Gauge;
 	readonly owedAnswers: Gauge;
-	readonly unfinishedAnswers: Counter<'reason'>;
+	readonly unfinishedAnswers: Counter<'reason' | 'awaited'>;
+	readonly runsGivenUp: Counter<'reason'>;
 	readonly uncaughtErrors: Counter<'origin'>;
 };
 
@@ -178,7 +179,10 @@
 			},
 		}),
 		unfinishedAnswers: new Counter({
-			name: 'shallotpass_gateway_unfinished_answers_total', help: 'Answers that ended before they were delivered whole, by what ended them', labelNames: ['reason'], registers,
+			name: 'shallotpass_gateway_unfinished_answers_total', help: 'Answers that ended before they were delivered whole, by what ended them and what the call waited for', labelNames: ['reason', 'awaited'], registers,
+		}),
+		runsGivenUp: new Counter({
+			name: 'shallotpass_gateway_runs_given_up_total', help: 'Answers of backend servers that were given up after their beginning, by reason', labelNames: ['reason'], registers,
 		}),
 		uncaughtErrors: new Counter({
 			name: 'shallotpass_gateway_uncaught_errors_total', help: 'Errors that nothing handled, after which the daemon went on, by how they arose', labelNames: ['origin'], registers,
--- a/packages/gateway/src/telemetry/log-events.ts
+++ b/packages/gateway/src/telemetry/log-events.ts
@@ -107,6 +107,10 @@
 		meaning: 'A call was sent to a backend server, with the prediction for it and the result',
 		fields: ['request', 'service', 'backend', 'version', 'predictedMs', 'cachedTokens', 'own', 'others', 'tokensPerMs', 'offer', 'result', 'reason', 'chosenMs', 'directoryOffset', 'directoryAgeMs', 'directorySource', 'leavingMs', 'isMissing', 'limit'],
 	},
+	run_given_up: {
+		meaning: 'The answer of a backend server was given up here after its beginning, so that the call goes on elsewhere or ends. `pauseMs`: for how long no event had come; `canGoOn`: whether another backend server may continue it',
+		fields: ['request', 'reason', 'backend', 'pauseMs', 'canGoOn', 'service'],
+	},
 	call_ended: {
 		meaning: 'Outcome of a call. `leftIn`: how far it had come when its caller left, `afterLeaveMs`: for how long it went on after that was seen, `stoodMs`: for how long the close may have stood unread, as the process did not run',
 		fields: ['request', 'account', 'route', 'service', 'kind', 'outcome', 'detail', 'status', 'tookMs', 'firstMs', 'longestPauseMs', 'configuration', 'configurationAgeMs', 'isFromPeer', 'leftIn', 'afterLeaveMs', 'stoodMs'],
@@ -188,8 +192,8 @@
 	},
 	request_unreadable: {meaning: 'Data on a connection could not be parsed as a request; `owedAnswers`: how many requests before it on the connection have no whole answer yet', fields: ['reason', 'owedAnswers']},
 	answer_unfinished: {
-		meaning: 'A request got no whole answer. `reason`: which side closed the connection, why its input ended, or that the process ended; `wasRead`: whether the request was read whole; `sentBytes`: what the connection took of its answer and those before it; `unsentBytes`: what was still in the process; `sinceSignalMs`: time since SIGTERM',
-		fields: ['request', 'reason', 'status', 'wasRead', 'sentBytes', 'unsentBytes', 'sinceSignalMs'],
+		meaning: 'A request got no whole answer. `reason`: which side closed the connection, why its input ended, or that the process ended; `wasRead`: whether the request was read whole; `sentBytes`: what the connection took of its answer and those before it; `unsentBytes`: what was still in the process; `sinceSignalMs`: time since SIGTERM; `awaited`: what the call waited for, and since when; `sends`: its backend servers or peers, what each answered, and why the answer ended early',
+		fields: ['request', 'reason', 'awaited', 'awaitedMs', 'sends', 'status', 'wasRead', 'sentBytes', 'unsentBytes', 'sinceSignalMs'],
 	},
 } as const satisfies Readonly<Record<string, LogEvent>>;
 /* eslint-enable @typescript-eslint/naming-convention */
