Calls take their listeners off a backend server themselves

Callers saw all calls of a daemon end without an answer, as the platform killed it for memory. Cause: each call listened to the signal with which its backend server leaves, and relied on a signal of its own to take the listener off. Node.js 20 holds that link weakly and forgets it in a collection, so exchange and body of answered calls stayed as long as the backend server. watch-for-late-arrival.ts and move-run.ts did so; the other listeners of calls are on signals that end with them. Now one function, listenForAbort, returns what takes the listener off.

--- a/packages/gateway/src/calls/move-run.ts
+++ b/packages/gateway/src/calls/move-run.ts
@@ -3,6 +3,7 @@
  * cache is copied, and the run continues there. A mass reclaim takes all reclaimable backend servers
  * of an availability zone with 2 s of notice, and long responses take longer.
  */
+import {listenForAbort} from '@shallotpass/common/listen-for-abort.js';
 import {type Call} from '@shallotpass/core/calls/types.js';
 import {type GatewayState} from '../gateway-state.js';
 import {pauseFor} from '../pause.js';
@@ -179,14 +180,10 @@
 		pendingMove = moveBeforeDeparture();
 	};
 
-	if (state.leaving.signal.aborted) {
-		scheduleMove();
-	} else {
-		state.leaving.signal.addEventListener('abort', scheduleMove, {once: true, signal: streamEnd.signal});
-	}
-
+	const stopListening = listenForAbort(state.leaving.signal, scheduleMove);
 	return {
 		async finish() {
+			stopListening();
 			streamEnd.abort();
 			return pendingMove;
 		},
--- a/packages/gateway/src/calls/watch-for-late-arrival.ts
+++ b/packages/gateway/src/calls/watch-for-late-arrival.ts
@@ -1,4 +1,5 @@
 /** Watches for calls that may still be on their way to a leaving backend server at the end of its drain time. */
+import {listenForAbort} from '@shallotpass/common/listen-for-abort.js';
 import {limitTimerMs} from '@shallotpass/common/value-bounds.js';
 import {type GatewayState} from '../gateway-state.js';
 import {type BackendState} from './backend-registry.js';
@@ -8,7 +9,6 @@
  * failed then, and would deliver the call later. Returns a function that stops watching.
  */
 export const watchForLateArrival = (gateway: GatewayState, state: BackendState, sentAt: number, onLate: () => void): (() => void) => {
-	const controller = new AbortController();
 	let timer: NodeJS.Timeout | undefined;
 	const check = (): void => {
 		if (state.lastReadAt <= sentAt) {
@@ -22,14 +22,9 @@
 		timer = setTimeout(check, limitTimerMs(drainedAt - now));
 	};
 
-	if (state.leaving.signal.aborted) {
-		scheduleCheck();
-	} else {
-		state.leaving.signal.addEventListener('abort', scheduleCheck, {once: true, signal: controller.signal});
-	}
-
+	const stopListening = listenForAbort(state.leaving.signal, scheduleCheck);
 	return () => {
-		controller.abort();
+		stopListening();
 		clearTimeout(timer);
 	};
 };
