A daemon that knows at most twelve members learns of more from a relay's sum

Cause: beyond twelve members daemons report to relays, which send the others sums only. A daemon that knew exactly twelve dropped sums, and with them the number of members that would have made it ask for the rest. It took itself for the only one until it read the members from the store, up to 15 s later. Now the sum's store versions are looked at, so the daemon asks the relay for its members at once; the sum itself is still not counted, as members that report directly would count twice.

--- a/packages/gateway/src/peers/gossip.ts
+++ b/packages/gateway/src/peers/gossip.ts
@@ -161,10 +161,13 @@
 		adoptRollouts(gateway, report.rollouts, 'peer');
 
 		if (!needsRelays(members.size)) {
-			if (!isSum(report)) {
-				recordPeer(toPeerReport(report));
+			if (isSum(report)) {
+				// Its sender knows more members. They are asked for, as they no longer report directly.
+				options.onStoreVersions(report.known, report.address);
+				return;
 			}
 
+			recordPeer(toPeerReport(report));
 			return;
 		}
 
