Heads of requests are read up to what the configuration allows

Operators who allowed larger heads saw proper requests refused with 431, as the size was fixed at 16,384 bytes; smaller limits had no effect. Node.js takes the size when a server is made, so the server reads 65,536 bytes now, and a head beyond the limit of the configuration is refused, with its connection ended behind it as before. Heads with more than 1,000 fields would have lost the rest silently (maxHeadersCount), which the larger size made visible: fields are bounded by their bytes alone now. The stand-in of backend servers reads as much.

--- a/packages/gateway/src/calls/callers-listener.ts
+++ b/packages/gateway/src/calls/callers-listener.ts
@@ -45,6 +45,7 @@
 		applyLimits() {
 			const limits = gateway.configuration?.configuration.limits;
 			if (limits) {
+				callersServer.limitHeads(limits.headerBytes);
 				server.headersTimeout = limits.headersWithinMs;
 				server.keepAliveTimeout = limits.idleMs + keepAliveMarginMs;
 			}
--- a/packages/gateway/src/calls/callers-server.ts
+++ b/packages/gateway/src/calls/callers-server.ts
@@ -20,7 +20,7 @@
 import {acceptBacklogLength, stopAccepting} from './stop-accepting.js';
 
 /** Limits that apply until a configuration sets others. */
-const initialMaxHeaderBytes = 16_384;
+const initialMaxHeadBytes = 16_384;
 const initialHeadersTimeoutMs = 3000;
 const initialIdleTimeoutMs = 15_000;
 
@@ -30,6 +30,9 @@
 /** Added to the idle timeout, so that a request sent just before it expires is still accepted. */
 export const keepAliveMarginMs = 500;
 
+/** Bytes of a head that are read at most, whatever the configuration allows. */
+export const readableHeadBytes = 65_536;
+
 /** Maximum number of queued requests. Each holds its header fields and about 64 kB of its body, 130 kB in all at most; the rest of the body stays in the kernel. */
 export const maxQueuedRequests = 512;
 
@@ -37,6 +40,11 @@
 
 const noHostRefusal: Refusal = {kind: 'invalid_request', detail: 'A request of HTTP/1.1 needs a Host field.'};
 
+const headTooLargeRefusal: Refusal = {kind: 'headers_too_large', detail: 'The header fields are larger than the configuration allows.'};
+
+/** Counts the bytes of a head as Node's parser does: those of the path, of the fields' names and of their values. */
+const countHeadBytes = ({url = '', rawHeaders}: http.IncomingMessage): number => rawHeaders.reduce((bytes, text) => bytes + text.length, url.length);
+
 const lacksHost = ({httpVersion, headers}: http.IncomingMessage): boolean => httpVersion === '1.1' && headers.host === undefined;
 
 /** Time for which a server that refuses all requests waits until callers have read their answers and closed their connections. */
@@ -55,6 +63,8 @@
 	readonly address: string;
 	/** Called when no further request can be read from a connection. Set by the owner. */
 	onUnreadable: (error: InputError, socket: net.Socket) => void;
+	/** Refuses requests with larger heads from now on. */
+	readonly limitHeads: (maxBytes: number) => void;
 	/** Attaches the request handler and passes it the queued requests first. */
 	readonly serve: (handler: Handler) => void;
 	/**
@@ -84,6 +94,7 @@
 	address, answers = makeOwedAnswers(), loop = startLoopMonitor({steady: () => performance.now()}), getRequestId = () => undefined,
 }: CallersServerOptions): Promise<CallersServer> => {
 	const queue = makeRequestQueue(maxQueuedRequests);
+	let maxHeadBytes = initialMaxHeadBytes;
 	let handler: Handler = (request, response) => {
 		const readAt = performance.now();
 		if (!queue.enqueue({request, response, arrival: {readAt, arrivedAt: readAt - loop.getStandingMs()}})) {
@@ -91,8 +102,8 @@
 		}
 	};
 
-	/** Passes the request on to nobody, and closes the connection behind the answers before it. */
-	const endBefore = ({socket}: http.IncomingMessage): void => {
+	/** Closes the connection behind the answers that are owed on it. */
+	const endBehind = ({socket}: http.IncomingMessage): void => {
 		answers.endOn(socket);
 		answers.onSettled(socket, () => {
 			closeGently(socket);
@@ -102,7 +113,7 @@
 	const dispatch = (request: http.IncomingMessage, response: http.ServerResponse): void => {
 		// An answer to HTTP/1.0 that states no length ends with its connection, so none can follow it.
 		if (request.httpVersion === '1.0' && answers.countOn(request.socket) > 0) {
-			endBefore(request);
+			endBehind(request);
 		}
 
 		if (!answers.add(request, response)) {
@@ -110,6 +121,14 @@
 			return;
 		}
 
+		if (countHeadBytes(request) > maxHeadBytes) {
+			endBehind(request);
+			refuseWhenRead({
+				request, response, refusal: headTooLargeRefusal, requestId: undefined, isLastOnConnection: () => false,
+			});
+			return;
+		}
+
 		if (lacksHost(request)) {
 			refuseWhenRead({
 				request, response, refusal: noHostRefusal, requestId: getRequestId(request.headers), isLastOnConnection: () => false,
@@ -128,7 +147,7 @@
 	};
 
 	const server = http.createServer({
-		maxHeaderSize: initialMaxHeaderBytes,
+		maxHeaderSize: readableHeadBytes,
 		headersTimeout: initialHeadersTimeoutMs,
 		keepAliveTimeout: initialIdleTimeoutMs + keepAliveMarginMs,
 		connectionsCheckingInterval: timeoutCheckIntervalMs,
@@ -140,6 +159,8 @@
 	}, dispatch);
 	// Leaves time for slow uploads: a caller may take as long to send its body as its own deadline allows.
 	server.requestTimeout = 60_000;
+	// Node would drop the fields beyond a number. Their bytes are bounded.
+	server.maxHeadersCount = 0;
 	server.on('checkContinue', (request: http.IncomingMessage, response: http.ServerResponse) => {
 		response.writeContinue();
 		dispatch(request, response);
@@ -158,6 +179,9 @@
 		loop,
 		address,
 		onUnreadable() {/* set by the owner */},
+		limitHeads(maxBytes) {
+			maxHeadBytes = maxBytes;
+		},
 		serve,
 		async refuseAll(refusal) {
 			serve((request, response) => {
--- a/packages/stand-ins/src/http-stand-in.ts
+++ b/packages/stand-ins/src/http-stand-in.ts
@@ -22,7 +22,7 @@
 
 /** Starts an HTTP server on the port, or on a free port if it is 0. */
 export const startStandIn = async (handler: StandInHandler, port = 0): Promise<StandInServer> => {
-	const server = createServer({keepAliveTimeout: 60_000}, (request, response) => {
+	const server = createServer({keepAliveTimeout: 60_000, maxHeaderSize: 65_536}, (request, response) => {
 		(async () => {
 			try {
 				await handler(request, response);
