The bodies of all calls together are bounded by half of the instance's memory

Now a daemon counts the bytes of the bodies that it holds, its peers' calls included, from the first chunk until the call has ended. What plain answers and streams hold is bounded for each call as before and not counted here.

--- a/packages/gateway/src/calls/admit-call.ts
+++ b/packages/gateway/src/calls/admit-call.ts
@@ -17,6 +17,7 @@
 import {takeQuota} from '../quotas/take-quota.js';
 import {type CallerHeaders} from '../ports.js';
 import {type CallerPresence, confirmCallerWaits, readCloses} from './caller-presence.js';
+import {type BodyHold} from './held-bytes.js';
 import {readRequestBody} from './read-request-body.js';
 import {type Arrival} from './request-queue.js';
 import {type Refusal} from './refusal.js';
@@ -44,6 +45,8 @@
 	readonly timing: ResponseTiming;
 	readonly caller: CallerPresence;
 	readonly trace: CallTrace;
+	/** Released when the call has ended. Written by the admission. */
+	bodyHold: BodyHold | undefined;
 };
 
 /** Timing of the response as sent to the caller; times are on the steady clock. */
@@ -67,6 +70,14 @@
 
 const refuse = (kind: ErrorKind, detail: string, retryAfterS?: number): RefusedCall => new RefusedCall({kind, detail, ...(retryAfterS !== undefined && {retryAfterS})});
 
+/** Time in which calls end that hold bodies. */
+const noRoomRetryAfterS = 0.5;
+
+/** Refusal of a call whose body has no room beside those of the others. */
+export const noRoomRefusal: Refusal = {
+	kind: 'over_capacity', detail: 'The bodies of the calls under way leave no room for this one.', retryAfterS: noRoomRetryAfterS, isReadInPart: true,
+};
+
 const isConfigurationUnconfirmed = (gateway: GatewayState): boolean => gateway.clocks.steady() > gateway.configurationCheckedAt + configurationUnconfirmedAfterMs;
 
 const findAccount = (gateway: GatewayState, index: IndexedConfiguration, route: Route, key: string | undefined): Account | RefusedCall | undefined => {
@@ -196,15 +207,20 @@
 		return target;
 	}
 
-	const bodyResult = await readRequestBody(request, index.configuration.limits.bodyBytes);
+	const bodyResult = await readRequestBody(request, index.configuration.limits.bodyBytes, gateway.heldBytes);
 	if (bodyResult.kind === 'too_large') {
-		return refuse('payload_too_large', `The body has more than ${index.configuration.limits.bodyBytes} bytes.`);
+		return new RefusedCall({kind: 'payload_too_large', detail: `The body has more than ${index.configuration.limits.bodyBytes} bytes.`, isReadInPart: true});
+	}
+
+	if (bodyResult.kind === 'no_room') {
+		return new RefusedCall(noRoomRefusal);
 	}
 
 	if (bodyResult.kind === 'broken') {
 		return refuseBroken(bodyResult.inputError);
 	}
 
+	context.bodyHold = bodyResult.hold;
 	const {account} = target;
 	const method = request.method ?? 'GET';
 	const digest = hashText64(`${account?.name ?? ''}\n${method}\n${path}\n${bodyResult.body.toString('latin1')}`).toString(16);
--- a/packages/gateway/src/calls/read-request-body.ts
+++ b/packages/gateway/src/calls/read-request-body.ts
@@ -3,10 +3,14 @@
 import {type IncomingMessage} from 'node:http';
 import {waitForParser} from '@shallotpass/common/close-gently.js';
 import {type InputError, UnreadableRequestError} from '@shallotpass/common/unreadable-request.js';
+import {type BodyHold, type HeldBytes} from './held-bytes.js';
 
 export type BodyResult =
-	| {readonly kind: 'whole'; readonly body: Buffer}
+	/** `hold` is to be released when nobody needs the body any more. */
+	| {readonly kind: 'whole'; readonly body: Buffer; readonly hold: BodyHold}
 	| {readonly kind: 'too_large'}
+	/** The bodies of all calls together leave no room for it. */
+	| {readonly kind: 'no_room'}
 	/** `inputError` is undefined if the caller has left. */
 	| {readonly kind: 'broken'; readonly inputError: InputError | undefined};
 
@@ -16,49 +20,68 @@
  * Buffers the complete body before a call is sent. A call that no backend server has run can then be
  * sent to another one, and a slow caller does not occupy a backend server.
  */
-export const readRequestBody = async (request: IncomingMessage, maxBytes: number): Promise<BodyResult> => new Promise(resolve => {
+export const readRequestBody = async (request: IncomingMessage, maxBytes: number, heldBytes: HeldBytes): Promise<BodyResult> => new Promise(resolve => {
 	// It may have broken off before it is read: no event tells of it any more.
 	if (request.destroyed) {
 		resolve(describeBroken(request));
 		return;
 	}
 
+	const hold = heldBytes.begin();
 	const chunks: Buffer[] = [];
 	let receivedBytes = 0;
-	let isTooLarge = false;
-	const refuseWhenParsed = async (): Promise<void> => {
-		isTooLarge = true;
+	let isRefused = false;
+	let isWhole = false;
+	const refuseWhenParsed = async (kind: 'too_large' | 'no_room'): Promise<void> => {
+		isRefused = true;
+		hold.release();
+		chunks.length = 0;
 		request.off('data', onData);
 		request.pause();
 		await waitForParser();
-		resolve({kind: 'too_large'});
+		resolve({kind});
 	};
 
 	const onData = (chunk: Buffer): void => {
 		receivedBytes += chunk.length;
 		if (receivedBytes > maxBytes) {
-			void refuseWhenParsed();
+			void refuseWhenParsed('too_large');
+			return;
+		}
+
+		if (!hold.add(chunk.length)) {
+			void refuseWhenParsed('no_room');
 			return;
 		}
 
 		chunks.push(chunk);
 	};
 
-	/** A body that is too large may end before that is told, and is not whole without its last chunk. */
+	/** A body that is refused may end before that is told, and is not whole without its last chunk. */
 	const finish = (result: BodyResult): void => {
-		if (!isTooLarge) {
+		if (!isRefused) {
 			resolve(result);
 		}
 	};
 
+	const finishBroken = (): void => {
+		// After the end of a whole body this changes nothing, and what it holds is still needed.
+		if (!isWhole) {
+			hold.release();
+			finish(describeBroken(request));
+		}
+	};
+
+	if (!heldBytes.hasRoomFor(Math.min(maxBytes, Number(request.headers['content-length'] ?? 0)))) {
+		void refuseWhenParsed('no_room');
+		return;
+	}
+
 	request.on('data', onData);
 	request.once('end', () => {
-		finish({kind: 'whole', body: chunks.length === 1 ? chunks[0]! : Buffer.concat(chunks)});
-	});
-	request.once('error', () => {
-		finish(describeBroken(request));
-	});
-	request.once('close', () => {
-		finish(describeBroken(request));
+		isWhole = true;
+		finish({kind: 'whole', body: chunks.length === 1 ? chunks[0]! : Buffer.concat(chunks), hold});
 	});
+	request.once('error', finishBroken);
+	request.once('close', finishBroken);
 });
--- a/packages/gateway/src/calls/refusal.ts
+++ b/packages/gateway/src/calls/refusal.ts
@@ -9,6 +9,8 @@
 	readonly detail: string;
 	/** Seconds after which the caller may retry; set only if the call has not run. */
 	readonly retryAfterS?: number;
+	/** Whether the body was read in part only, so that nothing more can be read from the connection. */
+	readonly isReadInPart?: boolean;
 };
 
 /** Sends the error response. `isLastOnConnection` tells whether the connection is closed after it. If the response has already started, closes the connection instead. */
@@ -19,7 +21,7 @@
 	}
 
 	const {status, title, executed} = errorResponses[refusal.kind];
-	const isLast = isLastOnConnection() || (refusal.kind === 'payload_too_large' && discardRest(response.req, response.req.socket));
+	const isLast = isLastOnConnection() || (refusal.isReadInPart === true && discardRest(response.req, response.req.socket));
 	const body = JSON.stringify({
 		kind: refusal.kind, title, detail: refusal.detail, executed,
 	});
--- a/packages/gateway/src/calls/serve-call.ts
+++ b/packages/gateway/src/calls/serve-call.ts
@@ -124,6 +124,7 @@
 		gateway.log.write('failure', 'call_crashed', {request: context.head.id, error: error instanceof Error ? error.stack : String(error)});
 		finishCall(context, {name: 'internal', refusal: {kind: 'internal', detail: 'The daemon made a mistake.'}}, admitted);
 	} finally {
+		context.bodyHold?.release();
 		gateway.activeCalls--;
 	}
 };
@@ -135,7 +136,7 @@
 export const serveCall = async (gateway: GatewayState, request: http.IncomingMessage, response: http.ServerResponse, arrival?: Arrival): Promise<void> => {
 	const caller = watchCaller(gateway, request, response);
 	const context: CallContext = {
-		gateway, request, response, caller, isFromPeer: false, head: gateway.wire.parseCallerHeaders(request.headers), timing: {firstByteAt: undefined, lastEventAt: 0, longestPauseMs: 0}, trace: trackCall(response, gateway.clocks.steady()),
+		gateway, request, response, caller, isFromPeer: false, head: gateway.wire.parseCallerHeaders(request.headers), timing: {firstByteAt: undefined, lastEventAt: 0, longestPauseMs: 0}, trace: trackCall(response, gateway.clocks.steady()), bodyHold: undefined,
 	};
 	try {
 		await serveAdmission(context, async () => admitCall(context, arrival));
--- a/packages/gateway/src/calls/serve-peer-call.ts
+++ b/packages/gateway/src/calls/serve-peer-call.ts
@@ -7,13 +7,13 @@
 import {unknownOriginRefusal} from '../origins/continuity.js';
 import {isCutOff} from '../paths/track-paths.js';
 import {trackCall} from '../telemetry/call-trace.js';
-import {type AdmittedCall, type CallContext} from './admit-call.js';
+import {type AdmittedCall, type CallContext, noRoomRefusal} from './admit-call.js';
 import {type CallerPresence, watchCaller} from './caller-presence.js';
 import {isLastOnConnection} from './last-on-connection.js';
 import {
 	decodePeerCall, type PeerCallData, type PeerCallResult, makeCallOfPeer, setArrived, setResult,
 } from './peer-call.js';
-import {readRequestBody} from './read-request-body.js';
+import {type BodyResult, readRequestBody} from './read-request-body.js';
 import {type Refusal, sendRefusal} from './refusal.js';
 import {getRepeatAccount, getRepeatLimit} from './repeat-limit.js';
 import {serveAdmittedCall} from './serve-call.js';
@@ -64,6 +64,7 @@
 	},
 	timing: {firstByteAt: undefined, lastEventAt: 0, longestPauseMs: 0},
 	trace: trackCall(response, gateway.clocks.steady()),
+	bodyHold: undefined,
 });
 
 const serve = async (context: CallContext, admitted: AdmittedCall, {sender, earnsRepeats}: PeerCallData): Promise<void> => {
@@ -91,14 +92,30 @@
 /** Whether the call continues a stream that has begun. */
 const isContinuation = ({wire}: GatewayState, {outgoing}: PeerCallData): boolean => outgoing.lastEventId !== undefined || wire.findLastEventId(outgoing.callerFields) !== undefined;
 
-const serveMessage = async (gateway: GatewayState, exchange: Pick<CallContext, 'request' | 'response' | 'caller'>): Promise<void> => {
-	const {request} = exchange;
+type PeerExchange = Pick<CallContext, 'request' | 'response' | 'caller'>;
+
+const serveMessage = async (gateway: GatewayState, exchange: PeerExchange): Promise<void> => {
 	const maxBodyBytes = gateway.configuration?.configuration.limits.bodyBytes ?? 0;
-	const message = await readRequestBody(request, maxBodyBytes + maxHeadBytes);
+	const message = await readRequestBody(exchange.request, maxBodyBytes + maxHeadBytes, gateway.heldBytes);
+	try {
+		await serveReadMessage(gateway, exchange, message);
+	} finally {
+		if (message.kind === 'whole') {
+			message.hold.release();
+		}
+	}
+};
+
+const serveReadMessage = async (gateway: GatewayState, exchange: PeerExchange, message: BodyResult): Promise<void> => {
 	const decoded = message.kind === 'whole' ? decodePeerCall(message.body) : undefined;
 	const context = makeContext(gateway, exchange, decoded?.data);
+	if (message.kind === 'no_room') {
+		refuse(context, noRoomRefusal, 'unfit');
+		return;
+	}
+
 	if (decoded === undefined) {
-		refuse(context, {kind: message.kind === 'too_large' ? 'payload_too_large' : 'invalid_request', detail: 'The message of the peer is no call.'}, 'unfit');
+		refuse(context, {kind: message.kind === 'too_large' ? 'payload_too_large' : 'invalid_request', detail: 'The message of the peer is no call.', isReadInPart: message.kind === 'too_large'}, 'unfit');
 		return;
 	}
 
--- a/packages/gateway/src/gateway-state.ts
+++ b/packages/gateway/src/gateway-state.ts
@@ -16,6 +16,7 @@
 import {type PathState} from '@shallotpass/core/paths/path-state.js';
 import {type AcceptBacklog} from './calls/accept-backlog.js';
 import {type BackendRegistry} from './calls/backend-registry.js';
+import {type HeldBytes} from './calls/held-bytes.js';
 import {type LanesOfService} from './calls/long-prompts.js';
 import {type Clocks} from './clocks.js';
 import {type LoopMonitor} from './loop-monitor.js';
@@ -158,6 +159,8 @@
 	activeCalls: number;
 	/** Answers that are owed to callers and peers, from the head of a request to the delivery of its answer. */
 	readonly answers: OwedAnswers;
+	/** Bytes of the bodies that calls hold. */
+	readonly heldBytes: HeldBytes;
 };
 
 /** Peers whose last report is older than this are not counted. Reports arrive three times a second. */
--- a/packages/gateway/src/start-gateway.ts
+++ b/packages/gateway/src/start-gateway.ts
@@ -11,6 +11,7 @@
 import {type OpenConnection} from './calls/backend-agent.js';
 import {makeBackendRegistry} from './calls/backend-registry.js';
 import {listReadyBackends} from './calls/count-versions.js';
+import {computeMaxHeldBytes, makeHeldBytes} from './calls/held-bytes.js';
 import {listenForCallers, listenForReadinessChecks} from './calls/callers-listener.js';
 import {type CallersServer} from './calls/callers-server.js';
 import {computeInheritsRepeatsUntil} from './calls/repeat-limit.js';
@@ -120,6 +121,7 @@
 	drainingSince: undefined,
 	activeCalls: 0,
 	answers: callersServer?.answers ?? makeOwedAnswers(),
+	heldBytes: makeHeldBytes(computeMaxHeldBytes(settings.instance)),
 	paths: initialPathState,
 	onPathsLost: new Set(),
 	nextSuspicionAt: 0,
@@ -153,7 +155,7 @@
 export const startGateway = async (options: GatewayOptions): Promise<Gateway> => {
 	const lastAnswerAt = new Map<string, number>();
 	const metrics = makeGatewayMetrics({
-		answeredAt: lastAnswerAt, now: () => performance.now(), countOwedAnswers: () => state.answers.count(), getDirectoryAgeMs: () => state.clocks.steady() - state.directoryStatus.confirmedAt, listReadyBackends: () => listReadyBackends(state.registry.versionsByService),
+		answeredAt: lastAnswerAt, now: () => performance.now(), countOwedAnswers: () => state.answers.count(), countHeldBytes: () => state.heldBytes.count(), getDirectoryAgeMs: () => state.clocks.steady() - state.directoryStatus.confirmedAt, listReadyBackends: () => listReadyBackends(state.registry.versionsByService),
 	});
 	const storeCalls = new Map<string, number>();
 	const platform = options.openPlatform((topic, outcome, isAnswered) => {
--- a/packages/gateway/src/telemetry/gateway-metrics.ts
+++ b/packages/gateway/src/telemetry/gateway-metrics.ts
@@ -45,6 +45,7 @@
 	readonly loopStallSeconds: Histogram;
 	readonly activeCalls: Gauge;
 	readonly owedAnswers: Gauge;
+	readonly heldBytes: Gauge;
 	readonly unfinishedAnswers: Counter<'reason' | 'awaited'>;
 	readonly runsGivenUp: Counter<'reason'>;
 	readonly uncaughtErrors: Counter<'origin'>;
@@ -58,11 +59,12 @@
 	readonly getDirectoryAgeMs: () => number;
 	/** Counts the answers that are owed now. */
 	readonly countOwedAnswers: () => number;
+	readonly countHeldBytes: () => number;
 	/** Lists how many backend servers of each software version are ready. */
 	readonly listReadyBackends: () => Iterable<{readonly service: string; readonly version: string; readonly ready: number}>;
 };
 
-export const makeGatewayMetrics = ({answeredAt, now, getDirectoryAgeMs, countOwedAnswers, listReadyBackends}: DependencyAnswers): GatewayMetrics => {
+export const makeGatewayMetrics = ({answeredAt, now, getDirectoryAgeMs, countOwedAnswers, countHeldBytes, listReadyBackends}: DependencyAnswers): GatewayMetrics => {
 	const registry = new Registry();
 	const registers = [registry];
 	return {
@@ -178,6 +180,12 @@
 				this.set(countOwedAnswers());
 			},
 		}),
+		heldBytes: new Gauge({
+			name: 'shallotpass_gateway_held_bytes', help: 'Bytes of the bodies that calls under way hold in memory', registers,
+			collect() {
+				this.set(countHeldBytes());
+			},
+		}),
 		unfinishedAnswers: new Counter({
 			name: 'shallotpass_gateway_unfinished_answers_total', help: 'Answers that ended before they were delivered whole, by what ended them and what the call waited for', labelNames: ['reason', 'awaited'], registers,
 		}),
