Calls that no backend server has begun to answer when a drain ends are refused, so that answers behind them get out

What callers saw: a connection that ended 7.7 s after SIGTERM (8 s of grace) without any answer, and, where requests were sent one behind another, answers of requests that had run long before and waited behind one that nobody answered.

Cause: the drain waited for what it owed until the process ended, and had no last word for calls without an answer.

Change: 150 ms before the drain ends, calls whose answers have not begun are given up: 503 where no backend server can have run them, 502 otherwise. Their runs end, and what waits behind them is delivered. They had no more time in any case.

--- a/packages/gateway/src/calls/call-outcome.ts
+++ b/packages/gateway/src/calls/call-outcome.ts
@@ -20,6 +20,11 @@
 	? {name: 'backend_failed', hasArrived, refusal: {kind: 'backend_failed', detail: `The backend server failed: ${lastFailure}.`}}
 	: {name: 'no_backend', hasArrived, refusal: {kind: 'no_backend', detail: `No backend server took the call: ${lastFailure}.`, retryAfterS: 0.2}};
 
+/** What a call is answered whose answer has not begun when the process of a draining daemon ends. */
+export const makeDrainOutcome = ({possibleRuns, hasArrived}: CallProgress): CallOutcome => possibleRuns > 0
+	? {name: 'backend_failed', hasArrived, refusal: {kind: 'backend_failed', detail: 'This daemon left before the backend server answered.'}}
+	: {name: 'draining', hasArrived, refusal: {kind: 'draining', detail: 'This daemon is leaving.', retryAfterS: 0}};
+
 export type SendResult =
 	| AttemptResult
 	| {readonly kind: 'no_backend'}
--- a/packages/gateway/src/calls/serve-call.ts
+++ b/packages/gateway/src/calls/serve-call.ts
@@ -1,5 +1,6 @@
 /** Entry point of all calls: admission, serving, and metrics and logs of the result. */
 import type http from 'node:http';
+import {listenForAbort} from '@shallotpass/common/listen-for-abort.js';
 import {limitTimerMs} from '@shallotpass/common/value-bounds.js';
 import {isStream} from '@shallotpass/core/calls/types.js';
 import {recordCall} from '@shallotpass/core/retries/repeat-account.js';
@@ -10,7 +11,7 @@
 	admitCall, type AdmittedCall, type CallContext, RefusedCall,
 } from './admit-call.js';
 import {recordArrival} from './backend-limits.js';
-import {type CallOutcome} from './call-outcome.js';
+import {type CallOutcome, makeDrainOutcome} from './call-outcome.js';
 import {makeProgress} from './call-progress.js';
 import {watchCaller} from './caller-presence.js';
 import {isLastOnConnection} from './last-on-connection.js';
@@ -78,6 +79,13 @@
 	}
 
 	caller.stage = 'waiting';
+	let isCutShort = false;
+	const stopListening = listenForAbort(gateway.lastAnswers.signal, () => {
+		isCutShort = !context.response.headersSent;
+		if (isCutShort) {
+			caller.expire();
+		}
+	});
 	const timer = setTimeout(caller.expire, limitTimerMs(call.deadline - gateway.clocks.steady()));
 	if (!isCutOff(gateway)) {
 		recordArrival(gateway, call.service, call.rank);
@@ -95,6 +103,10 @@
 			return {name: 'caller_left'};
 		}
 
+		if (isCutShort && outcome.refusal) {
+			return makeDrainOutcome(progress);
+		}
+
 		if (signal.aborted && outcome.refusal) {
 			return {name: 'deadline', refusal: {kind: 'deadline_exceeded', detail: 'The call was not answered in time.'}};
 		}
@@ -102,6 +114,7 @@
 		return outcome;
 	} finally {
 		clearTimeout(timer);
+		stopListening();
 		returnHeldPermit(gateway, call, progress);
 	}
 };
--- a/packages/gateway/src/drain-gateway.ts
+++ b/packages/gateway/src/drain-gateway.ts
@@ -10,6 +10,9 @@
 /** Draining ends this long before the platform kills the process. */
 const killMarginMs = 300;
 
+/** Calls whose answers have not begun are refused this long before draining ends, so that the refusals leave the process. */
+const refuseUnansweredMs = 150;
+
 /** New connections are accepted this long after SIGTERM, as the load balancer may send some until then. */
 const acceptConnectionsMs = 3200;
 
@@ -35,6 +38,10 @@
 	const endAt = since + graceMs - killMarginMs;
 	const waitUntil = async (check: () => boolean): Promise<void> => {
 		while (!check() && clocks.steady() < endAt) {
+			if (clocks.steady() >= endAt - refuseUnansweredMs) {
+				gateway.lastAnswers.abort();
+			}
+
 			await sleep(drainPollMs); // eslint-disable-line no-await-in-loop -- a poll
 		}
 	};
--- a/packages/gateway/src/gateway-state.ts
+++ b/packages/gateway/src/gateway-state.ts
@@ -152,6 +152,8 @@
 	registeredDaemons: number | undefined;
 	/** When draining began after SIGTERM, on the steady clock. */
 	drainingSince: number | undefined;
+	/** Aborted in a drain shortly before the process ends: calls whose answers have not begun are then refused. */
+	readonly lastAnswers: AbortController;
 	/** Aborted when the daemon stops. */
 	readonly stopSignal: AbortSignal;
 	/** Number of calls in flight. */
--- a/packages/gateway/src/start-gateway.ts
+++ b/packages/gateway/src/start-gateway.ts
@@ -75,6 +75,13 @@
 
 type Identity = Pick<GatewayState, 'incarnation' | 'clocks' | 'stopSignal' | 'loop'>;
 
+const makeLastAnswers = (): AbortController => {
+	const controller = new AbortController();
+	// Each call listens.
+	setMaxListeners(0, controller.signal);
+	return controller;
+};
+
 const makeState = ({settings, log, openConnection, callersServer}: GatewayOptions, platform: Platform, {metrics, startedAt, ...identity}: Identity & Pick<GatewayState, 'metrics' | 'startedAt'>): GatewayState => ({
 	settings,
 	...identity,
@@ -118,6 +125,7 @@
 	peers: new Map(),
 	registeredDaemons: undefined,
 	drainingSince: undefined,
+	lastAnswers: makeLastAnswers(),
 	activeCalls: 0,
 	answers: callersServer?.answers ?? makeOwedAnswers(),
 	paths: initialPathState,
