The soak lets engines pause in streams and go on, while daemons drain, and judges that no such stream ends early

Judged are streams that ran, around a stop or a told reload of their daemon, that nothing else disturbs and whose engines are sound: each has to be answered whole unless its time limit is reached or an engine was at work on it at the end of the grace period. No events of two runs may be joined, and nothing works on for callers that left, as for all calls. judgedStreams in the output counts what was judged.

The fault is drawn by random numbers of its own, so runs without it play as before. It is in plans with planned work only as well, as an engine that is silent for a while is no fault: the test that lists the kinds of these plans names it.

--- a/scripts/soak/src/check-history.test.ts
+++ b/scripts/soak/src/check-history.test.ts
@@ -25,6 +25,7 @@
 	crashingCalls: [],
 	leavingCalls: [],
 	pipelinedCalls: [],
+	keptStreams: [], plannedWork: [], backendFaults: [],
 	crashes: [], streams: [], lastingVersions: ['v1'], runs: [makeRun()], duties: [], disturbances: [], bans: [], arrivals: [], limits: [], linkDisturbances: [], cuts: [], startingStops: [], brittleSpans: [], rejections: [], ownEnds: [], neverReady: [], calmFrom: 9000, hasOnlyPlannedWork: false, ...changes,
 });
 
--- a/scripts/soak/src/check-history.ts
+++ b/scripts/soak/src/check-history.ts
@@ -10,6 +10,7 @@
 import {findRepeatViolations} from './check-repeats.js';
 import {findStartingStopViolations} from './check-starting-stops.js';
 import {formatExpectedStream, listVersions, removeVersions} from './format-events.js';
+import {judgeKeptStreams} from './kept-streams.js';
 import {findQuotaViolations} from './limited-account.js';
 import {
 	type CallOutcome, type CompletedCall, type History, type BackendRun,
@@ -144,8 +145,13 @@
 		: [];
 });
 
+const describeCall = ({id, route, daemon}: CompletedCall, text: string): string => `${id} (${route} by ${daemon}): ${text}`;
+
+/** Checks what holds for each call, whatever becomes of it. */
+const checkIntegrity = (history: History, call: CompletedCall, runs: readonly BackendRun[]): string[] => [...checkRuns(call, runs), ...checkOutcome(call, runs), ...checkBans(history, call, runs)];
+
 const checkCall = (history: History, call: CompletedCall, runs: readonly BackendRun[]): string[] => {
-	const violations = [...checkRuns(call, runs), ...checkOutcome(call, runs), ...checkBans(history, call, runs)];
+	const violations = checkIntegrity(history, call, runs);
 	if (call.end === undefined && !isDisturbed(history, call.daemon, call.sentAt, call.endedAt)) {
 		violations.push('never answered');
 	}
@@ -154,7 +160,7 @@
 		violations.push(...checkPlannedWorkLoss(call, runs));
 	}
 
-	return violations.map(text => `${call.id} (${call.route} by ${call.daemon}): ${text}`);
+	return violations.map(text => describeCall(call, text));
 };
 
 const checkRecovery = (history: History): string[] => {
@@ -174,11 +180,12 @@
 export const findViolations = (history: History): string[] => {
 	const runsById = groupById(history.runs);
 	const sentIds = new Set([
-		...[...history.calls, ...history.limitedCalls, ...history.crashingCalls, ...history.leavingCalls, ...history.pipelinedCalls].map(call => call.id),
+		...[...history.calls, ...history.limitedCalls, ...history.crashingCalls, ...history.leavingCalls, ...history.pipelinedCalls, ...history.keptStreams].map(call => call.id),
 		...history.streams.flatMap(({attemptIds}) => attemptIds),
 	]);
 	const unrequested = [...runsById.keys()].filter(id => !sentIds.has(id)).map(id => `${id}: ran, but no caller sent it`);
 	const callViolations = history.calls.flatMap(call => checkCall(history, call, runsById.get(call.id) ?? []));
+	const keptViolations = history.keptStreams.flatMap(call => checkIntegrity(history, call, runsById.get(call.id) ?? []).map(text => describeCall(call, text)));
 	const callsOverLimit = history.calls.filter(call => (runsById.get(call.id) ?? []).filter(run => run.memory === undefined).length > (maxAttemptsByRoute[call.route] ?? 0));
 	const wasHolderDisturbed = (holder: string, at: number): boolean => isDisturbed(history, holder, at, at);
 	return [
@@ -197,6 +204,8 @@
 		...findContinuityViolations(history),
 		...findLeaveViolations(history),
 		...findPipeliningViolations(history),
+		...keptViolations,
+		...judgeKeptStreams(history).violations,
 		...findRepeatViolations(history),
 		...checkRecovery(history),
 	];
--- a/scripts/soak/src/history.ts
+++ b/scripts/soak/src/history.ts
@@ -52,10 +52,17 @@
 	readonly memory?: string;
 };
 
+export type Span = {
+	readonly from: number;
+	readonly until: number;
+};
+
 /** A period in which a fault may have kept a daemon, or all daemons, from meeting the time bounds. */
 export type Disturbance = {
 	/** Undefined if all daemons are affected. */
 	readonly daemon: string | undefined;
+	/** Whether it is a planned stop. */
+	readonly isPlanned?: boolean;
 	readonly from: number;
 	readonly until: number;
 };
@@ -141,6 +148,19 @@
 	readonly hasEnded: boolean;
 };
 
+/** A stream of a caller that keeps its connection open until the daemon has ended. Engines pause in the middle of it. */
+export type KeptStream = CompletedCall & {
+	/** Whether its caller left before it had ended. */
+	readonly hasLeft: boolean;
+};
+
+/** When a daemon was told to stop, or to read its settings again. */
+export type PlannedWork = {
+	readonly kind: 'stop' | 'reload';
+	readonly daemon: string;
+	readonly at: number;
+};
+
 export type History = {
 	readonly calls: readonly CompletedCall[];
 	/** Calls of the account that exceeds its limit. */
@@ -148,6 +168,10 @@
 	readonly crashingCalls: readonly CrashingCall[];
 	readonly leavingCalls: readonly LeavingCall[];
 	readonly pipelinedCalls: readonly PipelinedCall[];
+	readonly keptStreams: readonly KeptStream[];
+	readonly plannedWork: readonly PlannedWork[];
+	/** Periods in which backend servers misbehaved. */
+	readonly backendFaults: readonly LinkDisturbance[];
 	/** When engines crashed under such requests. */
 	readonly crashes: readonly number[];
 	/** Streams whose callers lose their connections and take them up again. */
--- a/scripts/soak/src/inject-backend-fault.ts
+++ b/scripts/soak/src/inject-backend-fault.ts
@@ -2,6 +2,7 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import {type BackendStandIn} from '@shallotpass/platform/stand-ins/backend-stand-in.js';
 import {announceBackend, placesByService, removeBackend} from '@shallotpass/platform/stand-ins/platform-fixture.js';
+import {drawPause, isKeptStream} from './kept-streams.js';
 import {type BackendFault, type Fault, type Notice} from './plan-faults.js';
 import {
 	announceReturn, lastingVersion, type SoakBackend, type SoakCluster,
@@ -129,6 +130,54 @@
 export const applyBackendFault = async (cluster: SoakCluster, fault: Fault & {kind: 'misbehave'}): Promise<void> => {
 	const {standIn, service} = cluster.backends[fault.backend]!;
 	standIn.failureMode = toFaultOf(service, fault.how);
+	const from = performance.now();
 	await sleep(fault.forMs);
 	standIn.failureMode = undefined;
+	cluster.backendFaults.push({backend: standIn.id, from, until: performance.now()});
+};
+
+/** Returns what decides whether an engine refuses a stream: one that has run elsewhere finds no room. */
+const makeRefusalOfSecondRuns = () => {
+	const firstEngines = new Map<string, string>();
+	return (engine: string, requestId: string): boolean => {
+		if (!isKeptStream(requestId)) {
+			return false;
+		}
+
+		const first = firstEngines.get(requestId) ?? engine;
+		firstEngines.set(requestId, first);
+		return first !== engine;
+	};
+};
+
+/** Lets engines send nothing for a while in the middle of streams and go on, while the other engines are of no help, or of some. */
+export const pauseStreams = async (cluster: SoakCluster, {engines: indexes, others, forMs}: Fault & {kind: 'pause_streams'}): Promise<void> => {
+	const engines = cluster.backends.filter(({service}) => service === 'llm');
+	const isRefused = makeRefusalOfSecondRuns();
+	for (const [index, {standIn}] of engines.entries()) {
+		if (indexes.includes(index) || others === 'silent') {
+			standIn.findPauseMs = (requestId, event) => {
+				const pause = drawPause(requestId);
+				return isKeptStream(requestId) && event === pause.event ? pause.forMs : 0;
+			};
+		}
+
+		if (others === 'full') {
+			standIn.shouldRefuse = requestId => isRefused(standIn.id, requestId);
+		}
+	}
+
+	const other = engines.findIndex((_engine, index) => !indexes.includes(index));
+	const left = (others === 'leaving' || others === 'absent') && other !== -1
+		? removeBackendTemporarily(cluster, {
+			kind: 'leave', backend: cluster.backends.indexOf(engines[other]!), isTold: others === 'leaving', forMs,
+		})
+		: undefined;
+	await sleep(forMs);
+	for (const {standIn} of engines) {
+		standIn.findPauseMs = undefined;
+		standIn.shouldRefuse = undefined;
+	}
+
+	await left;
 };
--- a/scripts/soak/src/inject-fault.ts
+++ b/scripts/soak/src/inject-fault.ts
@@ -5,7 +5,7 @@
 import {shopKey} from '@shallotpass/platform/stand-ins/send-call.js';
 import {noDatagramFaults} from './daemon-links.js';
 import {
-	applyBackendFault, boundMarginMs, makeBrittle, propagationBoundMs, removeBackendTemporarily, stateLimit,
+	applyBackendFault, boundMarginMs, makeBrittle, pauseStreams, propagationBoundMs, removeBackendTemporarily, stateLimit,
 } from './inject-backend-fault.js';
 import {limitedTenant} from './limited-account.js';
 import {type Fault, type LinkFault} from './plan-faults.js';
@@ -34,17 +34,19 @@
 };
 
 /** Runs the action and records its duration as a disturbance of the daemon, or of all daemons if none is given. */
-const recordDisturbance = async (cluster: SoakCluster, daemon: string | undefined, action: () => Promise<void>): Promise<void> => {
+const recordDisturbance = async (cluster: SoakCluster, daemon: string | undefined, action: () => Promise<void>, isPlanned = false): Promise<void> => {
 	const from = performance.now();
 	// The end stays open until the action is over, because the history may be checked in the meantime.
-	const disturbance = {daemon, from, until: Number.POSITIVE_INFINITY};
+	const disturbance = {
+		daemon, from, until: Number.POSITIVE_INFINITY, isPlanned,
+	};
 	cluster.disturbances.push(disturbance);
 	await action();
 	disturbance.until = performance.now();
 };
 
 /** Runs the action and records the disturbance, unless another fault already affects the daemon. */
-const withUndisturbedDaemon = async (cluster: SoakCluster, index: number, action: (daemon: SoakDaemon) => Promise<void>): Promise<void> => {
+const withUndisturbedDaemon = async (cluster: SoakCluster, index: number, action: (daemon: SoakDaemon) => Promise<void>, isPlanned = false): Promise<void> => {
 	const daemon = cluster.daemons[index]!;
 	if (daemon.hasActiveFault) {
 		return;
@@ -52,7 +54,7 @@
 
 	daemon.hasActiveFault = true;
 	try {
-		await recordDisturbance(cluster, daemon.process.id, async () => action(daemon));
+		await recordDisturbance(cluster, daemon.process.id, async () => action(daemon), isPlanned);
 	} finally {
 		daemon.hasActiveFault = false;
 	}
@@ -167,7 +169,10 @@
 		}
 
 		case 'stop': {
-			await withUndisturbedDaemon(cluster, fault.daemon, async daemon => restartDaemon(daemon, 'SIGTERM', fault.forMs));
+			await withUndisturbedDaemon(cluster, fault.daemon, async daemon => {
+				cluster.plannedWork.push({kind: 'stop', daemon: daemon.process.id, at: performance.now()});
+				await restartDaemon(daemon, 'SIGTERM', fault.forMs);
+			}, true);
 			return;
 		}
 
@@ -180,6 +185,7 @@
 			const {process} = cluster.daemons[fault.daemon]!;
 			process.writeSettings('whole', String(performance.now()));
 			if (fault.isTold) {
+				cluster.plannedWork.push({kind: 'reload', daemon: process.id, at: performance.now()});
 				process.send('SIGHUP');
 			}
 
@@ -251,6 +257,11 @@
 			return;
 		}
 
+		case 'pause_streams': {
+			await pauseStreams(cluster, fault);
+			return;
+		}
+
 		case 'lose_datagrams': {
 			await recordDisturbance(cluster, undefined, async () => loseDatagrams(cluster, fault));
 			return;
--- a/scripts/soak/src/plan-faults.ts
+++ b/scripts/soak/src/plan-faults.ts
@@ -20,6 +20,9 @@
 	readonly hasRoom: boolean;
 };
 
+/** What the engines do that do not pause in streams. `full`: none takes a stream that has run elsewhere. `silent`: they pause too. */
+export type OtherEngines = 'sound' | 'full' | 'silent' | 'leaving' | 'absent';
+
 export type Fault =
 	/** Stops the process temporarily with SIGSTOP, like the suspension of an instance. */
 	| {readonly kind: 'pause'; readonly daemon: number; readonly forMs: number}
@@ -53,6 +56,8 @@
 	| {readonly kind: 'cut_off'; readonly daemons: readonly number[]; readonly how: LinkFailure; readonly forMs: number}
 	/** Loses datagrams that some daemons send to others, or if split all between them and the rest. */
 	| {readonly kind: 'lose_datagrams'; readonly daemons: readonly number[]; readonly lossShare: number; readonly isSplit: boolean; readonly forMs: number}
+	/** Lets engines send nothing for a while in the middle of streams of keeping callers, and go on. */
+	| {readonly kind: 'pause_streams'; readonly engines: readonly number[]; readonly others: OtherEngines; readonly forMs: number}
 	/** Writes a new configuration version that contains or lacks the second key. */
 	| {readonly kind: 'configure'; readonly hasSecondKey: boolean};
 
@@ -295,6 +300,58 @@
 	}));
 };
 
+/** Added to the seed, as for notices. */
+const streamPauseSeedOffset = 9_000_000;
+
+const streamPauseShare = 0.6;
+const otherEngines: readonly OtherEngines[] = ['sound', 'full', 'full', 'silent', 'leaving', 'absent'];
+const minStreamPausesMs = 4000;
+const maxStreamPausesMs = 7500;
+const engineCount = 3;
+const maxStopDelayMs = 3000;
+
+/** Plans spells in which engines pause in streams, one after the other, each with stops of daemons and other planned work, in some of the runs. */
+const planStreamPauses = ({seed, daemons, forMs}: FaultOptions): PlannedFault[] => {
+	const random = makeRandomBeside(seed, streamPauseSeedOffset);
+	if (random() > streamPauseShare) {
+		return [];
+	}
+
+	const planned: PlannedFault[] = [];
+	for (let at = Math.round(random() * 2000); at < forMs;) {
+		const pausesMs = Math.round(minStreamPausesMs + (random() * (maxStreamPausesMs - minStreamPausesMs)));
+		const first = Math.floor(random() * engineCount);
+		const count = 1 + Math.floor(random() * engineCount);
+		planned.push({
+			at,
+			fault: {
+				kind: 'pause_streams', engines: Array.from({length: count}, (_value, index) => (first + index) % engineCount), others: otherEngines[Math.floor(random() * otherEngines.length)]!, forMs: pausesMs,
+			},
+		});
+		const firstDaemon = Math.floor(random() * daemons);
+		const stops = 1 + Math.floor(random() * Math.max(1, daemons - 1));
+		for (let index = 0; index < stops; index++) {
+			const daemon = (firstDaemon + index) % daemons;
+			const stopAt = at + Math.round(random() * maxStopDelayMs);
+			planned.push({at: stopAt, fault: {kind: 'stop', daemon, forMs: Math.round(random() * 1500)}});
+			if (random() < 0.4) {
+				planned.push({at: stopAt + Math.round(random() * 2000), fault: {kind: 'reload', daemon, isTold: true}});
+			}
+
+			if (random() < 0.3) {
+				planned.push({at: stopAt + Math.round(random() * 2000), fault: {kind: 'configure', hasSecondKey: random() < 0.5}});
+			}
+		}
+
+		at += pausesMs + Math.round(random() * 1500);
+	}
+
+	return planned;
+};
+
+/** Whether engines pause in streams, for which there are callers then. */
+export const hasStreamPauses = (planned: readonly PlannedFault[]): boolean => planned.some(({fault}) => fault.kind === 'pause_streams');
+
 /** Draws the limit that a backend server states after the last fault, when no daemon is excused any more. */
 export const planLimitAfterFaults = ({seed, backends}: Pick<FaultOptions, 'seed' | 'backends'>, forMs: number): Fault => {
 	const random = makeRandom(seed + limitSeedOffset + 1);
@@ -325,5 +382,5 @@
 	}
 
 	const limits = options.hasOnlyPlannedWork ? [] : [...planLimits(options), ...planCuts(options), ...planBrittleness(options), ...planDatagramFaults(options), ...planEndlessAnswers(options), ...planKillSeries(options)];
-	return [...addNotices(planned.toSorted((left, right) => left.at - right.at), options.seed), ...limits, ...planStartingStops(options)];
+	return [...addNotices(planned.toSorted((left, right) => left.at - right.at), options.seed), ...limits, ...planStartingStops(options), ...planStreamPauses(options)];
 };
--- a/scripts/soak/src/run-soak.ts
+++ b/scripts/soak/src/run-soak.ts
@@ -7,12 +7,15 @@
 import {runCrashingCaller} from './crashing-part.js';
 import {leavingCallers, runLeavingCaller} from './leaving-callers.js';
 import {pipeliningCallers, runPipeliningCaller} from './pipelining-callers.js';
+import {judgeKeptStreams, keepingCallers, runKeepingCaller} from './kept-streams.js';
 import {limitedCallers, runLimitedCaller} from './limited-account.js';
 import {eventsPerStream} from './format-events.js';
 import {runCaller} from './run-caller.js';
 import {findViolations} from './check-history.js';
 import {type CompletedCall, type History, type BackendRun} from './history.js';
-import {planFaults, planLimitAfterFaults} from './plan-faults.js';
+import {
+	hasStreamPauses, planFaults, planLimitAfterFaults, type PlannedFault,
+} from './plan-faults.js';
 import {
 	backendCount, closeSoakCluster, lastingVersion, type SoakCluster, startSoakCluster, waitForReady,
 } from './soak-cluster.js';
@@ -37,6 +40,8 @@
 	readonly faults: number;
 	/** Engines that crashed under prompts. */
 	readonly crashes: number;
+	/** Streams of sound engines, paused or not, that were judged around planned work. */
+	readonly judgedStreams: number;
 };
 
 /** Added to the seeds of the callers that exceed their limit. */
@@ -48,6 +53,9 @@
 /** Added to the seeds of the callers that send several requests at once. */
 const pipeliningSeedOffset = 900;
 
+/** Added to the seeds of the callers that keep their connections open. */
+const keepingSeedOffset = 950;
+
 /** Added to the seed of the callers that take up streams, how many streams begin, and the share of their attempts that lose the connection. */
 const streamSeedOffset = 700;
 const streamsPerSecond = 6;
@@ -95,14 +103,12 @@
 	memory: execution.kvCache,
 })));
 
-const injectFaults = async (cluster: SoakCluster, options: SoakOptions): Promise<number> => {
-	const plannedFaults = planFaults({...options, backends: backendCount, forMs: options.faultsMs});
+const injectFaults = async (cluster: SoakCluster, plannedFaults: readonly PlannedFault[]): Promise<void> => {
 	const startedAt = performance.now();
 	await Promise.all(plannedFaults.map(async ({at, fault}) => {
 		await sleep(Math.max(0, startedAt + at - performance.now()));
 		await injectFault(cluster, fault);
 	}));
-	return plannedFaults.length;
 };
 
 /** Waits for recovery. A limit that a backend server states meanwhile is over before the fault-free period. */
@@ -137,12 +143,16 @@
 		const pipeliningRuns = Array.from({length: pipeliningCallers}, async (_value, index) => runPipeliningCaller({
 			cluster, name: `pipelining-${index}`, random: makeRandom((options.seed * 1000) + pipeliningSeedOffset + index), signal: faultsController.signal,
 		}));
+		const plannedFaults = planFaults({...options, backends: backendCount, forMs: options.faultsMs});
+		const keepingRuns = Array.from({length: hasStreamPauses(plannedFaults) ? keepingCallers : 0}, async (_value, index) => runKeepingCaller({
+			cluster, name: String(index), random: makeRandom((options.seed * 1000) + keepingSeedOffset + index), signal: faultsController.signal,
+		}));
 		const streamsRun = runStreams({
 			listAddresses: () => cluster.daemons.map(({process}) => process.settings.listen.callers),
 			name: 'stream', random: makeRandom((options.seed * 1000) + streamSeedOffset), cutShare: streamCutShare, events: eventsPerStream, perSecond: streamsPerSecond, signal: callersController.signal,
 		});
 		const crashingRun = runCrashingCaller(cluster, {seed: options.seed, hasOnlyPlannedWork: options.hasOnlyPlannedWork, signal: faultsController.signal});
-		const faultCount = await injectFaults(cluster, options);
+		await injectFaults(cluster, plannedFaults);
 		const neverReady = await waitForReady(cluster);
 		await recover(cluster, options);
 		isFaultFree = true;
@@ -155,11 +165,16 @@
 		const limitedCallsByCaller = await Promise.all(limitedRuns);
 		const leavingCallsByCaller = await Promise.all(leavingRuns);
 		const pipelinedCallsByCaller = await Promise.all(pipeliningRuns);
+		const keptByCaller = await Promise.all(keepingRuns);
+		const keptStreams = keptByCaller.flat();
 		const history: History = {
 			calls,
 			limitedCalls: limitedCallsByCaller.flat(),
 			crashingCalls: await crashingRun,
-			leavingCalls: leavingCallsByCaller.flat(),
+			leavingCalls: [...leavingCallsByCaller.flat(), ...keptStreams.filter(({hasLeft}) => hasLeft).map(({endedAt, ...stream}) => ({...stream, leftAt: endedAt}))],
+			keptStreams,
+			plannedWork: cluster.plannedWork,
+			backendFaults: cluster.backendFaults,
 			pipelinedCalls: pipelinedCallsByCaller.flat(),
 			crashes: cluster.crashes,
 			streams: await streamsRun,
@@ -189,8 +204,9 @@
 			violations,
 			calls: calls.length,
 			served: calls.filter(({end}) => end?.kind === 'answered' && end.status === 200 && end.isWhole).length,
-			faults: faultCount,
+			faults: plannedFaults.length,
 			crashes: cluster.crashes.length,
+			judgedStreams: judgeKeptStreams(history).judged,
 		};
 	} finally {
 		closeController.abort();
--- a/scripts/soak/src/soak-cluster.ts
+++ b/scripts/soak/src/soak-cluster.ts
@@ -10,7 +10,7 @@
 import {eventsPerStream} from './format-events.js';
 import {limitedTenant} from './limited-account.js';
 import {
-	type Ban, type BackendLimitSpan, type BrittleSpan, type Cut, type Disturbance, type LinkDisturbance, type StartingStop,
+	type Ban, type BackendLimitSpan, type BrittleSpan, type Cut, type Disturbance, type LinkDisturbance, type PlannedWork, type StartingStop,
 } from './history.js';
 
 export type SoakBackend = {
@@ -42,6 +42,9 @@
 	readonly bans: Ban[];
 	readonly limits: BackendLimitSpan[];
 	readonly linkDisturbances: LinkDisturbance[];
+	/** Periods in which backend servers misbehaved. */
+	readonly backendFaults: LinkDisturbance[];
+	readonly plannedWork: PlannedWork[];
 	readonly cuts: Cut[];
 	readonly startingStops: StartingStop[];
 	readonly brittleSpans: BrittleSpan[];
@@ -166,7 +169,7 @@
 	}
 
 	const cluster: SoakCluster = {
-		fixture, backends, daemons: startedDaemons, disturbances: [], bans: [], limits: [], linkDisturbances: [], cuts: [], startingStops: [], brittleSpans: [], crashes: [], crashed: new Set(), version: 1, addNote,
+		fixture, backends, daemons: startedDaemons, disturbances: [], bans: [], limits: [], linkDisturbances: [], backendFaults: [], plannedWork: [], cuts: [], startingStops: [], brittleSpans: [], crashes: [], crashed: new Set(), version: 1, addNote,
 	};
 	await waitForReady(cluster);
 	await waitUntil('a daemon holds the lease and calls the cloud', () => fixture.cloud.calls.length > 0);
--- a/scripts/soak/src/soak.test.ts
+++ b/scripts/soak/src/soak.test.ts
@@ -22,7 +22,7 @@
 	};
 	assert.deepEqual(planFaults(options), planFaults(options));
 	assert.notDeepEqual(planFaults(options), planFaults({...options, seed: 4}));
-	assert.ok(planFaults({...options, hasOnlyPlannedWork: true}).every(({fault}) => ['stop', 'stop_starting', 'reload', 'leave', 'configure'].includes(fault.kind)));
+	assert.ok(planFaults({...options, hasOnlyPlannedWork: true}).every(({fault}) => ['stop', 'stop_starting', 'reload', 'leave', 'pause_streams', 'configure'].includes(fault.kind)));
 });
 
 test('each kind of fault occurs in some of the plans of neighbouring seeds, and brittleness not in all', () => {
@@ -30,7 +30,7 @@
 		seed, daemons: 3, backends: 6, forMs: 10_000, hasOnlyPlannedWork: false,
 	}));
 	const countPlans = (kind: string): number => plans.filter(plan => plan.some(({fault}) => fault.kind === kind)).length;
-	for (const kind of ['pause', 'kill', 'stop', 'stop_starting', 'reload', 'spoil_settings', 'step_clock', 'store', 'cloud', 'link', 'misbehave', 'leave', 'limit', 'brittle', 'cut_off', 'lose_datagrams', 'configure']) {
+	for (const kind of ['pause', 'kill', 'stop', 'stop_starting', 'reload', 'spoil_settings', 'step_clock', 'store', 'cloud', 'link', 'misbehave', 'leave', 'limit', 'brittle', 'cut_off', 'lose_datagrams', 'pause_streams', 'configure']) {
 		assert.ok(countPlans(kind) > 0, kind);
 	}
 
