--- a/scripts/soak/src/main.ts
+++ b/scripts/soak/src/main.ts
@@ -25,6 +25,7 @@
 		seeds: {type: 'string', default: '10', description: 'Number of seeds'},
 		daemons: {type: 'string', default: '3', description: 'Number of daemons per run'},
 		callers: {type: 'string', default: '12', description: 'Number of callers per run'},
+		planned: {type: 'boolean', default: false, description: 'Runs all seeds with planned work only'},
 		seconds: {type: 'string', default: '15', description: 'Length of the period in which faults start, in seconds'},
 	},
 	async run({args}) {
@@ -39,7 +40,7 @@
 				daemons: readCount('daemons', args.daemons),
 				callers: readCount('callers', args.callers),
 				faultsMs: readCount('seconds', args.seconds) * 1000,
-				hasOnlyPlannedWork: seed % plannedWorkSeedInterval === 0,
+				hasOnlyPlannedWork: args.planned || seed % plannedWorkSeedInterval === 0,
 				folder,
 			});
 			if (report.violations.length === 0) {
