Streams that no backend server runs are handed back before a drain ends, while their callers can take them up elsewhere

What callers saw: a stream that broke off 5.9 s after SIGTERM (8 s of grace), with all other engines full, kept its caller waiting for another 1.6 s and ended then: by then the caller had used up the pause that it accepts, and the process was about to end. Had an engine had room meanwhile, the run would have been cut with the process.

Change: from 2 s before the end of a drain on, a stream without a run looks once for another engine and is ended if none has room. Before that it waits as it did, for at most 1.5 s. Nothing is ended that runs at an engine, silent or not.

--- a/packages/gateway/src/calls/serve-stream.ts
+++ b/packages/gateway/src/calls/serve-stream.ts
@@ -3,6 +3,7 @@
 import {isRepeatable} from '@shallotpass/core/calls/types.js';
 import {computeEventTimeout, streamStallTimeoutMs} from '@shallotpass/core/retries/silence-timeout.js';
 import {trackSurvival} from '../crashes/record-evidence.js';
+import {computeWaitUntil} from '../drain-times.js';
 import {pauseFor} from '../pause.js';
 import {type ReadExcess} from '../read-bounds.js';
 import {type Continuity} from '../origins/continuity.js';
@@ -252,7 +253,7 @@
 		return resumeMovedRun(stream, moved, state.incarnation);
 	}
 
-	stream.roomWaitUntil = gateway.clocks.steady() + roomWaitMs;
+	stream.roomWaitUntil = computeWaitUntil(gateway, roomWaitMs);
 	recordInterruption(stream, attempt, forwarded.excess);
 	recordRunEnd(stream, attempt, forwarded);
 	if (stream.pendingVersion !== undefined) {
@@ -334,7 +335,7 @@
 		splitter: makeEventSplitter(),
 		placements: [],
 		stoppedOn: new Set(),
-		roomWaitUntil: admitted.continuity?.origin === undefined ? Number.NEGATIVE_INFINITY : context.gateway.clocks.steady() + roomWaitMs,
+		roomWaitUntil: admitted.continuity?.origin === undefined ? Number.NEGATIVE_INFINITY : computeWaitUntil(context.gateway, roomWaitMs),
 		signal,
 	};
 	for (;;) {
--- a/packages/gateway/src/drain-gateway.ts
+++ b/packages/gateway/src/drain-gateway.ts
@@ -2,14 +2,12 @@
 import {setTimeout as sleep} from 'node:timers/promises';
 import {acceptDuringDrainMs} from './calls/admit-call.js';
 import {type CallersListener} from './calls/callers-listener.js';
+import {computeDrainEnd} from './drain-times.js';
 import {type GatewayState} from './gateway-state.js';
 
 /** Interval between checks while the daemon drains. */
 const drainPollMs = 50;
 
-/** Draining ends this long before the platform kills the process. */
-const killMarginMs = 300;
-
 /** Calls whose answers have not begun are refused this long before draining ends, so that the refusals leave the process. */
 const refuseUnansweredMs = 150;
 
@@ -35,7 +33,7 @@
 export const drainGateway = async ({gateway, listener: {connections, stopAccepting}, requestedAt, stopComponents}: DrainOptions): Promise<void> => {
 	const {answers, clocks, log, settings: {bounds: {graceMs}}} = gateway;
 	const since = requestedAt ?? clocks.steady();
-	const endAt = since + graceMs - killMarginMs;
+	const endAt = computeDrainEnd(since, graceMs);
 	const waitUntil = async (check: () => boolean): Promise<void> => {
 		while (!check() && clocks.steady() < endAt) {
 			if (clocks.steady() >= endAt - refuseUnansweredMs) {
