Runs are not stopped to be moved at a draining daemon whose process ends before their engine does

What callers saw: a stream that may not be repeated, at an engine that leaves 8.3 s after the SIGTERM of the daemon, was torn. Its run was stopped 7.3 s after it to be moved, the engine said nothing, and the process ended at 7.7 s.

Cause: moves look at the engine's departure only. Change: a run stays where it is if its engine stays until the drain has ended.

--- a/packages/gateway/src/calls/move-run.ts
+++ b/packages/gateway/src/calls/move-run.ts
@@ -5,6 +5,7 @@
  */
 import {listenForAbort} from '@shallotpass/common/listen-for-abort.js';
 import {type Call} from '@shallotpass/core/calls/types.js';
+import {computeDrainEnd} from '../drain-times.js';
 import {type GatewayState} from '../gateway-state.js';
 import {pauseFor} from '../pause.js';
 import {payForRun} from '../quotas/pay-for-run.js';
@@ -158,6 +159,10 @@
 	}
 };
 
+/** Whether the backend server stays until this daemon's process has ended, so that a move would only take time from the run. */
+const outlastsDrain = ({drainingSince, settings: {bounds}}: GatewayState, {leavesAt}: BackendState): boolean =>
+	drainingSince !== undefined && leavesAt !== undefined && leavesAt >= computeDrainEnd(drainingSince, bounds.graceMs);
+
 /** Moves the call's run when its backend server is about to leave. Resumable streams are not moved, as another backend server can resume them. */
 export const watchDeparture = (options: DepartureWatchOptions): DepartureWatch => {
 	const {gateway, call, state, signal} = options;
@@ -173,7 +178,7 @@
 		const lastReturnAt = (state.leavingSince ?? now) + gateway.settings.bounds.drainMs;
 		const moveAt = Math.min((state.leavesAt ?? now) - moveLeadMs, lastReturnAt - returnLeadMs);
 		await pauseFor(Math.max(0, moveAt - now), streamEnd.signal);
-		return streamEnd.signal.aborted || signal.aborted ? undefined : moveRun(options);
+		return streamEnd.signal.aborted || signal.aborted || outlastsDrain(gateway, state) ? undefined : moveRun(options);
 	};
 
 	const scheduleMove = (): void => {
