A silent stream is given up only once another backend server has taken the rest

Callers of streams saw them end midway while their backend server only paused. forward-stream.ts gave an answer up after 1.3 s of silence, and serve-stream.ts then looked for another backend server; where all refused, were full, no repeat or run was left, or the version was not known, it ended what its sound backend server would have completed. Ruled out: the drain as a cause, as the same happens without one.

While a run of a resumable stream is silent, or sends bytes and no event, seek-successor.ts asks others beside it, through the same placement, permits and payment as before. The run ends at once when another one has sent its first event (or a head 300 ms ago, as both may be at work for 400 ms only), and what it had sent of an event is discarded. If it goes on first, the second send is cancelled. If none takes the stream, the run is kept and they are asked again after pauses that double; these sends count as repeats, and may use half of the limit. A run that breaks off is followed as before, but a send that is under way is waited for. Bounds of bytes still end a run, and a stream that may not be resumed is handled as before. What is held against a silent backend server is recorded when its run is replaced.

A stream that is drained by its caller after its run has ended no longer restarts the timers of that run (forward-stream.ts), which would now begin a search for it.

successor_sought and shallotpass_gateway_successor_searches_total tell what a search came to. serve-stream.ts is split: state, versions and the end of a run have modules of their own.

--- a/packages/gateway/src/calls/call-progress.ts
+++ b/packages/gateway/src/calls/call-progress.ts
@@ -62,3 +62,13 @@
 	mayBeCutOff: false,
 	hasCrashed: undefined,
 });
+
+/** Lets backend servers that turned the call away for want of room be tried once more. */
+export const resetTurnedAway = (progress: CallProgress): void => {
+	for (const incarnation of progress.turnedAwayBy) {
+		progress.attemptedIncarnations.delete(incarnation);
+		progress.attempts--;
+	}
+
+	progress.turnedAwayBy.clear();
+};
--- a/packages/gateway/src/calls/forward-failures.test.ts
+++ b/packages/gateway/src/calls/forward-failures.test.ts
@@ -51,6 +51,6 @@
 test('a stream whose end cannot be judged fails its call', async t => {
 	const exchange = await openExchange(t);
 	await assert.rejects(forwardEvents({
-		...exchange, isComplete, splitter: makeEventSplitter(), stallTimeoutMs: 5000, eventTimeoutMs: 5000, isStalled: () => false, findExcess: () => undefined, onEvents() {/* not looked at */},
+		...exchange, isComplete, splitter: makeEventSplitter(), stallTimeoutMs: 5000, eventTimeoutMs: 5000, givenUp: new AbortController().signal, onSilence() {/* not reached */}, onNoEvent() {/* not reached */}, onEvents() {/* not looked at */},
 	}), {message: 'cannot be told'});
 });
--- a/packages/gateway/src/calls/forward-stream.ts
+++ b/packages/gateway/src/calls/forward-stream.ts
@@ -17,8 +17,8 @@
 	target.flushHeaders();
 };
 
-/** The backend server's response was interrupted, or given up as it exceeded a bound or was silent. The complete events received before were forwarded. */
-export type BrokenStream = {readonly kind: 'broken'; readonly excess: ReadExcess | undefined; readonly isStalled: boolean};
+/** The backend server's response was interrupted, or given up as its signal was aborted or it exceeded a bound. The complete events received before were forwarded. */
+export type BrokenStream = {readonly kind: 'broken'; readonly excess: ReadExcess | undefined; readonly isGivenUp: boolean};
 
 export type ForwardEventsResult =
 	| {readonly kind: 'complete'}
@@ -32,51 +32,62 @@
 	/** Response to the caller. */
 	readonly target: http.ServerResponse;
 	readonly splitter: EventSplitter;
-	/** Whether the stream is given up in which no bytes came for so long. Asked again and again. */
-	readonly isStalled: () => boolean;
-	/** The same for bytes without an event. Returns why it is given up. */
-	readonly findExcess: () => ReadExcess | undefined;
+	/** Called again and again while no bytes have come for so long, until some do. */
+	readonly onSilence: () => void;
+	/** The same while bytes came, but no event. */
+	readonly onNoEvent: () => void;
+	/** Aborted when the response is given up. */
+	readonly givenUp: AbortSignal;
 	/** Called for each chunk that completes at least one event, before the events are written to `target`. */
 	readonly onEvents: () => void;
 };
 
 /** Forwards events until the stream ends. Does not end `target`, as an interrupted stream may be resumed on another backend server. */
 export const forwardEvents = async (options: ForwardEventsOptions): Promise<ForwardEventsResult> => new Promise((resolve, reject) => {
-	const {response, isComplete, target, splitter, stallTimeoutMs, eventTimeoutMs, isStalled, findExcess, onEvents} = options;
+	const {response, isComplete, target, splitter, stallTimeoutMs, eventTimeoutMs, onSilence, onNoEvent, givenUp, onEvents} = options;
 	let excess: ReadExcess | undefined;
-	let hasStalled = false;
-	const breakOff = (found: ReadExcess): void => {
-		excess = found;
-		response.destroy();
-	};
-
 	const progress = watchProgress({
 		stallTimeoutMs, eventTimeoutMs,
-		onStall() {
-			if (isStalled()) {
-				hasStalled = true;
-				response.destroy();
-			}
-		},
+		onStall: onSilence,
 		onNoEvent() {
 			// Silence is judged by the other timeout.
-			const found = splitter.countBytesWithoutEvent() > 0 ? findExcess() : undefined;
-			if (found !== undefined) {
-				breakOff(found);
+			if (splitter.countBytesWithoutEvent() > 0) {
+				onNoEvent();
 			}
 		},
 	});
-	const onTargetClose = (): void => {
+	const breakOff = (found: ReadExcess): void => {
+		excess = found;
+		response.destroy();
+	};
+
+	const onGivenUp = (): void => {
+		response.off('data', onData);
+		response.destroy();
+	};
+
+	const onDrain = (): void => {
+		progress.resume();
+		response.resume();
+	};
+
+	const stop = (): void => {
 		progress.stop();
+		target.off('drain', onDrain);
+		givenUp.removeEventListener('abort', onGivenUp);
+	};
+
+	const onTargetClose = (): void => {
+		stop();
 		resolve({kind: 'caller_left'});
 	};
 
 	const finish = async (): Promise<void> => {
-		progress.stop();
+		stop();
 		const isWhole = await isComplete();
 		target.off('close', onTargetClose);
-		if (!isWhole || excess !== undefined || splitter.hasPartialEvent()) {
-			resolve({kind: 'broken', excess, isStalled: hasStalled});
+		if (!isWhole || givenUp.aborted || excess !== undefined || splitter.hasPartialEvent()) {
+			resolve({kind: 'broken', excess, isGivenUp: givenUp.aborted && excess === undefined});
 			return;
 		}
 
@@ -109,15 +120,11 @@
 
 		response.pause();
 		progress.pause();
-		target.once('drain', () => {
-			progress.resume();
-			response.resume();
-		});
+		target.once('drain', onDrain);
 	};
 
 	const turn = makeTurnLimit(response);
-	target.once('close', onTargetClose);
-	response.on('data', (chunk: Buffer) => {
+	const onData = (chunk: Buffer): void => {
 		progress.onBytes();
 		const events = splitter.push(chunk);
 		if (splitter.countBytesWithoutEvent() > maxBytesWithoutEvent || splitter.countCommentBytes() > maxCommentBytes) {
@@ -134,7 +141,13 @@
 		}
 
 		turn.onBytes(chunk.length);
-	});
+	};
+
+	target.once('close', onTargetClose);
+	givenUp.addEventListener('abort', onGivenUp);
+	response.on('data', onData);
+	// What came ahead of this may have been looked at, which pauses it.
+	response.resume();
 	response.on('error', () => {
 		// Handled on 'close', which follows. Without this listener the error would end the process.
 	});
--- a/packages/gateway/src/calls/serve-stream.ts
+++ b/packages/gateway/src/calls/serve-stream.ts
@@ -1,57 +1,33 @@
 /** Serves streams: forwards their events and, where possible, continues them on another backend server. */
-import {headerTextSchema} from '@shallotpass/common/value-bounds.js';
 import {isRepeatable} from '@shallotpass/core/calls/types.js';
 import {computeEventTimeout, streamStallTimeoutMs} from '@shallotpass/core/retries/silence-timeout.js';
 import {trackSurvival} from '../crashes/record-evidence.js';
 import {pauseFor} from '../pause.js';
-import {type ReadExcess} from '../read-bounds.js';
-import {type Continuity} from '../origins/continuity.js';
-import {trackPendingOrigin} from '../origins/origin-state.js';
-import {recordStream} from '../origins/record-stream.js';
-import {recordAwaited, recordSendEnd} from '../telemetry/call-trace.js';
-import {describeDirectory} from '../telemetry/describe-directory.js';
+import {recordAwaited} from '../telemetry/call-trace.js';
 import {type AdmittedCall, type CallContext} from './admit-call.js';
 import {
-	discardResponse, findSuspension, recordBrokenAttempt, recordEvents, recordFirstByte, sendToBestBackend, sendToPlacement,
+	discardResponse, findSuspension, recordEvents, recordFirstByte, sendToBestBackend, sendToPlacement,
 } from './call-attempts.js';
 import {isServerError} from './is-server-error.js';
 import {
 	type CallOutcome, isUnsent, makeFailureOutcome, makeUnsentOutcome, type SendResult,
 } from './call-outcome.js';
 import {recordSoundAnswer} from './backend-soundness.js';
-import {type CallProgress} from './call-progress.js';
-import {type EventSplitter, makeEventSplitter} from './event-splitter.js';
+import {type CallProgress, resetTurnedAway} from './call-progress.js';
 import {isLastOnConnection} from './last-on-connection.js';
 import {inactiveWatch, type MovedRun, watchDeparture} from './move-run.js';
-import {setVersion} from './peer-call.js';
-import {type Attempt} from './run-at-backend.js';
 import {forwardPlainResponse} from './forward-plain-response.js';
-import {type BrokenStream, forwardEvents, writeStreamHead} from './forward-stream.js';
-import {type Placement} from './place-call.js';
+import {forwardEvents, type ForwardEventsOptions, writeStreamHead} from './forward-stream.js';
 import {prepareRepeat} from './prepare-repeat.js';
+import {type GivenUpReason, logNotContinued, recordRunEnd} from './record-run-end.js';
+import {announceVersion, recordFirstEvents} from './record-stream-version.js';
+import {makeSuccessorSearch, type SuccessorSearch} from './seek-successor.js';
+import {
+	type AnsweredAttempt, canGoOn, getLastEventId, makeStreamState, type StreamState,
+} from './stream-state.js';
+import {type Attempt} from './run-at-backend.js';
 import {takeRetry} from './take-retry.js';
-import {watchStreamWaits} from './watch-stream-waits.js';
-
-type StreamState = {
-	readonly context: CallContext;
-	readonly call: AdmittedCall['call'];
-	/** The request to send with the next attempt. */
-	outgoing: AdmittedCall['outgoing'];
-	readonly continuity: Continuity | undefined;
-	/** Whether events were sent on, so that the stream goes on only at the version that sent the first one. */
-	hasEvents: boolean;
-	/** Resolves when it is known whether the version that sent the first event is known. Undefined if nothing is waited for. */
-	pendingVersion: Promise<void> | undefined;
-	readonly progress: CallProgress;
-	readonly splitter: EventSplitter;
-	/** Placements where a moved run can continue, best first. */
-	placements: readonly Placement[];
-	/** Incarnations of the backend servers on which the run was stopped to be moved. It is stopped once on each. */
-	readonly stoppedOn: Set<string>;
-	/** Until when a stream that has begun waits for room at backend servers that can continue it, on the steady clock. */
-	roomWaitUntil: number;
-	readonly signal: AbortSignal;
-};
+import {type StreamWaits, watchStreamWaits} from './watch-stream-waits.js';
 
 /** Time for which a stream that has begun waits for room, and how often it looks. Callers give up after a gap of 2 s. */
 const roomWaitMs = 1500;
@@ -64,7 +40,9 @@
 type NextStep =
 	| {readonly kind: 'end'; readonly outcome: CallOutcome}
 	/** `isExempt`: it was already decided that the call is sent again. */
-	| {readonly kind: 'try_again'; readonly isExempt: boolean};
+	| {readonly kind: 'try_again'; readonly isExempt: boolean}
+	/** Another backend server has taken the rest of the stream. */
+	| {readonly kind: 'go_on'; readonly successor: AnsweredAttempt};
 
 const endWith = (outcome: CallOutcome): NextStep => ({kind: 'end', outcome});
 
@@ -74,8 +52,6 @@
 	? {name: 'broken_midway', detail: progress.lastFailure}
 	: makeFailureOutcome(progress);
 
-type AnsweredAttempt = SendResult & {readonly kind: 'answered'};
-
 /** Handles a response with a status other than 200: retries a server error if allowed, else forwards the response. */
 const forwardErrorResponse = async (stream: StreamState, {response, attempt}: AnsweredAttempt): Promise<NextStep> => {
 	const {context: {response: target}, call, progress} = stream;
@@ -98,15 +74,6 @@
 	return endWith(forwarded === 'passed' ? {name: 'backend_error'} : makeFailureOutcome(progress));
 };
 
-/** Returns the id after which the stream goes on: of the last event that was forwarded here, or before by the daemon that sent the call. */
-const getLastEventId = ({splitter, outgoing}: StreamState): string | undefined => splitter.getLastEventId() ?? outgoing.lastEventId;
-
-/** Whether another attempt can name the last event that was forwarded. Without its id in a header field the run would begin anew. */
-const canNameLastEvent = (stream: StreamState): boolean => {
-	const id = getLastEventId(stream);
-	return id !== undefined && id !== '' && headerTextSchema.safeParse(id).success;
-};
-
 /** Continues the run with the moved KV cache, at its version. It is the same run, so the next attempt is not a retry. */
 const resumeMovedRun = (stream: StreamState, moved: MovedRun, stoppedOn: string): NextStep => {
 	stream.progress.softwareVersion = moved.softwareVersion;
@@ -117,81 +84,44 @@
 	return {kind: 'try_again', isExempt: true};
 };
 
-/** Tells a peer at which version the stream goes on here, before the head of the answer is sent. */
-const announceVersion = ({context: {isFromPeer, response}, progress}: StreamState, {softwareVersion}: Attempt): void => {
-	if (isFromPeer && softwareVersion !== undefined) {
-		progress.softwareVersion = softwareVersion;
-		setVersion(response, softwareVersion);
-	}
-};
-
-/** Fixes the version at which the stream goes on, and remembers it for a caller that comes back. */
-const recordFirstEvents = (stream: StreamState, attempt: Attempt): void => {
-	if (stream.hasEvents) {
-		return;
-	}
-
-	stream.hasEvents = true;
-	if (attempt.softwareVersion === undefined && attempt.laterVersion !== undefined) {
-		stream.pendingVersion = recordLaterVersion(stream, attempt, attempt.laterVersion);
-		if (stream.continuity !== undefined) {
-			void trackPendingOrigin(stream.context.gateway.origins, stream.continuity.originKey, stream.pendingVersion);
+/** Returns what is done while a run sends nothing, or no event: another one is looked for, or it is given up if there can be no other. */
+const judgeWaits = (waits: StreamWaits, {canBegin, begin}: Pick<SuccessorSearch, 'canBegin' | 'begin'>): Pick<ForwardEventsOptions, 'onSilence' | 'onNoEvent'> => ({
+	onSilence() {
+		if (canBegin() && waits.isStalled()) {
+			begin('silent');
 		}
-
-		return;
-	}
-
-	recordVersion(stream, attempt, attempt.softwareVersion);
-};
-
-const recordVersion = ({context, call, continuity, progress}: StreamState, attempt: Attempt, softwareVersion: string | undefined): void => {
-	progress.softwareVersion ??= softwareVersion;
-	if (continuity !== undefined) {
-		recordStream(context.gateway, call, continuity, {attempt, softwareVersion});
+	},
+	onNoEvent() {
+		const reason = canBegin() ? waits.findExcess() : undefined;
+		if (reason !== undefined) {
+			begin(reason);
+		}
+	},
+});
+
+/** Decides what follows a run that has ended before the stream was whole. */
+const followBrokenRun = async (stream: StreamState, attempt: Attempt, search: SuccessorSearch): Promise<NextStep> => {
+	const {context: {gateway, trace}, progress, splitter, signal} = stream;
+	const {hasCrashed} = progress;
+	const successor = await search.finish(false);
+	if (successor !== undefined) {
+		splitter.discardPartialEvent();
+		return {kind: 'go_on', successor};
 	}
-};
-
-/** Records the version once it is known, while events are sent on. */
-const recordLaterVersion = async (stream: StreamState, attempt: Attempt, laterVersion: Promise<string | undefined>): Promise<void> => {
-	recordVersion(stream, attempt, await laterVersion);
-};
-
-/** Whether the stream may go on elsewhere: it has no events yet, or the version that sent them is known and the last one can be named. */
-const canGoOn = (stream: StreamState): boolean => !stream.hasEvents || (stream.progress.softwareVersion !== undefined && canNameLastEvent(stream));
 
-const logNotContinued = ({context: {gateway}, call, progress}: StreamState, {state, source}: Attempt): void => {
-	gateway.log.write('failure', 'stream_not_continued', {
-		request: call.id, service: call.service, unknown: progress.softwareVersion === undefined ? 'version' : 'last_event', backend: state?.entry.id, peer: state === undefined ? source : undefined, ...describeDirectory(gateway),
-	});
-};
-
-/** Records that the stream broke off, or was given up as it exceeded a bound, which says nothing of the connection. */
-const recordInterruption = ({context: {gateway}, call, outgoing, progress}: StreamState, attempt: Attempt, excess: ReadExcess | undefined): void => {
-	if (excess === undefined) {
-		recordBrokenAttempt(gateway, attempt, {call, outgoing}, progress);
-		progress.lastFailure = `the stream from ${attempt.source} was interrupted`;
-		return;
+	progress.hasCrashed ??= hasCrashed;
+	stream.roomWaitUntil = gateway.clocks.steady() + roomWaitMs;
+	if (stream.pendingVersion !== undefined) {
+		recordAwaited(trace, 'version', gateway.clocks.steady());
+		await Promise.race([stream.pendingVersion, pauseFor(versionWaitMs, signal)]);
 	}
 
-	attempt.recordExcess(excess);
-	attempt.versionResult.onSilence();
-	progress.hasCrashed = undefined;
-	progress.lastFailure = `the stream from ${attempt.source} was given up for ${excess}`;
-};
-
-/** Records why an answer ended early: given up here, or broken off by the other side. */
-const recordRunEnd = (stream: StreamState, {source}: Attempt, {excess, isStalled}: BrokenStream): void => {
-	const {context: {gateway, trace, timing}, call} = stream;
-	const reason = isStalled ? 'silent' : excess;
-	recordSendEnd(trace, source, reason === undefined ? 'broke_off' : `given_up_${reason}`);
-	if (reason === undefined) {
-		return;
+	if (!canGoOn(stream)) {
+		logNotContinued(stream, attempt);
+		return endWith(makeStreamFailureOutcome(stream));
 	}
 
-	gateway.metrics.runsGivenUp.inc({reason});
-	gateway.log.write('failure', 'run_given_up', {
-		request: call.id, reason, backend: source, pauseMs: Math.round(gateway.clocks.steady() - timing.lastEventAt), canGoOn: canGoOn(stream), service: call.service,
-	});
+	return retryStep;
 };
 
 const forwardStream = async (stream: StreamState, {response, attempt}: AnsweredAttempt): Promise<NextStep> => {
@@ -213,14 +143,23 @@
 		: watchDeparture({
 			gateway, call, state, connection: attempt.connection, signal,
 		});
+	const givenUp = new AbortController();
+	let givenUpReason: GivenUpReason | undefined;
+	const giveUp = (reason: GivenUpReason): void => {
+		givenUpReason = reason;
+		givenUp.abort();
+	};
+
+	const search = makeSuccessorSearch(stream, attempt, giveUp);
 	const forwarded = await forwardEvents({
 		response, isComplete: attempt.isComplete, target, splitter,
 		// A peer watches the backend server itself.
 		stallTimeoutMs: call.repeatability === 'resumable_stream' && state !== undefined ? streamStallTimeoutMs : undefined,
 		eventTimeoutMs: state === undefined ? undefined : computeEventTimeout(call),
-		isStalled: waits.isStalled,
-		findExcess: waits.findExcess,
+		givenUp: givenUp.signal,
+		...judgeWaits(waits, isRepeatable(call.repeatability) ? search : {canBegin: () => true, begin: giveUp}),
 		onEvents() {
+			search.cancel();
 			waits.onEvents();
 			attempt.versionResult.onEvents();
 			recordFirstEvents(stream, attempt);
@@ -239,12 +178,14 @@
 		recordSoundAnswer(state);
 		survival.onWhole();
 		target.end();
+		await search.finish(true);
 		return endWith({name: 'served'});
 	}
 
 	attempt.exchange.abort();
 	if (forwarded.kind === 'caller_left' || signal.aborted) {
 		attempt.versionResult.onAbandoned();
+		await search.finish(true);
 		return endWith({name: forwarded.kind === 'caller_left' ? 'caller_left' : 'deadline'});
 	}
 
@@ -252,20 +193,8 @@
 		return resumeMovedRun(stream, moved, state.incarnation);
 	}
 
-	stream.roomWaitUntil = gateway.clocks.steady() + roomWaitMs;
-	recordInterruption(stream, attempt, forwarded.excess);
-	recordRunEnd(stream, attempt, forwarded);
-	if (stream.pendingVersion !== undefined) {
-		recordAwaited(stream.context.trace, 'version', gateway.clocks.steady());
-		await Promise.race([stream.pendingVersion, pauseFor(versionWaitMs, signal)]);
-	}
-
-	if (!canGoOn(stream)) {
-		logNotContinued(stream, attempt);
-		return endWith(makeStreamFailureOutcome(stream));
-	}
-
-	return retryStep;
+	recordRunEnd(stream, attempt, forwarded.isGivenUp ? givenUpReason : forwarded.excess);
+	return followBrokenRun(stream, attempt, search);
 };
 
 /** Waits until backend servers may have room again, and lets those that turned the stream away be tried once more. */
@@ -277,12 +206,7 @@
 		return endWith(makeStreamFailureOutcome(stream));
 	}
 
-	for (const incarnation of progress.turnedAwayBy) {
-		progress.attemptedIncarnations.delete(incarnation);
-		progress.attempts--;
-	}
-
-	progress.turnedAwayBy.clear();
+	resetTurnedAway(progress);
 	return {kind: 'try_again', isExempt: true};
 };
 
@@ -323,22 +247,17 @@
 };
 
 export const serveStream = async (context: CallContext, admitted: AdmittedCall, progress: CallProgress, signal: AbortSignal): Promise<CallOutcome> => {
-	const stream: StreamState = {
-		context,
-		call: admitted.call,
-		outgoing: admitted.outgoing,
-		continuity: admitted.continuity,
-		hasEvents: false,
-		pendingVersion: undefined,
-		progress,
-		splitter: makeEventSplitter(),
-		placements: [],
-		stoppedOn: new Set(),
-		roomWaitUntil: admitted.continuity?.origin === undefined ? Number.NEGATIVE_INFINITY : context.gateway.clocks.steady() + roomWaitMs,
-		signal,
-	};
+	const stream = makeStreamState(context, admitted, progress, signal);
+	if (admitted.continuity?.origin !== undefined) {
+		stream.roomWaitUntil = context.gateway.clocks.steady() + roomWaitMs;
+	}
+
 	for (;;) {
-		const next = await runStreamAttempt(stream); // eslint-disable-line no-await-in-loop -- attempts run one after another
+		let next = await runStreamAttempt(stream); // eslint-disable-line no-await-in-loop -- attempts run one after another
+		while (next.kind === 'go_on') {
+			next = await forwardStream(stream, next.successor); // eslint-disable-line no-await-in-loop -- runs follow one another
+		}
+
 		if (next.kind === 'end') {
 			return next.outcome;
 		}
--- a/packages/gateway/src/telemetry/gateway-metrics.ts
+++ b/packages/gateway/src/telemetry/gateway-metrics.ts
@@ -47,6 +47,7 @@
 	readonly owedAnswers: Gauge;
 	readonly unfinishedAnswers: Counter<'reason' | 'awaited'>;
 	readonly runsGivenUp: Counter<'reason'>;
+	readonly successorSearches: Counter<'outcome'>;
 	readonly uncaughtErrors: Counter<'origin'>;
 };
 
@@ -184,6 +185,9 @@
 		runsGivenUp: new Counter({
 			name: 'shallotpass_gateway_runs_given_up_total', help: 'Answers of backend servers that were given up after their beginning, by reason', labelNames: ['reason'], registers,
 		}),
+		successorSearches: new Counter({
+			name: 'shallotpass_gateway_successor_searches_total', help: 'Searches for a backend server that takes the rest of a stream whose run sends nothing, by outcome; the run is kept meanwhile', labelNames: ['outcome'], registers,
+		}),
 		uncaughtErrors: new Counter({
 			name: 'shallotpass_gateway_uncaught_errors_total', help: 'Errors that nothing handled, after which the daemon went on, by how they arose', labelNames: ['origin'], registers,
 		}),
--- a/packages/gateway/src/telemetry/log-events.ts
+++ b/packages/gateway/src/telemetry/log-events.ts
@@ -111,6 +111,10 @@
 		meaning: 'The answer of a backend server was given up here after its beginning, so that the call goes on elsewhere or ends. `pauseMs`: for how long no event had come; `canGoOn`: whether another backend server may continue it',
 		fields: ['request', 'reason', 'backend', 'pauseMs', 'canGoOn', 'service'],
 	},
+	successor_sought: {
+		meaning: 'The run of a stream sent nothing for long, and was kept while others were asked to take the rest. `outcome`: `replaced` by `successor`, `went_on` by itself, or `run_ended`, as has the call or the run; `asked`: sends to others; `pauseMs`: time from the last event before the search to its end',
+		fields: ['request', 'service', 'reason', 'backend', 'outcome', 'successor', 'asked', 'pauseMs'],
+	},
 	call_ended: {
 		meaning: 'Outcome of a call. `leftIn`: how far it had come when its caller left, `afterLeaveMs`: for how long it went on after that was seen, `stoodMs`: for how long the close may have stood unread, as the process did not run',
 		fields: ['request', 'account', 'route', 'service', 'kind', 'outcome', 'detail', 'status', 'tookMs', 'firstMs', 'longestPauseMs', 'configuration', 'configurationAgeMs', 'isFromPeer', 'leftIn', 'afterLeaveMs', 'stoodMs'],
