--- a/scripts/soak/src/inject-backend-fault.ts
+++ b/scripts/soak/src/inject-backend-fault.ts
@@ -156,14 +156,14 @@
 	const isRefused = makeRefusalOfSecondRuns();
 	for (const [index, {standIn}] of engines.entries()) {
 		if (indexes.includes(index) || others === 'silent') {
-			standIn.findPauseMs = (requestId, event) => {
+			standIn.findPauseMs = (event, requestId) => {
 				const pause = drawPause(requestId);
-				return isKeptStream(requestId) && event === pause.event ? pause.forMs : 0;
+				return isKeptStream(requestId) && event === pause.event - 1 ? pause.forMs : 0;
 			};
 		}
 
 		if (others === 'full') {
-			standIn.shouldRefuse = requestId => isRefused(standIn.id, requestId);
+			standIn.shouldRefuse = ({id}) => isRefused(standIn.id, id);
 		}
 	}
 
