A late run and a failed answer are kept until another backend server has taken the call

What callers saw: 502 in place of an answer that was late or of a backend server's own 500, when the second backend server turned the call away, or no repeat was left. Cause: the watches of run-at-backend.ts aborted the exchange on silence, and on a late head behind informational heads; only then was the call placed elsewhere. servePlain and forwardErrorResponse discarded a 500 as soon as a repeat was taken. Found as overtaken, a run was given up without a repeat. Now send-until-accepted.ts, from the two branches of hedge-call.ts, runs all sends of a call that may run twice: a doubted run goes on while the call is offered to others, the first useful answer wins, the rest are cancelled at once and counted; a failed answer is kept unread. What is held against a silent backend server stays, at the same moment; lost paths, late arrivals at leaving ones and calls that must not run twice go as before. A run that was paid for and turned away is not paid again.

--- a/packages/gateway/src/calls/call-attempts.ts
+++ b/packages/gateway/src/calls/call-attempts.ts
@@ -23,7 +23,9 @@
 import {type Placement, placeCall, type PlacementResult} from './place-call.js';
 import {prepareRepeat} from './prepare-repeat.js';
 import {isPlainEstimateCurrent} from './record-latency.js';
-import {type Attempt, type AttemptResult, runAtBackend} from './run-at-backend.js';
+import {
+	type Attempt, type AttemptResult, type OnDoubt, runAtBackend,
+} from './run-at-backend.js';
 import {settlePermit, takeSendPermit} from './send-permit.js';
 import {sendToPeer} from './send-to-peer.js';
 
@@ -83,7 +85,7 @@
 };
 
 // eslint-disable-next-line max-params -- the call, its placement, its progress and its abort signal
-export type SendToPlacement = (context: CallContext, admitted: AdmittedCall, placement: Placement, progress: CallProgress, signal: AbortSignal) => Promise<AttemptResult>;
+export type SendToPlacement = (context: CallContext, admitted: AdmittedCall, placement: Placement, progress: CallProgress, signal: AbortSignal, onDoubt?: OnDoubt) => Promise<AttemptResult>;
 
 /** Sends the call to the best backend server that it has not been sent to yet, or through a peer if none is reached from here. */
 // eslint-disable-next-line max-params -- the call, its progress, its abort signal and how it is sent
@@ -170,9 +172,9 @@
 	};
 };
 
-/** Sends the call to the backend server of the placement. */
+/** Sends the call to the backend server of the placement. Without `onDoubt`, a run that is late is given up. */
 // eslint-disable-next-line max-params -- the call, its placement, its progress and its abort signal
-export const sendToPlacement = async (context: CallContext, admitted: AdmittedCall, placement: Placement, progress: CallProgress, signal: AbortSignal): Promise<AttemptResult> => {
+export const sendToPlacement: SendToPlacement = async (context, admitted, placement, progress, signal, onDoubt) => {
 	const {gateway} = context;
 	const {call, outgoing} = admitted;
 	const {state, choice, cachedTokens} = placement;
@@ -195,7 +197,16 @@
 	}
 
 	const result = mayReceive
-		? await runAtBackend(gateway, call, placement, {...outgoing, softwareVersion: progress.softwareVersion}, {permit, signal, prepareRepeat: () => prepareRepeat(gateway, call, progress, progress.possibleRuns + 1)})
+		? await runAtBackend(gateway, call, placement, {...outgoing, softwareVersion: progress.softwareVersion}, {
+			permit, signal, prepareRepeat: () => prepareRepeat(gateway, call, progress, progress.possibleRuns + Math.max(1, progress.runsUnderWay)),
+			onDoubt: onDoubt && (doubt => {
+				// The call may have arrived, so further sends are repeats.
+				progress.hasArrived = true;
+				progress.hasCrashed = doubt.hasCrashed;
+				progress.lastFailure = doubt.reason;
+				onDoubt(doubt);
+			}),
+		})
 		: {kind: 'not_run' as const, reason: 'backend_left', hasArrived: false};
 	settlePermit(gateway, call, {permit, progress, mayHaveArrived: result.kind !== 'not_run' || result.hasArrived});
 	if (result.kind === 'not_run' && !result.hasArrived && (mayReceive || placement.isCounted === true)) {
@@ -222,7 +233,7 @@
 
 	progress.hasCrashed = result.kind === 'may_have_run' ? result.hasCrashed : undefined;
 	if (result.kind !== 'answered') {
-		context.caller.stage = 'waiting';
+		context.caller.stage = progress.runsUnderWay > 1 ? 'sent' : 'waiting';
 	}
 
 	progress.mayBeCutOff = result.kind !== 'answered' && (result.kind === 'may_have_run' || !result.hasArrived) && !hasContactSince(gateway, startedAt);
--- a/packages/gateway/src/calls/call-progress.ts
+++ b/packages/gateway/src/calls/call-progress.ts
@@ -13,6 +13,10 @@
 	readonly turnedAwayBy: Set<string>;
 	/** Number of attempts that may have run the call. */
 	possibleRuns: number;
+	/** Number of sends that have not come to an end, and failed answers that are kept. Not counted in `possibleRuns` yet. */
+	runsUnderWay: number;
+	/** Number of runs that are paid for. The first one is when the call is admitted. */
+	paidRuns: number;
 	/** Number of attempts: backend servers that the call was sent to. */
 	attempts: number;
 	/** Whether the call may have reached a backend server, also one that did not run it. */
@@ -49,6 +53,8 @@
 	wasSentBefore,
 	attemptedIncarnations: new Set(),
 	possibleRuns: 0,
+	runsUnderWay: 0,
+	paidRuns: 1,
 	attempts: 0,
 	hasArrived: false,
 	earnsHere: true,
--- a/packages/gateway/src/calls/peer-call.ts
+++ b/packages/gateway/src/calls/peer-call.ts
@@ -133,8 +133,8 @@
 const lineFeed = 10;
 
 /** Encodes the call for a peer. */
-export const encodePeerCall = (gateway: GatewayState, {call, outgoing}: AdmittedCall, progress: Pick<CallProgress, 'possibleRuns' | 'softwareVersion' | 'earnsHere' | 'versionFraction' | 'wasSentBefore' | 'attemptedIncarnations' | 'triedPeers'>): Buffer => {
-	const {possibleRuns, softwareVersion, earnsHere, versionFraction, wasSentBefore, attemptedIncarnations, triedPeers} = progress;
+export const encodePeerCall = (gateway: GatewayState, {call, outgoing}: AdmittedCall, progress: Pick<CallProgress, 'possibleRuns' | 'runsUnderWay' | 'softwareVersion' | 'earnsHere' | 'versionFraction' | 'wasSentBefore' | 'attemptedIncarnations' | 'triedPeers'>): Buffer => {
+	const {possibleRuns, runsUnderWay, softwareVersion, earnsHere, versionFraction, wasSentBefore, attemptedIncarnations, triedPeers} = progress;
 	const now = gateway.clocks.steady();
 	const {id, account, routeName, service, repeatability, patienceMs, rank, promptTokens, outputTokens, promptParts} = call;
 	const {method, path, callerFields, digest, lastEventId} = outgoing;
@@ -145,7 +145,7 @@
 		targetMs: call.targetAt - now,
 		earnsRepeats: earnsHere,
 		call: {
-			id, account, routeName, service, repeatability, patienceMs, rank, maxAttempts: Math.max(1, call.maxAttempts - possibleRuns), promptTokens, outputTokens, promptParts: [...promptParts],
+			id, account, routeName, service, repeatability, patienceMs, rank, maxAttempts: Math.max(1, call.maxAttempts - possibleRuns - Math.max(0, runsUnderWay - 1)), promptTokens, outputTokens, promptParts: [...promptParts],
 		},
 		outgoing: {
 			method, path, callerFields: [...callerFields], digest, lastEventId, softwareVersion, versionFraction, wasSentBefore: wasSentBefore || attemptedIncarnations.size > 0 || triedPeers.size > 1,
--- a/packages/gateway/src/calls/run-at-backend.ts
+++ b/packages/gateway/src/calls/run-at-backend.ts
@@ -17,7 +17,9 @@
 import {type AnsweringVersion, confirmBeforeSend, determineAnsweringVersion} from './confirm-incarnation.js';
 import {type Exchange, type IsComplete, sendToBackend} from './backend-exchange.js';
 import {confirmCallerWaits} from './caller-presence.js';
-import {recordBrokenConnection, recordConnectFailure, suspendBackend} from './connect-failures.js';
+import {
+	type BreakFinding, recordBrokenConnection, recordConnectFailure, suspendBackend,
+} from './connect-failures.js';
 import {observeBrittleness} from './backend-brittleness.js';
 import {observeLimit} from './backend-limits.js';
 import {recordExcess as recordExcessOf} from './backend-soundness.js';
@@ -108,12 +110,17 @@
 export type SendOptions = {
 	readonly permit: SendPermit;
 	readonly signal: AbortSignal;
-	/** Takes the repeat with which the call is sent elsewhere if it is given up. Returns false if there is none. */
+	/** Takes the repeat with which the call is sent elsewhere if it is late. Returns false if there is none. */
 	readonly prepareRepeat: () => boolean;
+	/** Called once if the call is better sent elsewhere as well. Its run goes on until `signal` is aborted. Undefined if it is given up then. */
+	readonly onDoubt?: OnDoubt | undefined;
 };
 
+/** `hasCrashed`: whether the backend server has ended, if that is being found out. */
+export type OnDoubt = (doubt: {readonly reason: string; readonly hasCrashed: Promise<boolean> | undefined}) => void;
+
 /** Sends the call to the backend server of the placement and waits for the head of the response. */
-export const runAtBackend = async (gateway: GatewayState, call: Call, placement: Placement, outgoing: OutgoingRequest, {permit, signal, prepareRepeat}: SendOptions): Promise<AttemptResult> => {
+export const runAtBackend = async (gateway: GatewayState, call: Call, placement: Placement, outgoing: OutgoingRequest, {permit, signal, prepareRepeat, onDoubt}: SendOptions): Promise<AttemptResult> => {
 	const {state} = placement;
 	const isContinued = outgoing.softwareVersion !== undefined;
 	const needsVersion = isContinued || call.repeatability === 'resumable_stream';
@@ -167,22 +174,53 @@
 		state, rank, uncachedTokens, tokens: call.promptTokens + call.outputTokens, sentAt: now,
 	});
 	recordSentParts(gateway, call, state, now);
+	const recordExcess = (excess: ReadExcess): void => {
+		recordExcessOf(gateway, state, {requestId: call.id, sentAt: now, excess});
+	};
+
 	let isSilent = false;
+	let lateHead: ReadExcess | undefined;
+	/** What a doubted run tells of its software version if its answer is not used. */
+	let recordDoubt: (() => void) | undefined;
 	const {predictedMs} = placement.choice;
 	const wait = {since: now, predictedMs};
 	const stopWatching = watchForSilence({
 		gateway, call, state, wait, maxSilenceMs: computeSilenceTimeout(call.repeatability, predictedMs), prepareRepeat,
 		onSilent() {
+			isSilent = true;
+			if (onDoubt === undefined) {
+				exchange.abort();
+			} else if (recordDoubt === undefined) {
+				trackedCall.doubt();
+				let hasCrashed: Promise<boolean> | undefined;
+				const found = new Promise<BreakFinding>(resolve => {
+					hasCrashed = recordBrokenConnection(gateway, state, {sent: {call, outgoing}, answeredAt: undefined, onFinding: resolve});
+				});
+				recordDoubt = async () => {
+					versionResult.onBreak(await found);
+				};
+
+				onDoubt({reason: 'silent', hasCrashed});
+			}
+		},
+		onLost() {
 			isSilent = true;
 			exchange.abort();
 		},
 	});
-	let lateHead: ReadExcess | undefined;
 	const headWatch = watchForHead({
 		gateway, call, state, wait, prepareRepeat,
 		onLate(isProven) {
-			lateHead = isProven ? 'time_without_head' : 'presumed_late';
-			exchange.abort();
+			const excess = isProven ? 'time_without_head' : 'presumed_late';
+			if (onDoubt === undefined) {
+				lateHead = excess;
+				exchange.abort();
+			} else if (recordDoubt === undefined) {
+				trackedCall.doubt();
+				recordExcess(excess);
+				recordDoubt = versionResult.onSilence;
+				onDoubt({reason: excess, hasCrashed: undefined});
+			}
 		},
 	});
 	let isLate = false;
@@ -197,10 +235,6 @@
 		trackedCall.end(isFailure);
 	};
 
-	const recordExcess = (excess: ReadExcess): void => {
-		recordExcessOf(gateway, state, {requestId: call.id, sentAt: now, excess});
-	};
-
 	const result = await exchange.result;
 	stopWatching();
 	headWatch.stop();
@@ -208,7 +242,7 @@
 	trackedCall.markAnswered();
 	if (result.kind === 'failed') {
 		const isAborted = signal.aborted;
-		end(!isAborted);
+		end(!isAborted || recordDoubt !== undefined);
 		gateway.metrics.attempts.inc({service: call.service, outcome: result.delivery === 'unsent' ? 'unsent' : 'broken'});
 		if (result.isConnectFailure && !isAborted) {
 			recordConnectFailure(gateway, state, {reason: result.reason, startedAt: now});
@@ -221,7 +255,7 @@
 		}
 
 		if (isAborted) {
-			versionResult.onAbandoned();
+			(recordDoubt ?? versionResult.onAbandoned)();
 		}
 
 		const hasCrashed = result.isConnectFailure || isAborted || isLate || excess !== undefined
@@ -232,7 +266,7 @@
 			return {kind: 'not_run', reason: result.reason, hasArrived: false};
 		}
 
-		if (!isAborted) {
+		if (!isAborted || recordDoubt !== undefined) {
 			recordUsage(gateway, call, false);
 		}
 
--- a/packages/gateway/src/calls/serve-plain.ts
+++ b/packages/gateway/src/calls/serve-plain.ts
@@ -3,7 +3,7 @@
 import {trackSurvival} from '../crashes/record-evidence.js';
 import {type AdmittedCall, type CallContext} from './admit-call.js';
 import {
-	discardResponse, recordBrokenAttempt, recordFirstByte, sendToBestBackend,
+	recordBrokenAttempt, recordFirstByte,
 } from './call-attempts.js';
 import {isServerError} from './is-server-error.js';
 import {
@@ -11,9 +11,9 @@
 } from './call-outcome.js';
 import {type CallProgress} from './call-progress.js';
 import {forwardPlainResponse} from './forward-plain-response.js';
-import {sendHedged} from './hedge-call.js';
 import {isLastOnConnection} from './last-on-connection.js';
 import {prepareRepeat} from './prepare-repeat.js';
+import {sendUntilAccepted} from './send-until-accepted.js';
 import {takeRetry} from './take-retry.js';
 import {watchPlainBody} from './watch-plain-body.js';
 
@@ -25,7 +25,7 @@
 	const {call, outgoing} = admitted;
 	for (;;) {
 		// eslint-disable-next-line no-await-in-loop -- attempts run one after another
-		const result = await sendToBestBackend(context, admitted, progress, signal, sendHedged);
+		const result = await sendUntilAccepted(context, admitted, progress, signal);
 		if (isUnsent(result)) {
 			return makeUnsentOutcome(context, call, progress, result);
 		}
@@ -33,13 +33,6 @@
 		if (result.kind === 'answered') {
 			const {response, attempt} = result;
 			progress.possibleRuns++;
-			// eslint-disable-next-line no-await-in-loop -- attempts run one after another
-			if (isServerError(response) && isRepeatable(call.repeatability) && await takeRetry(context, admitted, progress, signal)) {
-				progress.lastFailure = `status ${response.statusCode ?? 0}`;
-				discardResponse(response, attempt);
-				continue;
-			}
-
 			recordFirstByte(context, call, progress);
 			const body = watchPlainBody(gateway, call, attempt, () => prepareRepeat(gateway, call, progress, progress.possibleRuns));
 			// eslint-disable-next-line no-await-in-loop -- attempts run one after another
--- a/packages/gateway/src/calls/serve-stream.ts
+++ b/packages/gateway/src/calls/serve-stream.ts
@@ -12,7 +12,7 @@
 import {describeDirectory} from '../telemetry/describe-directory.js';
 import {type AdmittedCall, type CallContext} from './admit-call.js';
 import {
-	discardResponse, findSuspension, recordBrokenAttempt, recordEvents, recordFirstByte, sendToBestBackend, sendToPlacement,
+	discardResponse, findSuspension, recordBrokenAttempt, recordEvents, recordFirstByte, sendToPlacement,
 } from './call-attempts.js';
 import {isServerError} from './is-server-error.js';
 import {
@@ -29,6 +29,7 @@
 import {type BrokenStream, forwardEvents, writeStreamHead} from './forward-stream.js';
 import {type Placement} from './place-call.js';
 import {prepareRepeat} from './prepare-repeat.js';
+import {sendUntilAccepted} from './send-until-accepted.js';
 import {takeRetry} from './take-retry.js';
 import {watchStreamWaits} from './watch-stream-waits.js';
 
@@ -76,11 +77,11 @@
 
 type AnsweredAttempt = SendResult & {readonly kind: 'answered'};
 
-/** Handles a response with a status other than 200: retries a server error if allowed, else forwards the response. */
+/** Handles a response with a status other than 200: forwards it if nothing was sent on before, else retries a server error if allowed. */
 const forwardErrorResponse = async (stream: StreamState, {response, attempt}: AnsweredAttempt): Promise<NextStep> => {
 	const {context: {response: target}, call, progress} = stream;
 	const status = response.statusCode ?? 0;
-	if (isRepeatable(call.repeatability) && isServerError(response) && await takeRetry(stream.context, stream, progress, stream.signal)) {
+	if (progress.hasStarted && isRepeatable(call.repeatability) && isServerError(response) && await takeRetry(stream.context, stream, progress, stream.signal)) {
 		progress.lastFailure = `status ${status}`;
 		discardResponse(response, attempt);
 		return {kind: 'try_again', isExempt: true};
@@ -290,7 +291,7 @@
 	const {context, call, outgoing, progress, signal} = stream;
 	const [placement, ...remainingPlacements] = stream.placements;
 	if (placement === undefined) {
-		return sendToBestBackend(context, {call, outgoing}, progress, signal);
+		return sendUntilAccepted(context, {call, outgoing}, progress, signal);
 	}
 
 	const suspension = findSuspension(context, stream, progress);
--- a/packages/gateway/src/calls/track-running-call.ts
+++ b/packages/gateway/src/calls/track-running-call.ts
@@ -26,6 +26,7 @@
 	state.pendingTokens[rank]! += uncachedTokens;
 	let isPending = true;
 	let isRunning = true;
+	let isDoubted = false;
 	const endPending = (): void => {
 		if (isPending) {
 			isPending = false;
@@ -40,12 +41,23 @@
 		state.withoutContentSince.delete(callKey);
 	};
 
+	const recordEnd = (isFailure: boolean): void => {
+		state.failureRate = updateFailureRate(state.failureRate, isFailure && !isCutOff(gateway));
+	};
+
 	return {
 		endContentWait,
 		endPending,
 		markAnswered(): void {
 			state.unansweredSince.delete(callKey);
 		},
+		/** Counts a failure once the call is sent elsewhere as well. It goes on running, and other waits are not compared with its own. */
+		doubt(): void {
+			isDoubted = true;
+			recordEnd(true);
+			state.unansweredSince.delete(callKey);
+			endContentWait();
+		},
 		end(isFailure: boolean): void {
 			if (!isRunning) {
 				return;
@@ -57,7 +69,9 @@
 			endContentWait();
 			state.running--;
 			state.runningTokens -= tokens;
-			state.failureRate = updateFailureRate(state.failureRate, isFailure && !isCutOff(gateway));
+			if (!isDoubted || !isFailure) {
+				recordEnd(isFailure);
+			}
 		},
 	};
 };
--- a/packages/gateway/src/calls/watch-for-silence.ts
+++ b/packages/gateway/src/calls/watch-for-silence.ts
@@ -16,11 +16,13 @@
 	readonly state: BackendState;
 	/** Of the call for the head of its answer. */
 	readonly wait: CurrentWait;
-	/** Time without data after which the call may be given up. Undefined if it must not be sent again. */
+	/** Time without data after which the call may be sent elsewhere. Undefined if it must not be sent again. */
 	readonly maxSilenceMs: number | undefined;
 	/** Takes the repeat with which the call is sent elsewhere. Returns false if there is none. */
 	readonly prepareRepeat: () => boolean;
 	readonly onSilent: () => void;
+	/** Called if the paths are lost, so that no answer can come. */
+	readonly onLost: () => void;
 };
 
 /** Shortest time without any data after which a waiting call doubts the paths. */
@@ -48,15 +50,15 @@
 	};
 };
 
-/** Whether the call is given up after long silence. It waits on if all backend servers are silent alike, or if it could not be sent elsewhere. */
-const isGivenUp = ({gateway, state, call, wait, prepareRepeat}: SilenceWatchOptions): boolean => {
+/** Whether the call is better sent elsewhere after long silence. It waits on if all backend servers are silent alike, or if it could not be sent elsewhere. */
+const isDoubted = ({gateway, state, call, wait, prepareRepeat}: SilenceWatchOptions): boolean => {
 	const finding = compareWait(gateway, state, {call, stage: 'head', wait});
 	return finding === 'overtaken' || (finding !== 'alike' && prepareRepeat());
 };
 
-/** Calls `onSilent` if no data is received from the backend server for too long, or at once if the paths are lost. */
+/** Calls `onSilent` if no data is received from the backend server for too long, and `onLost` if the paths are lost. */
 const watchForTimeout = (options: SilenceWatchOptions, maxSilenceMs: number): (() => void) => {
-	const {gateway, state, wait: {since: sentAt}, onSilent} = options;
+	const {gateway, state, wait: {since: sentAt}, onSilent, onLost} = options;
 	let timer: NodeJS.Timeout | undefined;
 	const check = (): void => {
 		const remainingMs = maxSilenceMs - (gateway.clocks.steady() - Math.max(sentAt, state.lastReadAt));
@@ -65,7 +67,7 @@
 			return;
 		}
 
-		if (!isGivenUp(options)) {
+		if (!isDoubted(options)) {
 			timer = setTimeout(check, compareIntervalMs);
 			return;
 		}
@@ -78,18 +80,18 @@
 		onSilent();
 	};
 
-	const onLost = (): void => {
+	const onPathsLost = (): void => {
 		if (state.lastReadAt <= (gateway.paths.lostSince ?? sentAt)) {
 			clearTimeout(timer);
-			onSilent();
+			onLost();
 		}
 	};
 
 	timer = setTimeout(check, maxSilenceMs);
-	gateway.onPathsLost.add(onLost);
+	gateway.onPathsLost.add(onPathsLost);
 	return () => {
 		clearTimeout(timer);
-		gateway.onPathsLost.delete(onLost);
+		gateway.onPathsLost.delete(onPathsLost);
 	};
 };
 
