A peer that confirms a call late is waited for until another one has taken the call

What callers of a daemon that is cut off saw: 502 within 0.3 s if the peer's process stood for a moment, though it would have answered. Cause: peer-exchange.ts reset the request when no confirmation had come for 300 ms, before another peer was known to take the call. Now the call is in doubt then: it is offered to the next peer, and goes on at the first one until another has answered, or until 1.3 s, when the link counts as dead. The peer is left alone for a second from the doubt on, as before. Calls that must not run twice wait as before.

--- a/packages/gateway/src/calls/call-attempts.ts
+++ b/packages/gateway/src/calls/call-attempts.ts
@@ -47,8 +47,13 @@
 };
 
 /** Sends the call through a peer that reaches backend servers. Returns undefined if there is none. */
-const sendThroughPeer = async (context: CallContext, admitted: AdmittedCall, progress: CallProgress, signal: AbortSignal): Promise<SendResult | undefined> => {
-	const result = await sendToPeer(context, admitted, progress, signal);
+// eslint-disable-next-line max-params -- the call, its progress and its abort signal
+const sendThroughPeer = async (context: CallContext, admitted: AdmittedCall, progress: CallProgress, signal: AbortSignal, onDoubt: OnDoubt | undefined): Promise<SendResult | undefined> => {
+	const result = await sendToPeer(context, admitted, progress, signal, onDoubt && (doubt => {
+		progress.hasArrived = true;
+		progress.lastFailure = doubt.reason;
+		onDoubt(doubt);
+	}));
 	switch (result?.kind) {
 		case undefined: {
 			return undefined;
@@ -89,7 +94,7 @@
 
 /** Sends the call to the best backend server that it has not been sent to yet, or through a peer if none is reached from here. */
 // eslint-disable-next-line max-params -- the call, its progress, its abort signal and how it is sent
-export const sendToBestBackend = async (context: CallContext, admitted: AdmittedCall, progress: CallProgress, signal: AbortSignal, send: SendToPlacement = sendToPlacement): Promise<SendResult> => {
+export const sendToBestBackend = async (context: CallContext, admitted: AdmittedCall, progress: CallProgress, signal: AbortSignal, send: SendToPlacement = sendToPlacement, onPeerDoubt?: OnDoubt): Promise<SendResult> => {
 	const suspension = findSuspension(context, admitted, progress);
 	if (suspension) {
 		return suspension;
@@ -97,7 +102,7 @@
 
 	if (progress.mayBeCutOff) {
 		progress.mayBeCutOff = false;
-		const sent = await sendThroughPeer(context, admitted, progress, signal);
+		const sent = await sendThroughPeer(context, admitted, progress, signal, onPeerDoubt);
 		if (sent !== undefined && sent.kind !== 'refused_by_peer') {
 			return sent;
 		}
@@ -106,12 +111,12 @@
 	const place = (call: Call): PlacementResult => placeCall(context.gateway, call, {...progress, mayCrash: admitted.outgoing.trialOf !== undefined, versionedCall: toVersionedCall(progress)});
 	const result = place(admitted.call);
 	if (result.kind === 'limited' && result.isBrief && await waitForPlace(context, admitted.call, progress, signal)) {
-		return sendToBestBackend(context, admitted, progress, signal, send);
+		return sendToBestBackend(context, admitted, progress, signal, send, onPeerDoubt);
 	}
 
 	if (result.kind === 'limited') {
 		// Other daemons hold parts of the limits that their own callers leave unused.
-		const sent = hasUnevenLoad(context.gateway, admitted.call.service) ? await sendThroughPeer(context, admitted, progress, signal) : undefined;
+		const sent = hasUnevenLoad(context.gateway, admitted.call.service) ? await sendThroughPeer(context, admitted, progress, signal, onPeerDoubt) : undefined;
 		if (sent !== undefined && sent.kind !== 'refused_by_peer') {
 			return sent;
 		}
@@ -132,7 +137,7 @@
 	}
 
 	if (result.kind === 'none') {
-		const sent = await sendThroughPeer(context, admitted, progress, signal);
+		const sent = await sendThroughPeer(context, admitted, progress, signal, onPeerDoubt);
 		if (sent !== undefined) {
 			return sent;
 		}
--- a/packages/gateway/src/calls/peer-exchange.ts
+++ b/packages/gateway/src/calls/peer-exchange.ts
@@ -1,5 +1,6 @@
 /** A single request that carries a call to a peer. */
 import http from 'node:http';
+import {soundSilenceMs} from '@shallotpass/core/retries/silence-timeout.js';
 import {parseHostAndPort} from '../host-and-port.js';
 import {type Exchange} from './backend-exchange.js';
 import {
@@ -11,8 +12,11 @@
 /** Timeout of a new connection to a peer. */
 const connectTimeoutMs = 150;
 
-/** Time until a peer confirms that it has received a call, and more for each byte of a large one. */
+/** Time until a peer confirms that it has received a call, and more for each byte of a large one. After it the call is better offered to another one as well. */
 const confirmationTimeoutMs = 300;
+
+/** Further time after which the link counts as dead. The process of a sound peer may stand for a second. */
+const confirmationGraceMs = soundSilenceMs - confirmationTimeoutMs;
 const slowestBytesPerMs = 500;
 
 /** Idle connections are closed soon: one that was dropped on the way fails only by a timeout. */
@@ -48,12 +52,14 @@
 export type PeerExchangeOptions = {
 	/** Whether the call is given up if the peer does not confirm it. */
 	readonly mayGiveUp: boolean;
+	/** Called if the peer is late to confirm the call. Undefined if the call is given up then. */
+	readonly onDoubt?: (() => void) | undefined;
 	readonly permit: SendPermit;
 	readonly signal: AbortSignal;
 };
 
 /** Sends the message to the peer. */
-export const startPeerExchange = (address: string, message: Uint8Array, {mayGiveUp, permit, signal}: PeerExchangeOptions): PeerExchange => {
+export const startPeerExchange = (address: string, message: Uint8Array, {mayGiveUp, onDoubt, permit, signal}: PeerExchangeOptions): PeerExchange => {
 	const {host, port} = parseHostAndPort(address);
 	const request = openCallRequest({
 		request: {
@@ -81,8 +87,19 @@
 		isSent = true;
 		clearTimeout(timer);
 		request.end(message);
+		const giveUpSilent = giveUp('silent');
+		const onLate = (): void => {
+			if (onDoubt === undefined) {
+				giveUpSilent();
+				return;
+			}
+
+			timer = setTimeout(giveUpSilent, confirmationGraceMs);
+			onDoubt();
+		};
+
 		if (mayGiveUp) {
-			timer = setTimeout(giveUp('silent'), confirmationTimeoutMs + (message.length / slowestBytesPerMs));
+			timer = setTimeout(onLate, confirmationTimeoutMs + (message.length / slowestBytesPerMs));
 		}
 	};
 
--- a/packages/gateway/src/calls/send-to-peer.ts
+++ b/packages/gateway/src/calls/send-to-peer.ts
@@ -20,7 +20,7 @@
 import {startPeerExchange} from './peer-exchange.js';
 import {type Refusal} from './refusal.js';
 import {getRepeatAccount} from './repeat-limit.js';
-import {type Attempt} from './run-at-backend.js';
+import {type Attempt, type OnDoubt} from './run-at-backend.js';
 import {type SendPermit, settlePermit, takeSendPermit} from './send-permit.js';
 
 /** Time for which a peer that could not take a call is not asked again. */
@@ -105,8 +105,17 @@
 	}
 };
 
+/** Lets the peer, and its zone if nothing is known of its load, alone for a while. */
+const avoidPeer = ({clocks, peerCalls: {avoidedUntil, avoidedZonesUntil}}: GatewayState, {address, availabilityZone, room}: PeerCandidate): void => {
+	const until = clocks.steady() + avoidMs;
+	avoidedUntil.set(address, until);
+	if (room === undefined) {
+		avoidedZonesUntil.set(availabilityZone, until);
+	}
+};
+
 /** Offers the call to one peer and waits for the head of the response. */
-const sendToOnePeer = async (context: CallContext, admitted: AdmittedCall, offer: {peer: PeerCandidate; progress: CallProgress; permit: SendPermit}, signal: AbortSignal): Promise<PeerResult> => {
+const sendToOnePeer = async (context: CallContext, admitted: AdmittedCall, offer: {peer: PeerCandidate; progress: CallProgress; permit: SendPermit; onDoubt: OnDoubt | undefined}, signal: AbortSignal): Promise<PeerResult> => {
 	const {gateway} = context;
 	const {address} = offer.peer;
 	if (!await confirmCallerWaits(gateway, signal)) {
@@ -116,7 +125,15 @@
 	const message = encodePeerCall(gateway, admitted, offer.progress);
 	withdrawEarnings(gateway, admitted, offer.progress);
 	const sentAt = gateway.clocks.steady();
-	const {reply, exchange, hasFailed} = startPeerExchange(address, message, {mayGiveUp: isRepeatable(admitted.call.repeatability), permit: offer.permit, signal});
+	const {reply, exchange, hasFailed} = startPeerExchange(address, message, {
+		mayGiveUp: isRepeatable(admitted.call.repeatability),
+		onDoubt: offer.onDoubt && (() => {
+			avoidPeer(gateway, offer.peer);
+			offer.onDoubt?.({reason: 'peer_silent', hasCrashed: undefined});
+		}),
+		permit: offer.permit,
+		signal,
+	});
 	countSent(gateway, address, 1);
 	let isRunning = true;
 	const end = (): void => {
@@ -161,17 +178,12 @@
 		};
 };
 
-const recordResult = (gateway: GatewayState, {address, availabilityZone, room}: PeerCandidate, service: string, result: PeerResult): void => {
-	const now = gateway.clocks.steady();
-	const {avoidedUntil, avoidedZonesUntil, unservedUntil} = gateway.peerCalls;
+const recordResult = (gateway: GatewayState, peer: PeerCandidate, service: string, result: PeerResult): void => {
 	const isUnusable = (result.kind === 'unsent' && result.reason !== 'given_up') || (result.kind === 'may_have_run' && result.isLinkLost) || (result.kind === 'refused' && result.isUnfit);
 	if (isUnusable) {
-		avoidedUntil.set(address, now + avoidMs);
-		if (room === undefined) {
-			avoidedZonesUntil.set(availabilityZone, now + avoidMs);
-		}
+		avoidPeer(gateway, peer);
 	} else if (result.kind === 'refused' && result.refusal.kind === 'no_backend') {
-		unservedUntil.set(service, now + unservedMs);
+		gateway.peerCalls.unservedUntil.set(service, gateway.clocks.steady() + unservedMs);
 	}
 };
 
@@ -179,8 +191,9 @@
 export const canSendToPeer = ({gateway, isFromPeer}: CallContext, {call}: AdmittedCall, progress: CallProgress): boolean =>
 	!isFromPeer && progress.triedPeers.size < maxPeers && (gateway.peerCalls.unservedUntil.get(call.service) ?? 0) <= gateway.clocks.steady();
 
-/** Sends the call through a peer. Returns undefined if there is none. */
-export const sendToPeer = async (context: CallContext, admitted: AdmittedCall, progress: CallProgress, signal: AbortSignal): Promise<PeerResult | undefined> => {
+/** Sends the call through a peer. Returns undefined if there is none. Without `onDoubt`, a peer that is late to confirm the call is given up. */
+// eslint-disable-next-line max-params -- the call, its progress and its abort signal
+export const sendToPeer = async (context: CallContext, admitted: AdmittedCall, progress: CallProgress, signal: AbortSignal, onDoubt?: OnDoubt): Promise<PeerResult | undefined> => {
 	const {gateway} = context;
 	const {call} = admitted;
 	let refused: PeerResult | undefined;
@@ -201,7 +214,9 @@
 		progress.attempts++;
 		const startedAt = gateway.clocks.steady();
 		// eslint-disable-next-line no-await-in-loop -- peers are asked one after the other
-		const result = await sendToOnePeer(context, admitted, {peer, progress, permit}, signal);
+		const result = await sendToOnePeer(context, admitted, {
+			peer, progress, permit, onDoubt,
+		}, signal);
 		settlePermit(gateway, call, {permit, progress, mayHaveArrived: result.kind !== 'unsent' && (result.kind !== 'refused' || result.hasArrived)});
 		recordResult(gateway, peer, call.service, result);
 		recordSend(context.trace, peer.address, result.kind === 'answered' ? result.response.statusCode : (result.kind === 'refused' ? result.refusal.kind : result.reason));
@@ -212,7 +227,7 @@
 			tookMs: Math.round(gateway.clocks.steady() - startedAt), remainingMs: Math.round(call.deadline - startedAt), isCutOff: gateway.paths.lostSince !== undefined,
 		});
 		if (result.kind !== 'answered') {
-			context.caller.stage = 'waiting';
+			context.caller.stage = progress.runsUnderWay > 1 ? 'sent' : 'waiting';
 		}
 
 		if (result.kind === 'answered' || result.kind === 'may_have_run') {
--- a/packages/gateway/src/calls/send-until-accepted.ts
+++ b/packages/gateway/src/calls/send-until-accepted.ts
@@ -110,6 +110,11 @@
 	});
 	const ended = new AbortController();
 	const flags: SendFlags = {isDoubted: false, isDirect: false};
+	const onDoubt = (): void => {
+		flags.isDoubted = true;
+		steps.push({kind: 'doubted'});
+	};
+
 	let isHedgeable = false;
 
 	const send: SendToPlacement = async (...[, sent, chosen]) => {
@@ -119,17 +124,14 @@
 			void offerHedge(kept, chosen, ended.signal);
 		}
 
-		return sendToPlacement(context, sent, chosen, progress, controller.signal, () => {
-			flags.isDoubted = true;
-			steps.push({kind: 'doubted'});
-		});
+		return sendToPlacement(context, sent, chosen, progress, controller.signal, onDoubt);
 	};
 
 	const run = async (): Promise<SendResult> => {
 		progress.runsUnderWay++;
 		try {
 			const result = await (placement === undefined
-				? sendToBestBackend(context, admitted, progress, controller.signal, send)
+				? sendToBestBackend(context, admitted, progress, controller.signal, send, onDoubt)
 				: send(context, admitted, placement, progress, controller.signal));
 			if (result.kind === 'answered' && !isStream(admitted.call.repeatability) && (isHedgeable || open.size > 1)) {
 				await waitForBody(context, result.response, admitted.call.targetAt, controller.signal);
