--- a/packages/gateway/src/calls/call-attempts.ts
+++ b/packages/gateway/src/calls/call-attempts.ts
@@ -23,7 +23,9 @@
 import {type Placement, placeCall, type PlacementResult} from './place-call.js';
 import {prepareRepeat} from './prepare-repeat.js';
 import {isPlainEstimateCurrent} from './record-latency.js';
-import {type Attempt, type AttemptResult, runAtBackend} from './run-at-backend.js';
+import {
+	type Attempt, type AttemptResult, type OnDoubt, runAtBackend,
+} from './run-at-backend.js';
 import {settlePermit, takeSendPermit} from './send-permit.js';
 import {sendToPeer} from './send-to-peer.js';
 
@@ -45,8 +47,13 @@
 };
 
 /** Sends the call through a peer that reaches backend servers. Returns undefined if there is none. */
-const sendThroughPeer = async (context: CallContext, admitted: AdmittedCall, progress: CallProgress, signal: AbortSignal): Promise<SendResult | undefined> => {
-	const result = await sendToPeer(context, admitted, progress, signal);
+// eslint-disable-next-line max-params -- the call, its progress and its abort signal
+const sendThroughPeer = async (context: CallContext, admitted: AdmittedCall, progress: CallProgress, signal: AbortSignal, onDoubt: OnDoubt | undefined): Promise<SendResult | undefined> => {
+	const result = await sendToPeer(context, admitted, progress, signal, onDoubt && (doubt => {
+		progress.hasArrived = true;
+		progress.lastFailure = doubt.reason;
+		onDoubt(doubt);
+	}));
 	switch (result?.kind) {
 		case undefined: {
 			return undefined;
@@ -83,11 +90,11 @@
 };
 
 // eslint-disable-next-line max-params -- the call, its placement, its progress and its abort signal
-export type SendToPlacement = (context: CallContext, admitted: AdmittedCall, placement: Placement, progress: CallProgress, signal: AbortSignal) => Promise<AttemptResult>;
+export type SendToPlacement = (context: CallContext, admitted: AdmittedCall, placement: Placement, progress: CallProgress, signal: AbortSignal, onDoubt?: OnDoubt) => Promise<AttemptResult>;
 
 /** Sends the call to the best backend server that it has not been sent to yet, or through a peer if none is reached from here. */
 // eslint-disable-next-line max-params -- the call, its progress, its abort signal and how it is sent
-export const sendToBestBackend = async (context: CallContext, admitted: AdmittedCall, progress: CallProgress, signal: AbortSignal, send: SendToPlacement = sendToPlacement): Promise<SendResult> => {
+export const sendToBestBackend = async (context: CallContext, admitted: AdmittedCall, progress: CallProgress, signal: AbortSignal, send: SendToPlacement = sendToPlacement, onPeerDoubt?: OnDoubt): Promise<SendResult> => {
 	const suspension = findSuspension(context, admitted, progress);
 	if (suspension) {
 		return suspension;
@@ -95,7 +102,7 @@
 
 	if (progress.mayBeCutOff) {
 		progress.mayBeCutOff = false;
-		const sent = await sendThroughPeer(context, admitted, progress, signal);
+		const sent = await sendThroughPeer(context, admitted, progress, signal, onPeerDoubt);
 		if (sent !== undefined && sent.kind !== 'refused_by_peer') {
 			return sent;
 		}
@@ -104,12 +111,12 @@
 	const place = (call: Call): PlacementResult => placeCall(context.gateway, call, {...progress, mayCrash: admitted.outgoing.trialOf !== undefined, versionedCall: toVersionedCall(progress)});
 	const result = place(admitted.call);
 	if (result.kind === 'limited' && result.isBrief && await waitForPlace(context, admitted.call, progress, signal)) {
-		return sendToBestBackend(context, admitted, progress, signal, send);
+		return sendToBestBackend(context, admitted, progress, signal, send, onPeerDoubt);
 	}
 
 	if (result.kind === 'limited') {
 		// Other daemons hold parts of the limits that their own callers leave unused.
-		const sent = hasUnevenLoad(context.gateway, admitted.call.service) ? await sendThroughPeer(context, admitted, progress, signal) : undefined;
+		const sent = hasUnevenLoad(context.gateway, admitted.call.service) ? await sendThroughPeer(context, admitted, progress, signal, onPeerDoubt) : undefined;
 		if (sent !== undefined && sent.kind !== 'refused_by_peer') {
 			return sent;
 		}
@@ -130,7 +137,7 @@
 	}
 
 	if (result.kind === 'none') {
-		const sent = await sendThroughPeer(context, admitted, progress, signal);
+		const sent = await sendThroughPeer(context, admitted, progress, signal, onPeerDoubt);
 		if (sent !== undefined) {
 			return sent;
 		}
@@ -170,9 +177,9 @@
 	};
 };
 
-/** Sends the call to the backend server of the placement. */
+/** Sends the call to the backend server of the placement. Without `onDoubt`, a run that is late is given up. */
 // eslint-disable-next-line max-params -- the call, its placement, its progress and its abort signal
-export const sendToPlacement = async (context: CallContext, admitted: AdmittedCall, placement: Placement, progress: CallProgress, signal: AbortSignal): Promise<AttemptResult> => {
+export const sendToPlacement: SendToPlacement = async (context, admitted, placement, progress, signal, onDoubt) => {
 	const {gateway} = context;
 	const {call, outgoing} = admitted;
 	const {state, choice, cachedTokens} = placement;
@@ -195,7 +202,16 @@
 	}
 
 	const result = mayReceive
-		? await runAtBackend(gateway, call, placement, {...outgoing, softwareVersion: progress.softwareVersion}, {permit, signal, prepareRepeat: () => prepareRepeat(gateway, call, progress, progress.possibleRuns + 1)})
+		? await runAtBackend(gateway, call, placement, {...outgoing, softwareVersion: progress.softwareVersion}, {
+			permit, signal, prepareRepeat: () => prepareRepeat(gateway, call, progress, progress.possibleRuns + Math.max(1, progress.runsUnderWay)),
+			onDoubt: onDoubt && (doubt => {
+				// The call may have arrived, so further sends are repeats.
+				progress.hasArrived = true;
+				progress.hasCrashed = doubt.hasCrashed;
+				progress.lastFailure = doubt.reason;
+				onDoubt(doubt);
+			}),
+		})
 		: {kind: 'not_run' as const, reason: 'backend_left', hasArrived: false};
 	settlePermit(gateway, call, {permit, progress, mayHaveArrived: result.kind !== 'not_run' || result.hasArrived});
 	if (result.kind === 'not_run' && !result.hasArrived && (mayReceive || placement.isCounted === true)) {
@@ -222,7 +238,7 @@
 
 	progress.hasCrashed = result.kind === 'may_have_run' ? result.hasCrashed : undefined;
 	if (result.kind !== 'answered') {
-		context.caller.stage = 'waiting';
+		context.caller.stage = progress.runsUnderWay > 1 ? 'sent' : 'waiting';
 	}
 
 	progress.mayBeCutOff = result.kind !== 'answered' && (result.kind === 'may_have_run' || !result.hasArrived) && !hasContactSince(gateway, startedAt);
--- a/packages/gateway/src/calls/seek-successor.ts
+++ b/packages/gateway/src/calls/seek-successor.ts
@@ -4,7 +4,6 @@
  */
 import {mayRunAgain} from '../crashes/check-verdict.js';
 import {pauseFor} from '../pause.js';
-import {payForRun} from '../quotas/pay-for-run.js';
 import {recordAwaited, recordSendEnd} from '../telemetry/call-trace.js';
 import {discardResponse, recordBrokenAttempt, sendToBestBackend} from './call-attempts.js';
 import {isUnsent} from './call-outcome.js';
@@ -17,6 +16,7 @@
 import {
 	type AnsweredAttempt, canGoOn, getLastEventId, type StreamState,
 } from './stream-state.js';
+import {payForNextRun} from './take-retry.js';
 import {waitForFirstEvent} from './wait-for-first-event.js';
 
 /** Pause after all others have turned the stream away, in milliseconds. It doubles each time, as each of these sends counts as a repeat. */
@@ -51,8 +51,6 @@
 	asked: number;
 	/** How many times all others were asked. */
 	rounds: number;
-	/** Whether the next run is paid for. Those that were turned away have not used it. */
-	isPaid: boolean;
 	/** Set at once when a backend server has taken the stream, and after that the run is given up. */
 	successor: AnsweredAttempt | undefined;
 	readonly onTaken: (reason: GivenUpReason) => void;
@@ -71,8 +69,7 @@
 		return false;
 	}
 
-	search.isPaid ||= await payForRun(gateway, call, signal);
-	return search.isPaid && !signal.aborted;
+	return await payForNextRun(gateway, call, progress, signal) && !signal.aborted;
 };
 
 /** Cancels a send whose answer nobody needs any more, which says nothing of its backend server. */
@@ -117,7 +114,6 @@
 			return;
 		}
 
-		search.isPaid &&= result.kind === 'not_run';
 		if (result.kind !== 'answered') {
 			continue;
 		}
@@ -197,7 +193,7 @@
 			cancelled = new AbortController();
 			current = {
 				stream, reason, signal: AbortSignal.any([stream.signal, cancelled.signal]), ending: ending.signal, silentSince: stream.context.timing.lastEventAt,
-				asked: 0, rounds: 0, isPaid: false, successor: undefined, onTaken,
+				asked: 0, rounds: 0, successor: undefined, onTaken,
 			};
 			pending = run(current);
 		},
--- a/packages/gateway/src/calls/serve-stream.ts
+++ b/packages/gateway/src/calls/serve-stream.ts
@@ -7,7 +7,7 @@
 import {recordAwaited} from '../telemetry/call-trace.js';
 import {type AdmittedCall, type CallContext} from './admit-call.js';
 import {
-	discardResponse, findSuspension, recordEvents, recordFirstByte, sendToBestBackend, sendToPlacement,
+	discardResponse, findSuspension, recordEvents, recordFirstByte, sendToPlacement,
 } from './call-attempts.js';
 import {isServerError} from './is-server-error.js';
 import {
@@ -27,6 +27,7 @@
 	type AnsweredAttempt, canGoOn, getLastEventId, makeStreamState, type StreamState,
 } from './stream-state.js';
 import {type Attempt} from './run-at-backend.js';
+import {sendUntilAccepted} from './send-until-accepted.js';
 import {takeRetry} from './take-retry.js';
 import {type StreamWaits, watchStreamWaits} from './watch-stream-waits.js';
 
@@ -53,11 +54,11 @@
 	? {name: 'broken_midway', detail: progress.lastFailure}
 	: makeFailureOutcome(progress);
 
-/** Handles a response with a status other than 200: retries a server error if allowed, else forwards the response. */
+/** Handles a response with a status other than 200: forwards it if nothing was sent on before, else retries a server error if allowed. */
 const forwardErrorResponse = async (stream: StreamState, {response, attempt}: AnsweredAttempt): Promise<NextStep> => {
 	const {context: {response: target}, call, progress} = stream;
 	const status = response.statusCode ?? 0;
-	if (isRepeatable(call.repeatability) && isServerError(response) && await takeRetry(stream.context, stream, progress, stream.signal)) {
+	if (progress.hasStarted && isRepeatable(call.repeatability) && isServerError(response) && await takeRetry(stream.context, stream, progress, stream.signal)) {
 		progress.lastFailure = `status ${status}`;
 		discardResponse(response, attempt);
 		return {kind: 'try_again', isExempt: true};
@@ -215,7 +216,7 @@
 	const {context, call, outgoing, progress, signal} = stream;
 	const [placement, ...remainingPlacements] = stream.placements;
 	if (placement === undefined) {
-		return sendToBestBackend(context, {call, outgoing}, progress, signal);
+		return sendUntilAccepted(context, {call, outgoing}, progress, signal);
 	}
 
 	const suspension = findSuspension(context, stream, progress);
