Answers that end with their connection before their body are not taken for whole

Callers got a 200 with an empty body, framed as whole, where a backend server stopped right behind a head without a length, and a short one where its answer had another transfer coding than chunks and its connection was reset. By HTTP the first is whole and empty, but an answer that breaks off there looks the same; a signature tells who answers, not how much. It counts as broken off, for errors as well: a server that means an empty body states its length. The second was not known as ending with its connection, so the reset was not looked for.

--- a/packages/gateway/src/calls/backend-agent.ts
+++ b/packages/gateway/src/calls/backend-agent.ts
@@ -42,9 +42,9 @@
 
 export const hasConnectionFailed = (socket: net.Socket | null): boolean => socket !== null && failedSockets.has(socket);
 
-/** Whether the body ends when the connection closes, as it has neither a Content-Length nor a transfer coding. */
-export const isCloseDelimited = (response: http.IncomingMessage): boolean =>
-	response.headers['content-length'] === undefined && response.headers['transfer-encoding'] === undefined;
+/** Whether the body ends when the connection closes, as it has neither a Content-Length nor chunks. Of the transfer codings only chunks show the end of a body. */
+export const isCloseDelimited = ({headers}: http.IncomingMessage): boolean =>
+	headers['content-length'] === undefined && !/(?:^|,)\s*chunked\s*$/iv.test(headers['transfer-encoding'] ?? '');
 
 /**
  * Handles the end of the data from the backend server. For a close-delimited response this is either
--- a/packages/gateway/src/calls/backend-exchange.ts
+++ b/packages/gateway/src/calls/backend-exchange.ts
@@ -68,6 +68,16 @@
 const isValidStatusLine = ({statusCode = 0, statusMessage = ''}: http.IncomingMessage): boolean =>
 	statusCode >= 200 && /^[\t\u0020-\u007E\u0080-\u00FF]*$/v.test(statusMessage);
 
+/** Statuses of answers without a body, besides those to HEAD. */
+const bodilessStatuses: ReadonlySet<number> = new Set([204, 205, 304]);
+
+/**
+ * Whether an answer ended with its connection before the first byte of its body. HTTP takes it for whole and empty, but so ends one that breaks off behind its
+ * head, and a signature tells who answers, not how much. A server that means an empty body states its length.
+ */
+const hasEndedBeforeBody = (response: http.IncomingMessage, method: string): boolean =>
+	method !== 'HEAD' && !bodilessStatuses.has(response.statusCode ?? 0) && isCloseDelimited(response) && !response.readableDidRead;
+
 /** Sends a call, unless nobody waits for its answer. There is no built-in deadline: the signal is aborted when the deadline passes. */
 export const sendToBackend = (options: ExchangeOptions): Exchange => {
 	const {host, port} = parseHostAndPort(options.address);
@@ -161,7 +171,7 @@
 						await nextTurn();
 					}
 
-					const isWhole = response.complete && !hasFailed && !wasGivenUp(request) && !hasConnectionFailed(socket);
+					const isWhole = response.complete && !hasFailed && !wasGivenUp(request) && !hasConnectionFailed(socket) && !hasEndedBeforeBody(response, options.method);
 					const hasEndedWithConnection = isCloseDelimited(response) && socket?.readableEnded === true;
 					return isWhole && (!hasEndedWithConnection || options.canConnect === undefined || options.canConnect());
 				},
