Answers of the own interface that are reset or end behind their head are not taken for whole

A plain answer without a length that was reset midway reached its caller as a 200 with a short body, framed as whole: undici reports an answer that ends with its connection as whole when the connection is reset, on purpose. One that ended behind its head came as an empty 200.

The test cuts the four kinds of calls of the own interface. Streams and completions were never taken for whole: their content shows the end. undici refuses an informational head 100 that was not asked for; such calls fail, as before.

--- a/packages/backends/src/call-plain.ts
+++ b/packages/backends/src/call-plain.ts
@@ -3,6 +3,7 @@
 import {ServingError} from '@shallotpass/common/serving-error.js';
 import {type Client, type Dispatcher} from 'undici';
 import {type BackendConnections, isConnectFailure} from './backend-connections.js';
+import {checkEnd, isCloseDelimited} from './check-end.js';
 import {filterResponseFields, convertHeaders, type HttpField} from './http-fields.js';
 
 export type PlainCall = {
@@ -63,6 +64,7 @@
 export const callPlain = async (call: PlainCall, connections: BackendConnections): Promise<PlainResponse> => {
 	const singleUse: Client | undefined = call.isRepeatable ? undefined : connections.openSingleUse(call.address);
 	const dispatcher = singleUse ?? connections.shared;
+	const resetsBefore = connections.countResets(call.address);
 	try {
 		const response = await dispatcher.request({
 			origin: `http://${call.address}`,
@@ -79,10 +81,17 @@
 			});
 		}
 
+		const isUnframed = isCloseDelimited({method: call.method, status: response.statusCode, headers: response.headers});
 		return {
 			status: response.statusCode,
 			fields: filterResponseFields(convertHeaders(response.headers)),
-			body: response.body,
+			body: isUnframed
+				? await checkEnd({
+					body: response.body,
+					wasReset: () => connections.countResets(call.address) > resetsBefore,
+					makeError: () => new BackendCallError('the answer may have broken off', {wasSent: true}),
+				})
+				: response.body,
 		};
 	} catch (error) {
 		void singleUse?.destroy();
--- a/tests/src/cut-answers.test.ts
+++ b/tests/src/cut-answers.test.ts
@@ -10,10 +10,12 @@
 import {
 	type ScriptedRequest, type ScriptedServer, type ScriptStep, startScriptedServer,
 } from '@shallotpass/stand-ins/scripted-server.js';
+import {callerKey, waitFor} from '@shallotpass/measure/local-fleet.js';
 import fc from 'fast-check';
 import {
 	type AnswerBytes, type AnswerParts, type AnswerShape, bodilessShapes, cutAnswer, type Ending, endings, failureShapes, shapeAnswer, successShapes,
 } from './answer-shapes.js';
+import {startFleet} from './fleet-fixture.js';
 
 /** CUT_ANSWERS=all plays each cut, otherwise a selection by this seed. */
 const playsAll = process.env.CUT_ANSWERS === 'all';
@@ -216,14 +218,14 @@
 	assert.equal(faults.length, 0, faults.slice(0, 20).join('\n'));
 };
 
-type CutPlay = {
-	readonly route: Route;
+type CutPlay<Name = Route> = {
+	readonly route: Name;
 	readonly shapes: readonly AnswerShape[];
 	/** Differs from call to call, as answers state the id. */
 	readonly makeParts: (id: string) => AnswerParts;
 };
 
-const listCutsOf = ({route, shapes, makeParts: make}: CutPlay): Array<Cut & {readonly id: string}> => {
+const listCutsOf = ({route, shapes, makeParts: make}: CutPlay<string>): Array<Cut & {readonly id: string}> => {
 	let number = 0;
 	return shapes.flatMap((shape, shapeNumber) => endings.flatMap(ending => {
 		const sample = shapeAnswer(shape, make(`${route}-00-00000`));
@@ -365,3 +367,116 @@
 	report(t, tally);
 	assertNone(faults);
 });
+
+/** What the daemon asks backend servers of the own interface beside the calls. */
+const reports: ReadonlyMap<string, string> = new Map([
+	['/load', JSON.stringify({running: 0, queued: 0, at: 0})],
+	['/events', JSON.stringify({events: [], next: 0})],
+]);
+
+/** Starts a daemon of the own interface whose backend servers follow the plan of each call, which its body names. */
+const startScriptedFleet = async (t: TestContext) => {
+	const plans = new Map<string, Plan>();
+	const arrivals = new Map<string, number>();
+	const server = await startScriptedServer(async request => {
+		const body = reports.get(request.path.split('?', 1)[0]!);
+		if (body !== undefined) {
+			return [{kind: 'bytes', text: `HTTP/1.1 200 OK\r\nContent-Length: ${body.length}\r\n\r\n${body}`}];
+		}
+
+		const id = /call-[\d\-]+/v.exec(request.path + request.body)?.[0] ?? '';
+		arrivals.set(id, (arrivals.get(id) ?? 0) + 1);
+		return plans.get(id)?.(request, arrivals.get(id)!) ?? [{kind: 'close'}];
+	});
+	t.after(async () => server.close());
+	const {daemons: [daemon], platform} = await startFleet(t, {daemons: 1, engines: [{}], services: 1});
+	const countLive = async (count: number): Promise<void> => {
+		await waitFor(`the daemon knows ${count} backend servers`, async () => {
+			const text = await daemon!.environment.metrics.registry.getSingleMetricAsString('shallotpass_backends');
+			return text.includes(`state="live"} ${count}`);
+		});
+	};
+
+	platform.list.put({
+		role: 'backend', state: 'live', id: 'scripted', address: server.address, availabilityZone: 'zone-1', services: ['assistant', 'reservations', 'catalogue'],
+	});
+	await countLive(3);
+	platform.list.remove('engine-0');
+	platform.list.remove('reservations-0');
+	await countLive(1);
+	return {address: daemon!.callers, plans, countArrivals: (id: string) => arrivals.get(id) ?? 0};
+};
+
+const formatChatChunk = (id: string, delta: Record<string, unknown>, finishReason?: string): string =>
+	`data: ${JSON.stringify({id, choices: [{index: 0, delta, finish_reason: finishReason ?? null}]})}\n\n`;
+
+const formatChat = (id: string): string => [
+	formatChatChunk(id, {role: 'assistant', content: ''}), formatChatChunk(id, {content: 'a'}), formatChatChunk(id, {content: 'b'}), formatChatChunk(id, {}, 'stop'), 'data: [DONE]\n\n',
+].join('');
+
+type OwnPlay = {
+	readonly name: string;
+	readonly path: (id: string) => string;
+	readonly headers?: (id: string) => Readonly<Record<string, string>>;
+	readonly callBody: (id: string) => string;
+	readonly answerBody: (id: string) => string;
+	/** Whether what the caller received claims to be the whole answer. */
+	readonly looksWhole: (body: string) => boolean;
+};
+
+const chatRequest = (id: string, stream: boolean): string => JSON.stringify({model: 'assistant-7b', stream, messages: [{role: 'user', content: id}]});
+
+const ownPlays: readonly OwnPlay[] = [
+	{
+		name: 'a call that may be repeated', path: id => `/services/catalogue/${id}`, callBody: id => id, answerBody: id => `the answer to ${id}, of some bytes`, looksWhole: () => true,
+	},
+	{
+		name: 'a call with an idempotency key', path: id => `/services/reservations/${id}`, headers: id => ({'idempotency-key': id}), callBody: id => id, answerBody: id => `the answer to ${id}, of some bytes`, looksWhole: () => true,
+	},
+	{
+		name: 'a stream', path: () => '/v1/chat/completions', callBody: id => chatRequest(id, true), answerBody: formatChat, looksWhole: body => body.includes('[DONE]'),
+	},
+	{
+		name: 'a completion', path: () => '/v1/chat/completions', callBody: id => chatRequest(id, false), answerBody: id => JSON.stringify({id, choices: [{index: 0, message: {role: 'assistant', content: 'ab'}}]}), looksWhole: () => true,
+	},
+];
+
+for (const play of ownPlays) {
+	test(`an answer of the own interface that is cut at any byte does not look whole to the caller of ${play.name}`, async t => {
+		const {address, plans, countArrivals} = await startScriptedFleet(t);
+		const tally: Tally = new Map();
+		const faults: string[] = [];
+		// The id of the request is given by the daemon, and stands in the answer in the same length.
+		const uuid = '00000000-0000-0000-0000-000000000000';
+		const cuts = listCutsOf({route: 'call', shapes: successShapes, makeParts: id => ({statusLine: 'HTTP/1.1 200 OK', fields: [`X-Request-Id: ${uuid}`], body: play.answerBody(id)})});
+		const playCut = async (cut: (typeof cuts)[0]): Promise<void> => {
+			const {id, shape, answer, bytes, ending} = cut;
+			plans.set(id, ({headers}) => cutAnswer({...answer, text: answer.text.replace(uuid, headers['x-request-id']!)}, bytes, ending, shape.findPause?.(answer)));
+			const received = await ask({
+				address, method: 'POST', path: play.path(id), headers: {authorization: `Bearer ${callerKey}`, 'content-type': 'application/json', ...play.headers?.(id)}, body: play.callBody(id),
+			});
+			plans.delete(id);
+			const isOk = received?.status === 200 && received.isComplete && play.looksWhole(received.body);
+			const isWhole = received?.body === cut.parts.body && bytes >= answer.headBytes;
+			const isPrefix = isWholeByProtocol(cut) && cut.parts.body.startsWith(received?.body ?? '');
+			// The client of this interface reads no status 100 that was not asked for.
+			const isReadable = isSound(cut) && !answer.text.startsWith('HTTP/1.1 100');
+			const owed = bytes === answer.text.length && countArrivals(id) > 0 && isReadable ? 'fault: a whole answer was not passed on' : `unfinished, ${received?.status ?? 'none'}`;
+			const wrong = isPrefix ? 'whole by the protocol' : `fault: looks whole, ${received?.body.length ?? 0} of ${cut.parts.body.length} bytes`;
+			const ok = isWhole ? 'whole' : wrong;
+			const outcome = isOk ? ok : owed;
+			count(tally, outcome);
+			if (outcome.startsWith('fault')) {
+				faults.push(`${outcome}: ${describeCut(cut)}`);
+			}
+		};
+
+		// A reset of one connection makes answers doubtful that end with another one at the same time.
+		for (const ending of endings) {
+			await runAll(cuts.filter(cut => cut.ending === ending), playCut); // eslint-disable-line no-await-in-loop -- one after the other
+		}
+
+		report(t, tally);
+		assertNone(faults);
+	});
+}
