A refusal without an id is believed only where no other has come on its connection

A second copy of a refusal without an id was taken for the answer to the next call on that connection, which ran: its caller was told 503, which promises that it never runs (REFUSED), or it ran again elsewhere (TWICE). A connection on which such a refusal came is doubtful from then on. It is closed, or kept for idempotent calls with an attempt to spare, which count a refusal there as a possible run. On other connections the refusal can't be a copy.

The property test found a second way, as it plays copies that break off: the beginning of a refusal that names another call, joined with the next answer, is one head with the status and the 'not executed' of the first and the id of the second. Such a head has a status line within a field or a reason phrase, and is the answer to no call now.

--- a/packages/gateway/src/calls/backend-agent.ts
+++ b/packages/gateway/src/calls/backend-agent.ts
@@ -24,6 +24,13 @@
 	readonly openConnection?: OpenConnection;
 	/** Called when a new connection was opened. */
 	readonly onConnected?: () => void;
+	/** Whether an answer turns a call away without naming it, so that a second copy of it looks like the answer to the next call. */
+	readonly isUnnamedRefusal?: (response: http.IncomingMessage) => boolean;
+};
+
+export type AgentRequestOptions = http.RequestOptions & {
+	/** Whether the request may go out on a doubtful connection. */
+	readonly acceptsDoubt?: boolean;
 };
 
 export type PooledSocket = net.Socket & {
@@ -32,8 +39,16 @@
 	onIdleData?: () => void;
 	/** Number of the connection among those that its agent has established, from 1. Undefined before. */
 	connectionNumber?: number;
+	/** Whether an unnamed refusal came on it, of which a second copy may follow at any time. */
+	isDoubtful?: boolean;
 };
 
+/** Whether the connection is doubtful. */
+export const isConnectionDoubtful = (socket: PooledSocket | null | undefined): boolean => socket?.isDoubtful === true;
+
+/** Requests that may go out on a doubtful connection. */
+const acceptingRequests = new WeakSet<http.ClientRequest>();
+
 /** Returns the number of an established connection of an agent. */
 export const getConnectionNumber = (socket: PooledSocket | null | undefined): number | undefined => socket?.connectionNumber;
 
@@ -73,6 +88,11 @@
 /** Processes at the address that are remembered beside the one of the directory. */
 const maxLaterProcesses = 4;
 
+type AddRequest = (this: http.Agent, request: http.ClientRequest, options: http.RequestOptions) => void;
+
+/** Node's clients call this method of their agent, which its types leave out. */
+const addToPool = (http.Agent.prototype as unknown as {readonly addRequest: AddRequest}).addRequest;
+
 export class BackendAgent extends http.Agent {
 	/** Number of open connections, in use or idle. */
 	openConnections = 0;
@@ -117,8 +137,39 @@
 		return socket;
 	}
 
-	/** Prepares a connection for reuse and sets its idle timeout. */
+	/** Gives the request an idle connection or a new one. Doubtful connections are left to requests that accept them. */
+	addRequest(request: http.ClientRequest, options: AgentRequestOptions): void {
+		if (options.acceptsDoubt === true) {
+			acceptingRequests.add(request);
+			addToPool.call(this, request, options);
+			return;
+		}
+
+		const pools = this.freeSockets as Record<string, PooledSocket[] | undefined>;
+		const doubtful = Object.entries(pools).map(([name, sockets = []]) => {
+			const hidden = sockets.filter(socket => isConnectionDoubtful(socket));
+			sockets.splice(0, sockets.length, ...sockets.filter(socket => !isConnectionDoubtful(socket)));
+			return [name, hidden] as const;
+		});
+		addToPool.call(this, request, options);
+		for (const [name, hidden] of doubtful) {
+			if (hidden.length > 0) {
+				pools[name] = [...pools[name] ?? [], ...hidden];
+			}
+		}
+	}
+
+	/** Prepares a connection for reuse and sets its idle timeout. A doubtful one is kept if its last call accepted that, as others like it come. */
 	override keepSocketAlive(socket: PooledSocket): boolean {
+		const {_httpMessage: request} = socket;
+		if (request?.res && this.connectionOptions.isUnnamedRefusal?.(request.res) === true) {
+			socket.isDoubtful = true;
+		}
+
+		if (isConnectionDoubtful(socket) && (request === undefined || !acceptingRequests.has(request))) {
+			return false;
+		}
+
 		const keepAliveTimeoutMs = readKeepAliveTimeoutMs(socket._httpMessage?.res);
 		const idleTimeoutMs = keepAliveTimeoutMs === undefined ? defaultIdleTimeoutMs : keepAliveTimeoutMs * usedIdleTimeoutShare;
 		socket.setKeepAlive(true, 1000);
@@ -169,9 +220,9 @@
 		return [...this.laterProcesses].find(([, span]) => isWithin(span))?.[0];
 	}
 
-	/** Returns the number of the idle connection that the next request gets. Undefined if it gets a new one. */
+	/** Returns the number of the idle connection that the next request gets, if it accepts no doubtful one. Undefined if it gets a new one. */
 	findNextConnection(): number | undefined {
 		const idle = Object.values(this.freeSockets).flatMap(sockets => sockets ?? []);
-		return getConnectionNumber(idle.findLast(({destroyed}) => !destroyed));
+		return getConnectionNumber(idle.findLast(socket => !socket.destroyed && !isConnectionDoubtful(socket)));
 	}
 }
--- a/packages/gateway/src/calls/backend-exchange.ts
+++ b/packages/gateway/src/calls/backend-exchange.ts
@@ -4,7 +4,7 @@
 import {setImmediate as nextTurn} from 'node:timers/promises';
 import {parseHostAndPort} from '../host-and-port.js';
 import {
-	type BackendAgent, getConnectionNumber, hasConnectionFailed, isCloseDelimited,
+	type AgentRequestOptions, type BackendAgent, getConnectionNumber, hasConnectionFailed, isCloseDelimited, isConnectionDoubtful,
 } from './backend-agent.js';
 import {
 	closeRequest, openCallRequest, resetRequest, wasGivenUp,
@@ -25,6 +25,8 @@
 		readonly kind: 'answered'; readonly response: http.IncomingMessage; readonly isComplete: IsComplete;
 		/** Number of the connection, and of the one that had been established last when the call was written. */
 		readonly connection: number | undefined; readonly lastConnectionAtSend: number;
+		/** Whether the connection was doubtful before this answer. */
+		readonly isDoubtful: boolean;
 	}
 	| {readonly kind: 'failed'; readonly delivery: DeliveryStatus; readonly reason: string; readonly isConnectFailure: boolean};
 
@@ -49,6 +51,8 @@
 	/** Header fields as alternating names and values. */
 	readonly fields: readonly string[];
 	readonly body: Buffer | undefined;
+	/** Whether the call may be sent on a doubtful connection. */
+	readonly acceptsDoubt?: boolean;
 	/** Timeout for opening a new connection. */
 	readonly connectTimeoutMs: number;
 	/** Whether the backend server takes new connections. Asked after an answer that ends with its connection, which looks whole if the process ended midway. */
@@ -91,10 +95,11 @@
 		}
 	};
 
+	const requestOptions: AgentRequestOptions = {
+		agent: options.agent, host, port, method: options.method, path: options.path, headers: options.fields, setHost: false, acceptsDoubt: options.acceptsDoubt === true,
+	};
 	const request = openCallRequest({
-		request: {
-			agent: options.agent, host, port, method: options.method, path: options.path, headers: options.fields, setHost: false,
-		},
+		request: requestOptions,
 		permit: options.permit,
 		signal: options.signal,
 		giveUp,
@@ -164,6 +169,7 @@
 				response,
 				connection: getConnectionNumber(socket),
 				lastConnectionAtSend,
+				isDoubtful: isConnectionDoubtful(socket),
 				async isComplete() {
 					if (isCloseDelimited(response)) {
 						// The agent probes the closed connection with a write, whose error is reported on a later event loop turn.
--- a/packages/gateway/src/calls/backend-registry.ts
+++ b/packages/gateway/src/calls/backend-registry.ts
@@ -14,7 +14,7 @@
 import {type KnownParts, makeKnownParts} from '@shallotpass/core/placement/known-parts.js';
 import {emptyPlainSample, type PlainRecord, type PlainSample} from '@shallotpass/core/placement/plain-durations.js';
 import {hashText} from '@shallotpass/core/routing/rank-by-rendezvous.js';
-import {BackendAgent, type OpenConnection} from './backend-agent.js';
+import {BackendAgent, type BackendAgentOptions, type OpenConnection} from './backend-agent.js';
 import {countVersions, type VersionsByService} from './count-versions.js';
 
 /** Number of ranks for which pending prompt tokens are counted separately. Less urgent ranks are counted with the last one. */
@@ -115,12 +115,13 @@
 	/** Bytes of the largest whole body of a plain answer, by service. */
 	readonly largestBodies: Map<string, number>;
 	readonly openConnection: OpenConnection;
+	readonly isUnnamedRefusal: NonNullable<BackendAgentOptions['isUnnamedRefusal']>;
 	/** Called with the incarnation of a backend server to which a connection was opened. */
 	onConnected: (incarnation: string) => void;
 };
 
-export const makeBackendRegistry = (openConnection: OpenConnection = net.connect): BackendRegistry => ({
-	byId: new Map(), byService: new Map(), versionsByService: new Map(), latencyModels: new Map(), meanSlowness: new Map(), largestBodies: new Map(), openConnection, onConnected() {/* set by the owner */},
+export const makeBackendRegistry = (openConnection: OpenConnection = net.connect, isUnnamedRefusal: BackendRegistry['isUnnamedRefusal'] = () => false): BackendRegistry => ({
+	byId: new Map(), byService: new Map(), versionsByService: new Map(), latencyModels: new Map(), meanSlowness: new Map(), largestBodies: new Map(), openConnection, isUnnamedRefusal, onConnected() {/* set by the owner */},
 });
 
 /** Each call at the backend server listens, so their number has no bound. */
@@ -136,6 +137,7 @@
 	incarnationHash: hashText(formatIncarnation(entry)),
 	agent: new BackendAgent({
 		openConnection: registry.openConnection,
+		isUnnamedRefusal: registry.isUnnamedRefusal,
 		onConnected() {
 			registry.onConnected(formatIncarnation(entry));
 		},
--- a/packages/gateway/src/calls/call-attempts.ts
+++ b/packages/gateway/src/calls/call-attempts.ts
@@ -22,6 +22,7 @@
 import {applyRankDecision, withWaitUntilDeadline} from './apply-rank-decision.js';
 import {type Placement, placeCall, type PlacementResult} from './place-call.js';
 import {prepareRepeat} from './prepare-repeat.js';
+import {acceptsDoubt} from './proof-of-answers.js';
 import {isPlainEstimateCurrent} from './record-latency.js';
 import {type Attempt, type AttemptResult, runAtBackend} from './run-at-backend.js';
 import {settlePermit, takeSendPermit} from './send-permit.js';
@@ -195,7 +196,9 @@
 	}
 
 	const result = mayReceive
-		? await runAtBackend(gateway, call, placement, {...outgoing, softwareVersion: progress.softwareVersion}, {permit, signal, prepareRepeat: () => prepareRepeat(gateway, call, progress, progress.possibleRuns + 1)})
+		? await runAtBackend(gateway, call, placement, {...outgoing, softwareVersion: progress.softwareVersion}, {
+			permit, signal, prepareRepeat: () => prepareRepeat(gateway, call, progress, progress.possibleRuns + 1), acceptsDoubt: acceptsDoubt(call, progress.possibleRuns),
+		})
 		: {kind: 'not_run' as const, reason: 'backend_left', hasArrived: false};
 	settlePermit(gateway, call, {permit, progress, mayHaveArrived: result.kind !== 'not_run' || result.hasArrived});
 	if (result.kind === 'not_run' && !result.hasArrived && (mayReceive || placement.isCounted === true)) {
@@ -212,7 +215,7 @@
 		progress.lastFailure = result.reason;
 	}
 
-	if (result.kind === 'may_have_run') {
+	if (result.kind === 'may_have_run' || (result.kind === 'not_run' && result.isUnproven === true)) {
 		progress.possibleRuns++;
 	}
 
--- a/packages/gateway/src/calls/run-at-backend.ts
+++ b/packages/gateway/src/calls/run-at-backend.ts
@@ -26,6 +26,7 @@
 import {recordPrompt} from './long-prompts.js';
 import {mayStillReceive} from './may-still-receive.js';
 import {type Placement} from './place-call.js';
+import {judgeAnswer} from './proof-of-answers.js';
 import {recordSpeed, recordStreamLatency} from './record-latency.js';
 import {type SendPermit} from './send-permit.js';
 import {trackRunningCall} from './track-running-call.js';
@@ -62,8 +63,8 @@
 export type AttemptResult =
 	/** The call has run or is running, and the response belongs to it. */
 	| {readonly kind: 'answered'; readonly response: http.IncomingMessage; readonly attempt: Attempt}
-	/** The backend server has not run the call and will not run it. */
-	| {readonly kind: 'not_run'; readonly reason: string; readonly hasArrived: boolean}
+	/** The backend server has not run the call and will not run it. `isUnproven`: unless its refusal was a second copy; only of idempotent calls. */
+	| {readonly kind: 'not_run'; readonly reason: string; readonly hasArrived: boolean; readonly isUnproven?: boolean}
 	/** `hasCrashed`: whether the backend server has ended. Undefined if the call was given up here. */
 	| {readonly kind: 'may_have_run'; readonly reason: string; readonly hasCrashed?: Promise<boolean>};
 
@@ -110,10 +111,12 @@
 	readonly signal: AbortSignal;
 	/** Takes the repeat with which the call is sent elsewhere if it is given up. Returns false if there is none. */
 	readonly prepareRepeat: () => boolean;
+	/** Whether the call may be sent on a doubtful connection. */
+	readonly acceptsDoubt: boolean;
 };
 
 /** Sends the call to the backend server of the placement and waits for the head of the response. */
-export const runAtBackend = async (gateway: GatewayState, call: Call, placement: Placement, outgoing: OutgoingRequest, {permit, signal, prepareRepeat}: SendOptions): Promise<AttemptResult> => {
+export const runAtBackend = async (gateway: GatewayState, call: Call, placement: Placement, outgoing: OutgoingRequest, {permit, signal, prepareRepeat, acceptsDoubt}: SendOptions): Promise<AttemptResult> => {
 	const {state} = placement;
 	const isContinued = outgoing.softwareVersion !== undefined;
 	const needsVersion = isContinued || call.repeatability === 'resumable_stream';
@@ -150,6 +153,7 @@
 	const exchange = sendToBackend({
 		permit,
 		signal,
+		acceptsDoubt,
 		onInformation() {
 			state.lastReadAt = gateway.clocks.steady();
 			headWatch.onInformation();
@@ -240,13 +244,14 @@
 	}
 
 	const {
-		response, isComplete, connection, lastConnectionAtSend,
+		response, isComplete, connection, lastConnectionAtSend, isDoubtful,
 	} = result;
 	state.failedConnects = 0;
 	state.lastReadAt = gateway.clocks.steady();
 	const head = gateway.wire.parseBackendHeaders(response.statusCode ?? 0, response.headers);
 	const isRefusal = head.isNotExecuted || head.isOtherBackend;
-	if (head.requestId === undefined ? !isRefusal : head.requestId !== call.id) {
+	const proof = judgeAnswer(head, response, call, isDoubtful);
+	if (proof === 'other') {
 		// This is a late second response to an earlier call. Forwarding it would give the caller another
 		// caller's response, and any further data on this connection may be wrong as well.
 		exchange.abort();
@@ -262,7 +267,8 @@
 		state.agent.confirmUpTo(lastConnectionAtSend);
 	}
 
-	if (!head.isOtherBackend) {
+	const isUnproven = proof === 'unproven_refusal';
+	if (!head.isOtherBackend && !isUnproven) {
 		recordSpeed(gateway, state, head);
 		observeLimit(gateway, state, head.limit, {requestId: call.id, sentAt, status: response.statusCode});
 		observeBrittleness(gateway, state, head.brittleness, {requestId: call.id, sentAt, isRejection: head.isNotExecuted && response.statusCode === fullStatus});
@@ -275,11 +281,13 @@
 		});
 		end(false);
 		gateway.metrics.attempts.inc({service: call.service, outcome: 'refused'});
-		if (head.isOtherBackend) {
+		if (head.isOtherBackend && !isUnproven) {
 			suspendBackend(gateway, state, 'other_backend_at_address');
 		}
 
-		return {kind: 'not_run', reason: head.isOtherBackend ? 'other_backend' : `refused_${response.statusCode ?? 0}`, hasArrived: true};
+		return {
+			kind: 'not_run', reason: head.isOtherBackend ? 'other_backend' : `refused_${response.statusCode ?? 0}`, hasArrived: true, isUnproven,
+		};
 	}
 
 	const version: AnsweringVersion = needsVersion ? await determineAnsweringVersion(gateway, state, connection) : {softwareVersion: undefined, later: undefined};
--- a/packages/gateway/src/start-gateway.ts
+++ b/packages/gateway/src/start-gateway.ts
@@ -10,6 +10,7 @@
 import {makeAcceptBacklog} from './calls/accept-backlog.js';
 import {type OpenConnection} from './calls/backend-agent.js';
 import {makeBackendRegistry} from './calls/backend-registry.js';
+import {makeIsUnnamedRefusal} from './calls/proof-of-answers.js';
 import {listReadyBackends} from './calls/count-versions.js';
 import {listenForCallers, listenForReadinessChecks} from './calls/callers-listener.js';
 import {type CallersServer} from './calls/callers-server.js';
@@ -87,7 +88,7 @@
 	random: Math.random,
 	configuration: undefined,
 	configurationCheckedAt: Number.NEGATIVE_INFINITY,
-	registry: makeBackendRegistry(openConnection),
+	registry: makeBackendRegistry(openConnection, makeIsUnnamedRefusal(platform.wire)),
 	origins: makeOriginState(),
 	rollouts: makeRolloutState(),
 	directoryReadAt: undefined,
