A report of a backend server that breaks off tells nothing of its start

A report without a length that was cut looked whole, could not be read, and counted as one that tells no start: the process behind the address was confirmed as that of the directory, and a stream could go on at another software version. The test cuts reports in all shapes, for both interfaces; the readers of the own interface, which parse the whole body, held before.

--- a/tests/src/cut-answers.test.ts
+++ b/tests/src/cut-answers.test.ts
@@ -6,11 +6,15 @@
 import {
 	announceBackend, makeConfiguration, type PlatformFixture, removeBackend, startPlatformFixture, waitUntil,
 } from '@shallotpass/platform/stand-ins/platform-fixture.js';
+import {makeHttpEngines} from '@shallotpass/platform/http-engines.js';
 import {host, shopKey} from '@shallotpass/platform/stand-ins/send-call.js';
 import {
 	type ScriptedRequest, type ScriptedServer, type ScriptStep, startScriptedServer,
 } from '@shallotpass/stand-ins/scripted-server.js';
+import {readLoad} from '@shallotpass/backends/engine-load.js';
+import {BackendAgent} from '@shallotpass/gateway/calls/backend-agent.js';
 import {callerKey, waitFor} from '@shallotpass/measure/local-fleet.js';
+import {Agent} from 'undici';
 import fc from 'fast-check';
 import {
 	type AnswerBytes, type AnswerParts, type AnswerShape, bodilessShapes, cutAnswer, type Ending, endings, failureShapes, shapeAnswer, successShapes,
@@ -209,7 +213,7 @@
 	}));
 };
 
-const report = (t: TestContext, tally: Tally): void => {
+const printTally = (t: TestContext, tally: Tally): void => {
 	t.diagnostic(JSON.stringify(Object.fromEntries([...tally].toSorted(([left], [right]) => left.localeCompare(right)))));
 };
 
@@ -256,7 +260,7 @@
 			faults.push(`${outcome}: ${describeCut(cut)}`);
 		}
 	});
-	report(t, tally);
+	printTally(t, tally);
 	assertNone(faults);
 };
 
@@ -315,7 +319,7 @@
 				faults.push(`status ${received.status}: ${describeCut(cut)}`);
 			}
 		});
-		report(t, tally);
+		printTally(t, tally);
 		assertNone(faults);
 	});
 }
@@ -364,7 +368,7 @@
 			faults.push(`${outcome}, ${received?.body.length ?? 0} bytes: ${describeCut(cut)}`);
 		}
 	});
-	report(t, tally);
+	printTally(t, tally);
 	assertNone(faults);
 });
 
@@ -476,7 +480,50 @@
 			await runAll(cuts.filter(cut => cut.ending === ending), playCut); // eslint-disable-line no-await-in-loop -- one after the other
 		}
 
-		report(t, tally);
+		printTally(t, tally);
 		assertNone(faults);
 	});
 }
+
+const reportTimeoutMs = 2000;
+
+test('a report of a backend server that is cut at any byte tells nothing', async t => {
+	// The process would be taken for the one of the directory, and a stream go on at another software version.
+	const report = {
+		stage: 'both', born: 1_700_000_000_000, running: 1, queued: 0, at: 1,
+	};
+	const plans = new Map<string, Plan>();
+	const server = await startScriptedServer(async request => plans.get('')!(request, 1));
+	t.after(async () => server.close());
+	const engines = makeHttpEngines();
+	const dispatcher = new Agent();
+	t.after(async () => dispatcher.destroy());
+	const tally: Tally = new Map();
+	const faults: string[] = [];
+	const parts = {statusLine: 'HTTP/1.1 200 OK', fields: [], body: JSON.stringify(report)};
+	for (const cut of listCutsOf({route: 'report', shapes: successShapes, makeParts: () => parts})) {
+		const {shape, answer, bytes, ending} = cut;
+		plans.set('', () => cutAnswer(answer, bytes, ending, shape.findPause?.(answer)));
+		const agent = new BackendAgent();
+		// eslint-disable-next-line no-await-in-loop -- one after the other
+		const start = await engines.readStart({address: server.address, agent}, {timeoutMs: reportTimeoutMs, signal: AbortSignal.timeout(reportTimeoutMs)});
+		agent.destroy();
+		const isAllSent = bytes === answer.text.length;
+		const isStartRight = start.kind === 'failed' ? !(isAllSent && isSound(cut)) : start.kind === 'started' && start.startedAt === report.born;
+		let isLoadRight = !(isAllSent && isSound(cut)) || answer.text.startsWith('HTTP/1.1 100');
+		try {
+			const load = await readLoad(server.address, dispatcher, AbortSignal.timeout(reportTimeoutMs)); // eslint-disable-line no-await-in-loop -- one after the other
+			isLoadRight = load.running === report.running && load.at === report.at;
+		} catch {
+			// It was not taken for a report.
+		}
+
+		count(tally, start.kind);
+		if (!isStartRight || !isLoadRight) {
+			faults.push(`start ${start.kind}, load ${isLoadRight ? 'right' : 'wrong'}: ${describeCut(cut)}`);
+		}
+	}
+
+	printTally(t, tally);
+	assertNone(faults);
+});
