--- a/packages/gateway/src/calls/call-attempts.ts
+++ b/packages/gateway/src/calls/call-attempts.ts
@@ -22,6 +22,7 @@
 import {applyRankDecision, withWaitUntilDeadline} from './apply-rank-decision.js';
 import {type Placement, placeCall, type PlacementResult} from './place-call.js';
 import {prepareRepeat} from './prepare-repeat.js';
+import {acceptsDoubt} from './proof-of-answers.js';
 import {isPlainEstimateCurrent} from './record-latency.js';
 import {
 	type Attempt, type AttemptResult, type OnDoubt, runAtBackend,
@@ -204,6 +205,7 @@
 	const result = mayReceive
 		? await runAtBackend(gateway, call, placement, {...outgoing, softwareVersion: progress.softwareVersion}, {
 			permit, signal, prepareRepeat: () => prepareRepeat(gateway, call, progress, progress.possibleRuns + Math.max(1, progress.runsUnderWay)),
+			acceptsDoubt: acceptsDoubt(call, progress.possibleRuns + Math.max(1, progress.runsUnderWay) - 1),
 			onDoubt: onDoubt && (doubt => {
 				// The call may have arrived, so further sends are repeats.
 				progress.hasArrived = true;
@@ -228,7 +230,7 @@
 		progress.lastFailure = result.reason;
 	}
 
-	if (result.kind === 'may_have_run') {
+	if (result.kind === 'may_have_run' || (result.kind === 'not_run' && result.isUnproven === true)) {
 		progress.possibleRuns++;
 	}
 
--- a/packages/gateway/src/calls/run-at-backend.ts
+++ b/packages/gateway/src/calls/run-at-backend.ts
@@ -28,6 +28,7 @@
 import {recordPrompt} from './long-prompts.js';
 import {mayStillReceive} from './may-still-receive.js';
 import {type Placement} from './place-call.js';
+import {judgeAnswer} from './proof-of-answers.js';
 import {recordSpeed, recordStreamLatency} from './record-latency.js';
 import {type SendPermit} from './send-permit.js';
 import {trackRunningCall} from './track-running-call.js';
@@ -64,8 +65,8 @@
 export type AttemptResult =
 	/** The call has run or is running, and the response belongs to it. */
 	| {readonly kind: 'answered'; readonly response: http.IncomingMessage; readonly attempt: Attempt}
-	/** The backend server has not run the call and will not run it. */
-	| {readonly kind: 'not_run'; readonly reason: string; readonly hasArrived: boolean}
+	/** The backend server has not run the call and will not run it. `isUnproven`: unless its refusal was a second copy; only of idempotent calls. */
+	| {readonly kind: 'not_run'; readonly reason: string; readonly hasArrived: boolean; readonly isUnproven?: boolean}
 	/** `hasCrashed`: whether the backend server has ended. Undefined if the call was given up here. */
 	| {readonly kind: 'may_have_run'; readonly reason: string; readonly hasCrashed?: Promise<boolean>};
 
@@ -114,13 +115,15 @@
 	readonly prepareRepeat: () => boolean;
 	/** Called once if the call is better sent elsewhere as well. Its run goes on until `signal` is aborted. Undefined if it is given up then. */
 	readonly onDoubt?: OnDoubt | undefined;
+	/** Whether the call may be sent on a doubtful connection. */
+	readonly acceptsDoubt: boolean;
 };
 
 /** `hasCrashed`: whether the backend server has ended, if that is being found out. */
 export type OnDoubt = (doubt: {readonly reason: string; readonly hasCrashed: Promise<boolean> | undefined}) => void;
 
 /** Sends the call to the backend server of the placement and waits for the head of the response. */
-export const runAtBackend = async (gateway: GatewayState, call: Call, placement: Placement, outgoing: OutgoingRequest, {permit, signal, prepareRepeat, onDoubt}: SendOptions): Promise<AttemptResult> => {
+export const runAtBackend = async (gateway: GatewayState, call: Call, placement: Placement, outgoing: OutgoingRequest, {permit, signal, prepareRepeat, acceptsDoubt, onDoubt}: SendOptions): Promise<AttemptResult> => {
 	const {state} = placement;
 	const isContinued = outgoing.softwareVersion !== undefined;
 	const needsVersion = isContinued || call.repeatability === 'resumable_stream';
@@ -157,6 +160,7 @@
 	const exchange = sendToBackend({
 		permit,
 		signal,
+		acceptsDoubt,
 		onInformation() {
 			state.lastReadAt = gateway.clocks.steady();
 			headWatch.onInformation();
@@ -274,13 +278,14 @@
 	}
 
 	const {
-		response, isComplete, connection, lastConnectionAtSend,
+		response, isComplete, connection, lastConnectionAtSend, isDoubtful,
 	} = result;
 	state.failedConnects = 0;
 	state.lastReadAt = gateway.clocks.steady();
 	const head = gateway.wire.parseBackendHeaders(response.statusCode ?? 0, response.headers);
 	const isRefusal = head.isNotExecuted || head.isOtherBackend;
-	if (head.requestId === undefined ? !isRefusal : head.requestId !== call.id) {
+	const proof = judgeAnswer(head, response, call, isDoubtful);
+	if (proof === 'other') {
 		// This is a late second response to an earlier call. Forwarding it would give the caller another
 		// caller's response, and any further data on this connection may be wrong as well.
 		exchange.abort();
@@ -296,7 +301,8 @@
 		state.agent.confirmUpTo(lastConnectionAtSend);
 	}
 
-	if (!head.isOtherBackend) {
+	const isUnproven = proof === 'unproven_refusal';
+	if (!head.isOtherBackend && !isUnproven) {
 		recordSpeed(gateway, state, head);
 		observeLimit(gateway, state, head.limit, {requestId: call.id, sentAt, status: response.statusCode});
 		observeBrittleness(gateway, state, head.brittleness, {requestId: call.id, sentAt, isRejection: head.isNotExecuted && response.statusCode === fullStatus});
@@ -309,11 +315,13 @@
 		});
 		end(false);
 		gateway.metrics.attempts.inc({service: call.service, outcome: 'refused'});
-		if (head.isOtherBackend) {
+		if (head.isOtherBackend && !isUnproven) {
 			suspendBackend(gateway, state, 'other_backend_at_address');
 		}
 
-		return {kind: 'not_run', reason: head.isOtherBackend ? 'other_backend' : `refused_${response.statusCode ?? 0}`, hasArrived: true};
+		return {
+			kind: 'not_run', reason: head.isOtherBackend ? 'other_backend' : `refused_${response.statusCode ?? 0}`, hasArrived: true, isUnproven,
+		};
 	}
 
 	const version: AnsweringVersion = needsVersion ? await determineAnsweringVersion(gateway, state, connection) : {softwareVersion: undefined, later: undefined};
