A moved run waits for room at the engines that keep its KV cache

Callers of streams that may not be resumed saw them end midway when their engine was reclaimed: the run was stopped to be moved, and when the engine that got its KV cache, and then its own one, turned the continued run away for want of room, the stream ended at once, though both keep the KV cache for a while.

It is now offered to them again every 100 ms for 1.5 s, as a resumable stream is that has no room at its version; each of these sends takes a repeat from the limit, and the drain time of the leaving engine still holds (mayStillReceive).

Two tests, for a KV cache that was copied and one that was not: before, the stream ended after 2 and 1 refusals of three; now it is whole. The other tests of moves.test.ts pass.

--- a/packages/gateway/src/calls/serve-stream.ts
+++ b/packages/gateway/src/calls/serve-stream.ts
@@ -80,6 +80,8 @@
 	stream.splitter.discardPartialEvent();
 	stream.stoppedOn.add(stoppedOn);
 	stream.placements = moved.placements;
+	stream.placementsOfMove = moved.placements.map(placement => ({...placement, isCounted: false}));
+	stream.roomWaitUntil = stream.context.gateway.clocks.steady() + roomWaitMs;
 	stream.outgoing = {...stream.outgoing, lastEventId: getLastEventId(stream), kvCache: moved.kvCache};
 	return {kind: 'try_again', isExempt: true};
 };
@@ -237,11 +239,21 @@
 		return endWith(progress.hasStarted ? makeStreamFailureOutcome(stream) : makeUnsentOutcome(context, call, progress, result));
 	}
 
+	if (result.kind === 'not_run' && stream.placements.length > 0) {
+		return {kind: 'try_again', isExempt: true};
+	}
+
+	// The backend servers keep the KV cache of a moved run, which can go on nowhere else.
+	if (result.kind === 'not_run' && result.hasArrived && stream.placementsOfMove.length > 0 && context.gateway.clocks.steady() < stream.roomWaitUntil) {
+		stream.placements = stream.placementsOfMove;
+		return waitForRoom(stream);
+	}
+
 	if (result.kind !== 'answered') {
-		const hasOtherPlacement = result.kind === 'not_run' && stream.placements.length > 0;
-		return hasOtherPlacement ? {kind: 'try_again', isExempt: true} : retryStep;
+		return retryStep;
 	}
 
+	stream.placementsOfMove = [];
 	progress.possibleRuns++;
 	return result.response.statusCode === 200 ? forwardStream(stream, result) : forwardErrorResponse(stream, result);
 };
--- a/packages/gateway/src/calls/stream-state.ts
+++ b/packages/gateway/src/calls/stream-state.ts
@@ -22,6 +22,8 @@
 	readonly splitter: EventSplitter;
 	/** Placements where a moved run can continue, best first. */
 	placements: readonly Placement[];
+	/** All of them, while none has taken the moved run. */
+	placementsOfMove: readonly Placement[];
 	/** Incarnations of the backend servers on which the run was stopped to be moved. It is stopped once on each. */
 	readonly stoppedOn: Set<string>;
 	/** Until when a stream that has begun waits for room at backend servers that can continue it, on the steady clock. */
@@ -42,6 +44,7 @@
 	progress,
 	splitter: makeEventSplitter(),
 	placements: [],
+	placementsOfMove: [],
 	stoppedOn: new Set(),
 	roomWaitUntil: Number.NEGATIVE_INFINITY,
 	signal,
