Show that streams of the own interface outlive engines that stand for 1.5 and 3 s while the others refuse

Whether the own interface loses such streams was open. It gives a run up after its quiet timeout (5 s by default), is refused by the other engine, and returns to the first one, where the stream goes on. The stand-in of engines learns a pause in the middle of a stream. Nothing is changed.

--- a/packages/stand-ins/src/engine-stand-in.ts
+++ b/packages/stand-ins/src/engine-stand-in.ts
@@ -50,6 +50,8 @@
 	readonly response: ServerResponse;
 	readonly fault: Fault | undefined;
 	readonly tokenTexts: string[];
+	/** Tokens that wait for the end of a pause. Undefined if there was none, empty after it. */
+	held: {tokens: TokenEvent[]; isOver: boolean} | undefined;
 	sentTokens: number;
 	isSilent: boolean;
 };
@@ -130,6 +132,16 @@
 		sendJson(stream.response, {status: 200, body: makeCompletion(stream)});
 	};
 
+	const pauseStream = async (stream: OpenStream, ms: number): Promise<void> => {
+		const held: {tokens: TokenEvent[]; isOver: boolean} = {tokens: [], isOver: false};
+		stream.held = held;
+		await sleep(ms, undefined, {ref: false});
+		held.isOver = true;
+		for (const token of held.tokens) {
+			emitToken(token);
+		}
+	};
+
 	/** Applies the fault of a stream if it is due. Returns true if the current token must not be sent. */
 	const applyFault = (stream: OpenStream): boolean => {
 		const {fault} = stream;
@@ -151,6 +163,15 @@
 				return true;
 			}
 
+			case 'pause': {
+				if (stream.held !== undefined) {
+					return false;
+				}
+
+				void pauseStream(stream, fault.delayMs ?? 100);
+				return false;
+			}
+
 			case 'break': {
 				stream.response.write('data: {"id": broken\n\n');
 				return true;
@@ -174,6 +195,11 @@
 			return;
 		}
 
+		if (stream.held?.isOver === false) {
+			stream.held.tokens.push(token);
+			return;
+		}
+
 		const content = makeTokenText(stream.marker, token.index);
 		stream.sentTokens++;
 		if (stream.body.stream) {
@@ -227,7 +253,7 @@
 		const jobId = randomUUID();
 		const stream: OpenStream = {
 			jobId,
-			id, body, marker: getMarker(body.messages), response, fault, tokenTexts: [], sentTokens: 0, isSilent: false,
+			id, body, marker: getMarker(body.messages), response, fault, tokenTexts: [], sentTokens: 0, isSilent: false, held: undefined,
 		};
 		streams.set(jobId, stream);
 		response.once('close', () => {
--- a/packages/stand-ins/src/faults.ts
+++ b/packages/stand-ins/src/faults.ts
@@ -6,10 +6,11 @@
 	/**
 	 * `delay` responds late, `lose_reply` performs the operation and closes the connection without a
 	 * response, `refuse` responds with 503 and does not perform the operation, `silent` never responds,
+	 * `pause` sends nothing for a while in the middle of the response and goes on,
 	 * `break` sends an unreadable response, `mismatch` responds with the id of another request, and `cut`
 	 * aborts the response in the middle.
 	 */
-	readonly kind: 'delay' | 'lose_reply' | 'refuse' | 'silent' | 'break' | 'mismatch' | 'cut';
+	readonly kind: 'delay' | 'lose_reply' | 'refuse' | 'silent' | 'pause' | 'break' | 'mismatch' | 'cut';
 	/** Number of times that the fault applies. Unlimited by default. */
 	readonly times?: number;
 	readonly delayMs?: number;
@@ -23,6 +24,8 @@
 	readonly clear: (on?: string) => void;
 	/** Returns the fault that applies to the current call of the operation, if any, and counts it as used. */
 	readonly take: (on: string) => Fault | undefined;
+	/** Counts the faults that still apply to the operation. */
+	readonly count: (on: string) => number;
 };
 
 export const makeFaultTable = (): FaultTable => {
@@ -43,5 +46,6 @@
 			entry.left--;
 			return entry.fault;
 		},
+		count: on => faults.filter(({fault, left}) => fault.on === on && left > 0).length,
 	};
 };
--- a/tests/src/answers.test.ts
+++ b/tests/src/answers.test.ts
@@ -1,6 +1,7 @@
 import assert from 'node:assert/strict';
 import net from 'node:net';
 import test from 'node:test';
+import {setTimeout as sleep} from 'node:timers/promises';
 import {streamChat, sendReservation} from '@shallotpass/measure/caller-client.js';
 import {callerKey, waitFor} from '@shallotpass/measure/local-fleet.js';
 import {request} from 'undici';
@@ -113,6 +114,41 @@
 	});
 }
 
+/** Silence of an engine that is sound: before its first token, or after some. */
+const silentFaults = [
+	['before its first token', {on: 'chat', kind: 'delay', times: 1}],
+	['in its middle', {
+		on: 'chat', kind: 'pause', afterChunks: 5, times: 1,
+	}],
+] as const;
+
+for (const silenceMs of [1500, 3000]) {
+	for (const [when, fault] of silentFaults) {
+		for (const quietStreamMs of [5000, 1000]) {
+			test(`a stream whose engine stands for ${silenceMs} ms ${when} ends whole though the other one refuses it, with a quiet timeout of ${quietStreamMs} ms`, async t => {
+				// Guards against a run that is given up for silence, and no engine that goes on with it.
+				const fleet = await startFleet(t, {daemons: 1, engines: [{}, {}], limits: {quietStreamMs}});
+				for (const engine of fleet.engines) {
+					engine.faults.add({...fault, delayMs: silenceMs});
+				}
+
+				const pending = streamChat({address: fleet.daemons[0]!.callers, marker: 'own', tokens: 20});
+				await waitFor('an engine has the stream', () => fleet.engines.some(engine => engine.faults.count('chat') === 0));
+				const other = fleet.engines.find(engine => engine.faults.count('chat') > 0)!;
+				other.faults.clear();
+				other.faults.add({on: 'chat', kind: 'refuse'});
+				const silent = fleet.engines.find(engine => engine !== other)!;
+				silent.faults.add({on: 'load', kind: 'silent'});
+				silent.faults.add({on: 'chat', kind: 'delay', delayMs: silenceMs});
+				await sleep(silenceMs);
+				silent.faults.clear();
+				const answer = await pending;
+				assert.deepEqual({whole: answer.isComplete, stray: answer.unexpectedTokens, tokens: answer.tokens}, {whole: true, stray: 0, tokens: 20});
+			});
+		}
+	}
+}
+
 test('a stream resumed on an engine that still runs it delivers each token once', async t => {
 	// The daemon abandons a stream after a chunk of another stream, but the engine keeps generating
 	// it. The stream is resumed on the same engine, since there is no other. If both executions
