A late body is kept until another backend server has answered the call

What callers of idempotent plain calls saw: 502 in place of an answer whose head had come, when its body took more than half of the time left, another backend server had been quicker meanwhile, and that one then turned the call away. Cause: forward-plain-response.ts destroyed the answer before the call was sent elsewhere. A permit that a cancelled send leaves after the end of its call is returned. A hedge's abort signal is made for hedged calls only.

--- a/packages/gateway/src/calls/call-progress.ts
+++ b/packages/gateway/src/calls/call-progress.ts
@@ -25,6 +25,8 @@
 	earnsHere: boolean;
 	/** Permit that was taken for a send that has not taken place. */
 	heldPermit: SendPermit | undefined;
+	/** Whether the call is over, though a cancelled send may not have come to its end. */
+	isOver: boolean;
 	lastFailure: string;
 	/** Addresses of the peers that the call was offered to. */
 	readonly triedPeers: Set<string>;
@@ -59,6 +61,7 @@
 	hasArrived: false,
 	earnsHere: true,
 	heldPermit: undefined,
+	isOver: false,
 	hasStarted: false,
 	softwareVersion,
 	turnedAwayBy: new Set(),
--- a/packages/gateway/src/calls/forward-plain-response.ts
+++ b/packages/gateway/src/calls/forward-plain-response.ts
@@ -34,17 +34,21 @@
 	readonly isComplete: IsComplete;
 	readonly target: http.ServerResponse;
 	readonly method: string;
-	/** Time after which a body that is buffered may be given up. Undefined for none, if the call cannot be repeated. */
+	/** Time after which a body that is buffered may be late. Undefined for none, if the call cannot be repeated. */
 	readonly bodyTimeoutMs?: number | undefined;
-	/** Whether the body is given up after that time. Asked again and again. */
+	/** Whether the body is late after that time. Asked again and again. */
 	readonly isBodyLate?: () => boolean;
+	/** Called once it is. `giveUp` gives the body up, if nothing of it was sent on. */
+	readonly onBodyLate?: (giveUp: () => void) => void;
+	/** Called once a part of the body is sent on, so that no other can take its place. */
+	readonly onStreaming?: () => void;
 	/** Called with the bytes of the body so far. */
 	readonly onBytes?: (receivedBytes: number) => void;
 	/** Whether the caller's connection is closed after this response. Asked when all of it is at hand. */
 	readonly isLastOnConnection: () => boolean;
 };
 
-export const forwardPlainResponse = async ({response, isComplete, target, method, isLastOnConnection, bodyTimeoutMs, isBodyLate, onBytes}: ForwardOptions): Promise<ForwardResult> => new Promise((resolve, reject) => {
+export const forwardPlainResponse = async ({response, isComplete, target, method, isLastOnConnection, bodyTimeoutMs, isBodyLate, onBodyLate, onStreaming, onBytes}: ForwardOptions): Promise<ForwardResult> => new Promise((resolve, reject) => {
 	const buffered: Buffer[] = [];
 	let receivedBytes = 0;
 	let isStreaming = false;
@@ -52,7 +56,11 @@
 
 	const checkBodyTime = (): void => {
 		if (isBodyLate?.() === true) {
-			response.destroy();
+			onBodyLate?.(() => {
+				if (!isStreaming) {
+					response.destroy();
+				}
+			});
 			return;
 		}
 
@@ -64,6 +72,7 @@
 	const startStreaming = (): void => {
 		isStreaming = true;
 		clearTimeout(bodyTimer);
+		onStreaming?.();
 		target.writeHead(response.statusCode ?? 502, response.statusMessage, makeResponseFields(response, undefined, false));
 		for (const chunk of buffered) {
 			target.write(chunk);
--- a/packages/gateway/src/calls/send-permit.ts
+++ b/packages/gateway/src/calls/send-permit.ts
@@ -66,7 +66,7 @@
 /** Records what has become of a send. One that has not arrived leaves its permit for the next one. */
 export const settlePermit = (gateway: GatewayState, call: Call, {permit, progress, mayHaveArrived}: {permit: SendPermit; progress: CallProgress; mayHaveArrived: boolean}): void => {
 	if (!mayHaveArrived) {
-		if (progress.heldPermit === undefined) {
+		if (progress.heldPermit === undefined && !progress.isOver) {
 			progress.heldPermit = permit[permitBrand] === 'repeat' ? permit : undefined;
 		} else {
 			returnPermit(gateway, call, permit);
@@ -83,6 +83,7 @@
 
 /** Returns the permit that a call holds at its end. */
 export const returnHeldPermit = (gateway: GatewayState, call: Call, progress: CallProgress): void => {
+	progress.isOver = true;
 	if (progress.heldPermit !== undefined) {
 		returnPermit(gateway, call, progress.heldPermit);
 		progress.heldPermit = undefined;
--- a/packages/gateway/src/calls/send-until-accepted.ts
+++ b/packages/gateway/src/calls/send-until-accepted.ts
@@ -108,20 +108,20 @@
 	const stopListening = listenForAbort(signal, () => {
 		controller.abort();
 	});
-	const ended = new AbortController();
 	const flags: SendFlags = {isDoubted: false, isDirect: false};
 	const onDoubt = (): void => {
 		flags.isDoubted = true;
 		steps.push({kind: 'doubted'});
 	};
 
-	let isHedgeable = false;
+	/** Ends the wait for a hedge. Undefined if the call is not hedged. */
+	let hedgeEnd: AbortController | undefined;
 
 	const send: SendToPlacement = async (...[, sent, chosen]) => {
 		flags.isDirect = true;
 		if (isFirst && mayHedge(context, sent, progress)) {
-			isHedgeable = true;
-			void offerHedge(kept, chosen, ended.signal);
+			hedgeEnd = new AbortController();
+			void offerHedge(kept, chosen, hedgeEnd.signal);
 		}
 
 		return sendToPlacement(context, sent, chosen, progress, controller.signal, onDoubt);
@@ -133,7 +133,7 @@
 			const result = await (placement === undefined
 				? sendToBestBackend(context, admitted, progress, controller.signal, send, onDoubt)
 				: send(context, admitted, placement, progress, controller.signal));
-			if (result.kind === 'answered' && !isStream(admitted.call.repeatability) && (isHedgeable || open.size > 1)) {
+			if (result.kind === 'answered' && !isStream(admitted.call.repeatability) && (hedgeEnd !== undefined || open.size > 1)) {
 				await waitForBody(context, result.response, admitted.call.targetAt, controller.signal);
 			}
 
@@ -144,7 +144,7 @@
 			return {kind: 'may_have_run', reason: 'internal'};
 		} finally {
 			progress.runsUnderWay--;
-			ended.abort();
+			hedgeEnd?.abort();
 		}
 	};
 
