--- a/tests/src/cut-answers.test.ts
+++ b/tests/src/cut-answers.test.ts
@@ -7,6 +7,7 @@
 	announceBackend, makeConfiguration, type PlatformFixture, removeBackend, startPlatformFixture, waitUntil,
 } from '@shallotpass/platform/stand-ins/platform-fixture.js';
 import {makeHttpEngines} from '@shallotpass/platform/http-engines.js';
+import {startBackendLinks} from '@shallotpass/platform/stand-ins/backend-links.js';
 import {host, shopKey} from '@shallotpass/platform/stand-ins/send-call.js';
 import {
 	type ScriptedRequest, type ScriptedServer, type ScriptStep, startScriptedServer,
@@ -94,6 +95,8 @@
 type ScriptedFixture = {
 	readonly fixture: PlatformFixture;
 	readonly address: string;
+	/** Addresses of the backend servers. */
+	readonly servers: readonly string[];
 	/** What the backend servers do with a call, by its id. */
 	readonly plans: Map<string, Plan>;
 	readonly countArrivals: (id: string) => number;
@@ -123,11 +126,13 @@
 		return plans.get(id)?.(request, arrival) ?? [{kind: 'close'}];
 	};
 
+	const addresses: string[] = [];
 	for (const [service, unused] of [['llm', fixture.engines.pop()!], ['app', fixture.apps.pop()!]] as const) {
 		removeBackend(fixture.store, unused);
 		t.after(async () => unused.close());
 		const servers = await startScriptedBackends(answer, count); // eslint-disable-line no-await-in-loop -- one service after the other
 		for (const [index, server] of servers.entries()) {
+			addresses.push(server.address);
 			t.after(async () => server.close());
 			announceBackend(fixture.store, {id: `${service}-${index}`, address: server.address, born: undefined}, {
 				service, address: server.address, born: 1000, places: 64,
@@ -138,7 +143,7 @@
 	const {state} = await fixture.startDaemon('daemon-0', {bounds: manyRepeats});
 	await waitUntil('the daemon knows the backend servers', () => state.registry.byId.size === count * 2);
 	return {
-		fixture, address: state.settings.listen.callers, plans, countArrivals: id => arrivals.get(id) ?? 0,
+		fixture, address: state.settings.listen.callers, servers: addresses, plans, countArrivals: id => arrivals.get(id) ?? 0,
 		forgiveBackends() {
 			for (const known of state.registry.byId.values()) {
 				known.suspendedUntil = Number.NEGATIVE_INFINITY;
@@ -527,3 +532,21 @@
 	printTally(t, tally);
 	assertNone(faults);
 });
+
+for (const route of ['book', 'draft'] as const) {
+	test(`an answer that is cut at any byte does not look whole through a peer to a caller of ${route}`, async t => {
+		const scripted = await startScripted(t);
+		const {fixture, servers, plans} = scripted;
+		const links = await startBackendLinks(servers);
+		t.after(async () => links.close());
+		const {state} = await fixture.startDaemon('daemon-1', {bounds: manyRepeats, openConnection: links.openConnection});
+		await waitUntil('the daemons know each other', () => fixture.gateways.every(gateway => gateway.state.peers.size === 1) && state.registry.byId.size === servers.length);
+		links.fail('reset');
+		const address = state.settings.listen.callers;
+		const lostId = `${route}-lost`;
+		plans.set(lostId, () => cutAnswer(shapeAnswer(successShapes[0]!, makeParts(route, lostId)), Infinity, 'close'));
+		await askGateway(address, route, lostId);
+		await waitUntil('the daemon knows that it is cut off', () => state.paths.lostSince !== undefined);
+		await playCuts(t, {...scripted, address}, {route, shapes: successShapes, makeParts: id => makeParts(route, id)});
+	});
+}
