--- a/tests/src/cut-answers.test.ts
+++ b/tests/src/cut-answers.test.ts
@@ -3,6 +3,7 @@
 import http from 'node:http';
 import process from 'node:process';
 import test, {type TestContext} from 'node:test';
+import {setTimeout as sleep} from 'node:timers/promises';
 import {
 	announceBackend, makeConfiguration, type PlatformFixture, removeBackend, startPlatformFixture, waitUntil,
 } from '@shallotpass/platform/stand-ins/platform-fixture.js';
@@ -108,7 +109,7 @@
 	Promise.all(Array.from({length: count}, async () => startScriptedServer(answer)));
 
 /** Starts a daemon whose backend servers all follow the plan of each call. */
-const startScripted = async (t: TestContext, count = 1): Promise<ScriptedFixture> => {
+const startScripted = async (t: TestContext, count = 1, configuration = makeConfiguration(1)): Promise<ScriptedFixture> => {
 	const fixture = await startPlatformFixture({
 		daemons: 0, engines: 1, apps: 1, configuration: makeConfiguration(1),
 	});
@@ -550,3 +551,44 @@
 		await playCuts(t, {...scripted, address}, {route, shapes: successShapes, makeParts: id => makeParts(route, id)});
 	});
 }
+
+const hedgedShapes: ReadonlySet<string> = new Set(['length last', 'chunks', 'neither', 'another transfer coding', 'informational heads, length']);
+
+test('an answer that is cut at any byte does not look whole to a caller whose call is hedged', async t => {
+	// Two answers come, and both are cut.
+	const targetMs = 300;
+	const slowMs = 450;
+	const {routes} = makeConfiguration(1);
+	const scripted = await startScripted(t, 2, makeConfiguration(1, {routes: routes.map(route => ({...route, target_latency_ms: targetMs}))}));
+	const {fixture, address, plans, countArrivals, forgiveBackends} = scripted;
+	const {state} = fixture.gateways[0]!;
+	const tally: Tally = new Map();
+	const faults: string[] = [];
+	await runAll(listCutsOf({route: 'read', shapes: successShapes.filter(({name}) => hedgedShapes.has(name)), makeParts: id => makeParts('read', id)}), async cut => {
+		const {id, shape, answer, bytes, ending} = cut;
+		plans.set(id, async (_request, arrival) => {
+			if (arrival === 1) {
+				await sleep(slowMs);
+			}
+
+			return cutAnswer(answer, bytes, ending, shape.findPause?.(answer));
+		});
+		forgiveBackends();
+		for (const known of state.registry.byId.values()) {
+			// Each server has answered before.
+			known.plainMs = 10;
+			known.speed = {slowness: 1, at: state.clocks.steady()};
+		}
+
+		const outcome = judge(cut, await askGateway(address, 'read', id), countArrivals(id));
+		count(tally, outcome);
+		if (outcome.startsWith('fault')) {
+			faults.push(`${outcome}: ${describeCut(cut)}`);
+		}
+	});
+	printTally(t, tally);
+	const hedges = fixture.lines.filter(({event}) => event === 'call_hedged').length;
+	t.diagnostic(`${hedges} calls were hedged`);
+	assert.ok(hedges > 0, 'no call was hedged');
+	assertNone(faults);
+});
