--- a/scripts/soak/src/drains.test.ts
+++ b/scripts/soak/src/drains.test.ts
@@ -22,7 +22,10 @@
 const drainMs = 3200;
 
 /** Long, so that a busy machine does not end it. */
-const graceMs = 20_000;
+const longGraceMs = 20_000;
+
+/** As on the users' platform. */
+const usualGraceMs = 8000;
 
 type Started = {
 	readonly fixture: PlatformFixture;
@@ -42,7 +45,7 @@
 	}
 };
 
-const start = async (t: TestContext): Promise<Started> => {
+const start = async (t: TestContext, graceMs = longGraceMs): Promise<Started> => {
 	const fixture = await startPlatformFixture({
 		daemons: 0, engines: 1, apps: 1, configuration: makeLongConfiguration(),
 	});
@@ -158,6 +161,22 @@
 	assert.equal(readLog().find(({event}) => event === 'stopped')?.owedAnswers, 0);
 });
 
+test('answers that are at hand behind one that no backend server begins leave the process before it ends', async t => {
+	const {fixture, daemon, readLog, waitForLog} = await start(t, usualGraceMs);
+	const [engine, app] = [fixture.engines[0]!, fixture.apps[0]!];
+	engine.failureMode = 'mute';
+	const caller = await openPacedCaller(daemon.settings.listen.callers);
+	caller.send({route: 'draft', id: 'r-0', deadlineMs: 30_000}, {route: 'book', id: 'r-1', deadlineMs: 30_000});
+	await waitUntil('both run', () => engine.executions.length === 1 && app.executions.length === 1);
+	const ended = daemon.end('SIGTERM');
+	await caller.closed;
+	await ended;
+	assert.deepEqual(splitAnswers(caller.getReceived()).map(({requestId, status, isComplete}) => `${requestId} ${status} ${isComplete}`), ['r-0 502 true', 'r-1 200 true']);
+	assert.equal(caller.getError(), undefined);
+	await waitForLog();
+	assert.deepEqual(readLog().filter(({event}) => event === 'answer_unfinished'), []);
+});
+
 type Conversation = {
 	readonly caller: PacedCaller;
 	/** Ids of the requests that were written at once. */
