--- a/scripts/soak/src/inject-fault.ts
+++ b/scripts/soak/src/inject-fault.ts
@@ -169,6 +169,10 @@
 		}
 
 		case 'stop': {
+			if (fault.sparesLast === true && cluster.daemons.every((daemon, index) => index === fault.daemon || daemon.hasActiveFault)) {
+				return;
+			}
+
 			await withUndisturbedDaemon(cluster, fault.daemon, async daemon => {
 				cluster.plannedWork.push({kind: 'stop', daemon: daemon.process.id, at: performance.now()});
 				await restartDaemon(daemon, 'SIGTERM', fault.forMs);
--- a/scripts/soak/src/plan-faults.ts
+++ b/scripts/soak/src/plan-faults.ts
@@ -28,8 +28,8 @@
 	| {readonly kind: 'pause'; readonly daemon: number; readonly forMs: number}
 	/** Kills the process with SIGKILL and restarts it. */
 	| {readonly kind: 'kill'; readonly daemon: number; readonly forMs: number}
-	/** Stops the process with SIGTERM and restarts it. */
-	| {readonly kind: 'stop'; readonly daemon: number; readonly forMs: number}
+	/** Stops the process with SIGTERM and restarts it. `sparesLast`: not if faults affect all other daemons, so that callers find one. */
+	| {readonly kind: 'stop'; readonly daemon: number; readonly forMs: number; readonly sparesLast?: boolean}
 	/** Restarts the process and stops it with SIGTERM while it starts, once for each of these times after its start. */
 	| {readonly kind: 'stop_starting'; readonly daemon: number; readonly afterMs: readonly number[]}
 	/** Changes the settings file. `isTold` states whether a SIGHUP follows. */
@@ -333,7 +333,11 @@
 		for (let index = 0; index < stops; index++) {
 			const daemon = (firstDaemon + index) % daemons;
 			const stopAt = at + Math.round(random() * maxStopDelayMs);
-			planned.push({at: stopAt, fault: {kind: 'stop', daemon, forMs: Math.round(random() * 1500)}});
+			planned.push({
+				at: stopAt, fault: {
+					kind: 'stop', daemon, forMs: Math.round(random() * 1500), sparesLast: true,
+				},
+			});
 			if (random() < 0.4) {
 				planned.push({at: stopAt + Math.round(random() * 2000), fault: {kind: 'reload', daemon, isTold: true}});
 			}
