--- a/scripts/soak/src/plan-faults.ts
+++ b/scripts/soak/src/plan-faults.ts
@@ -310,7 +310,7 @@
 const engineCount = 3;
 const maxStopDelayMs = 3000;
 
-/** Plans spells in which engines pause in streams, one after the other, each with stops of daemons and other planned work, in some of the runs. */
+/** Plans spells in which engines pause in streams, one after the other, each with the stop of a daemon and other planned work, in some of the runs. */
 const planStreamPauses = ({seed, daemons, forMs}: FaultOptions): PlannedFault[] => {
 	const random = makeRandomBeside(seed, streamPauseSeedOffset);
 	if (random() > streamPauseShare) {
@@ -328,23 +328,19 @@
 				kind: 'pause_streams', engines: Array.from({length: count}, (_value, index) => (first + index) % engineCount), others: otherEngines[Math.floor(random() * otherEngines.length)]!, forMs: pausesMs,
 			},
 		});
-		const firstDaemon = Math.floor(random() * daemons);
-		const stops = 1 + Math.floor(random() * Math.max(1, daemons - 1));
-		for (let index = 0; index < stops; index++) {
-			const daemon = (firstDaemon + index) % daemons;
-			const stopAt = at + Math.round(random() * maxStopDelayMs);
-			planned.push({
-				at: stopAt, fault: {
-					kind: 'stop', daemon, forMs: Math.round(random() * 1500), sparesLast: true,
-				},
-			});
-			if (random() < 0.4) {
-				planned.push({at: stopAt + Math.round(random() * 2000), fault: {kind: 'reload', daemon, isTold: true}});
-			}
-
-			if (random() < 0.3) {
-				planned.push({at: stopAt + Math.round(random() * 2000), fault: {kind: 'configure', hasSecondKey: random() < 0.5}});
-			}
+		const daemon = Math.floor(random() * daemons);
+		const stopAt = at + Math.round(random() * maxStopDelayMs);
+		planned.push({
+			at: stopAt, fault: {
+				kind: 'stop', daemon, forMs: Math.round(random() * 1500), sparesLast: true,
+			},
+		});
+		if (random() < 0.4) {
+			planned.push({at: stopAt + Math.round(random() * 2000), fault: {kind: 'reload', daemon, isTold: true}});
+		}
+
+		if (random() < 0.3) {
+			planned.push({at: stopAt + Math.round(random() * 2000), fault: {kind: 'configure', hasSecondKey: random() < 0.5}});
 		}
 
 		at += pausesMs + Math.round(random() * 1500);
