No keeper grants before the earlier spending of accounts is known

A keeper now settles only when a settled one tells it what was spent, or the record was read, or a window has passed since its start, so that all that was spent before has aged out: a record that can never be read refuses nothing for longer. Until it is settled it reads the record, after 1.5 s every 0.3 to 0.6 s, so that it grants within a second of the store's return. Calls of accounts without a limit still wait 1.5 s at most.

quotas.test.ts passes {kind: 'none'} where it passed no record; what it checks is the same.

--- a/packages/core/src/quotas/quotas.test.ts
+++ b/packages/core/src/quotas/quotas.test.ts
@@ -57,7 +57,7 @@
 
 			let sum = 0;
 			for (const keeper of keepers) {
-				const isSettled = trySettle(keeper, {record: undefined, hasUnheard: keeper.peers.size < count - 1}, toClock(now));
+				const isSettled = trySettle(keeper, {record: {kind: 'none'}, hasUnheard: keeper.peers.size < count - 1}, toClock(now));
 				sum += isSettled ? computeShares(keeper, 'shop', [...keeper.peers.values()]).own : 0;
 			}
 
--- a/packages/core/src/quotas/settle-keeper.ts
+++ b/packages/core/src/quotas/settle-keeper.ts
@@ -36,14 +36,30 @@
 	keeper.reportedAt = clock.steady;
 };
 
+/** Clocks of daemons differ by less than this. */
+const clockToleranceMs = 300;
+
+/** What the store holds of the spending of accounts. `unknown` if it could not be read. */
+export type SpendingRecord =
+	| {readonly kind: 'unknown'}
+	/** Nothing was spent before. */
+	| {readonly kind: 'none'}
+	| {readonly kind: 'read'; readonly spending: RecordedSpending};
+
+/**
+ * Whether everything that earlier processes granted has left the window. A keeper that hears no settled one then needs no record: whoever
+ * granted since is heard or has its part reserved.
+ */
+const isOlderThanWindow = ({startedAt, windowMs}: KeeperState, clock: KeeperClock): boolean => clock.steady >= startedAt + windowMs + clockToleranceMs;
+
 export type SettleInput = {
 	/** Spending that the store holds. It is needed only if no other keeper is settled. */
-	readonly record: RecordedSpending | undefined;
+	readonly record: SpendingRecord;
 	/** Whether there are other keepers that it has never heard. */
 	readonly hasUnheard: boolean;
 };
 
-/** Settles the keeper if all that it hears have heard it since. Returns whether it may grant. */
+/** Settles the keeper if all that it hears have heard it since, and a settled one or the record has told what was spent. Returns whether it may grant. */
 export const trySettle = (keeper: KeeperState, {record, hasUnheard}: SettleInput, clock: KeeperClock): boolean => {
 	if (keeper.isSettled) {
 		return true;
@@ -60,8 +76,13 @@
 		return false;
 	}
 
-	if (record !== undefined && !heard.some(({isSettled}) => isSettled)) {
-		adoptRecord(keeper, record, clock);
+	const isToldByPeers = heard.some(({isSettled}) => isSettled);
+	if (!isToldByPeers && record.kind === 'unknown' && !isOlderThanWindow(keeper, clock)) {
+		return false;
+	}
+
+	if (!isToldByPeers && record.kind === 'read') {
+		adoptRecord(keeper, record.spending, clock);
 	}
 
 	keeper.isSettled = true;
--- a/packages/core/src/testing/simulate-limit.ts
+++ b/packages/core/src/testing/simulate-limit.ts
@@ -228,7 +228,7 @@
 			unsettle(keeper, toClock(now));
 		}
 
-		return trySettle(keeper, {record: hasStopped ? record : undefined, hasUnheard: computeUnheard(keeper) > 0}, toClock(now));
+		return trySettle(keeper, {record: hasStopped && record !== undefined ? {kind: 'read', spending: record} : {kind: 'none'}, hasUnheard: computeUnheard(keeper) > 0}, toClock(now));
 	};
 
 	const runRound = (daemon: Daemon, now: number): void => {
--- a/packages/gateway/src/gateway-state.ts
+++ b/packages/gateway/src/gateway-state.ts
@@ -6,7 +6,7 @@
 import {type GossipMember} from '@shallotpass/core/gossip/pick-relays.js';
 import {isSum, type GossipReport} from '@shallotpass/core/gossip/gossip-report.js';
 import {type ParticipantHistory} from '@shallotpass/core/limits/participants.js';
-import {type RecordedSpending} from '@shallotpass/core/quotas/recorded-spending.js';
+import {type SpendingRecord} from '@shallotpass/core/quotas/settle-keeper.js';
 import {type IndexedConfiguration} from '@shallotpass/core/calls/index-configuration.js';
 import {type WorkRate} from '@shallotpass/core/engines/work-rate.js';
 import {type PartUses} from '@shallotpass/core/placement/part-uses.js';
@@ -102,9 +102,9 @@
 	readonly rollouts: RolloutState;
 	/** This daemon's part in keeping the limits of client accounts. */
 	readonly quota: QuotaState;
-	/** Spending of accounts before this daemon started, as the store holds it. Written by the lease record. */
-	inherited: RecordedSpending | undefined;
-	/** Whether the earlier spending of accounts has been loaded, or cannot be loaded. Written by the leader task. */
+	/** Spending of accounts before this daemon started, as the store holds it. Written by the lease record and the leader task. */
+	inherited: SpendingRecord;
+	/** Whether callers need not wait for the earlier spending of accounts any more. Written by the leader task. */
 	isSpendingLoaded: boolean;
 	/** Start of this process, on the steady clock. */
 	readonly startedAt: number;
--- a/packages/gateway/src/leader/leader-task.ts
+++ b/packages/gateway/src/leader/leader-task.ts
@@ -7,11 +7,13 @@
 import {
 	type BackendOrder, getFencingToken, isLeaseFree, type Lease, type LeaseCandidate, type LeaseObservation, listDueWindows, canTakeLease, releasedIncarnation, observeLease, addReport,
 } from '@shallotpass/core/lease/lease.js';
+import {listHeardPeers} from '@shallotpass/core/quotas/keeper-state.js';
 import {getLeaseLookupDelayMs, type StoreRole} from '@shallotpass/core/gossip/store-role.js';
 import {
 	dropEarlierWindows, getWindowIndex, mergeUsage, sumWindow,
 } from '@shallotpass/core/usage/count-starts.js';
 import {pauseFor} from '../pause.js';
+import {readKeeperClock} from '../quotas/quota-state.js';
 import {adoptRollouts} from '../rollouts/adopt-rollouts.js';
 import {hasSameRollouts} from '../rollouts/plan-rollouts.js';
 import {makeStatusWriter, type StatusWriter} from '../rollouts/write-status.js';
@@ -32,6 +34,9 @@
 const spendingTimeoutMs = 1500;
 const spendingPollMs = 100;
 
+/** The same after the timeout. Up to twice as long passes between two reads, so that a store that is back is noticed within a second. */
+const lateSpendingPollMs = 300;
+
 /** When all daemons start for the first time, a peer reports the lease within this time. Callers arrive later. */
 const firstHolderTimeoutMs = 4000;
 
@@ -242,31 +247,49 @@
 		}
 	};
 
+	/** Whether a settled keeper tells what was spent, so that the record is not needed. */
+	const isToldByKeepers = (): boolean => listHeardPeers(gateway.quota.keeper, readKeeperClock(gateway.clocks)).some(({isSettled}) => isSettled);
+
+	/** Ends the wait of callers for the earlier spending. */
+	const markSpendingLoaded = (): void => {
+		if (!gateway.isSpendingLoaded) {
+			gateway.isSpendingLoaded = true;
+			gateway.log.write('state', 'spending_read', {isKnown: gateway.inherited.kind !== 'unknown' || isToldByKeepers(), inherited: gateway.inherited});
+		}
+	};
+
 	/**
 	 * Loads what accounts have spent. When all daemons start for the first time, nothing has been spent, and it is
 	 * enough that a daemon holds the lease. Otherwise all daemons may have restarted at once, and without the stored
 	 * spending an account near its limit would get its whole limit again. Callers wait for the result, but no longer
-	 * than the timeout if the store is unavailable.
+	 * than the timeout if the store is unavailable: calls of accounts without a limit do not need it. A keeper reads the record
+	 * until it is settled, as it grants nothing before.
 	 */
 	const loadSpending = async (): Promise<void> => {
 		if (gateway.settings.instance.firstStart) {
 			await waitForFirstHolder();
-			gateway.isSpendingLoaded = isHolderKnown();
+			if (isHolderKnown()) {
+				gateway.inherited = {kind: 'none'};
+			}
 		}
 
-		const giveUpAt = steady() + spendingTimeoutMs;
-		while (!gateway.isSpendingLoaded && !signal.aborted) {
-			// eslint-disable-next-line no-await-in-loop -- reads are sequential
-			const readResult = await record.read();
-			const isKnown = readResult.kind !== 'unknown' || isHolderReported();
-			gateway.isSpendingLoaded = isKnown || steady() >= giveUpAt;
-			if (gateway.isSpendingLoaded) {
-				gateway.log.write('state', 'spending_read', {isKnown, inherited: gateway.inherited});
-				return;
+		const waitUntil = steady() + spendingTimeoutMs;
+		while (gateway.inherited.kind === 'unknown' && !gateway.quota.keeper.isSettled && !signal.aborted) {
+			if (!isToldByKeepers() && (gateway.quota.isKeeper || !gateway.isSpendingLoaded)) {
+				await record.read(); // eslint-disable-line no-await-in-loop -- reads are sequential
+			}
+
+			if (isHolderReported() || isToldByKeepers() || steady() >= waitUntil) {
+				markSpendingLoaded();
 			}
 
-			await pauseFor(spendingPollMs, signal); // eslint-disable-line no-await-in-loop
+			if (gateway.inherited.kind === 'unknown') {
+				const pollMs = steady() < waitUntil ? spendingPollMs : lateSpendingPollMs * (1 + gateway.random());
+				await pauseFor(pollMs, signal); // eslint-disable-line no-await-in-loop -- a poll
+			}
 		}
+
+		markSpendingLoaded();
 	};
 
 	void loadSpending();
--- a/packages/gateway/src/leader/lease-record.ts
+++ b/packages/gateway/src/leader/lease-record.ts
@@ -94,7 +94,7 @@
 	const inheritKnowledge = (lease: Lease): void => {
 		if (lease.incarnation !== gateway.incarnation) {
 			adoptCrashes(gateway, {entries: lease.convicted, refuted: []});
-			gateway.inherited = lease.spent.recorded ?? convertEvenSlots(lease.spent, gateway.settings.bounds.quotaWindowMs);
+			gateway.inherited = {kind: 'read', spending: lease.spent.recorded ?? convertEvenSlots(lease.spent, gateway.settings.bounds.quotaWindowMs)};
 		}
 	};
 
@@ -107,6 +107,7 @@
 		({end} = listing);
 		const record = listing.records.find(known => known.key === leaseKey);
 		if (record?.value === undefined) {
+			gateway.inherited = gateway.inherited.kind === 'unknown' ? {kind: 'none'} : gateway.inherited;
 			return {kind: 'none'};
 		}
 
--- a/packages/gateway/src/quotas/grant-cost.ts
+++ b/packages/gateway/src/quotas/grant-cost.ts
@@ -72,7 +72,7 @@
 	const {quota, clocks, settings} = gateway;
 	const {keeper, hasUnheardKeepers} = quota;
 	const clock = readKeeperClock(clocks);
-	if (!quota.isKeeper || !gateway.isSpendingLoaded) {
+	if (!quota.isKeeper) {
 		return false;
 	}
 
@@ -85,7 +85,7 @@
 	const isFirstTime = clock.steady < keeper.startedAt + settings.bounds.quotaWindowMs && keeper.payments.size === 0;
 	const {inherited} = gateway;
 	const isSettled = trySettle(keeper, {
-		record: isFirstTime ? inherited : undefined,
+		record: isFirstTime ? inherited : {kind: 'none'},
 		hasUnheard: hasUnheardKeepers,
 	}, clock);
 	if (isSettled && !wasSettled) {
--- a/packages/gateway/src/start-gateway.ts
+++ b/packages/gateway/src/start-gateway.ts
@@ -94,7 +94,7 @@
 	directoryStatus: {
 		offset: 0, source: 'store', confirmedAt: Number.NEGATIVE_INFINITY, storeAnsweredAt: Number.NEGATIVE_INFINITY,
 	},
-	inherited: undefined,
+	inherited: {kind: 'unknown'},
 	isSpendingLoaded: false,
 	startedAt,
 	repeatAccounts: new Map(),
