--- a/packages/core/src/quotas/quota-bound.test.ts
+++ b/packages/core/src/quotas/quota-bound.test.ts
@@ -141,3 +141,48 @@
 	assert.deepEqual(splitCost(90, [50, 20, 40]), [45, 9, 36]);
 	assert.equal(splitCost(100, [50, 20, 40]), undefined);
 });
+
+const jumpRate = (from: number) => (now: number): number => limit.perSecond * (now < from ? 0.4 : 7.5);
+
+test('no end of all daemons gives an account its limit again, however often they end and whoever writes between', () => {
+	for (const [daemons, counts] of [[2, [2, 8]], [6, [2, 4, 8]], [12, [4]], [68, [2]]] as const) {
+		const cases = counts.flatMap(count => [200, 700, 1500, 6000].map(apartMs => ({
+			name: `${daemons} daemons, ${count} ends ${apartMs} ms apart`,
+			calls: simulate(daemons, 1, {
+				stops: Array.from({length: count}, (_stop, index) => 9500 + (index * apartMs)), unwrittenMs: 1200, meanCost: 4000, durationMs: 16_000 + (count * apartMs), getRequestedRate: jumpRate(8000),
+			}),
+		})));
+		assert.deepEqual(listExceeded(cases), []);
+	}
+});
+
+test('an end of all daemons during an outage of the store, or at its end, does not give an account its limit again', () => {
+	for (const daemons of [2, 6, 12]) {
+		const cases = [500, 2000, 4500, 12_000].flatMap(awayMs => [0.1, 0.5, 0.95].map(part => ({
+			name: `${daemons} daemons, away ${awayMs} ms, end at ${part} of it`,
+			calls: simulate(daemons, 1, {
+				outages: [{from: 8000, until: 8000 + awayMs}], stops: [8000 + (part * awayMs)], meanCost: 4000, durationMs: 20_000 + awayMs, getRequestedRate: jumpRate(8500),
+			}),
+		})));
+		assert.deepEqual(listExceeded(cases), []);
+	}
+});
+
+test('an account below its limit is refused nothing during an outage of the store', () => {
+	for (const daemons of [3, 9]) {
+		for (const part of [0.3, 0.9]) {
+			assert.equal(countRefused(daemons, {outages: [{from: 9000, until: 17_000}], getRequestedRate: now => limit.perSecond * (now < 2000 ? 0 : part)}), 0, `${daemons} daemons, ${part} of the limit`);
+		}
+	}
+});
+
+test('a jump to 7.5 times of what was usual uses the limit within the window', () => {
+	for (const [daemons, part] of [[2, 0.9], [6, 0.9], [12, 0.9], [68, 0.8]] as const) {
+		const used = seeds.map(seed => simulate(daemons, seed, {meanCost: 4000, durationMs: 18_000, getRequestedRate: now => limit.perSecond * (now < 8000 ? 0.25 : 0.25 * 7.5)})
+			.reduce((sum, {at, cost, isAdmitted}) => sum + (isAdmitted && at >= 8000 && at < 16_000 ? cost : 0), 0));
+		const mean = used.reduce((sum, cost) => sum + cost, 0) / seeds.length;
+		// What was spent in the window before leaves it meanwhile.
+		const least = part * Math.min(0.25 * 7.5 * 8 * limit.perSecond, (8 * limit.perSecond) + limit.burst);
+		assert.ok(mean >= least, `${daemons} daemons: ${Math.round(mean)} of ${Math.round(least)}`);
+	}
+});
