A backend server that turned a call away and then runs it is not sent it again

What callers saw: nothing wrong in their answers, but one call ran twice at the same backend server at a time, and took a repeat and one of the runs of its route for that.

Cause: an offer to those that turned the call away (`admitRefusing`) takes them off `attemptedIncarnations` and leaves them in `turnedAwayBy`. One that accepts the second offer and is late stays in both, so the next offer takes it off again and sends it the call while its run is under way. `resetTurnedAway` of a search for a successor did the same to the backend server of the run itself, and gave back an attempt that had run.

Each send now takes its backend server out of `turnedAwayBy`; it is put back if it turns the call away again.

Evidence: "a backend server that has turned a call away and then runs it late is not sent it once more" failed before with executions [1, 2] in place of [1, 1], and passes now.

--- a/packages/gateway/src/calls/call-attempts.ts
+++ b/packages/gateway/src/calls/call-attempts.ts
@@ -195,6 +195,8 @@
 	recordAwaited(context.trace, 'head', startedAt);
 	progress.attempts++;
 	progress.attemptedIncarnations.add(state.incarnation);
+	// It may run the call this time, and must not be sent it once more then.
+	progress.turnedAwayBy.delete(state.incarnation);
 	const knownAtSend = describeKnowledge(gateway, placement);
 	// A moved run waits for its KV cache after its placements were chosen.
 	const mayReceive = mayStillReceive(gateway, state);
