A late run of a search for a successor is kept until another one has taken the stream

What callers saw: a stream whose engine was silent and then ended broke off, though an engine had taken the rest and would have sent it.

Cause: the search sent the rest with `sendToBestBackend` and without `onDoubt`, so a second run that sent no head for 1.3 s was given up as soon as a repeat was left, whether or not others had room. Its engine stays in `attemptedIncarnations` and is not asked again. Where the others refuse and the first run ends meanwhile, nobody is left.

The search uses `sendUntilAccepted`, which keeps a late run while the others are asked and cancels the losers.

Evidence: "a stream of a silent engine that ends goes on at an engine that is late to take it" (heads after 1.8 s, a third engine that refuses) failed before with pieces 1 to 8 and then a broken connection, and passes now; silent-streams, pausing-streams and drain-ends pass (34 of 34).

--- a/packages/gateway/src/calls/seek-successor.ts
+++ b/packages/gateway/src/calls/seek-successor.ts
@@ -5,7 +5,7 @@
 import {mayRunAgain} from '../crashes/check-verdict.js';
 import {pauseFor} from '../pause.js';
 import {recordAwaited, recordSendEnd} from '../telemetry/call-trace.js';
-import {discardResponse, recordBrokenAttempt, sendToBestBackend} from './call-attempts.js';
+import {discardResponse, recordBrokenAttempt} from './call-attempts.js';
 import {isUnsent} from './call-outcome.js';
 import {resetTurnedAway} from './call-progress.js';
 import {confirmCallerWaits} from './caller-presence.js';
@@ -13,6 +13,7 @@
 import {type GivenUpReason} from './record-run-end.js';
 import {type Attempt} from './run-at-backend.js';
 import {hasRepeatLeft, returnHeldPermit} from './send-permit.js';
+import {sendUntilAccepted} from './send-until-accepted.js';
 import {
 	type AnsweredAttempt, canGoOn, getLastEventId, type StreamState,
 } from './stream-state.js';
@@ -101,14 +102,14 @@
 	recordSendEnd(trace, attempt.source, 'without_event');
 };
 
-/** Asks one backend server after the other, until one takes the stream or none does now. */
+/** Asks one backend server after the other, until one takes the stream or none does now. One that is late is kept while others are asked. */
 const askOthers = async (search: Search): Promise<void> => {
 	const {stream, signal} = search;
 	const {context, call, progress} = stream;
 	while (await mayAsk(search)) { // eslint-disable-line no-await-in-loop -- one after the other
 		search.asked++;
 		// eslint-disable-next-line no-await-in-loop -- one after the other
-		const result = await sendToBestBackend(context, {call, outgoing: {...stream.outgoing, lastEventId: getLastEventId(stream)}}, progress, signal);
+		const result = await sendUntilAccepted(context, {call, outgoing: {...stream.outgoing, lastEventId: getLastEventId(stream)}}, progress, signal);
 		if (isUnsent(result)) {
 			search.asked--;
 			return;
