The signal of a search for a successor is one that Node.js lets go

What was seen: nothing by callers. Since the search uses `sendUntilAccepted`, a send listens to the signal of the search for as long as its call. Node.js 20 keeps a signal of `AbortSignal.any` in a global set while anything listens to it, so each search that is not cancelled would have left its signal, and what its listeners hold, in memory for good.

The search has a controller of its own that follows the signal of the stream, as sends have.

There is no test of it; silent-streams, pausing-streams and late-heads pass with the change.

--- a/packages/gateway/src/calls/seek-successor.ts
+++ b/packages/gateway/src/calls/seek-successor.ts
@@ -2,6 +2,7 @@
  * Looks for a backend server that goes on with a stream whose run sends nothing, while that run is kept: its backend server may be sound,
  * and the others may be full. The run is given up only once another one has taken the rest, and is the only one again if it goes on first.
  */
+import {listenForAbort} from '@shallotpass/common/listen-for-abort.js';
 import {mayRunAgain} from '../crashes/check-verdict.js';
 import {pauseFor} from '../pause.js';
 import {recordAwaited, recordSendEnd} from '../telemetry/call-trace.js';
@@ -191,9 +192,14 @@
 	return {
 		canBegin: () => pending === undefined && !ending.signal.aborted && !stream.signal.aborted && canGoOn(stream),
 		begin(reason) {
-			cancelled = new AbortController();
+			const controller = new AbortController();
+			// Node.js 20 keeps a combined signal for as long as anything listens to it, and the send of a successor listens until the end.
+			listenForAbort(stream.signal, () => {
+				controller.abort();
+			});
+			cancelled = controller;
 			current = {
-				stream, reason, signal: AbortSignal.any([stream.signal, cancelled.signal]), ending: ending.signal, silentSince: stream.context.timing.lastEventAt,
+				stream, reason, signal: controller.signal, ending: ending.signal, silentSince: stream.context.timing.lastEventAt,
 				asked: 0, rounds: 0, successor: undefined, onTaken,
 			};
 			pending = run(current);
