Late runs leave half of the repeats to calls whose runs have ended

What callers saw: 502 for calls whose backend server had ended, without a second send. One late plain call whose second backend server kept refusing had taken five repeats, which was all that the daemon had.

Cause: `sendUntilAccepted` offers a call whose run is kept again to those that turned it away, 0.2, 0.4, 0.8 and 1.6 s later, and each offer may take the last repeat. Searches for a successor keep to half of the limit for that. Besides, the permit for an offer that found nobody to send to was held until the next one, as under way; and a search marked the call as over when it returned its permit.

`mayAskAgain` decides for both. A permit is returned when an offer finds nobody, and only the end of the call marks it as over. First offers and calls without a run use the whole limit, as before.

--- a/packages/gateway/src/calls/seek-successor.ts
+++ b/packages/gateway/src/calls/seek-successor.ts
@@ -13,7 +13,7 @@
 import {prepareRepeat} from './prepare-repeat.js';
 import {type GivenUpReason} from './record-run-end.js';
 import {type Attempt} from './run-at-backend.js';
-import {hasRepeatLeft, returnHeldPermit} from './send-permit.js';
+import {mayAskAgain, returnHeldPermit} from './send-permit.js';
 import {sendUntilAccepted} from './send-until-accepted.js';
 import {
 	type AnsweredAttempt, canGoOn, getLastEventId, type StreamState,
@@ -24,9 +24,6 @@
 /** Pause after all others have turned the stream away, in milliseconds. It doubles each time, as each of these sends counts as a repeat. */
 const firstPauseMs = 100;
 
-/** Share of the limit of repeats up to which others are asked again after all have turned the stream away. The rest is for runs that have ended. */
-const askAgainShare = 0.5;
-
 /** What a search came to. `went_on`: the run sent an event first. `run_ended`: the run ended, or nobody waits for it any more. */
 export type SearchOutcome = 'replaced' | 'went_on' | 'run_ended';
 
@@ -66,7 +63,7 @@
 		return false;
 	}
 
-	const mayTakeRepeat = search.rounds === 0 || hasRepeatLeft(gateway, call, askAgainShare);
+	const mayTakeRepeat = search.rounds === 0 || mayAskAgain(gateway, call);
 	if (!await confirmCallerWaits(gateway, signal) || !mayTakeRepeat || !prepareRepeat(gateway, call, progress, progress.possibleRuns)) {
 		return false;
 	}
--- a/packages/gateway/src/calls/send-permit.ts
+++ b/packages/gateway/src/calls/send-permit.ts
@@ -37,6 +37,12 @@
 	return countRepeats(account, limit, now) + 1 <= share * computeMaxRepeats(account, limit, now);
 };
 
+/** Share of the limit of repeats up to which those that turned a call away are asked again. The rest is for calls whose runs have ended. */
+const askAgainShare = 0.5;
+
+/** Whether the limit leaves a repeat for asking those again that turned the call away, while a run of it is kept. */
+export const mayAskAgain = (gateway: GatewayState, call: Call): boolean => hasRepeatLeft(gateway, call, askAgainShare);
+
 /** Takes a repeat from the limit, whether or not the call has arrived before. Returns undefined if none is left. */
 export const takeRepeatPermit = (gateway: GatewayState, call: Call): SendPermit | undefined => {
 	if (!takeRepeat(getRepeatAccount(gateway, call.service), getRepeatLimit(gateway), gateway.clocks.steady())) {
@@ -81,11 +87,16 @@
 	}
 };
 
-/** Returns the permit that a call holds at its end. */
+/** Returns the permit that a call holds and does not need for now. */
 export const returnHeldPermit = (gateway: GatewayState, call: Call, progress: CallProgress): void => {
-	progress.isOver = true;
 	if (progress.heldPermit !== undefined) {
 		returnPermit(gateway, call, progress.heldPermit);
 		progress.heldPermit = undefined;
 	}
 };
+
+/** Returns the permit that a call holds at its end. Those of sends that come to their end later are returned then. */
+export const returnLastPermit = (gateway: GatewayState, call: Call, progress: CallProgress): void => {
+	progress.isOver = true;
+	returnHeldPermit(gateway, call, progress);
+};
--- a/packages/gateway/src/calls/send-until-accepted.ts
+++ b/packages/gateway/src/calls/send-until-accepted.ts
@@ -19,6 +19,7 @@
 import {type Placement} from './place-call.js';
 import {hasAttemptLeft} from './prepare-repeat.js';
 import {recordUsage} from './run-at-backend.js';
+import {mayAskAgain, returnHeldPermit} from './send-permit.js';
 import {takeRetry} from './take-retry.js';
 
 type AnsweredResult = SendResult & {readonly kind: 'answered'};
@@ -283,6 +284,11 @@
 			}
 
 			case 'retry': {
+				if (!mayAskAgain(context.gateway, call)) {
+					scheduleRetry();
+					continue;
+				}
+
 				admitRefusing(progress);
 				break;
 			}
@@ -296,6 +302,10 @@
 			continue;
 		}
 
+		if (isUnplaced) {
+			returnHeldPermit(context.gateway, call, progress);
+		}
+
 		// eslint-disable-next-line no-await-in-loop -- one send after the other
 		if (!isUnplaced && retryTimer === undefined && !signal.aborted && await takeRetry(context, admitted, progress, signal)) {
 			if (steps.isEmpty()) {
--- a/packages/gateway/src/calls/serve-call.ts
+++ b/packages/gateway/src/calls/serve-call.ts
@@ -19,7 +19,7 @@
 import {sendRefusal} from './refusal.js';
 import {getRepeatAccount, getRepeatLimit} from './repeat-limit.js';
 import {type Arrival} from './request-queue.js';
-import {returnHeldPermit} from './send-permit.js';
+import {returnLastPermit} from './send-permit.js';
 import {servePlain} from './serve-plain.js';
 import {serveStream} from './serve-stream.js';
 
@@ -115,7 +115,7 @@
 	} finally {
 		clearTimeout(timer);
 		stopListening();
-		returnHeldPermit(gateway, call, progress);
+		returnLastPermit(gateway, call, progress);
 	}
 };
 
