A call that fails within its daemon ends its sends

What callers saw: 500, as before. The runs of the call went on at their backend servers: an error that ended the call left its sends, and a search for a successor, with nobody to end them, as the connection of the caller and the deadline are no longer watched then.

The signal of the call is aborted when an error ends it.

Evidence: "a call that fails within its daemon leaves no run behind", in which a metric throws as the answer begins, failed before (the run had not ended after 500 ms), and passes now. The load that is counted for such a run at its backend server is not given back yet.

--- a/packages/gateway/src/calls/serve-call.ts
+++ b/packages/gateway/src/calls/serve-call.ts
@@ -112,6 +112,10 @@
 		}
 
 		return outcome;
+	} catch (error) {
+		// Sends may be under way that nobody ends any more.
+		caller.expire();
+		throw error;
 	} finally {
 		clearTimeout(timer);
 		stopListening();
