--- a/packages/gateway/src/calls/seek-successor.ts
+++ b/packages/gateway/src/calls/seek-successor.ts
@@ -2,17 +2,19 @@
  * Looks for a backend server that goes on with a stream whose run sends nothing, while that run is kept: its backend server may be sound,
  * and the others may be full. The run is given up only once another one has taken the rest, and is the only one again if it goes on first.
  */
+import {listenForAbort} from '@shallotpass/common/listen-for-abort.js';
 import {mayRunAgain} from '../crashes/check-verdict.js';
 import {pauseFor} from '../pause.js';
 import {recordAwaited, recordSendEnd} from '../telemetry/call-trace.js';
-import {discardResponse, recordBrokenAttempt, sendToBestBackend} from './call-attempts.js';
+import {discardResponse, recordBrokenAttempt} from './call-attempts.js';
 import {isUnsent} from './call-outcome.js';
 import {resetTurnedAway} from './call-progress.js';
 import {confirmCallerWaits} from './caller-presence.js';
 import {prepareRepeat} from './prepare-repeat.js';
 import {type GivenUpReason} from './record-run-end.js';
 import {type Attempt} from './run-at-backend.js';
-import {hasRepeatLeft, returnHeldPermit} from './send-permit.js';
+import {mayAskAgain, returnHeldPermit} from './send-permit.js';
+import {sendUntilAccepted} from './send-until-accepted.js';
 import {
 	type AnsweredAttempt, canGoOn, getLastEventId, type StreamState,
 } from './stream-state.js';
@@ -22,9 +24,6 @@
 /** Pause after all others have turned the stream away, in milliseconds. It doubles each time, as each of these sends counts as a repeat. */
 const firstPauseMs = 100;
 
-/** Share of the limit of repeats up to which others are asked again after all have turned the stream away. The rest is for runs that have ended. */
-const askAgainShare = 0.5;
-
 /** What a search came to. `went_on`: the run sent an event first. `run_ended`: the run ended, or nobody waits for it any more. */
 export type SearchOutcome = 'replaced' | 'went_on' | 'run_ended';
 
@@ -64,7 +63,7 @@
 		return false;
 	}
 
-	const mayTakeRepeat = search.rounds === 0 || hasRepeatLeft(gateway, call, askAgainShare);
+	const mayTakeRepeat = search.rounds === 0 || mayAskAgain(gateway, call);
 	if (!await confirmCallerWaits(gateway, signal) || !mayTakeRepeat || !prepareRepeat(gateway, call, progress, progress.possibleRuns)) {
 		return false;
 	}
@@ -101,14 +100,14 @@
 	recordSendEnd(trace, attempt.source, 'without_event');
 };
 
-/** Asks one backend server after the other, until one takes the stream or none does now. */
+/** Asks one backend server after the other, until one takes the stream or none does now. One that is late is kept while others are asked. */
 const askOthers = async (search: Search): Promise<void> => {
 	const {stream, signal} = search;
 	const {context, call, progress} = stream;
 	while (await mayAsk(search)) { // eslint-disable-line no-await-in-loop -- one after the other
 		search.asked++;
 		// eslint-disable-next-line no-await-in-loop -- one after the other
-		const result = await sendToBestBackend(context, {call, outgoing: {...stream.outgoing, lastEventId: getLastEventId(stream)}}, progress, signal);
+		const result = await sendUntilAccepted(context, {call, outgoing: {...stream.outgoing, lastEventId: getLastEventId(stream)}}, progress, signal);
 		if (isUnsent(result)) {
 			search.asked--;
 			return;
@@ -190,9 +189,14 @@
 	return {
 		canBegin: () => pending === undefined && !ending.signal.aborted && !stream.signal.aborted && canGoOn(stream),
 		begin(reason) {
-			cancelled = new AbortController();
+			const controller = new AbortController();
+			// Node.js 20 keeps a combined signal for as long as anything listens to it, and the send of a successor listens until the end.
+			listenForAbort(stream.signal, () => {
+				controller.abort();
+			});
+			cancelled = controller;
 			current = {
-				stream, reason, signal: AbortSignal.any([stream.signal, cancelled.signal]), ending: ending.signal, silentSince: stream.context.timing.lastEventAt,
+				stream, reason, signal: controller.signal, ending: ending.signal, silentSince: stream.context.timing.lastEventAt,
 				asked: 0, rounds: 0, successor: undefined, onTaken,
 			};
 			pending = run(current);
--- a/packages/gateway/src/calls/serve-call.ts
+++ b/packages/gateway/src/calls/serve-call.ts
@@ -19,7 +19,7 @@
 import {sendRefusal} from './refusal.js';
 import {getRepeatAccount, getRepeatLimit} from './repeat-limit.js';
 import {type Arrival} from './request-queue.js';
-import {returnHeldPermit} from './send-permit.js';
+import {returnLastPermit} from './send-permit.js';
 import {servePlain} from './serve-plain.js';
 import {serveStream} from './serve-stream.js';
 
@@ -112,10 +112,14 @@
 		}
 
 		return outcome;
+	} catch (error) {
+		// Sends may be under way that nobody ends any more.
+		caller.expire();
+		throw error;
 	} finally {
 		clearTimeout(timer);
 		stopListening();
-		returnHeldPermit(gateway, call, progress);
+		returnLastPermit(gateway, call, progress);
 	}
 };
 
