--- a/packages/gateway/src/telemetry/call-trace.test.ts
+++ b/packages/gateway/src/telemetry/call-trace.test.ts
@@ -21,7 +21,7 @@
 });
 
 test('the trace of a call that is turned away again and again stays small', () => {
-	const trace = trackCall({} as http.ServerResponse, 0); // eslint-disable-line @typescript-eslint/consistent-type-assertions -- only its identity counts
+	const trace = trackCall({} as http.ServerResponse, 0);
 	for (let index = 0; index < 100; index++) {
 		recordSend(trace, `engine-${index}`, 'refused_503');
 	}
--- a/packages/stand-ins/src/faults.ts
+++ b/packages/stand-ins/src/faults.ts
@@ -6,7 +6,7 @@
 	/**
 	 * `delay` responds late, `lose_reply` performs the operation and closes the connection without a
 	 * response, `refuse` responds with 503 and does not perform the operation, `silent` never responds,
-	 * `pause` sends nothing for a while in the middle of the response and goes on,
+	 * `pause` sends nothing for a while in the middle of a stream, or before another response, and goes on,
 	 * `break` sends an unreadable response, `mismatch` responds with the id of another request, and `cut`
 	 * aborts the response in the middle.
 	 */
--- a/packages/stand-ins/src/http-stand-in.ts
+++ b/packages/stand-ins/src/http-stand-in.ts
@@ -98,6 +98,7 @@
 			return;
 		}
 
+		case 'pause':
 		case 'delay': {
 			const reply = await execute();
 			await sleep(fault.delayMs ?? 100);
--- a/packages/stand-ins/src/plain-service-stand-in.ts
+++ b/packages/stand-ins/src/plain-service-stand-in.ts
@@ -97,6 +97,7 @@
 				return;
 			}
 
+			case 'pause':
 			case 'delay': {
 				await new Promise(resolve => {
 					setTimeout(resolve, fault.delayMs ?? 100);
