--- a/packages/gateway/src/calls/move-run.ts
+++ b/packages/gateway/src/calls/move-run.ts
@@ -17,7 +17,6 @@
 import {confirmConnection, confirmIncarnation} from './confirm-incarnation.js';
 import {type Placement, placeCall, type PlacementResult} from './place-call.js';
 import {type BackendState} from './backend-registry.js';
-import {connectTimeoutMs} from './run-at-backend.js';
 import {returnPermit, type SendPermit, takeRepeatPermit} from './send-permit.js';
 
 /**
@@ -28,10 +27,10 @@
 const moveLeadMs = 1300;
 
 /**
- * Time before the end of the drain time at which a run is moved at the latest, in milliseconds. If its KV cache can't be copied, which an
- * engine may need some time to say, it returns to its own backend server, where it must arrive within the drain time, also on a new connection.
+ * Time before the end of the drain time at which a run is moved at the latest, in milliseconds. If its KV cache
+ * can't be copied, it returns to its own backend server, where it must arrive within the drain time.
  */
-const returnLeadMs = 500 + connectTimeoutMs;
+const returnLeadMs = 500;
 
 /** Timeout of a move. The run makes no progress meanwhile. */
 const moveTimeoutMs = 800;
