Take back that keepers grant no more than the record in the store allows

After the end of all daemons the whole burst of the record counts as spent, so accounts below their limits are refused. The design stands in; it needs smaller bursts for accounts that ask little. That nothing is granted on an unknown record stays.

--- a/packages/core/src/gossip/odd-names.test.ts
+++ b/packages/core/src/gossip/odd-names.test.ts
@@ -59,7 +59,7 @@
 		results,
 		subtractResultsByService(results, {}),
 		getRouteResults(emptyResults(1), name),
-		[...readRecordedSlots({at: 0, accounts: {}, expectedMs: 1}, name, {windowMs: 1000, endedBy: 0, usable: 0})],
+		[...readRecordedSlots({at: 0, accounts: {}, expectedMs: 1}, name, {windowMs: 1000, endedBy: 0})],
 	];
 };
 
--- a/packages/core/src/quotas/decide-payment.ts
+++ b/packages/core/src/quotas/decide-payment.ts
@@ -2,18 +2,13 @@
  * Decides whether a keeper grants the cost of a call. What it grants before the others know of it never exceeds its part of what is left, and the
  * parts sum to 1 at most. So all keepers together grant no more than the limit, however fast the demand grows.
  */
-import {
-	collectKnown, sumOthers, sumOwn, sumOwnSince,
-} from './known-spending.js';
+import {sumOthers, sumOwn, sumOwnSince} from './known-spending.js';
 import {
 	findConfirmedUntil, type KeeperClock, type KeeperState, listHeardPeers,
 } from './keeper-state.js';
 import {countLosses} from './count-losses.js';
-import {
-	type ReserveInput, sumReservedShares, sumReserves, updateReserves,
-} from './keeper-reserves.js';
+import {type ReserveInput, sumReserves, updateReserves} from './keeper-reserves.js';
 import {computeShares, recordAsked} from './keeper-shares.js';
-import {computeAllowed, sumFrom} from './recorded-spending.js';
 import {makeSpending, recordSpent} from './spending.js';
 
 /** What a keeper may grant of an account's limit. Costs are in cost units. */
@@ -28,8 +23,6 @@
 	readonly unconfirmed: number;
 	/** What is left to keepers that are not heard. */
 	readonly reserved: number;
-	/** Whether the record in the store allows less than the limit does. */
-	readonly isBoundByRecord: boolean;
 };
 
 export type StandingInput = ReserveInput & {
@@ -39,23 +32,6 @@
 	readonly foreign?: number;
 };
 
-/** Computes what is left of what the record in the store allows, without what this keeper granted and others may not know. */
-const computeRecordedLeft = (keeper: KeeperState, input: StandingInput, unconfirmed: number, clock: KeeperClock): number => {
-	const {allowance} = keeper;
-	if (allowance === 'unbounded') {
-		return Infinity;
-	}
-
-	if (allowance === 'unknown') {
-		return 0;
-	}
-
-	const {account, maxUsable} = input;
-	const allowed = computeAllowed(allowance, account, {usable: maxUsable, now: clock.trueTime, windowMs: keeper.windowMs});
-	const granted = sumFrom(collectKnown(keeper, account, clock), allowance.since);
-	return (allowed - granted + unconfirmed) * (1 - sumReservedShares(keeper, input, clock));
-};
-
 export const computeStanding = (keeper: KeeperState, input: StandingInput, clock: KeeperClock): Standing => {
 	const {account, usable, foreign = 0} = input;
 	const heard = listHeardPeers(keeper, clock);
@@ -64,9 +40,8 @@
 	const unconfirmed = sumOwnSince(keeper, account, clock, findConfirmedUntil(heard));
 	const reserved = sumReserves(keeper, input, clock);
 	const left = usable - (known - unconfirmed) - reserved;
-	const recordedLeft = computeRecordedLeft(keeper, input, unconfirmed, clock);
 	return {
-		room: (share * Math.min(left, recordedLeft)) - unconfirmed, share, known, unconfirmed, reserved, isBoundByRecord: recordedLeft < left,
+		room: (share * left) - unconfirmed, share, known, unconfirmed, reserved,
 	};
 };
 
--- a/packages/core/src/quotas/keeper-ledger.test.ts
+++ b/packages/core/src/quotas/keeper-ledger.test.ts
@@ -124,30 +124,12 @@
 });
 
 test('a record in the store tells what was spent before an end of all, and what may have been spent since it was written', () => {
-	const known: SlotAmounts = new Map([[toSlot(8500, windowMs), 300]]);
-	const record = makeRecordedSpending(new Map([[account, {
-		known, demand: 100, left: 900, reserved: 0,
-	}]]), {at: 10_000, windowMs, expectedMs: 1200});
-	const sum = (endedBy: number) => sumAmounts(readRecordedSlots(record, account, {windowMs, endedBy, usable: 1200}), endedBy, windowMs);
-	assert.equal(sum(10_000), 300);
-	assert.equal(sum(10_600), 300 + 60);
-	// A burst of 300, and 150 a second until 0.3 s after the end, as clocks differ.
-	assert.equal(sum(12_100), 300 + 300 + 360);
-	assert.equal(sum(15_900), 300 + 900, 'never more than was left');
-	assert.equal(sumAmounts(readRecordedSlots(record, 'other', {windowMs, endedBy: 12_000, usable: 1200}), 12_000, windowMs), 300, 'the burst of an account that nobody used');
-});
-
-test('a record of an earlier version covers the time that it states, and all that was left after that', () => {
-	const known: SlotAmounts = new Map([[toSlot(8500, windowMs), 300]]);
-	const {until, ...record} = makeRecordedSpending(new Map([[account, {
-		known, demand: 1000, left: 900, reserved: 0,
-	}]]), {at: 10_000, windowMs, expectedMs: 1200});
-	assert.ok(until !== undefined);
-	const sum = (endedBy: number) => sumAmounts(readRecordedSlots(record, account, {windowMs, endedBy, usable: 1500}), endedBy, windowMs);
+	const known: SlotAmounts = new Map([[toSlot(10_000, windowMs), 300]]);
+	const record = makeRecordedSpending(new Map([[account, {known, demand: 1000, left: 900}]]), {at: 10_000, windowMs, expectedMs: 1200});
+	const sum = (endedBy: number) => sumAmounts(readRecordedSlots(record, account, {windowMs, endedBy}), endedBy, windowMs);
 	assert.equal(sum(10_000), 300);
 	assert.equal(sum(10_600), 300 + 450);
-	assert.equal(sum(11_200), 300 + 900);
-	assert.equal(sum(11_300), 1500);
+	assert.equal(sum(12_000), 300 + 900);
 });
 
 test('a late report of an ended incarnation does not end the one that replaced it', () => {
--- a/packages/core/src/quotas/keeper-reserves.ts
+++ b/packages/core/src/quotas/keeper-reserves.ts
@@ -81,13 +81,3 @@
 
 	return sum;
 };
-
-/** Sums the parts that are left to keepers that are not heard, of what is left in all. */
-export const sumReservedShares = (keeper: KeeperState, {account, unheardShare}: Omit<ReserveInput, 'usable'>, clock: KeeperClock): number => {
-	let sum = unheardShare;
-	for (const peer of keeper.peers.values()) {
-		sum += isSilent(peer, clock) ? (peer.reserves?.get(account) ?? peer.reserves?.get(otherAccounts))?.share ?? 0 : 0;
-	}
-
-	return Math.min(1, sum);
-};
--- a/packages/core/src/quotas/keeper-state.ts
+++ b/packages/core/src/quotas/keeper-state.ts
@@ -4,7 +4,6 @@
  *
  * What was granted is kept by the incarnation that granted it and by slots of time, and outlives that incarnation.
  */
-import {type Allowance} from './recorded-spending.js';
 import {type SlotAmounts} from './slot-amounts.js';
 import {type Spending} from './spending.js';
 
@@ -88,8 +87,6 @@
 	/** True time from which on others must have heard this keeper before it grants again. */
 	unsettledSince: number;
 	isSettled: boolean;
-	/** The record in the store by which it grants. `unknown` until one is known, `unbounded` where none is kept. */
-	allowance: Allowance | 'unknown' | 'unbounded';
 	/** When it last sent reports, on the steady clock. */
 	reportedAt: number;
 };
@@ -105,7 +102,7 @@
 };
 
 export const makeKeeper = ({id, incarnation, windowMs, clock}: KeeperOptions): KeeperState => ({
-	id, incarnation, windowMs, payments: new Map(), demands: new Map(), reported: [], weight: 1, peers: new Map(), departed: new Map(), startedAt: clock.steady, unsettledSince: clock.trueTime, isSettled: false, allowance: 'unbounded', reportedAt: clock.steady,
+	id, incarnation, windowMs, payments: new Map(), demands: new Map(), reported: [], weight: 1, peers: new Map(), departed: new Map(), startedAt: clock.steady, unsettledSince: clock.trueTime, isSettled: false, reportedAt: clock.steady,
 });
 
 /** Weight of a keeper that leads its zone, against 1 of the others: large calls fit only into a large part. */
--- a/packages/core/src/quotas/settle-keeper.ts
+++ b/packages/core/src/quotas/settle-keeper.ts
@@ -3,9 +3,7 @@
  * restart would give an account its limit again.
  */
 import {type KeeperClock, type KeeperState, listHeardPeers} from './keeper-state.js';
-import {
-	type Allowance, makeFirstAllowance, type RecordedSpending, readRecordedSlots, toAllowance,
-} from './recorded-spending.js';
+import {type RecordedSpending, readRecordedSlots} from './recorded-spending.js';
 
 /** A keeper waits this long for others that it has never heard. */
 const introductionMs = 1000;
@@ -17,25 +15,15 @@
 /** A keeper that sent no report for this long has not run meanwhile. */
 const maxReportPauseMs = 1000;
 
-/** Grants by this record from now on, unless it grants by a newer one. Undefined for a record of an earlier version. */
-export const adoptAllowance = (keeper: KeeperState, allowance: Allowance | undefined): void => {
-	if (allowance === undefined) {
-		keeper.allowance = keeper.allowance === 'unknown' ? 'unbounded' : keeper.allowance;
-	} else if (typeof keeper.allowance === 'string' || allowance.at > keeper.allowance.at) {
-		keeper.allowance = allowance;
-	}
-};
-
 /** Origin of spending that was read from the store. */
 const recordOrigin = 'record';
 
-/** Adopts recorded spending, and grants by the record from now on. Nobody else has it after an end of all daemons at once. */
-const adoptRecord = (keeper: KeeperState, {spending, usableByAccount}: SpendingRecord & {readonly kind: 'read'}, clock: KeeperClock): void => {
+/** Adopts recorded spending. Nobody else has it after an end of all daemons at once. */
+const adoptRecord = (keeper: KeeperState, record: RecordedSpending, clock: KeeperClock): void => {
 	const {windowMs, startedAt} = keeper;
 	const endedBy = clock.trueTime - (clock.steady - startedAt);
-	const spent = [...usableByAccount].map(([account, usable]) => [account, readRecordedSlots(spending, account, {windowMs, endedBy, usable})] as const);
+	const spent = Object.keys(record.accounts).map(account => [account, readRecordedSlots(record, account, {windowMs, endedBy})] as const);
 	keeper.departed.set(recordOrigin, new Map(spent));
-	adoptAllowance(keeper, toAllowance(spending, windowMs));
 };
 
 /** Whether the keeper has not run for a while, so that what it knows is old. */
@@ -56,12 +44,7 @@
 	| {readonly kind: 'unknown'}
 	/** Nothing was spent before. */
 	| {readonly kind: 'none'}
-	| {
-		readonly kind: 'read';
-		readonly spending: RecordedSpending;
-		/** Accounts with limits, and what may be granted of them within the window. */
-		readonly usableByAccount: ReadonlyMap<string, number>;
-	};
+	| {readonly kind: 'read'; readonly spending: RecordedSpending};
 
 /**
  * Whether everything that earlier processes granted has left the window. A keeper that hears no settled one then needs no record: whoever
@@ -99,11 +82,7 @@
 	}
 
 	if (!isToldByPeers && record.kind === 'read') {
-		adoptRecord(keeper, record, clock);
-	}
-
-	if (!isToldByPeers && keeper.allowance === 'unknown') {
-		keeper.allowance = makeFirstAllowance(clock.trueTime, keeper.windowMs);
+		adoptRecord(keeper, record.spending, clock);
 	}
 
 	keeper.isSettled = true;
--- a/packages/core/src/testing/simulate-limit.ts
+++ b/packages/core/src/testing/simulate-limit.ts
@@ -5,21 +5,14 @@
 import {decidePayment} from '../quotas/decide-payment.js';
 import {dropExpiredSpending, makeKeeperReport, mergeKeeperReport} from '../quotas/exchange-keeper-reports.js';
 import {type KeeperReport} from '../quotas/keeper-report.js';
-import {sumReserves, updateReserves} from '../quotas/keeper-reserves.js';
+import {updateReserves} from '../quotas/keeper-reserves.js';
 import {computeAsked} from '../quotas/keeper-shares.js';
 import {
 	type KeeperClock, keeperReportIntervalMs, type KeeperState, leadWeight, makeKeeper,
 } from '../quotas/keeper-state.js';
 import {collectKnown} from '../quotas/known-spending.js';
-import {
-	type Allowance, makeRecordedSpending, type RecordedSpending, toAllowance,
-} from '../quotas/recorded-spending.js';
-import {
-	exhaustedBurstPart, isRecordRecent, needsNewRecord, usedBurstPart,
-} from '../quotas/needs-new-record.js';
-import {
-	adoptAllowance, type SpendingRecord, trySettle, unsettle, wasPaused,
-} from '../quotas/settle-keeper.js';
+import {makeRecordedSpending, type RecordedSpending} from '../quotas/recorded-spending.js';
+import {trySettle, unsettle, wasPaused} from '../quotas/settle-keeper.js';
 import {sumAmounts} from '../quotas/slot-amounts.js';
 import {splitCost} from '../quotas/split-cost.js';
 
@@ -46,12 +39,6 @@
 	readonly lessUrgentFraction?: number;
 	/** When all daemons stop, to restart half a second later. Undefined if they keep running. */
 	readonly stopsAt?: number;
-	/** The same, several times, in the order of time. */
-	readonly stops?: readonly number[];
-	/** Time after a restart of all until one of them writes to the store again. */
-	readonly unwrittenMs?: number;
-	/** When the store is away. */
-	readonly outages?: readonly StoreOutage[];
 	/** Daemons that end alone, in the order of time. */
 	readonly ends?: readonly DaemonEnd[];
 	/** Daemons that stand still for a while. */
@@ -85,11 +72,6 @@
 	readonly until: number;
 };
 
-export type StoreOutage = {
-	readonly from: number;
-	readonly until: number;
-};
-
 export type SimulatedCall = {
 	readonly at: number;
 	readonly cost: number;
@@ -120,13 +102,6 @@
 /** Maximum time until spending is written. The record states what is expected that far ahead. */
 const maxUnwrittenMs = 1200;
 
-/** Interval of writes while an account needs more than the record allows. */
-const hastyIntervalMs = 500;
-const urgentIntervalMs = 250;
-
-/** Time from the restart of all daemons until one of them has read the lease, holds it and writes. */
-const unwrittenMs = 500;
-
 /** Time from the stop of all daemons to their restart. */
 const restartMs = 500;
 
@@ -174,7 +149,6 @@
 			id: `d${index}`, incarnation: `d${index}-${starts}`, windowMs: bounds.quotaWindowMs, clock: toClock(now),
 		}),
 		weight: index < leadCount ? leadWeight : 1,
-		allowance: 'unknown',
 	});
 	const startDaemon = (index: number, starts: number, now: number): Daemon => ({
 		index, keeper: startKeeper(index, starts, now), starts, nextReportAt: now + (random() * 50), downUntil: now,
@@ -183,11 +157,8 @@
 	const keepers = daemons.slice(0, keeperCount);
 	let messages: Message[] = [];
 	let record: RecordedSpending | undefined;
-	let writtenAt = Number.NEGATIVE_INFINITY;
+	let writtenAt = 0;
 	let hasStopped = false;
-	let writesFrom = 0;
-	const pendingStops = [...simulation.stops ?? [], ...simulation.stopsAt === undefined ? [] : [simulation.stopsAt]];
-	let allowances: Array<{readonly at: number; readonly to: number; readonly allowance: Allowance | undefined}> = [];
 	const pendingEnds = [...simulation.ends ?? []];
 	const calls: SimulatedCall[] = [];
 
@@ -252,27 +223,12 @@
 		return unheard / all;
 	};
 
-	const isStoreAway = (now: number): boolean => simulation.outages?.some(({from, until}) => now >= from && now < until) ?? false;
-
-	/** Returns what a keeper reads of the record when it settles. What it reads later is not needed. */
-	const readRecord = ({payments}: KeeperState, now: number): SpendingRecord => {
-		if (!hasStopped || payments.size > 0) {
-			return {kind: 'none'};
-		}
-
-		if (isStoreAway(now)) {
-			return {kind: 'unknown'};
-		}
-
-		return record === undefined ? {kind: 'none'} : {kind: 'read', spending: record, usableByAccount: new Map([[account, computeMaxUsable(limit, bounds)]])};
-	};
-
 	const settle = ({keeper}: Daemon, now: number): boolean => {
 		if (wasPaused(keeper, toClock(now))) {
 			unsettle(keeper, toClock(now));
 		}
 
-		return trySettle(keeper, {record: readRecord(keeper, now), hasUnheard: computeUnheard(keeper) > 0}, toClock(now));
+		return trySettle(keeper, {record: hasStopped && record !== undefined ? {kind: 'read', spending: record} : {kind: 'none'}, hasUnheard: computeUnheard(keeper) > 0}, toClock(now));
 	};
 
 	const runRound = (daemon: Daemon, now: number): void => {
@@ -287,44 +243,21 @@
 	};
 
 	const writeRecord = (now: number): void => {
-		const clock = toClock(now);
-		const {keeper} = keepers[0]!;
-		const needsRecord = (usedPart: number) => needsNewRecord(keeper, new Map([[account, computeMaxUsable(limit, bounds)]]), {usedPart, clock});
-		const hastyMs = needsRecord(usedBurstPart) ? hastyIntervalMs : writeIntervalMs;
-		const intervalMs = needsRecord(exhaustedBurstPart) ? urgentIntervalMs : hastyMs;
-		if (now < writtenAt + intervalMs || now < writesFrom || isStoreAway(now) || !keeper.isSettled || !isRunning(keepers[0]!, now)) {
+		if (now < writtenAt + writeIntervalMs || hasStopped) {
 			return;
 		}
 
 		writtenAt = now;
+		const clock = toClock(now);
+		const {keeper} = keepers[0]!;
 		const known = collectKnown(keeper, account, clock);
 		let demand = 0;
 		for (const {keeper} of keepers) {
 			demand += computeAsked(keeper, account, clock);
 		}
 
-		const left = computeMaxUsable(limit, bounds) - sumAmounts(known, clock.trueTime + hastyIntervalMs, bounds.quotaWindowMs);
-		const reserved = sumReserves(keeper, {account, usable: computeMaxUsable(limit, bounds), unheardShare: computeUnheard(keeper)}, clock);
-		record = makeRecordedSpending(new Map([[account, {
-			known, demand, left, reserved,
-		}]]), {at: clock.trueTime, windowMs: bounds.quotaWindowMs, expectedMs: maxUnwrittenMs});
-		const allowance = toAllowance(record, bounds.quotaWindowMs);
-		adoptAllowance(keeper, allowance);
-		for (const {index} of keepers.slice(1)) {
-			if (!isCut(0, index, now) && random() >= (simulation.lossShare ?? 0)) {
-				allowances.push({at: now + (random() * simulation.maxDelayMs), to: index, allowance});
-			}
-		}
-	};
-
-	const deliverAllowances = (now: number): void => {
-		for (const {to, allowance} of allowances.filter(({at}) => at <= now)) {
-			if (isRunning(daemons[to]!, now)) {
-				adoptAllowance(daemons[to]!.keeper, allowance);
-			}
-		}
-
-		allowances = allowances.filter(({at}) => at > now);
+		const left = computeMaxUsable(limit, bounds) - sumAmounts(known, clock.trueTime, bounds.quotaWindowMs);
+		record = makeRecordedSpending(new Map([[account, {known, demand, left}]]), {at: clock.trueTime, windowMs: bounds.quotaWindowMs, expectedMs: maxUnwrittenMs});
 	};
 
 	const listOffers = (daemon: Daemon, now: number): Daemon[] => {
@@ -335,29 +268,22 @@
 		return [...first.filter(own => settle(own, now)), ...leads.slice(start), ...leads.slice(0, start)].slice(0, maxOffers);
 	};
 
-	/** Returns whether the call is granted, or whether a new record may soon allow it. */
-	const offerCost = (offers: readonly Daemon[], {cost, usable}: {readonly cost: number; readonly usable: number}, now: number): 'granted' | 'refused' | 'unrecorded' => {
+	const offerCost = (offers: readonly Daemon[], {cost, usable}: {readonly cost: number; readonly usable: number}, now: number): boolean => {
 		const pay = ({keeper}: Daemon, amount: number, isFirstAsked: boolean) => decidePayment(keeper, {
 			account, cost: amount, usable, maxUsable: computeMaxUsable(limit, bounds), unheardShare: computeUnheard(keeper), isFirstAsked,
 		}, toClock(now));
 		const rooms: number[] = [];
-		let isBound = false;
 		for (const [index, daemon] of offers.entries()) {
-			const {isGranted, room, isBoundByRecord} = pay(daemon, cost, index === 0);
+			const {isGranted, room} = pay(daemon, cost, index === 0);
 			if (isGranted) {
-				return 'granted';
+				return true;
 			}
 
 			rooms.push(room);
-			isBound ||= isBoundByRecord && isRecordRecent(daemon.keeper, toClock(now));
 		}
 
 		const amounts = splitCost(cost, rooms);
-		if (amounts?.every((amount, index) => amount === 0 || pay(offers[index]!, amount, false).isGranted) ?? false) {
-			return 'granted';
-		}
-
-		return isBound ? 'unrecorded' : 'refused';
+		return amounts?.every((amount, index) => amount === 0 || pay(offers[index]!, amount, false).isGranted) ?? false;
 	};
 
 	/** Calls that wait for a keeper that grants, as after a restart of all. */
@@ -381,13 +307,9 @@
 				return false;
 			}
 
-			const outcome = offerCost(offers, {cost, usable}, now);
-			if (outcome === 'unrecorded' && now < startedAt + maxWaitMs) {
-				return false;
-			}
-
+			const isAdmitted = offerCost(offers, {cost, usable}, now);
 			calls.push({
-				at: now, cost, rank, isAdmitted: outcome === 'granted',
+				at: now, cost, rank, isAdmitted,
 			});
 			return true;
 		};
@@ -400,12 +322,9 @@
 	let currentTime = 0;
 	for (let now = 0; now < simulation.durationMs; now += stepMs) {
 		currentTime = now;
-		if (pendingStops[0] !== undefined && now >= pendingStops[0]) {
-			pendingStops.shift();
+		if (simulation.stopsAt !== undefined && !hasStopped && now >= simulation.stopsAt) {
 			hasStopped = true;
 			messages = [];
-			allowances = [];
-			writesFrom = now + restartMs + (simulation.unwrittenMs ?? unwrittenMs);
 			for (const daemon of daemons) {
 				restart(daemon, now + restartMs);
 			}
@@ -413,7 +332,6 @@
 
 		endDaemons(now);
 		deliverReports(now);
-		deliverAllowances(now);
 		for (const daemon of keepers) {
 			runRound(daemon, now);
 		}
--- a/packages/gateway/src/gateway-state.ts
+++ b/packages/gateway/src/gateway-state.ts
@@ -6,7 +6,7 @@
 import {type GossipMember} from '@shallotpass/core/gossip/pick-relays.js';
 import {isSum, type GossipReport} from '@shallotpass/core/gossip/gossip-report.js';
 import {type ParticipantHistory} from '@shallotpass/core/limits/participants.js';
-import {type RecordedSpending} from '@shallotpass/core/quotas/recorded-spending.js';
+import {type SpendingRecord} from '@shallotpass/core/quotas/settle-keeper.js';
 import {type IndexedConfiguration} from '@shallotpass/core/calls/index-configuration.js';
 import {type WorkRate} from '@shallotpass/core/engines/work-rate.js';
 import {type PartUses} from '@shallotpass/core/placement/part-uses.js';
@@ -64,11 +64,6 @@
 	isBusy: boolean;
 };
 
-/** What the store holds of the earlier spending of accounts. `unknown` if it could not be read, `none` if nothing was spent. */
-export type InheritedSpending =
-	| {readonly kind: 'unknown' | 'none'}
-	| {readonly kind: 'read'; readonly spending: RecordedSpending};
-
 export type GatewayState = {
 	/** Replaced when the settings file changes, except the addresses of listeners. Written by `reload`. */
 	settings: GatewaySettings;
@@ -109,7 +104,7 @@
 	/** This daemon's part in keeping the limits of client accounts. */
 	readonly quota: QuotaState;
 	/** Spending of accounts before this daemon started, as the store holds it. Written by the lease record and the leader task. */
-	inherited: InheritedSpending;
+	inherited: SpendingRecord;
 	/** Whether callers need not wait for the earlier spending of accounts any more. Written by the leader task. */
 	isSpendingLoaded: boolean;
 	/** Start of this process, on the steady clock. */
--- a/packages/gateway/src/leader/collect-usage.ts
+++ b/packages/gateway/src/leader/collect-usage.ts
@@ -4,7 +4,6 @@
 import {
 	type AccountFigures, convertEvenSlots, makeRecordedSpending, readRecordedSlots,
 } from '@shallotpass/core/quotas/recorded-spending.js';
-import {sumReserves} from '@shallotpass/core/quotas/keeper-reserves.js';
 import {type SlotAmounts, sumAmounts} from '@shallotpass/core/quotas/slot-amounts.js';
 import {computeMaxUsable} from '@shallotpass/core/quotas/compute-ceiling.js';
 import {predictSlots, computeSpentSlots} from '@shallotpass/core/quotas/spending.js';
@@ -19,9 +18,6 @@
  */
 const recordDelayMs = 1200;
 
-/** Interval between records while much of an account's limit is granted. */
-export const hastyIntervalMs = 500;
-
 /** Counts the calls that each account started in each usage window, as seen by this daemon and its known peers. The lease record holds the counts of daemons that have stopped. */
 export const collectUsage = (gateway: GatewayState): UsageTable => {
 	let table: UsageTable = Object.fromEntries(listOwnCounts(gateway.usage).map(([window, counts]) => [window, {[gateway.incarnation]: counts}]));
@@ -55,7 +51,7 @@
 	const clock = readKeeperClock(clocks);
 	const kept = collectKnown(keeper, account, clock);
 	const converted = convertEvenSlots({at: clock.trueTime, accounts: {[account]: slots}}, keeper.windowMs);
-	const reported = readRecordedSlots(converted, account, {windowMs: keeper.windowMs, endedBy: clock.trueTime, usable: 0});
+	const reported = readRecordedSlots(converted, account, {windowMs: keeper.windowMs, endedBy: clock.trueTime});
 	const sum = (amounts: SlotAmounts): number => sumAmounts(amounts, clock.trueTime, keeper.windowMs);
 	return sum(kept) >= sum(reported) ? kept : reported;
 };
@@ -79,10 +75,7 @@
 		const usable = computeMaxUsable(limit, bounds);
 		const demand = demands.get(name) ?? 0;
 		const known = collectAccount(gateway, name, slots);
-		const reserved = gateway.quota.isKeeper ? sumReserves(gateway.quota.keeper, {account: name, usable, unheardShare: gateway.quota.unheardShare}, readKeeperClock(gateway.clocks)) : 0;
-		figures.set(name, {
-			known, demand, left: usable - sumAmounts(known, trueTime + hastyIntervalMs, bounds.quotaWindowMs), reserved,
-		});
+		figures.set(name, {known, demand, left: usable - sumAmounts(known, trueTime, bounds.quotaWindowMs)});
 		slotsByAccount.set(name, predictSlots({
 			slots, demand, usable, aheadMs: recordDelayMs, windowMs: bounds.quotaWindowMs,
 		}).map(cost => Math.round(cost)));
--- a/packages/gateway/src/leader/leader-task.ts
+++ b/packages/gateway/src/leader/leader-task.ts
@@ -8,15 +8,11 @@
 	type BackendOrder, getFencingToken, isLeaseFree, type Lease, type LeaseCandidate, type LeaseObservation, listDueWindows, canTakeLease, releasedIncarnation, observeLease, addReport,
 } from '@shallotpass/core/lease/lease.js';
 import {listHeardPeers} from '@shallotpass/core/quotas/keeper-state.js';
-import {exhaustedBurstPart, needsNewRecord, usedBurstPart} from '@shallotpass/core/quotas/needs-new-record.js';
-import {toAllowance} from '@shallotpass/core/quotas/recorded-spending.js';
-import {adoptAllowance} from '@shallotpass/core/quotas/settle-keeper.js';
 import {getLeaseLookupDelayMs, type StoreRole} from '@shallotpass/core/gossip/store-role.js';
 import {
 	dropEarlierWindows, getWindowIndex, mergeUsage, sumWindow,
 } from '@shallotpass/core/usage/count-starts.js';
 import {pauseFor} from '../pause.js';
-import {listUsable} from '../quotas/grant-cost.js';
 import {readKeeperClock} from '../quotas/quota-state.js';
 import {adoptRollouts} from '../rollouts/adopt-rollouts.js';
 import {hasSameRollouts} from '../rollouts/plan-rollouts.js';
@@ -24,7 +20,7 @@
 import {
 	type CloudSender, type CloudSenderOptions, makeCloudSender, toOrderKey,
 } from './cloud-sender.js';
-import {collectUsage, hastyIntervalMs, projectSpending} from './collect-usage.js';
+import {collectUsage, projectSpending} from './collect-usage.js';
 import {
 	getRecordOffset, type HeldLease, type LeaseRecord, makeLeaseRecord,
 } from './lease-record.js';
@@ -34,13 +30,6 @@
 /** Interval between renewals. Three of them fit into the lease. */
 const renewIntervalMs = 900;
 
-/** Interval between records while nearly all of a burst is granted at once. */
-const urgentIntervalMs = 200;
-
-/** A keeper that knows no newer record reads it from the store, as the lease holder may not reach it. */
-const allowanceAgeMs = 2500;
-const allowancePollMs = 1000;
-
 /** Longest time that callers wait until the spending of accounts is loaded, and the delay between attempts to read it. */
 const spendingTimeoutMs = 1500;
 const spendingPollMs = 100;
@@ -127,53 +116,31 @@
 		return hasSameRollouts(next.rollouts, rollouts) ? next : {...next, rollouts};
 	};
 
-	/** Returns what the record tells of the spending: what it told before, as long as this daemon is a keeper that does not know more. */
-	const planSpending = ({spent}: Lease): Lease['spent'] => gateway.quota.isKeeper && !gateway.quota.keeper.isSettled ? spent : projectSpending(gateway);
-
 	const releaseLease = async (held: HeldLease): Promise<void> => {
 		// A successor can take the lease without waiting for it to expire.
 		const {lease} = held.stored;
 		await writeLease({
-			...lease, incarnation: releasedIncarnation, counted: mergeUsage(lease.counted, collectUsage(gateway)), spent: planSpending(lease), convicted: recordVerdicts(gateway.crashes),
+			...lease, incarnation: releasedIncarnation, counted: mergeUsage(lease.counted, collectUsage(gateway)), spent: projectSpending(gateway), convicted: recordVerdicts(gateway.crashes),
 		});
 		record.markLost('the daemon is draining');
 	};
 
-	/** Whether so much was granted since the last record that a new one is written before the lease is due. */
-	const isNewRecordDue = ({renewedAt}: HeldLease): boolean => {
-		const {isKeeper, keeper} = gateway.quota;
-		if (!isKeeper || !keeper.isSettled || steady() < renewedAt + urgentIntervalMs) {
-			return false;
-		}
-
-		const usedPart = steady() < renewedAt + hastyIntervalMs ? exhaustedBurstPart : usedBurstPart;
-		return needsNewRecord(keeper, listUsable(gateway), {usedPart, clock: readKeeperClock(gateway.clocks)});
-	};
-
 	/** Renews the lease if that is due, or if there is something new to send. Returns whether the store has just confirmed it. */
 	const renew = async (held: HeldLease): Promise<boolean> => {
 		const planned = planLease(held.stored.lease);
-		const isSpendingDue = isNewRecordDue(held);
-		if (planned === held.stored.lease && !isSpendingDue && steady() < held.renewedAt + renewIntervalMs) {
+		if (planned === held.stored.lease && steady() < held.renewedAt + renewIntervalMs) {
 			return false;
 		}
 
 		const lastReportedWindow = planned.reports.at(-1)?.window ?? -1;
-		const spent = planSpending(planned);
-		const isWritten = await writeLease({
+		return writeLease({
 			...planned,
 			...candidate,
 			fence: getFencingToken(held.stored),
 			counted: dropEarlierWindows(mergeUsage(planned.counted, collectUsage(gateway)), lastReportedWindow + 1),
-			spent,
+			spent: projectSpending(gateway),
 			convicted: recordVerdicts(gateway.crashes),
 		});
-		if (isWritten && spent.recorded !== undefined) {
-			adoptAllowance(gateway.quota.keeper, toAllowance(spent.recorded, gateway.settings.bounds.quotaWindowMs));
-			gateway.quota.tellAllowance?.();
-		}
-
-		return isWritten;
 	};
 
 	const maintainLease = async (held: HeldLease): Promise<void> => {
@@ -254,25 +221,6 @@
 		}
 	};
 
-	let allowanceReadAt = Number.NEGATIVE_INFINITY;
-
-	/** Reads the record by which keepers may grant, if the lease holder has not told a new one. */
-	const refreshAllowance = async (): Promise<void> => {
-		const {isKeeper, keeper} = gateway.quota;
-		const {allowance} = keeper;
-		const isOld = allowance === 'unknown' || (allowance !== 'unbounded' && allowance.at < gateway.clocks.trueTime() - allowanceAgeMs);
-		if (!isKeeper || !keeper.isSettled || !isOld || steady() < allowanceReadAt + allowancePollMs) {
-			return;
-		}
-
-		allowanceReadAt = steady();
-		const readResult = await record.read();
-		const recorded = readResult.kind === 'stands' ? readResult.stored.lease.spent.recorded : undefined;
-		if (readResult.kind === 'stands' && readResult.stored.lease.spent.at > 0) {
-			adoptAllowance(keeper, recorded && toAllowance(recorded, keeper.windowMs));
-		}
-	};
-
 	const run = async (): Promise<void> => {
 		while (!signal.aborted) {
 			const held = record.getHeld();
@@ -280,9 +228,6 @@
 			try {
 				// eslint-disable-next-line no-await-in-loop -- ticks are sequential
 				await (held ? maintainLease(held) : tryAcquireLease());
-				if (record.getHeld() === undefined) {
-					await refreshAllowance(); // eslint-disable-line no-await-in-loop -- ticks are sequential
-				}
 			} catch (error) {
 				gateway.log.write('failure', 'duty_failed', {error: error instanceof Error ? error.stack : String(error)});
 			}
--- a/packages/gateway/src/leader/lease-record.ts
+++ b/packages/gateway/src/leader/lease-record.ts
@@ -92,13 +92,8 @@
 	 * daemon has it in memory: every account would get its whole limit again, and every such request some backend servers.
 	 */
 	const inheritKnowledge = (lease: Lease): void => {
-		if (lease.incarnation === gateway.incarnation) {
-			return;
-		}
-
-		adoptCrashes(gateway, {entries: lease.convicted, refuted: []});
-		// A holder that does not know what was spent before has told nothing yet.
-		if (lease.spent.at > 0) {
+		if (lease.incarnation !== gateway.incarnation) {
+			adoptCrashes(gateway, {entries: lease.convicted, refuted: []});
 			gateway.inherited = {kind: 'read', spending: lease.spent.recorded ?? convertEvenSlots(lease.spent, gateway.settings.bounds.quotaWindowMs)};
 		}
 	};
--- a/packages/gateway/src/quotas/grant-cost.ts
+++ b/packages/gateway/src/quotas/grant-cost.ts
@@ -6,11 +6,10 @@
 import {type AccountLimit} from '@shallotpass/core/calls/serving-configuration.js';
 import {computeMaxUsable, computeUsable} from '@shallotpass/core/quotas/compute-ceiling.js';
 import {decidePayment, type Standing} from '@shallotpass/core/quotas/decide-payment.js';
-import {isRecordRecent} from '@shallotpass/core/quotas/needs-new-record.js';
 import {estimateWait} from '@shallotpass/core/quotas/estimate-wait.js';
 import {sumSlots} from '@shallotpass/core/quotas/spending.js';
 import {
-	isIntroducing, type SpendingRecord, trySettle, unsettle, wasPaused,
+	isIntroducing, trySettle, unsettle, wasPaused,
 } from '@shallotpass/core/quotas/settle-keeper.js';
 import * as z from 'zod';
 import {type GatewayState, peerExpiryMs} from '../gateway-state.js';
@@ -41,8 +40,6 @@
 		known: boundedSchema,
 		usable: boundedSchema,
 		share: boundedSchema,
-		/** Whether a new record in the store may soon allow the call. */
-		isUnrecorded: z.boolean().optional(),
 	}),
 	/** The daemon keeps no limits, or must hear the other keepers first. */
 	z.object({kind: z.literal('unfit')}),
@@ -70,28 +67,6 @@
 	return sum;
 };
 
-/** Lists accounts with limits, and what may be granted of them within the window. */
-export const listUsable = ({configuration, settings: {bounds}}: GatewayState): Map<string, number> => {
-	const usable = new Map<string, number>();
-	for (const {name, limit} of configuration?.configuration.accounts ?? []) {
-		if (limit !== undefined && limit.perSecond > 0) {
-			usable.set(name, computeMaxUsable(limit, bounds));
-		}
-	}
-
-	return usable;
-};
-
-/** Returns the record as it is adopted. How much it allows is known with the configuration only. */
-const getRecord = (gateway: GatewayState): SpendingRecord => {
-	const {inherited} = gateway;
-	if (inherited.kind !== 'read') {
-		return inherited;
-	}
-
-	return gateway.configuration === undefined ? {kind: 'unknown'} : {...inherited, usableByAccount: listUsable(gateway)};
-};
-
 /** Settles this daemon as a keeper if it can. Returns whether it may grant. */
 export const settle = (gateway: GatewayState): boolean => {
 	const {quota, clocks, settings} = gateway;
@@ -108,8 +83,9 @@
 
 	const wasSettled = keeper.isSettled;
 	const isFirstTime = clock.steady < keeper.startedAt + settings.bounds.quotaWindowMs && keeper.payments.size === 0;
+	const {inherited} = gateway;
 	const isSettled = trySettle(keeper, {
-		record: isFirstTime ? getRecord(gateway) : {kind: 'none'},
+		record: isFirstTime ? inherited : {kind: 'none'},
 		hasUnheard: hasUnheardKeepers,
 	}, clock);
 	if (isSettled && !wasSettled) {
@@ -135,7 +111,7 @@
 export const grantCost = (gateway: GatewayState, {account, tokens, rank, isFirstAsked, amount}: QuotaAsk): QuotaAnswer => {
 	const {quota: {keeper, unheardShare, hasUnheardKeepers}, settings: {bounds}} = gateway;
 	const limit = gateway.configuration?.accountsByName.get(account)?.limit;
-	if (limit === undefined || !settle(gateway) || keeper.allowance === 'unknown') {
+	if (limit === undefined || !settle(gateway)) {
 		return {kind: 'unfit'};
 	}
 
@@ -150,5 +126,5 @@
 
 	return isIntroducing(keeper, hasUnheardKeepers, readKeeperClock(gateway.clocks))
 		? {kind: 'unfit'}
-		: {...toAnswer(decision, {cost, usable, windowMs: bounds.quotaWindowMs}), ...(decision.isBoundByRecord && isRecordRecent(keeper, readKeeperClock(gateway.clocks)) && {isUnrecorded: true})};
+		: toAnswer(decision, {cost, usable, windowMs: bounds.quotaWindowMs});
 };
--- a/packages/gateway/src/quotas/keeper-exchange.ts
+++ b/packages/gateway/src/quotas/keeper-exchange.ts
@@ -11,8 +11,7 @@
 	goneAfterMs, isHeard, type KeeperPeer, keeperReportIntervalMs, leadWeight,
 } from '@shallotpass/core/quotas/keeper-state.js';
 import {computeUnheardShare, pickActiveLeads, pickKeepers} from '@shallotpass/core/quotas/pick-keepers.js';
-import {allowanceSchema} from '@shallotpass/core/quotas/recorded-spending.js';
-import {adoptAllowance, isIntroducing, unsettle} from '@shallotpass/core/quotas/settle-keeper.js';
+import {isIntroducing, unsettle} from '@shallotpass/core/quotas/settle-keeper.js';
 import {type GatewayState} from '../gateway-state.js';
 import {type Datagrams} from '../peers/datagrams.js';
 import {makePeerRefusalReporter} from '../peers/report-refused.js';
@@ -145,23 +144,6 @@
 		const parsed = quotaAskSchema.safeParse(parameters);
 		return parsed.success ? grantCost(gateway, parsed.data) : {kind: 'unfit'};
 	});
-	datagrams.handle('quota_allowance', (parameters, sender) => {
-		const decoded = decodeValue(parameters, allowanceSchema);
-		if (decoded.kind === 'refused') {
-			reportRefused('quota_allowance', sender, decoded.field);
-			return;
-		}
-
-		adoptAllowance(keeper, decoded.value);
-	});
-	quota.tellAllowance = () => {
-		for (const {address} of [...quota.keepers.leads, ...quota.keepers.others]) {
-			if (address !== self.address && typeof keeper.allowance !== 'string') {
-				datagrams.notify(address, 'quota_allowance', keeper.allowance);
-			}
-		}
-	};
-
 	quota.ask = async (peer, ask) => datagrams.request(peer.address, 'ask_quota', ask, askTimeoutMs);
 	runRound();
 	const timer = setInterval(runRound, keeperReportIntervalMs);
--- a/packages/gateway/src/quotas/offer-cost.ts
+++ b/packages/gateway/src/quotas/offer-cost.ts
@@ -100,7 +100,7 @@
 	return payers.length > 0 ? {kind: 'granted', keeper: payers.join(' ')} : undefined;
 };
 
-/** Offers the call to this daemon's own part, then to other keepers. Returns undefined if no keeper could be asked, or if a new record in the store may soon allow the call. */
+/** Offers the call to this daemon's own part, then to other keepers. Returns undefined if no keeper could be asked. */
 export const offerCost = async (gateway: GatewayState, ask: QuotaAsk, cost: number): Promise<Offer | undefined> => {
 	let best: Refused | undefined;
 	const own = grantCost(gateway, ask);
@@ -110,7 +110,6 @@
 
 	let isFirstAsked = own.kind === 'unfit';
 	best = own.kind === 'refused' ? own : undefined;
-	let isUnrecorded = own.kind === 'refused' && own.isUnrecorded === true;
 	const asked: AskedKeeper[] = own.kind === 'refused' ? [{keeper: undefined, room: own.room}] : [];
 	for (const keeper of listOthers(gateway).slice(0, maxOffers - Number(own.kind === 'refused'))) {
 		const answer = await askKeeper(gateway, keeper, {...ask, isFirstAsked}, cost); // eslint-disable-line no-await-in-loop -- one after the other, as the first usually grants
@@ -120,13 +119,11 @@
 
 		if (answer.kind === 'refused') {
 			asked.push({keeper, room: answer.room});
-			isUnrecorded ||= answer.isUnrecorded === true;
 		}
 
 		isFirstAsked &&= answer.kind === 'unfit';
 		best = answer.kind === 'refused' && (best === undefined || answer.waitMs < best.waitMs) ? answer : best;
 	}
 
-	const paid = await offerParts(gateway, ask, cost, asked);
-	return paid ?? (isUnrecorded ? undefined : best);
+	return await offerParts(gateway, ask, cost, asked) ?? best;
 };
--- a/packages/gateway/src/quotas/quota-state.ts
+++ b/packages/gateway/src/quotas/quota-state.ts
@@ -23,8 +23,6 @@
 	readonly unanswered: Map<string, {readonly count: number; readonly since: number}>;
 	/** Keepers that had no room, by account and address, with the answer and the time until which it holds. Written by calls. */
 	readonly refusals: Map<string, {readonly answer: QuotaAnswer & {readonly kind: 'refused'}; readonly until: number}>;
-	/** Tells the keepers by which record they may grant; set by the keeper exchange. */
-	tellAllowance: (() => void) | undefined;
 	/** Asks the keepers; set by the keeper exchange. */
 	ask: ((keeper: GossipMember, ask: QuotaAsk) => Promise<unknown>) | undefined;
 };
@@ -38,13 +36,9 @@
 };
 
 export const makeQuotaState = ({settings, incarnation, clocks}: QuotaStateOptions): QuotaState => ({
-	keeper: {
-		...makeKeeper({
-			id: settings.instance.id, incarnation, windowMs: settings.bounds.quotaWindowMs, clock: readKeeperClock(clocks),
-		}),
-		allowance: 'unknown',
-	},
-	tellAllowance: undefined,
+	keeper: makeKeeper({
+		id: settings.instance.id, incarnation, windowMs: settings.bounds.quotaWindowMs, clock: readKeeperClock(clocks),
+	}),
 	keepers: {leads: [], others: []},
 	isKeeper: false,
 	unheardShare: 0,
