A run is stopped to be moved only once another engine holds a place for it

Callers of drafts saw their streams end midway though their engine stayed for seconds more. Cause: the run was stopped first and copied then. Now the KV cache is copied while the run goes on; the copy holds a place at the other engine, and only then is the run stopped, which copies the rest. Without room the run goes on and is offered again each 0.2 s until its engine ends. A copy that is not used is freed.

--- a/packages/gateway/src/calls/move-run.ts
+++ b/packages/gateway/src/calls/move-run.ts
@@ -1,6 +1,6 @@
 /**
  * Moves a run that must not be repeated from a leaving backend server to another one: its KV
- * cache is copied, and the run continues there. A mass reclaim takes all reclaimable backend servers
+ * cache is copied while it goes on, and it is stopped once the other one holds a place for it. A mass reclaim takes all reclaimable backend servers
  * of an availability zone with 2 s of notice, and long responses take longer.
  */
 import {listenForAbort} from '@shallotpass/common/listen-for-abort.js';
@@ -9,10 +9,10 @@
 import {type GatewayState} from '../gateway-state.js';
 import {pauseFor} from '../pause.js';
 import {payForRun} from '../quotas/pay-for-run.js';
-import {type MovedKvCache} from '../ports.js';
+import {type BackendHeaders, type CopyReply, type MovedKvCache} from '../ports.js';
 import {describeDirectory} from '../telemetry/describe-directory.js';
 import {observeBrittleness} from './backend-brittleness.js';
-import {observeLimit, takeFromLimit} from './backend-limits.js';
+import {observeLimit, returnToLimit, takeFromLimit} from './backend-limits.js';
 import {confirmCallerWaits} from './caller-presence.js';
 import {confirmConnection, confirmIncarnation} from './confirm-incarnation.js';
 import {type Placement, placeCall, type PlacementResult} from './place-call.js';
@@ -32,9 +32,12 @@
  */
 const returnLeadMs = 500;
 
-/** Timeout of a move. The run makes no progress meanwhile. */
+/** Timeout of a copy, and of a move, during which the run makes no progress. */
 const moveTimeoutMs = 800;
 
+/** Interval at which a run is offered again while no other backend server has room for it. */
+const offerIntervalMs = 200;
+
 /** A run that was stopped and can be continued. */
 export type MovedRun = {
 	/** Version of the software that began it. */
@@ -70,31 +73,24 @@
 	state, choice: {id: state.entry.id, predictedMs: 0, cost: 0}, cachedTokens: call.promptTokens, chosenAt,
 });
 
-/** Stops the run and copies its KV cache to another backend server, if the retry limit allows it. */
-const moveRun = async (options: DepartureWatchOptions): Promise<MovedRun | undefined> => {
-	const {gateway, call, state} = options;
+type Target = {
+	readonly placement: Placement;
+	readonly softwareVersion: string;
+	readonly permit: SendPermit;
+};
+
+/** Finds another backend server for the run, and takes the permit for the send that continues it there. */
+const findTarget = ({gateway, call, state}: DepartureWatchOptions): Target | undefined => {
 	const {softwareVersion} = state.entry;
 	const result: PlacementResult = softwareVersion === undefined
 		? {kind: 'none'}
 		: placeCall(gateway, call, {attemptedIncarnations: new Set([state.incarnation]), hasStarted: true, softwareVersion});
-	return result.kind === 'placed' && softwareVersion !== undefined ? moveRunTo(options, result.placement, softwareVersion) : undefined;
-};
-
-/** The same to this backend server, with the permit for the send that continues the run. */
-const moveRunTo = async (options: DepartureWatchOptions, target: Placement, softwareVersion: string): Promise<MovedRun | undefined> => {
-	const {gateway, call} = options;
-	const permit = takeRepeatPermit(gateway, call);
-	if (permit === undefined) {
-		return undefined;
-	}
-
-	const stopped = await stopRun(options, target);
-	if (stopped === undefined) {
-		returnPermit(gateway, call, permit);
+	if (result.kind !== 'placed' || softwareVersion === undefined) {
 		return undefined;
 	}
 
-	return {...stopped, softwareVersion, permit};
+	const permit = takeRepeatPermit(gateway, call);
+	return permit && {placement: result.placement, softwareVersion, permit};
 };
 
 /** Whether the run's answer comes from the backend server of the directory, and the other one is that of the directory too. */
@@ -111,40 +107,51 @@
 	return false;
 };
 
-const stopRun = async (options: DepartureWatchOptions, target: Placement): Promise<Pick<MovedRun, 'kvCache' | 'placements'> | undefined> => {
-	const {gateway, call, state, signal} = options;
-	if (!await confirmEnds(options, target.state)) {
-		return undefined;
-	}
+type Observed = {readonly headers: BackendHeaders | undefined; readonly sentAt: number};
 
-	if (signal.aborted || !await payForRun(gateway, call, signal) || !await confirmCallerWaits(gateway, signal)) {
-		return undefined;
+/** Records what an answer to a control request states of its backend server. */
+const observeHeaders = ({gateway, call, state}: DepartureWatchOptions, {headers, sentAt}: Observed): void => {
+	if (headers !== undefined) {
+		observeLimit(gateway, state, headers.limit, {requestId: call.id, sentAt, status: undefined});
+		observeBrittleness(gateway, state, headers.brittleness, {requestId: call.id, sentAt, isRejection: false});
 	}
+};
+
+/** Copies the KV cache while the run goes on, so that the run is stopped only when the other backend server holds a place for it. */
+const copyRun = async (options: DepartureWatchOptions, target: BackendState, streamEnd: AbortSignal): Promise<CopyReply> => {
+	const {gateway, call, state} = options;
+	const sentAt = gateway.clocks.trueTime();
+	const {reply, headers} = await gateway.engines.copyRun(
+		{address: state.entry.address, agent: state.agent},
+		{callId: call.id, to: target.entry.address},
+		{timeoutMs: moveTimeoutMs, signal: streamEnd},
+	);
+	observeHeaders(options, {headers, sentAt});
+	return reply;
+};
+
+/** Frees the copy of a run that stays where it is. */
+const releaseCopy = async ({gateway, state, signal}: DepartureWatchOptions, handle: string): Promise<void> => {
+	await gateway.engines.releaseCopy({address: state.entry.address, agent: state.agent}, handle, {timeoutMs: moveTimeoutMs, signal});
+};
 
-	// The room must still be there when the KV cache has been copied.
-	takeFromLimit(gateway, target.state);
+const stopRun = async (options: DepartureWatchOptions, target: BackendState): Promise<Pick<MovedRun, 'kvCache' | 'placements'> | undefined> => {
+	const {gateway, call, state, signal} = options;
 	const startedAt = gateway.clocks.steady();
 	const sentAt = gateway.clocks.trueTime();
-	// The copy takes a place at the other engine.
-	target.state.running++;
 	const {reply, headers} = await gateway.engines.stopAndMove(
 		{address: state.entry.address, agent: state.agent},
-		{callId: call.id, to: target.state.entry.address},
+		{callId: call.id, to: target.entry.address},
 		{timeoutMs: moveTimeoutMs, signal},
 	);
-	target.state.running--;
-	if (headers !== undefined) {
-		observeLimit(gateway, state, headers.limit, {requestId: call.id, sentAt, status: undefined});
-		observeBrittleness(gateway, state, headers.brittleness, {requestId: call.id, sentAt, isRejection: false});
-	}
-
+	observeHeaders(options, {headers, sentAt});
 	gateway.log.write(reply.kind === 'moved' ? 'state' : 'failure', 'call_moved', {
-		request: call.id, from: state.entry.id, to: target.state.entry.id, fromVersion: state.entry.softwareVersion, toVersion: target.state.entry.softwareVersion, outcome: reply.kind, reason: reply.kind === 'failed' ? reply.reason : undefined,
+		request: call.id, from: state.entry.id, to: target.entry.id, fromVersion: state.entry.softwareVersion, toVersion: target.entry.softwareVersion, outcome: reply.kind, reason: reply.kind === 'failed' ? reply.reason : undefined,
 		leavesInMs: state.entry.leavesInMs, tookMs: Math.round(gateway.clocks.steady() - startedAt),
 	});
 	switch (reply.kind) {
 		case 'moved': {
-			return {kvCache: reply.kvCache, placements: [{...makePlacement(target.state, call, startedAt), isCounted: true}, makePlacement(state, call, startedAt)]};
+			return {kvCache: reply.kvCache, placements: [{...makePlacement(target, call, startedAt), isCounted: true}, makePlacement(state, call, startedAt)]};
 		}
 
 		case 'kept': {
@@ -159,6 +166,58 @@
 	}
 };
 
+/** `no_room`: the run goes on where it is, and may be offered again. */
+type MoveResult = {readonly kind: 'no_room'} | {readonly kind: 'decided'; readonly moved: MovedRun | undefined};
+
+const unmoved: MoveResult = {kind: 'decided', moved: undefined};
+
+/** Moves the run to the target: copies its KV cache, and stops it once the copy holds a place there. */
+const moveRunTo = async (options: DepartureWatchOptions, {placement: {state: target}, softwareVersion, permit}: Target, streamEnd: AbortSignal): Promise<MoveResult> => {
+	const {gateway, call, signal} = options;
+	if (!await confirmEnds(options, target)) {
+		return unmoved;
+	}
+
+	const reply = await copyRun(options, target, streamEnd);
+	if (reply.kind === 'no_room') {
+		return {kind: 'no_room'};
+	}
+
+	if (reply.kind !== 'copied') {
+		return unmoved;
+	}
+
+	if (signal.aborted || streamEnd.aborted || !await payForRun(gateway, call, signal) || !await confirmCallerWaits(gateway, signal) || streamEnd.aborted) {
+		void releaseCopy(options, reply.handle);
+		return unmoved;
+	}
+
+	const stopped = await stopRun(options, target);
+	return {kind: 'decided', moved: stopped && {...stopped, softwareVersion, permit}};
+};
+
+/** Offers the run to another backend server, if there is one with room and the retry limit allows it. */
+const offerRun = async (options: DepartureWatchOptions, streamEnd: AbortSignal): Promise<MoveResult> => {
+	const {gateway, call} = options;
+	const target = findTarget(options);
+	if (target === undefined) {
+		return {kind: 'no_room'};
+	}
+
+	const {state} = target.placement;
+	// The room must still be there when the KV cache has been copied. The copy takes a place at the other engine.
+	takeFromLimit(gateway, state);
+	state.running++;
+	const result = await moveRunTo(options, target, streamEnd);
+	state.running--;
+	if (result.kind === 'no_room' || result.moved === undefined) {
+		returnToLimit(gateway, state);
+		returnPermit(gateway, call, target.permit);
+	}
+
+	return result;
+};
+
 /** Whether the backend server stays until this daemon's process has ended, so that a move would only take time from the run. */
 const outlastsDrain = ({drainingSince, settings: {bounds}}: GatewayState, {leavesAt}: BackendState): boolean =>
 	drainingSince !== undefined && leavesAt !== undefined && leavesAt >= computeDrainEnd(drainingSince, bounds.graceMs);
@@ -178,7 +237,16 @@
 		const lastReturnAt = (state.leavingSince ?? now) + gateway.settings.bounds.drainMs;
 		const moveAt = Math.min((state.leavesAt ?? now) - moveLeadMs, lastReturnAt - returnLeadMs);
 		await pauseFor(Math.max(0, moveAt - now), streamEnd.signal);
-		return streamEnd.signal.aborted || signal.aborted || outlastsDrain(gateway, state) ? undefined : moveRun(options);
+		while (!streamEnd.signal.aborted && !signal.aborted && !outlastsDrain(gateway, state)) {
+			const result = await offerRun(options, streamEnd.signal); // eslint-disable-line no-await-in-loop -- one offer after the other
+			if (result.kind === 'decided' || gateway.clocks.steady() + offerIntervalMs >= (state.leavesAt ?? 0)) {
+				return result.kind === 'decided' ? result.moved : undefined;
+			}
+
+			await pauseFor(offerIntervalMs, streamEnd.signal); // eslint-disable-line no-await-in-loop -- one offer after the other
+		}
+
+		return undefined;
 	};
 
 	const scheduleMove = (): void => {
--- a/packages/gateway/src/ports.ts
+++ b/packages/gateway/src/ports.ts
@@ -91,6 +91,14 @@
 	/** The run may have been stopped. The location of its KV cache is unknown. */
 	| {readonly kind: 'failed'; readonly reason: string};
 
+export type CopyReply =
+	/** The KV cache was copied, and keeps a place at the other backend server. The run goes on. */
+	| {readonly kind: 'copied'; readonly handle: string}
+	/** The other backend server has no room, or is not reached. The run goes on. */
+	| {readonly kind: 'no_room'}
+	| {readonly kind: 'not_running'}
+	| {readonly kind: 'failed'; readonly reason: string};
+
 /** What a backend server says of its own start. */
 export type StartReply =
 	/** Milliseconds since the epoch. */
@@ -103,6 +111,14 @@
 export type Engines = {
 	/** Asks a backend server when it started, over its pooled connections. `onSend` is called with the connection as the question is written. */
 	readonly readStart: (source: {readonly address: string; readonly agent: Agent}, options: CallOptions & {readonly onSend?: (socket: Socket) => void}) => Promise<StartReply>;
+	/** Copies the KV cache of a run to another backend server while the run goes on. */
+	readonly copyRun: (
+		source: {readonly address: string; readonly agent: Agent},
+		copy: {readonly callId: string; readonly to: string},
+		options: CallOptions,
+	) => Promise<{readonly reply: CopyReply; /** Undefined without an answer. */ readonly headers: BackendHeaders | undefined}>;
+	/** Frees a copy that is not used. One that is not freed ends after some time. */
+	readonly releaseCopy: (source: {readonly address: string; readonly agent: Agent}, handle: string, options: CallOptions) => Promise<void>;
 	/** Stops a run and copies its KV cache to another backend server. */
 	readonly stopAndMove: (
 		source: {readonly address: string; readonly agent: Agent},
--- a/scripts/soak/src/inject-backend-fault.ts
+++ b/scripts/soak/src/inject-backend-fault.ts
@@ -28,12 +28,14 @@
 	engine.delayMs = eventIntervalWithNoticeMs;
 	for (const standIn of engines) {
 		standIn.moveBehavior = behavior;
+		standIn.hasRoomForCopies = hasRoom;
 	}
 
 	return () => {
 		engine.delayMs = delayMs;
 		for (const standIn of engines) {
 			standIn.moveBehavior = 'moves';
+			standIn.hasRoomForCopies = true;
 		}
 	};
 };
