An answer under way lasts until the latest moment that its deadline may be

Callers saw streams end up to 1.7 s before their deadline, with their engine at work. Cause: observeArrival tells the earliest moment at which a request may have arrived, when the loop stood or its connection waited to be accepted, and computeDeadline took that bound for the arrival. It is right for what is begun: nothing is sent too late. It is wrong for what is under way: a caller that is still there may have all of its time. Now the timer of a call whose answer has begun runs until the latest moment; a caller that leaves is seen as before.

--- a/packages/gateway/src/calls/admit-call.ts
+++ b/packages/gateway/src/calls/admit-call.ts
@@ -62,6 +62,8 @@
 	readonly outgoing: OutgoingRequest;
 	/** Undefined if it is no stream that its caller may take up, or another daemon sent it. */
 	readonly continuity?: Continuity | undefined;
+	/** Until when an answer that has begun may last: the latest moment that the deadline may be. Undefined if the deadline is exact. */
+	readonly answerDeadline?: Deadline | undefined;
 };
 
 export class RefusedCall {
@@ -156,8 +158,11 @@
 const computeDeadline = ({readAt, arrivedAt}: Arrival, timeoutMs: number): Deadline =>
 	(Math.max(arrivedAt + timeoutMs, readAt + (timeoutMs * minRemainingPart)) - deadlineMarginMs) as Deadline;
 
-const makeCall = ({gateway, head}: CallContext, {route, account, service}: RequestTarget, arrival: Arrival): Call => {
-	const timeoutMs = Math.min(head.callerTimeoutMs ?? route.limitMs, route.limitMs);
+const getTimeoutMs = ({head}: CallContext, {route}: RequestTarget): number => Math.min(head.callerTimeoutMs ?? route.limitMs, route.limitMs);
+
+const makeCall = (context: CallContext, target: RequestTarget, arrival: Arrival): Call => {
+	const {gateway, head} = context;
+	const {route, account, service} = target;
 	const {arrivedAt} = arrival;
 	return {
 		id: head.id ?? '',
@@ -167,7 +172,7 @@
 		repeatability: route.repeatability,
 		arrivedAt,
 		targetAt: (arrivedAt + route.targetMs) as Deadline,
-		deadline: computeDeadline(arrival, timeoutMs),
+		deadline: computeDeadline(arrival, getTimeoutMs(context, target)),
 		patienceMs: computePatience(route),
 		rank: Math.max(0, route.rank),
 		maxAttempts: Math.max(1, route.attempts),
@@ -259,6 +264,7 @@
 	return {
 		call,
 		continuity,
+		answerDeadline: (arrival.readAt + getTimeoutMs(context, target) - deadlineMarginMs) as Deadline,
 		outgoing: {
 			method, path, callerFields: request.rawHeaders, body: bodyResult.body, digest, lastEventId: undefined, ...(trialOf !== undefined && {trialOf}),
 		},
--- a/packages/gateway/src/calls/serve-call.ts
+++ b/packages/gateway/src/calls/serve-call.ts
@@ -86,7 +86,18 @@
 			caller.expire();
 		}
 	});
-	const timer = setTimeout(caller.expire, limitTimerMs(call.deadline - gateway.clocks.steady()));
+	const expire = (): void => {
+		// The deadline counts from when the request may have arrived at the earliest.
+		const answerDeadline = context.response.headersSent ? admitted.answerDeadline ?? call.deadline : call.deadline;
+		if (gateway.clocks.steady() < answerDeadline && answerDeadline > call.deadline) {
+			timer = setTimeout(caller.expire, limitTimerMs(answerDeadline - gateway.clocks.steady()));
+			return;
+		}
+
+		caller.expire();
+	};
+
+	let timer = setTimeout(expire, limitTimerMs(call.deadline - gateway.clocks.steady()));
 	if (!isCutOff(gateway)) {
 		recordArrival(gateway, call.service, call.rank);
 	}
