--- a/scripts/run-tests.js
+++ b/scripts/run-tests.js
@@ -3,6 +3,7 @@
  * Fails if there are none, so that a broken build does not count as a pass.
  * A failure of a test that KNOWN-RED.txt lists is printed and does not fail the run.
  */
+import {once} from 'node:events';
 import {existsSync, readdirSync, readFileSync} from 'node:fs';
 import path from 'node:path';
 import process from 'node:process';
@@ -21,6 +22,9 @@
 /** Each test file runs several daemons; with more concurrent files they would compete for the CPU. */
 const maxConcurrentFiles = 4;
 
+/** Files whose tests run one at a time, after all others: they measure what a process holds under load. */
+const aloneSuffix = '.alone.test.js';
+
 const pathFilters = process.argv.slice(2);
 const files = ['packages', 'platform', 'apps', 'scripts', 'tests']
 	.flatMap(folder => findTestFiles(folder))
@@ -37,18 +41,31 @@
 
 const knownRed = new Set(listKnownRed());
 const failedKnownRed = [];
-const stream = run({files: files.map(file => path.resolve(file)), concurrency: maxConcurrentFiles, timeout: 300_000});
-stream.on('test:fail', ({name}) => {
-	if (knownRed.has(name)) {
-		failedKnownRed.push(name);
+
+/** Resolves when all tests of the files have run. */
+const runFiles = async (selected, options) => {
+	if (selected.length === 0) {
 		return;
 	}
 
-	process.exitCode = 1;
-});
+	const stream = run({files: selected.map(file => path.resolve(file)), ...options});
+	stream.on('test:fail', ({name}) => {
+		if (knownRed.has(name)) {
+			failedKnownRed.push(name);
+			return;
+		}
+
+		process.exitCode = 1;
+	});
+	const report = stream.compose(spec);
+	report.pipe(process.stdout, {end: false});
+	await once(report, 'end');
+};
+
 process.on('exit', () => {
 	for (const name of knownRed) {
 		process.stdout.write(`known red, ${failedKnownRed.includes(name) ? 'failed' : 'not failed'} in this run: ${name}\n`);
 	}
 });
-stream.compose(spec).pipe(process.stdout);
+await runFiles(files.filter(file => !file.endsWith(aloneSuffix)), {concurrency: maxConcurrentFiles, timeout: 300_000});
+await runFiles(files.filter(file => file.endsWith(aloneSuffix)), {concurrency: 1, timeout: 1_200_000});
