A body takes the memory of its bytes, in whatever chunks it comes

What callers saw: 150 calls whose bodies come in chunks of one byte, 360 kB sent each, ended the daemon for want of heap, with all other calls.

Cause: readRequestBody kept each chunk as it came and counted its bytes. Node 20 gives a chunk an ArrayBuffer of its own, so that one byte takes some 400. The bound of bodies (half of the memory) counted 1 of them. Messages of peers were collected in the same way, up to 16 MB each, with no common bound.

Change: bodies are copied into blocks (body-blocks.ts) and charged for what the blocks take: just the length if it is stated, at most twice the bytes if not. Messages of peers are read by the same function, as part of the same bound. Both files moved to common/client-limits, where the account of what clients hold will stand.

Ruled out: views that keep a read of 64 kB alive; a chunk has a buffer of its own length on Node 20.20 (printed by a trial).

--- a/packages/gateway/src/calls/read-request-body.ts
+++ b/packages/common/src/client-limits/read-request-body.ts
@@ -1,8 +1,9 @@
 /** Reads a complete request body up to a size limit. */
-import {Buffer} from 'node:buffer';
+import {type Buffer} from 'node:buffer';
 import {type IncomingMessage} from 'node:http';
-import {waitForParser} from '@shallotpass/common/close-gently.js';
-import {type InputError, UnreadableRequestError} from '@shallotpass/common/unreadable-request.js';
+import {waitForParser} from '../close-gently.js';
+import {type InputError, UnreadableRequestError} from '../unreadable-request.js';
+import {makeBodyBlocks} from './body-blocks.js';
 import {type BodyHold, type HeldBytes} from './held-bytes.js';
 
 export type BodyResult =
@@ -16,6 +17,12 @@
 
 const describeBroken = ({errored}: IncomingMessage): BodyResult => ({kind: 'broken', inputError: errored instanceof UnreadableRequestError ? errored.inputError : undefined});
 
+/** Returns the length that the request states. Undefined if it states none, or more than may be read. */
+const readContentLength = ({headers}: IncomingMessage, maxBytes: number): number | undefined => {
+	const length = Number(headers['content-length']);
+	return length <= maxBytes ? length : undefined;
+};
+
 /**
  * Buffers the complete body before a call is sent. A call that no backend server has run can then be
  * sent to another one, and a slow caller does not occupy a backend server.
@@ -28,14 +35,14 @@
 	}
 
 	const hold = heldBytes.begin();
-	const chunks: Buffer[] = [];
+	const blocks = makeBodyBlocks(readContentLength(request, maxBytes));
 	let receivedBytes = 0;
 	let isRefused = false;
 	let isWhole = false;
 	const refuseWhenParsed = async (kind: 'too_large' | 'no_room'): Promise<void> => {
 		isRefused = true;
 		hold.release();
-		chunks.length = 0;
+		blocks.take();
 		request.off('data', onData);
 		request.pause();
 		await waitForParser();
@@ -49,12 +56,12 @@
 			return;
 		}
 
-		if (!hold.add(chunk.length)) {
+		if (!hold.add(blocks.measure(chunk))) {
 			void refuseWhenParsed('no_room');
 			return;
 		}
 
-		chunks.push(chunk);
+		blocks.add(chunk);
 	};
 
 	/** A body that is refused may end before that is told, and is not whole without its last chunk. */
@@ -80,7 +87,7 @@
 	request.on('data', onData);
 	request.once('end', () => {
 		isWhole = true;
-		finish({kind: 'whole', body: chunks.length === 1 ? chunks[0]! : Buffer.concat(chunks), hold});
+		finish({kind: 'whole', body: blocks.take(), hold});
 	});
 	request.once('error', finishBroken);
 	request.once('close', finishBroken);
--- a/packages/gateway/src/calls/admit-call.ts
+++ b/packages/gateway/src/calls/admit-call.ts
@@ -9,6 +9,8 @@
 import {type Account, type Route} from '@shallotpass/core/calls/serving-configuration.js';
 import {type Call, isStream} from '@shallotpass/core/calls/types.js';
 import {hashText, hashText64} from '@shallotpass/core/routing/rank-by-rendezvous.js';
+import {type BodyHold} from '@shallotpass/common/client-limits/held-bytes.js';
+import {readRequestBody} from '@shallotpass/common/client-limits/read-request-body.js';
 import {type Continuity, determineContinuity} from '../origins/continuity.js';
 import {type CallTrace} from '../telemetry/call-trace.js';
 import {checkVerdict} from '../crashes/check-verdict.js';
@@ -18,8 +20,6 @@
 import {type CallerHeaders} from '../ports.js';
 import {type CallerPresence, confirmCallerWaits, readCloses} from './caller-presence.js';
 import {waitForEarlierStreams} from './earlier-streams.js';
-import {type BodyHold} from './held-bytes.js';
-import {readRequestBody} from './read-request-body.js';
 import {type Arrival} from './request-queue.js';
 import {type Refusal} from './refusal.js';
 import {type OutgoingRequest} from './run-at-backend.js';
--- a/packages/gateway/src/calls/serve-peer-call.ts
+++ b/packages/gateway/src/calls/serve-peer-call.ts
@@ -2,6 +2,7 @@
 import type http from 'node:http';
 import {isStream} from '@shallotpass/core/calls/types.js';
 import {recordCall} from '@shallotpass/core/retries/repeat-account.js';
+import {type BodyResult, readRequestBody} from '@shallotpass/common/client-limits/read-request-body.js';
 import {findCrashRefusal} from '../crashes/check-verdict.js';
 import {countPeerCallRoom, type GatewayState, maxPeerCalls} from '../gateway-state.js';
 import {unknownOriginRefusal} from '../origins/continuity.js';
@@ -13,7 +14,6 @@
 import {
 	decodePeerCall, type PeerCallData, type PeerCallResult, makeCallOfPeer, setArrived, setResult,
 } from './peer-call.js';
-import {type BodyResult, readRequestBody} from './read-request-body.js';
 import {type Refusal, sendRefusal} from './refusal.js';
 import {getRepeatAccount, getRepeatLimit} from './repeat-limit.js';
 import {serveAdmittedCall} from './serve-call.js';
--- a/packages/gateway/src/peers/shared-state.ts
+++ b/packages/gateway/src/peers/shared-state.ts
@@ -23,7 +23,7 @@
 import {type GatewayState} from '../gateway-state.js';
 import {parseHostAndPort} from '../host-and-port.js';
 import {type MemberList} from './join-members.js';
-import {readMessage} from './read-message.js';
+import {readRequestMessage} from './read-message.js';
 
 const {status: invalidRequestStatus} = errorResponses.invalid_request;
 
@@ -98,7 +98,7 @@
 	rpc.addMethod(backendContactMethod, async query => probeForPeer(gateway, query));
 	const handleRequest = async (request: http.IncomingMessage, response: http.ServerResponse): Promise<void> => {
 		try {
-			const reply = await rpc.receiveJSON(await readMessage(request));
+			const reply = await rpc.receiveJSON(await readRequestMessage(request, gateway.heldBytes));
 			response.setHeader('Content-Type', 'application/json');
 			response.end(JSON.stringify(reply));
 		} catch (error) {
