What clients can make a daemon hold is bounded in one place, for every listener

What callers saw: a few hundred connections that send requests ahead and read nothing, heads or trailers of small fields that do not end, or nothing at all, ended the daemon, or took all its descriptors, on each address that a client may reach; calls of all others were lost, and the platform's check of readiness failed.

Cause: Node makes a request and a response of each head in a read of 64 kB before the first is answered, and pauses a connection only between reads. Connections, owed answers, fields, input and unread answers were bounded nowhere, or each by itself, so that no bound held for all of them.

Ruled out: a limit on what is owed, checked as a request is handled (the objects exist by then); pausing the parser within a read (it reports an error and loses the rest).

Each listener calls guardListener: its connections pass their input to the parser in pieces that end with an empty line, so that each makes one request at most, and only while there is room. One ledger is charged for connections, owed requests, fields, input, bodies and unread answers, and gives those clients up that hold most for longest while it is their turn: 503 for a body, 408 for half a head, closed otherwise. What Node's parser keeps of fields is dropped when nothing more of a connection is parsed, as it stays open until its caller has read the refusal. New settings: instance.max_open_files, from the platform's max_fds. Bodies may take less than half of a machine of under 300 MB, as 150 MB are kept for the program. Metrics and log lines: shallotpass_gateway_client_*, clients_given_up_total, clients_refused_total, client_given_up, client_refused; the gauge of active calls, which was always 0, tells them.

--- a/packages/common/src/client-limits/read-request-body.ts
+++ b/packages/common/src/client-limits/read-request-body.ts
@@ -34,7 +34,11 @@
 		return;
 	}
 
-	const hold = heldBytes.begin();
+	const hold = heldBytes.begin(request.socket, () => {
+		if (!isRefused && !isWhole) {
+			void refuseWhenParsed('no_room');
+		}
+	});
 	const blocks = makeBodyBlocks(readContentLength(request, maxBytes));
 	let receivedBytes = 0;
 	let isRefused = false;
@@ -57,7 +61,11 @@
 		}
 
 		if (!hold.add(blocks.measure(chunk))) {
-			void refuseWhenParsed('no_room');
+			// Making room for it may have given it up.
+			if (!isRefused) {
+				void refuseWhenParsed('no_room');
+			}
+
 			return;
 		}
 
@@ -87,6 +95,7 @@
 	request.on('data', onData);
 	request.once('end', () => {
 		isWhole = true;
+		hold.keep();
 		finish({kind: 'whole', body: blocks.take(), hold});
 	});
 	request.once('error', finishBroken);
--- a/packages/common/src/close-gently.ts
+++ b/packages/common/src/close-gently.ts
@@ -16,8 +16,28 @@
 const defaultBounds: CloseBounds = {withinMs: closeWithinMs, discardedBytes: maxDiscardedBytes};
 
 const discarded = new WeakSet<net.Socket>();
+
+/** What to call when nothing more of a connection is parsed. */
+const discardListeners = new WeakMap<net.Socket, () => void>();
+
+/** Calls `listener` when nothing more of the connection is parsed. A later call replaces it. */
+export const onInputDiscarded = (socket: net.Socket, listener: () => void): void => {
+	discardListeners.set(socket, listener);
+};
+
 const closing = new WeakSet<net.Socket>();
 
+/** What Node's parser keeps of a head, or of trailers, that have not ended. */
+type ParsingSocket = {readonly parser?: {_headers?: string[]}};
+
+const dropFields = (socket: net.Socket): void => {
+	const {parser} = socket as ParsingSocket;
+	// Node sets it to null when it has none any more.
+	if (parser?._headers !== undefined) {
+		parser._headers = [];
+	}
+};
+
 /**
  * Reads and drops what comes on the connection from now on; nothing more of it is parsed. It is read, within bounds, so that
  * the close of the caller is seen, and as a connection that is closed with unread bytes is reset.
@@ -28,6 +48,8 @@
 	}
 
 	discarded.add(socket);
+	dropFields(socket);
+	discardListeners.get(socket)?.();
 	let bytes = 0;
 	// The parser reads as a listener of its own, or below the socket until another one is added.
 	socket.removeAllListeners('data');
@@ -40,6 +62,9 @@
 	socket.resume();
 };
 
+/** Whether nothing more of the connection is parsed. */
+export const isInputDiscarded = (socket: net.Socket): boolean => discarded.has(socket);
+
 /** Resolves when all that came in the same read has been parsed. A request is handled while the parser still works on what follows. */
 export const waitForParser = async (): Promise<void> => new Promise(resolve => {
 	setImmediate(resolve);
--- a/packages/common/src/owed-answers.ts
+++ b/packages/common/src/owed-answers.ts
@@ -38,6 +38,12 @@
 	readonly findUnread: (socket: net.Socket) => UnreadRequest | undefined;
 	/** Lists the responses that are owed on a connection, in order. */
 	readonly listOn: (socket: net.Socket) => http.ServerResponse[];
+	/** Lists all that is owed. */
+	readonly list: () => Iterable<{readonly socket: net.Socket; readonly response: http.ServerResponse}>;
+	/** Whether requests that are read from now on are owed nothing. */
+	readonly isEndingOn: (socket: net.Socket) => boolean;
+	/** Calls `listener` each time that an answer on the connection is no longer owed. A later call replaces it. */
+	readonly onEachSettled: (socket: net.Socket, listener: () => void) => void;
 	/** How many heads of requests were read on the connection, and when the last answer was out. */
 	readonly getProgress: (socket: net.Socket) => ConnectionProgress;
 	/** States why a connection is about to be closed, so that the answers still owed on it are reported with this reason. */
@@ -65,6 +71,7 @@
 	/** Not kept beyond the end of its answer if it was read whole. */
 	newest: UnreadRequest | undefined;
 	reason: string | undefined;
+	onEachSettled: (() => void) | undefined;
 	/** Undefined while there was none, as most connections have none. */
 	settledListeners: Array<() => void> | undefined;
 };
@@ -104,7 +111,7 @@
 		}
 
 		const connection: Connection = {
-			owed: 0, isEnding: false, heads: 0, lastSettledAt: undefined, newest: undefined, reason: undefined, settledListeners: undefined,
+			owed: 0, isEnding: false, heads: 0, lastSettledAt: undefined, newest: undefined, reason: undefined, onEachSettled: undefined, settledListeners: undefined,
 		};
 		connections.set(socket, connection);
 		return connection;
@@ -152,6 +159,7 @@
 				}
 
 				notifySettled(connection);
+				connection.onEachSettled?.();
 			};
 
 			stopWatching = watchConnection(socket, () => {
@@ -194,6 +202,11 @@
 			return newest?.request.complete === false ? newest : undefined;
 		},
 		listOn: socket => [...owed].filter(answer => answer.socket === socket).map(({response}) => response),
+		list: () => owed,
+		isEndingOn: socket => connections.get(socket)?.isEnding === true,
+		onEachSettled(socket, listener) {
+			getConnection(socket).onEachSettled = listener;
+		},
 		getProgress: socket => getConnection(socket),
 		stateReason(socket, reason) {
 			getConnection(socket).reason = reason;
--- a/packages/gateway/src/calls/admit-call.ts
+++ b/packages/gateway/src/calls/admit-call.ts
@@ -81,6 +81,12 @@
 	kind: 'over_capacity', detail: 'The bodies of the calls under way leave no room for this one.', retryAfterS: noRoomRetryAfterS, isReadInPart: true,
 };
 
+/** Refusal of a call whose answer would have to wait in this process behind others, while there is little room. */
+const aheadInShortageRefusal: Refusal = {kind: 'over_capacity', detail: 'There is little room for the answers to requests that are sent ahead.', retryAfterS: noRoomRetryAfterS};
+
+const isSentAheadInShortage = ({gateway, request, isFromPeer}: CallContext): boolean =>
+	!isFromPeer && gateway.ledger.isTight() && gateway.answers.countOn(request.socket) > 1;
+
 const isConfigurationUnconfirmed = (gateway: GatewayState): boolean => gateway.clocks.steady() > gateway.configurationCheckedAt + configurationUnconfirmedAfterMs;
 
 const findAccount = (gateway: GatewayState, index: IndexedConfiguration, route: Route, key: string | undefined): Account | RefusedCall | undefined => {
@@ -209,6 +215,10 @@
 		return index;
 	}
 
+	if (isSentAheadInShortage(context)) {
+		return new RefusedCall(aheadInShortageRefusal);
+	}
+
 	const path = request.url ?? '/';
 	const target = resolveTarget(context, index, path.split('?', 1)[0]!);
 	if (target instanceof RefusedCall) {
--- a/packages/gateway/src/calls/callers-listener.ts
+++ b/packages/gateway/src/calls/callers-listener.ts
@@ -1,5 +1,6 @@
 /** Listeners for callers and for the load balancer's readiness checks. */
 import http from 'node:http';
+import {guardListener} from '@shallotpass/common/client-limits/guard-listener.js';
 import {makeOwedAnswers} from '@shallotpass/common/owed-answers.js';
 import {watchInput} from '@shallotpass/common/watch-input.js';
 import {type GatewayState} from '../gateway-state.js';
@@ -31,7 +32,9 @@
 
 /** Serves callers on `openedServer`, or on a new server if there is none. */
 export const listenForCallers = async (gateway: GatewayState, openedServer?: CallersServer): Promise<CallersListener> => {
-	const callersServer = openedServer ?? await openCallersServer({address: gateway.settings.listen.callers, answers: gateway.answers, loop: gateway.loop});
+	const callersServer = openedServer ?? await openCallersServer({
+		address: gateway.settings.listen.callers, answers: gateway.answers, ledger: gateway.ledger, loop: gateway.loop,
+	});
 	const {server, serve, connections} = callersServer;
 	callersServer.onUnreadable = ({reason}, socket) => {
 		gateway.log.write('failure', 'request_unreadable', {reason, owedAnswers: gateway.answers.countOn(socket)});
@@ -59,6 +62,9 @@
 	};
 };
 
+/** Checks that are read before those ahead of them are answered. */
+const maxChecksAhead = 4;
+
 const isReady = (gateway: GatewayState): boolean => gateway.configuration !== undefined && gateway.directoryReadAt !== undefined && gateway.isSpendingLoaded && gateway.drainingSince === undefined;
 
 /** Answers readiness checks: 200 while this daemon accepts calls, otherwise 503. */
@@ -73,6 +79,9 @@
 	watchInput({
 		server, answers, formatError: formatBareError, refusesUpgrades: false, onUnreadable() {/* Nothing to log: no call is lost here. */},
 	});
+	guardListener({
+		server, listener: 'ready', ledger: gateway.ledger, answers, getMaxAhead: () => maxChecksAhead,
+	});
 	await listenOn(server, gateway.settings.listen.ready);
 	return server;
 };
--- a/packages/gateway/src/calls/callers-server.ts
+++ b/packages/gateway/src/calls/callers-server.ts
@@ -6,10 +6,13 @@
 import {performance} from 'node:perf_hooks';
 import type net from 'node:net';
 import {setTimeout as sleep} from 'node:timers/promises';
+import {type ClientLedger, makeClientLedger} from '@shallotpass/common/client-limits/client-ledger.js';
+import {guardListener, usualMaxAhead, usualMaxFieldBytes} from '@shallotpass/common/client-limits/guard-listener.js';
 import {closeGently} from '@shallotpass/common/close-gently.js';
 import {makeOwedAnswers, type OwedAnswers} from '@shallotpass/common/owed-answers.js';
 import {type InputError} from '@shallotpass/common/unreadable-request.js';
 import {watchInput} from '@shallotpass/common/watch-input.js';
+import {readClientLimits} from '../gateway-ledger.js';
 import {parseHostAndPort} from '../host-and-port.js';
 import {type LoopMonitor, startLoopMonitor} from '../loop-monitor.js';
 import {type CallerConnections, followConnections} from './caller-connections.js';
@@ -33,6 +36,9 @@
 /** Bytes of a head that are read at most, whatever the configuration allows. */
 export const readableHeadBytes = 65_536;
 
+/** A field of one letter takes four bytes, of which one counts. */
+const sentBytesPerHeadByte = 4;
+
 /** Maximum number of queued requests. Each holds its header fields and about 64 kB of its body, 130 kB in all at most; the rest of the body stays in the kernel. */
 export const maxQueuedRequests = 512;
 
@@ -58,6 +64,8 @@
 	/** Answers that are owed to callers, also to those whose requests are queued. */
 	readonly answers: OwedAnswers;
 	readonly connections: CallerConnections;
+	/** What clients make the daemon hold. */
+	readonly ledger: ClientLedger;
 	readonly loop: LoopMonitor;
 	/** Host and port as passed to `openCallersServer`. */
 	readonly address: string;
@@ -77,6 +85,7 @@
 export type CallersServerOptions = {
 	readonly address: string;
 	readonly answers?: OwedAnswers;
+	readonly ledger?: ClientLedger;
 	readonly loop?: LoopMonitor;
 	readonly getRequestId?: GetRequestId;
 };
@@ -91,10 +100,11 @@
 
 /** Rejects if the server cannot listen on the address. */
 export const openCallersServer = async ({
-	address, answers = makeOwedAnswers(), loop = startLoopMonitor({steady: () => performance.now()}), getRequestId = () => undefined,
+	address, answers = makeOwedAnswers(), ledger = makeClientLedger(readClientLimits({})), loop = startLoopMonitor({steady: () => performance.now()}), getRequestId = () => undefined,
 }: CallersServerOptions): Promise<CallersServer> => {
 	const queue = makeRequestQueue(maxQueuedRequests);
 	let maxHeadBytes = initialMaxHeadBytes;
+	let isServing = false;
 	let handler: Handler = (request, response) => {
 		const readAt = performance.now();
 		if (!queue.enqueue({request, response, arrival: {readAt, arrivedAt: readAt - loop.getStandingMs()}})) {
@@ -141,6 +151,7 @@
 
 	const serve: CallersServer['serve'] = attachedHandler => {
 		handler = attachedHandler;
+		isServing = true;
 		for (const {request, response, arrival} of queue.dequeueAll()) {
 			attachedHandler(request, response, arrival);
 		}
@@ -172,10 +183,19 @@
 		},
 	});
 	const connections = followConnections(server, answers);
+	guardListener({
+		server,
+		listener: 'callers',
+		ledger,
+		answers,
+		getMaxAhead: () => isServing ? usualMaxAhead : maxQueuedRequests,
+		getMaxFieldBytes: () => Math.max(usualMaxFieldBytes, maxHeadBytes * sentBytesPerHeadByte),
+	});
 	const callersServer: CallersServer = {
 		server,
 		answers,
 		connections,
+		ledger,
 		loop,
 		address,
 		onUnreadable() {/* set by the owner */},
--- a/packages/gateway/src/calls/event-splitter.ts
+++ b/packages/gateway/src/calls/event-splitter.ts
@@ -1,6 +1,6 @@
 /** Splits a stream of server-sent events at event boundaries, so that no partial event is forwarded. */
 import {Buffer} from 'node:buffer';
-import {type GrowingBuffer, makeGrowingBuffer} from './growing-buffer.js';
+import {type GrowingBuffer, makeGrowingBuffer} from '@shallotpass/common/growing-buffer.js';
 
 export type EventSplitter = {
 	/** Adds a chunk and returns all events that are now complete as one buffer, with the comments before them. */
--- a/packages/gateway/src/calls/serve-call.ts
+++ b/packages/gateway/src/calls/serve-call.ts
@@ -54,6 +54,8 @@
 		response.destroy();
 	}
 
+	// An answer behind others, or one that its caller does not take, stays in this process.
+	gateway.ledger.charge(response.writableLength);
 	const service = admitted?.call.service ?? '';
 	const kind = admitted?.call.repeatability ?? '';
 	const tookMs = admitted ? gateway.clocks.steady() - admitted.call.arrivedAt : 0;
--- a/packages/gateway/src/gateway-settings.ts
+++ b/packages/gateway/src/gateway-settings.ts
@@ -18,7 +18,8 @@
 		availabilityZone: z.string().min(1).describe('Availability zone of this instance'),
 		zones: z.array(z.string()).describe('All availability zones'),
 		linkMbps: z.number().positive().describe('Bandwidth of this instance\'s link, in Mbit/s; daemons with the highest bandwidth aggregate the reports of their zone'),
-		memoryMb: z.number().positive().optional().describe('Memory of this instance, in MB; half of it may hold bodies of calls. 256 if it is not stated'),
+		memoryMb: z.number().positive().optional().describe('Memory of this instance, in MB; half of it may hold bodies of calls, and at least 150 MB are left for the program. 256 if it is not stated'),
+		maxOpenFiles: z.int().min(64).optional().describe('Descriptors that the process may have open; 70% of them may be connections of callers, 10% connections of peers. What the system allows if it is not stated'),
 		firstStart: z.boolean().default(false).describe('Whether all daemons start for the first time'),
 	}),
 	listen: z.object({
--- a/packages/gateway/src/gateway-state.ts
+++ b/packages/gateway/src/gateway-state.ts
@@ -14,6 +14,7 @@
 import {type RepeatAccount} from '@shallotpass/core/retries/repeat-account.js';
 import {type UsageTally} from '@shallotpass/core/usage/count-starts.js';
 import {type PathState} from '@shallotpass/core/paths/path-state.js';
+import {type ClientLedger} from '@shallotpass/common/client-limits/client-ledger.js';
 import {type HeldBytes} from '@shallotpass/common/client-limits/held-bytes.js';
 import {type AcceptBacklog} from './calls/accept-backlog.js';
 import {type BackendRegistry} from './calls/backend-registry.js';
@@ -163,6 +164,9 @@
 	/** Answers that are owed to callers and peers, from the head of a request to the delivery of its answer. */
 	readonly answers: OwedAnswers;
 	/** Bytes of the bodies that calls hold. */
+	/** What clients make the daemon hold, on all listeners. */
+	readonly ledger: ClientLedger;
+	/** The bodies of that. */
 	readonly heldBytes: HeldBytes;
 	/** Bytes of unfinished events that streams hold. */
 	readonly unfinishedEvents: UnfinishedEvents;
--- a/packages/gateway/src/peers/shared-state.ts
+++ b/packages/gateway/src/peers/shared-state.ts
@@ -5,6 +5,7 @@
 import http from 'node:http';
 import {listenAt} from '@shallotpass/common/listen.js';
 import {JSONRPCServer} from 'json-rpc-2.0';
+import {guardListener} from '@shallotpass/common/client-limits/guard-listener.js';
 import {errorResponses} from '@shallotpass/common/error-kinds.js';
 import {makeOwedAnswers} from '@shallotpass/common/owed-answers.js';
 import {watchInput} from '@shallotpass/common/watch-input.js';
@@ -131,6 +132,9 @@
 			gateway.log.write('failure', 'request_unreadable', {reason, owedAnswers: answers.countOn(socket)});
 		},
 	});
+	guardListener({
+		server, listener: 'peers', ledger: gateway.ledger, answers,
+	});
 	await listenAt(server, parseHostAndPort(gateway.settings.listen.peers));
 	signal.addEventListener('abort', () => {
 		server.close();
--- a/packages/gateway/src/start-gateway.ts
+++ b/packages/gateway/src/start-gateway.ts
@@ -3,11 +3,13 @@
 import {setMaxListeners} from 'node:events';
 import {performance} from 'node:perf_hooks';
 import process from 'node:process';
+import {makeClientLedger} from '@shallotpass/common/client-limits/client-ledger.js';
+import {computeMaxBodyBytes} from '@shallotpass/common/client-limits/client-limits.js';
+import {makeHeldBytes} from '@shallotpass/common/client-limits/held-bytes.js';
 import {makeOwedAnswers} from '@shallotpass/common/owed-answers.js';
 import {initialStoreRole, getMaxRetryPauseMs} from '@shallotpass/core/gossip/store-role.js';
 import {initialPathState} from '@shallotpass/core/paths/path-state.js';
 import {makeCrashLedger} from '@shallotpass/core/crashes/crash-ledger.js';
-import {computeMaxHeldBytes, makeHeldBytes} from '@shallotpass/common/client-limits/held-bytes.js';
 import {makeAcceptBacklog} from './calls/accept-backlog.js';
 import {type OpenConnection} from './calls/backend-agent.js';
 import {makeBackendRegistry} from './calls/backend-registry.js';
@@ -27,7 +29,9 @@
 import {followDirectory} from './store/follow-directory.js';
 import {listenForMetrics} from './telemetry/metrics-listener.js';
 import {collectProcessMetrics, makeGatewayMetrics} from './telemetry/gateway-metrics.js';
+import {reportClients} from './telemetry/report-clients.js';
 import {reportUnfinishedAnswers} from './telemetry/report-unfinished-answers.js';
+import {readClientLimits} from './gateway-ledger.js';
 import {type GatewaySettings} from './gateway-settings.js';
 import {countDaemons, type GatewayState} from './gateway-state.js';
 import {makeOrderPlanner} from './leader/order-planner.js';
@@ -88,7 +92,7 @@
 	return controller;
 };
 
-const makeState = ({settings, log, openConnection, callersServer}: GatewayOptions, platform: Platform, {metrics, startedAt, ...identity}: Identity & Pick<GatewayState, 'metrics' | 'startedAt'>): GatewayState => ({
+const makeState = ({settings, log, openConnection, callersServer}: GatewayOptions, platform: Platform, {metrics, startedAt, ledger, ...identity}: Identity & Pick<GatewayState, 'metrics' | 'startedAt' | 'ledger'>): GatewayState => ({
 	settings,
 	...identity,
 	acceptBacklog: makeAcceptBacklog(identity.clocks.steady, identity.loop),
@@ -134,7 +138,8 @@
 	lastAnswers: makeLastAnswers(),
 	activeCalls: 0,
 	answers: callersServer?.answers ?? makeOwedAnswers(),
-	heldBytes: makeHeldBytes(computeMaxHeldBytes(settings.instance)),
+	ledger,
+	heldBytes: makeHeldBytes(computeMaxBodyBytes(settings.instance.memoryMb), ledger),
 	unfinishedEvents: makeUnfinishedEvents(maxBytesOfUnfinishedEvents),
 	paths: initialPathState,
 	onPathsLost: new Set(),
@@ -154,6 +159,8 @@
 			daemons: countDaemons(state),
 			activeCalls: state.activeCalls,
 			owedAnswers: state.answers.count(),
+			clientConnections: state.ledger.countConnections('callers'),
+			clientBytes: Math.round(state.ledger.getTotals().bytes),
 			backends: state.registry.byId.size,
 			configuration: state.configuration?.configuration.version,
 			configurationAgeMs: Math.round(state.clocks.steady() - state.configurationCheckedAt),
@@ -167,9 +174,11 @@
 };
 
 export const startGateway = async (options: GatewayOptions): Promise<Gateway> => {
+	const ledger = options.callersServer?.ledger ?? makeClientLedger(readClientLimits(options.settings.instance));
+	ledger.setLimits(readClientLimits(options.settings.instance));
 	const lastAnswerAt = new Map<string, number>();
 	const metrics = makeGatewayMetrics({
-		answeredAt: lastAnswerAt, now: () => performance.now(), countOwedAnswers: () => state.answers.count(), countHeldBytes: () => state.heldBytes.count(), countUnfinishedEventBytes: () => state.unfinishedEvents.count(), getDirectoryAgeMs: () => state.clocks.steady() - state.directoryStatus.confirmedAt, listReadyBackends: () => listReadyBackends(state.registry.versionsByService),
+		answeredAt: lastAnswerAt, now: () => performance.now(), countOwedAnswers: () => state.answers.count(), countHeldBytes: () => state.heldBytes.count(), ledger, getActiveCalls: () => state.activeCalls, countUnfinishedEventBytes: () => state.unfinishedEvents.count(), getDirectoryAgeMs: () => state.clocks.steady() - state.directoryStatus.confirmedAt, listReadyBackends: () => listReadyBackends(state.registry.versionsByService),
 	});
 	const storeCalls = new Map<string, number>();
 	const platform = options.openPlatform((topic, outcome, isAnswered) => {
@@ -184,7 +193,7 @@
 	const clocks = makeClocks(options.clockSources);
 	const loop: LoopMonitor = options.callersServer?.loop ?? startLoopMonitor({steady: clocks.steady, signal: controller.signal});
 	const state: GatewayState = makeState(options, platform, {
-		incarnation: randomUUID(), clocks, loop, stopSignal: controller.signal, metrics, startedAt: clocks.steady(),
+		ledger, incarnation: randomUUID(), clocks, loop, stopSignal: controller.signal, metrics, startedAt: clocks.steady(),
 	});
 	loop.onStall = stalledMs => {
 		metrics.loopStallSeconds.observe(stalledMs / 1000);
@@ -196,6 +205,7 @@
 	};
 
 	reportUnfinishedAnswers(state);
+	reportClients(state);
 	clearParts(state);
 	const {signal} = controller;
 	// Each component waits on the signal, some of them several times.
--- a/packages/gateway/src/telemetry/gateway-metrics.ts
+++ b/packages/gateway/src/telemetry/gateway-metrics.ts
@@ -6,6 +6,8 @@
 	Histogram,
 	Registry,
 } from 'prom-client';
+import {type ClientLedger} from '@shallotpass/common/client-limits/client-ledger.js';
+import {listenerNames} from '@shallotpass/common/client-limits/client-limits.js';
 
 /** Histogram buckets in seconds, from plain responses of a few milliseconds to the longest streams. */
 const durationBucketsS = [0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.6, 1, 1.5, 3, 6, 15, 30];
@@ -46,6 +48,10 @@
 	readonly activeCalls: Gauge;
 	readonly owedAnswers: Gauge;
 	readonly heldBytes: Gauge;
+	readonly clientConnections: Gauge<'listener'>;
+	readonly clientBytes: Gauge<'kind'>;
+	readonly clientsGivenUp: Counter<'listener' | 'limit' | 'kind'>;
+	readonly clientsRefused: Counter<'listener'>;
 	readonly unfinishedEventBytes: Gauge;
 	readonly unfinishedAnswers: Counter<'reason' | 'awaited'>;
 	readonly runsGivenUp: Counter<'reason'>;
@@ -62,12 +68,14 @@
 	/** Counts the answers that are owed now. */
 	readonly countOwedAnswers: () => number;
 	readonly countHeldBytes: () => number;
+	readonly getActiveCalls: () => number;
+	readonly ledger: ClientLedger;
 	readonly countUnfinishedEventBytes: () => number;
 	/** Lists how many backend servers of each software version are ready. */
 	readonly listReadyBackends: () => Iterable<{readonly service: string; readonly version: string; readonly ready: number}>;
 };
 
-export const makeGatewayMetrics = ({answeredAt, now, getDirectoryAgeMs, countOwedAnswers, countHeldBytes, countUnfinishedEventBytes, listReadyBackends}: DependencyAnswers): GatewayMetrics => {
+export const makeGatewayMetrics = ({answeredAt, now, getDirectoryAgeMs, countOwedAnswers, countHeldBytes, getActiveCalls, ledger, countUnfinishedEventBytes, listReadyBackends}: DependencyAnswers): GatewayMetrics => {
 	const registry = new Registry();
 	const registers = [registry];
 	return {
@@ -176,7 +184,36 @@
 			name: 'shallotpass_gateway_rollout_results_total', help: 'Responses of backend servers during a rollout, of the new version and of others, by what they show of it', labelNames: ['service', 'version', 'outcome'], registers,
 		}),
 		peers: new Gauge({name: 'shallotpass_gateway_peers', help: 'Other daemons that were heard lately', registers}),
-		activeCalls: new Gauge({name: 'shallotpass_gateway_active_calls', help: 'Calls in flight', registers}),
+		activeCalls: new Gauge({
+			name: 'shallotpass_gateway_active_calls', help: 'Calls in flight', registers,
+			collect() {
+				this.set(getActiveCalls());
+			},
+		}),
+		clientConnections: new Gauge({
+			name: 'shallotpass_gateway_client_connections', help: 'Open connections of clients, by listener', labelNames: ['listener'], registers,
+			collect() {
+				for (const listener of listenerNames) {
+					this.set({listener}, ledger.countConnections(listener));
+				}
+			},
+		}),
+		clientBytes: new Gauge({
+			name: 'shallotpass_gateway_client_bytes', help: 'Bytes that clients make the daemon hold: bodies, input that waits to be parsed, answers that they do not take, and objects', labelNames: ['kind'], registers,
+			collect() {
+				const {bodyBytes, inputBytes, outputBytes, objectBytes} = ledger.getTotals();
+				this.set({kind: 'bodies'}, bodyBytes);
+				this.set({kind: 'input'}, inputBytes);
+				this.set({kind: 'answers'}, outputBytes);
+				this.set({kind: 'objects'}, objectBytes);
+			},
+		}),
+		clientsGivenUp: new Counter({
+			name: 'shallotpass_gateway_clients_given_up_total', help: 'Connections of clients that were ended for want of room, by listener, by the limit, and by what became of them', labelNames: ['listener', 'limit', 'kind'], registers,
+		}),
+		clientsRefused: new Counter({
+			name: 'shallotpass_gateway_clients_refused_total', help: 'New connections that were refused as all of their listener are in use', labelNames: ['listener'], registers,
+		}),
 		owedAnswers: new Gauge({
 			name: 'shallotpass_gateway_owed_answers', help: 'Requests whose head was read and whose answer is not delivered yet', registers,
 			collect() {
--- a/packages/gateway/src/telemetry/log-events.ts
+++ b/packages/gateway/src/telemetry/log-events.ts
@@ -23,7 +23,7 @@
 	settings_refused: {meaning: 'The settings file has errors; the previous settings stay in force', fields: ['mistakes']},
 	figures: {
 		meaning: 'Summary of the metrics, every ten seconds',
-		fields: ['storeCalls', 'daemons', 'activeCalls', 'owedAnswers', 'backends', 'configuration', 'configurationAgeMs', 'rssMb'],
+		fields: ['storeCalls', 'daemons', 'activeCalls', 'owedAnswers', 'clientConnections', 'clientBytes', 'backends', 'configuration', 'configurationAgeMs', 'rssMb'],
 	},
 	lines_left_out: {
 		meaning: 'Number of lines of an event that the rate limit left out in a second, and number of all lines dropped so far because of a slow reader',
@@ -201,6 +201,11 @@
 		meaning: 'What is known to be spent of a client account\'s limit fell otherwise than by age: spending was forgotten',
 		fields: ['account', 'fell', 'known', 'usable', 'own', 'unconfirmed', 'reserved', 'share', 'heard', 'origins'],
 	},
+	client_given_up: {
+		meaning: 'A connection was ended as clients made the daemon hold too much. `limit`: whether memory or the connections of the listener were short; `kind`: what became of it, `body_refused` (503, not run), `head_refused` (408), `answers_unread` (it did not take its answers), `idle_closed`; `bytes`: what it was charged for; `idleMs`: for how long it had not done its part',
+		fields: ['listener', 'limit', 'kind', 'bytes', 'idleMs'],
+	},
+	client_refused: {meaning: 'A new connection was answered with 503 and closed: all connections of its listener are in use', fields: ['listener', 'connections']},
 	request_unreadable: {meaning: 'Data on a connection could not be parsed as a request; `owedAnswers`: how many requests before it on the connection have no whole answer yet', fields: ['reason', 'owedAnswers']},
 	answer_unfinished: {
 		meaning: 'A request got no whole answer. `reason`: which side closed the connection, why its input ended, or that the process ended; `wasRead`: whether the request was read whole; `sentBytes`: what the connection took of its answer and those before it; `unsentBytes`: what was still in the process; `sinceSignalMs`: time since SIGTERM; `awaited`: what the call waited for, and since when; `sends`: its backend servers or peers, what each answered, and why the answer ended early',
--- a/packages/gateway/src/telemetry/metrics-listener.ts
+++ b/packages/gateway/src/telemetry/metrics-listener.ts
@@ -1,5 +1,6 @@
 /** Serves metrics on a separate address, so that bursts of calls and readiness checks are not delayed by scrapes. */
 import http from 'node:http';
+import {guardListener} from '@shallotpass/common/client-limits/guard-listener.js';
 import {makeOwedAnswers} from '@shallotpass/common/owed-answers.js';
 import {watchInput} from '@shallotpass/common/watch-input.js';
 import {formatBareError} from '../calls/format-bare-error.js';
@@ -37,6 +38,9 @@
 	watchInput({
 		server, answers, formatError: formatBareError, refusesUpgrades: false, onUnreadable() {/* Nothing to log: no call is lost here. */},
 	});
+	guardListener({
+		server, listener: 'metrics', ledger: gateway.ledger, answers, getMaxAhead: () => 1,
+	});
 	server.on('error', error => {
 		gateway.log.write('failure', 'metrics_unavailable', {address, reason: error.message});
 	});
--- a/xo.config.js
+++ b/xo.config.js
@@ -41,7 +41,7 @@
 	},
 	{
 		// Node's sockets hand over buffers; a copy or a cast at each chunk would say nothing more.
-		files: ['packages/gateway/**/*.ts', 'packages/common/src/client-limits/*.ts', 'platform/**/*.ts'],
+		files: ['packages/gateway/**/*.ts', 'packages/common/src/client-limits/*.ts', 'packages/common/src/growing-buffer.ts', 'platform/**/*.ts'],
 		rules: {
 			'@typescript-eslint/no-restricted-types': 'off',
 		},
