Calls take no connections that the daemon itself needs

What callers saw: with 60 connections that send calls ahead, the daemon opened up to 430 connections to two backend servers and took all of its 500 descriptors; nothing new could be opened, neither a connection of a caller nor one to the store or a peer.

Cause: a backend server's max_connections only weighs in the choice, so each call that runs may open a connection; calls were bounded by nothing that is counted in descriptors.

--- a/packages/gateway/src/calls/admit-call.ts
+++ b/packages/gateway/src/calls/admit-call.ts
@@ -19,6 +19,7 @@
 import {takeQuota} from '../quotas/take-quota.js';
 import {type CallerHeaders} from '../ports.js';
 import {type CallerPresence, confirmCallerWaits, readCloses} from './caller-presence.js';
+import {hasDescriptorForCall, noDescriptorsRefusal} from './check-descriptors.js';
 import {waitForEarlierStreams} from './earlier-streams.js';
 import {type Arrival} from './request-queue.js';
 import {type Refusal} from './refusal.js';
@@ -265,6 +266,10 @@
 		return refuse('deadline_unreachable', 'The deadline passed before the call was sent.', 0);
 	}
 
+	if (!hasDescriptorForCall(gateway)) {
+		return new RefusedCall(noDescriptorsRefusal);
+	}
+
 	// What is paid is not returned.
 	if (!await confirmCallerWaits(gateway, caller.signal)) {
 		return refuse('caller_cancelled', 'The caller has left.');
--- a/packages/gateway/src/calls/serve-call.ts
+++ b/packages/gateway/src/calls/serve-call.ts
@@ -15,6 +15,7 @@
 import {type CallOutcome, makeDrainOutcome} from './call-outcome.js';
 import {makeProgress} from './call-progress.js';
 import {watchCaller} from './caller-presence.js';
+import {hasDescriptorForCall, noDescriptorsRefusal} from './check-descriptors.js';
 import {isLastOnConnection} from './last-on-connection.js';
 import {setArrived, setRefusalResult} from './peer-call.js';
 import {sendRefusal} from './refusal.js';
@@ -166,13 +167,19 @@
 	gateway.activeCalls++;
 	let admitted: AdmittedCall | undefined;
 	try {
-		const admission = await admitBeforeEnd(context, admit());
+		let admission = await admitBeforeEnd(context, admit());
+		// Others may have been admitted at the same time.
+		if (!hasDescriptorForCall(gateway) && !(admission instanceof RefusedCall)) {
+			admission = new RefusedCall(noDescriptorsRefusal);
+		}
+
 		if (admission instanceof RefusedCall) {
 			finishCall(context, {name: 'refused', refusal: admission.refusal}, undefined);
 			return;
 		}
 
 		admitted = admission;
+		gateway.runningCalls++;
 		finishCall(context, await runAdmittedCall(context, admission), admission);
 	} catch (error) {
 		gateway.log.write('failure', 'call_crashed', {request: context.head.id, error: error instanceof Error ? error.stack : String(error)});
@@ -180,6 +187,9 @@
 	} finally {
 		context.bodyHold?.release();
 		gateway.activeCalls--;
+		if (admitted !== undefined) {
+			gateway.runningCalls--;
+		}
 	}
 };
 
--- a/packages/gateway/src/gateway-state.ts
+++ b/packages/gateway/src/gateway-state.ts
@@ -161,6 +161,8 @@
 	readonly stopSignal: AbortSignal;
 	/** Number of calls in flight. */
 	activeCalls: number;
+	/** Calls of that which were admitted. */
+	runningCalls: number;
 	/** Answers that are owed to callers and peers, from the head of a request to the delivery of its answer. */
 	readonly answers: OwedAnswers;
 	/** Bytes of the bodies that calls hold. */
--- a/packages/gateway/src/start-gateway.ts
+++ b/packages/gateway/src/start-gateway.ts
@@ -137,6 +137,7 @@
 	drainingSince: undefined,
 	lastAnswers: makeLastAnswers(),
 	activeCalls: 0,
+	runningCalls: 0,
 	answers: callersServer?.answers ?? makeOwedAnswers(),
 	ledger,
 	heldBytes: makeHeldBytes(computeMaxBodyBytes(settings.instance.memoryMb), ledger),
