The own interface's listeners share one account of what clients make the daemon hold

What callers saw: on the own interface too, bodies in small chunks, requests ahead whose answers nobody reads (callers, operators' metrics), and lines without an end before a peer's handshake ended the daemon.

Settings: limits.max_held_bytes (256 MB), limits.max_admin_connections. The refusal beyond max_connections stays as it was.

--- a/apps/daemon/src/start-daemon.ts
+++ b/apps/daemon/src/start-daemon.ts
@@ -1,5 +1,8 @@
 /** Creates and connects the tasks of one daemon. Several daemons can run in one process. */
 import {setMaxListeners} from 'node:events';
+import {getHeapStatistics} from 'node:v8';
+import {makeClientLedger} from '@shallotpass/common/client-limits/client-ledger.js';
+import {makeHeldBytes} from '@shallotpass/common/client-limits/held-bytes.js';
 import {systemClock, waitUntilOrAborted, type Clock} from '@shallotpass/common/clock.js';
 import {configurationStream, idempotencyKeyRetentionMs} from '@shallotpass/common/constants.js';
 import {type ConfigurationRecord} from '@shallotpass/common/log-records.js';
@@ -70,6 +73,9 @@
 /** Maximum number of random peers that are asked for their accepted configurations, in addition to the seeds. */
 const maxQueriedPeers = 5;
 
+/** Part of the JavaScript heap that clients may take. */
+const clientHeapShare = 0.4;
+
 const msPerHour = 60 * 60 * 1000;
 
 /** Throws unless the log keeps records longer than the key memory that callers are promised. A shorter retention would break this promise without an error. */
@@ -201,9 +207,20 @@
 	let drainPromise: Promise<void> | undefined;
 	const isReady = (): boolean => !isDraining && (configuration.hasReadLog() || configuration.getActiveConfigurations().teams.size > 0);
 
+	const ledger = makeClientLedger({
+		maxBytes: settings.limits.maxHeldBytes,
+		maxObjectBytes: getHeapStatistics().heap_size_limit * clientHeapShare,
+		maxDescriptors: Number.POSITIVE_INFINITY,
+		maxConnections: {
+			// The listener for callers refuses further ones itself.
+			callers: Number.POSITIVE_INFINITY, operators: settings.limits.maxAdminConnections, ready: 0, metrics: 0, peers: 0,
+		},
+	});
+	const heldBytes = makeHeldBytes(settings.limits.maxHeldBytes, ledger);
 	const adminListener = await startAdminListener({
 		listen: splitAddress(settings.listen.admin),
 		isReady,
+		ledger,
 		services: {
 			environment,
 			configuration,
@@ -230,7 +247,7 @@
 	const callerListener = await startCallerListener({
 		listen: splitAddress(settings.listen.callers),
 		services: {
-			environment, configuration, membership, registry, claims, suspects, connections, gate, tracing, epoch,
+			environment, ledger, heldBytes, configuration, membership, registry, claims, suspects, connections, gate, tracing, epoch,
 		},
 	});
 	components.callerListener = callerListener;
--- a/packages/admin/src/listener.ts
+++ b/packages/admin/src/listener.ts
@@ -2,7 +2,10 @@
 import {Buffer} from 'node:buffer';
 import {randomUUID} from 'node:crypto';
 import {createServer, type IncomingMessage, type ServerResponse} from 'node:http';
+import {type ClientLedger} from '@shallotpass/common/client-limits/client-ledger.js';
+import {guardListener} from '@shallotpass/common/client-limits/guard-listener.js';
 import {listenAt} from '@shallotpass/common/listen.js';
+import {makeOwedAnswers} from '@shallotpass/common/owed-answers.js';
 import {computeRetryAfterSeconds, makeProblem} from '@shallotpass/common/problem.js';
 import {ServingError, toServingError} from '@shallotpass/common/serving-error.js';
 import {authenticateOperator, requireRole} from './authorize.js';
@@ -18,8 +21,13 @@
 	readonly listen: {readonly host: string; readonly port: number};
 	readonly services: AdminServices;
 	readonly isReady: () => boolean;
+	/** What clients make the daemon hold, on all listeners. */
+	readonly ledger: ClientLedger;
 };
 
+/** Requests of an operator that are read before those ahead of them are answered. */
+const maxRequestsAhead = 2;
+
 const maxBodyBytes = 4 * 1024 * 1024;
 
 const readText = async (request: IncomingMessage): Promise<string> => {
@@ -89,7 +97,7 @@
 	}
 };
 
-export const startAdminListener = async ({listen, services, isReady}: AdminListenerOptions): Promise<AdminListener> => {
+export const startAdminListener = async ({listen, services, isReady, ledger}: AdminListenerOptions): Promise<AdminListener> => {
 	const {environment} = services;
 	const logger = environment.makeLogger('admin');
 
@@ -155,10 +163,19 @@
 		}
 	};
 
+	const answers = makeOwedAnswers();
 	const server = createServer({requestTimeout: 30_000, headersTimeout: 10_000}, (request, response) => {
+		if (!answers.add(request, response)) {
+			request.resume();
+			return;
+		}
+
 		response.on('error', () => {/* the client has disconnected */});
 		void serve(request, response);
 	});
+	guardListener({
+		server, listener: 'operators', ledger, answers, getMaxAhead: () => maxRequestsAhead,
+	});
 	const address = await listenAt(server, listen);
 	return {
 		address,
--- a/packages/callers/src/listener.ts
+++ b/packages/callers/src/listener.ts
@@ -4,6 +4,7 @@
 } from 'node:http';
 import {type Socket} from 'node:net';
 import {setTimeout as sleep} from 'node:timers/promises';
+import {guardListener} from '@shallotpass/common/client-limits/guard-listener.js';
 import {closeGently, waitForParser} from '@shallotpass/common/close-gently.js';
 import {listenAt} from '@shallotpass/common/listen.js';
 import {isRepeatable} from '@shallotpass/common/configuration-schema.js';
@@ -17,7 +18,7 @@
 	getHeader, makeRequestId, markPossiblyExecuted, type CallerCall,
 } from './caller-call.js';
 import {makePlainCallContext} from './plain-call.js';
-import {formatRawProblem, sendProblem} from './respond.js';
+import {formatRawProblem, isReadInPart, sendProblem} from './respond.js';
 import {makeRetryBudgets, type RetryBudgets} from './retry-budgets.js';
 import {serveChat} from './serve-chat.js';
 import {serveClaimed} from './serve-claimed.js';
@@ -45,6 +46,9 @@
 
 const retryAfterMs = 1000;
 
+/** A field of one letter takes four bytes, of which Node's parser counts one. */
+const sentBytesPerHeadByte = 4;
+
 /** How often Node.js checks for connections that exceed the header or request timeout. */
 const connectionCheckIntervalMs = 1000;
 
@@ -166,7 +170,7 @@
 		} catch (error) {
 			failure = markPossiblyExecuted(toServingError(error), call.execution);
 			result = failure.kind;
-			if (failure.kind === 'payload_too_large') {
+			if (isReadInPart(failure.kind)) {
 				await waitForParser();
 			}
 
@@ -247,6 +251,9 @@
 			metrics.requests.inc({service: 'none', result: kind});
 		},
 	});
+	guardListener({
+		server, listener: 'callers', ledger: services.ledger, answers, getMaxFieldBytes: () => limits.maxHeaderBytes * sentBytesPerHeadByte,
+	});
 	server.on('checkExpectation', (request: IncomingMessage, response: ServerResponse) => {
 		answers.add(request, response);
 		const requestId = makeRequestId();
--- a/packages/callers/src/respond.ts
+++ b/packages/callers/src/respond.ts
@@ -46,7 +46,10 @@
 
 /** Whether the connection is closed after the error, because reading the rest of the request would be useless. */
 const shouldCloseConnection = (kind: ErrorKind, {response, socket}: Exchange): boolean =>
-	kind === 'payload_too_large' ? discardRest(response.req, socket) : kind === 'request_timeout';
+	isReadInPart(kind) ? discardRest(response.req, socket) : kind === 'request_timeout';
+
+/** Whether an error of this kind may come while the body is read. */
+export const isReadInPart = (kind: ErrorKind): boolean => kind === 'payload_too_large' || kind === 'over_capacity';
 
 const unavailableStatus = 503;
 
--- a/packages/callers/src/serve-claimed.ts
+++ b/packages/callers/src/serve-claimed.ts
@@ -247,7 +247,7 @@
 
 export const serveClaimed = async (context: PlainCallContext): Promise<void> => {
 	const key = readKey(context);
-	const body = await readCallerBody(context.call.request, context.services.environment.settings.limits.maxBodyBytes);
+	const body = await readCallerBody(context.call, context.services);
 	const release = await admitCall(context);
 	try {
 		// The claim is made after admission, so that its dispatch window does not include the time in the queue.
--- a/packages/callers/src/serve-repeatable.ts
+++ b/packages/callers/src/serve-repeatable.ts
@@ -32,7 +32,7 @@
 	checkBodyLength(request, maxBodyBytes);
 	const length = Number(request.headers['content-length'] ?? Number.POSITIVE_INFINITY);
 	if (length <= maxBufferedBodyBytes) {
-		return {content: await readCallerBody(request, maxBodyBytes), canRepeat: true};
+		return {content: await readCallerBody(context.call, context.services), canRepeat: true};
 	}
 
 	return {content: limitBody(request, maxBodyBytes), canRepeat: false};
--- a/packages/callers/src/services.ts
+++ b/packages/callers/src/services.ts
@@ -1,3 +1,5 @@
+import {type ClientLedger} from '@shallotpass/common/client-limits/client-ledger.js';
+import {type HeldBytes} from '@shallotpass/common/client-limits/held-bytes.js';
 import {type BackendConnections} from '@shallotpass/backends/backend-connections.js';
 import {type BackendRegistry} from '@shallotpass/tasks/types.js';
 import {type ClaimService} from '@shallotpass/tasks/claim-service.js';
@@ -10,6 +12,10 @@
 
 /** Dependencies of the callers' listener and its request handlers. */
 export type CallerServices = {
+	/** What clients make the daemon hold, on all listeners. */
+	readonly ledger: ClientLedger;
+	/** The bodies of that. */
+	readonly heldBytes: HeldBytes;
 	readonly environment: Environment;
 	readonly configuration: ConfigurationTask;
 	readonly membership: MembershipTask;
--- a/packages/common/src/settings-schema.ts
+++ b/packages/common/src/settings-schema.ts
@@ -13,6 +13,8 @@
 
 const limits = z.strictObject({
 	maxConnections: z.int().positive().default(5000).describe('Maximum number of open connections on the listener for callers'),
+	maxHeldBytes: z.int().min(1_048_576).default(268_435_456).describe('Maximum memory for what clients make the daemon hold: bodies, input, answers that they do not take, and the objects for them, in bytes'),
+	maxAdminConnections: z.int().positive().default(64).describe('Maximum number of open connections on the listener for operators; beyond it the one that has done nothing for longest is closed'),
 	maxHeaderBytes: z.int().min(1024).default(16_384).describe('Maximum size of the header fields of a request, in bytes'),
 	maxBodyBytes: z.int().positive().default(4_194_304).describe('Maximum size of a request body, in bytes'),
 	headersWithinMs: z.int().positive().default(10_000).describe('Time limit for a caller to send the header fields'),
--- a/packages/peers/src/peer-server.ts
+++ b/packages/peers/src/peer-server.ts
@@ -26,6 +26,9 @@
 /** A connection is closed if its handshake takes longer. */
 const handshakeTimeoutMs = 5000;
 
+/** Bytes that are read of a connection before its other end has proven that it is a peer. */
+const maxHandshakeBytes = 16_384;
+
 const makeRpcServer = (handlers: PeerHandlers): JSONRPCServer<string> => {
 	const server = new JSONRPCServer<string>({errorListener() {/* the error is sent to the peer */}});
 	for (const method of Object.keys(peerMethods) as PeerMethod[]) {
@@ -61,6 +64,7 @@
 	const handleConnection = (socket: Socket): void => {
 		const handshake = makeServerHandshake(options.selfId, options.keys);
 		let session: PeerSession | undefined;
+		let unprovenBytes = 0;
 		const refuse = (reason: string): void => {
 			refusalCount++;
 			options.onRefused(reason, socket.remoteAddress ?? 'unknown');
@@ -115,6 +119,12 @@
 		});
 		socket.on('data', chunk => {
 			bytes.received += chunk.length;
+			unprovenBytes += chunk.length;
+			if (session === undefined && unprovenBytes > maxHandshakeBytes) {
+				refuse('the handshake is too long');
+				return;
+			}
+
 			try {
 				readLines(chunk);
 			} catch (error) {
--- a/tests/src/process-fixture.ts
+++ b/tests/src/process-fixture.ts
@@ -15,12 +15,13 @@
 	readonly child: ChildProcess;
 	readonly callers: string;
 	readonly admin: string;
+	readonly peers: string;
 	readonly exited: Promise<number | undefined>;
 };
 
 /** Starts a daemon process and waits until it reports its addresses. */
-export const startDaemonProcess = async (t: TestContext, cliArguments: readonly string[]): Promise<DaemonProcess> => {
-	const child = spawn(process.execPath, [path.join(root, 'apps/daemon/bin/shallotpassd.js'), ...cliArguments], {stdio: ['ignore', 'pipe', 'pipe']});
+export const startDaemonProcess = async (t: TestContext, cliArguments: readonly string[], nodeArguments: readonly string[] = []): Promise<DaemonProcess> => {
+	const child = spawn(process.execPath, [...nodeArguments, path.join(root, 'apps/daemon/bin/shallotpassd.js'), ...cliArguments], {stdio: ['ignore', 'pipe', 'pipe']});
 	t.after(() => {
 		child.kill('SIGKILL');
 	});
@@ -41,10 +42,10 @@
 			reject(new Error(`the daemon ended before it was ready: ${text}`));
 		});
 	});
-	const match = /^ready callers=(?<callers>\S+) admin=(?<admin>\S+) peers=\S+\n$/v.exec(line);
+	const match = /^ready callers=(?<callers>\S+) admin=(?<admin>\S+) peers=(?<peers>\S+)\n$/v.exec(line);
 	assert.ok(match?.groups, line);
 	return {
-		child, callers: match.groups.callers!, admin: match.groups.admin!, exited,
+		child, callers: match.groups.callers!, admin: match.groups.admin!, peers: match.groups.peers!, exited,
 	};
 };
 
