The stated number of descriptors goes before the limit of the process, and ends of bodies are no fields

Traced with all logs: one daemon refused 224 calls ("leave no connection to a backend server") and gave up 423 idle connections at 141 of them, 342 as half heads.

And the last piece of a body that came in several counted as bytes of a head, so that an idle connection looked like one with half a head.

A piece that ends a body counts as none of a head.

Besides: a body that is refused as too large is dropped up to the end of its read, as before, so that a request behind it is answered.

--- a/packages/callers/src/listener.ts
+++ b/packages/callers/src/listener.ts
@@ -171,6 +171,8 @@
 			failure = markPossiblyExecuted(toServingError(error), call.execution);
 			result = failure.kind;
 			if (isReadInPart(failure.kind)) {
+				// What came in the same read is parsed, so that a request behind the body is not lost.
+				call.request.resume();
 				await waitForParser();
 			}
 
--- a/packages/common/src/client-limits/input-gate.ts
+++ b/packages/common/src/client-limits/input-gate.ts
@@ -117,7 +117,7 @@
 	};
 
 	/** Counts what the parser keeps of fields: those of a head that has not ended, or of trailers. */
-	const countFields = (bytes: number): void => {
+	const countFields = (bytes: number, wasInBody: boolean): void => {
 		const progress = answers.getProgress(socket);
 		const unread = answers.findUnread(socket);
 		account.fieldBytes += bytes;
@@ -128,7 +128,7 @@
 			account.fieldBytes = 0;
 			recordProgress(account);
 			charge(requestBytes);
-		} else if (unread === undefined ? answers.isEndingOn(socket) : hasReadBody || unread.request.readableLength > 0 || unread.request.headers['transfer-encoding'] === undefined) {
+		} else if (unread === undefined ? wasInBody || answers.isEndingOn(socket) : hasReadBody || unread.request.readableLength > 0 || unread.request.headers['transfer-encoding'] === undefined) {
 			account.fieldBytes = 0;
 		} else {
 			charge(bytes * bytesPerHeadByte);
@@ -147,12 +147,13 @@
 		const piece = first.subarray(0, end);
 		// A part without bytes would hold all that was read with it.
 		first = end === first.length ? nothing : first.subarray(end);
+		const wasInBody = answers.findUnread(socket) !== undefined;
 		parse(piece);
 		if (isClosed()) {
 			return;
 		}
 
-		countFields(piece.length);
+		countFields(piece.length, wasInBody);
 		if (account.fieldBytes > getMaxFieldBytes()) {
 			onTooManyFieldBytes();
 		}
--- a/packages/common/src/client-limits/read-request-body.ts
+++ b/packages/common/src/client-limits/read-request-body.ts
@@ -48,7 +48,8 @@
 		hold.release();
 		blocks.take();
 		request.off('data', onData);
-		request.pause();
+		// What came in the same read is parsed, so that a request behind the body is not lost.
+		request.resume();
 		await waitForParser();
 		resolve({kind});
 	};
--- a/packages/gateway/src/gateway-ledger.ts
+++ b/packages/gateway/src/gateway-ledger.ts
@@ -19,6 +19,7 @@
 
 export const readClientLimits = ({memoryMb, maxOpenFiles}: Partial<Pick<GatewaySettings['instance'], 'memoryMb' | 'maxOpenFiles'>>): ClientLimits => computeClientLimits({
 	memoryMb,
-	maxOpenFiles: Math.min(maxOpenFiles ?? Number.POSITIVE_INFINITY, readOpenFileLimit()),
+	// What is stated goes first: a platform may provide sockets that the limit of the process does not count.
+	maxOpenFiles: maxOpenFiles ?? readOpenFileLimit(),
 	heapBytes: getHeapStatistics().heap_size_limit,
 });
