--- a/packages/common/src/client-limits/input-gate.ts
+++ b/packages/common/src/client-limits/input-gate.ts
@@ -9,6 +9,7 @@
 import process from 'node:process';
 import {discardInput, isInputDiscarded, onInputDiscarded} from '../close-gently.js';
 import {makeGrowingBuffer} from '../growing-buffer.js';
+import {makeLoopTurns} from '../loop-turns.js';
 import {type OwedAnswers, type UnreadRequest} from '../owed-answers.js';
 import {type ClientAccount, recordProgress, recordReceived} from './client-account.js';
 import {bytesPerHeadByte, requestBytes} from './client-costs.js';
@@ -38,6 +39,12 @@
 /** Bytes that wait to be parsed. More stay in the kernel. They are read so far as the close of a client is seen only behind them. */
 const maxWaitingBytes = 65_536;
 
+/** Time of a turn of the loop in which input of clients is parsed. Requests that are refused at once would keep all others waiting. */
+const maxParseTurnMs = 5;
+
+/** The event loop is one for all of the process. */
+const parseTurns = makeLoopTurns(maxParseTurnMs);
+
 /** What Node notes at the connection while its answers have to be taken before more is parsed. */
 type PausedByNode = {readonly _paused?: boolean};
 
@@ -188,7 +195,8 @@
 		}
 	};
 
-	const pump = (): void => {
+	const pumpNow = (): void => {
+		isScheduled = false;
 		if (isParsing || socket.destroyed) {
 			return;
 		}
@@ -213,16 +221,30 @@
 		}
 	};
 
-	/** Parses in a later step: an answer may end while a request is parsed. */
-	function schedulePump(): void {
-		if (isScheduled || (first.length === 0 && behind.getLength() === 0)) {
-			return;
+	/** Parses in a later turn: an answer may end while a request is parsed, and others go before what was sent ahead. */
+	const enqueuePump = (): void => {
+		if (!isScheduled && (first.length > 0 || behind.getLength() > 0)) {
+			isScheduled = true;
+			parseTurns.enqueue(pumpNow);
+		}
+	};
+
+	/** Parses now if there is time. */
+	const pump = (): void => {
+		if (parseTurns.hasTime()) {
+			parseTurns.run(pumpNow);
+		} else {
+			enqueuePump();
+			updateReading();
 		}
+	};
 
-		isScheduled = true;
+	/** Parses soon: the body of the request begins to be read. */
+	function schedulePump(): void {
 		process.nextTick(() => {
-			isScheduled = false;
-			pump();
+			if (first.length > 0 || behind.getLength() > 0) {
+				pump();
+			}
 		});
 	}
 
@@ -237,12 +259,12 @@
 
 		pump();
 	});
-	socket.on('resume', schedulePump);
+	socket.on('resume', enqueuePump);
 	onInputDiscarded(socket, stop);
 	answers.onEachSettled(socket, () => {
 		const owed = answers.countOn(socket);
 		account.headBytes *= owed / (owed + 1);
 		recordProgress(account);
-		schedulePump();
+		enqueuePump();
 	});
 };
