The types of a call on its way have a file of their own, and times of a drain stand together

admit-call.ts held the context of all steps of a call, so that it and earlier-streams.ts imported each other, and drain-gateway.ts imported the admission for a time. call-context.ts and drain-times.ts have them now; no behaviour changes. calls.test and drains.test pass.

--- a/packages/gateway/src/calls/admit-call.ts
+++ b/packages/gateway/src/calls/admit-call.ts
@@ -1,6 +1,7 @@
 /** Admission of incoming requests: resolves the route and client account, reads the body and enforces limits. */
 import type http from 'node:http';
 import {setTimeout as sleep} from 'node:timers/promises';
+import {readRequestBody} from '@shallotpass/common/client-limits/read-request-body.js';
 import {type ErrorKind} from '@shallotpass/common/error-kinds.js';
 import {type Deadline} from '@shallotpass/common/types.js';
 import {type InputError} from '@shallotpass/common/unreadable-request.js';
@@ -9,21 +10,18 @@
 import {type Account, type Route} from '@shallotpass/core/calls/serving-configuration.js';
 import {type Call, isStream} from '@shallotpass/core/calls/types.js';
 import {hashText, hashText64} from '@shallotpass/core/routing/rank-by-rendezvous.js';
-import {type BodyHold} from '@shallotpass/common/client-limits/held-bytes.js';
-import {readRequestBody} from '@shallotpass/common/client-limits/read-request-body.js';
-import {type Continuity, determineContinuity} from '../origins/continuity.js';
-import {type CallTrace} from '../telemetry/call-trace.js';
+import {determineContinuity} from '../origins/continuity.js';
 import {checkVerdict} from '../crashes/check-verdict.js';
+import {acceptDuringDrainMs} from '../drain-times.js';
 import {type GatewayState} from '../gateway-state.js';
 import {waitForPoll} from '../loop-monitor.js';
 import {takeQuota} from '../quotas/take-quota.js';
-import {type CallerHeaders} from '../ports.js';
-import {type CallerPresence, confirmCallerWaits, readCloses} from './caller-presence.js';
+import {type AdmittedCall, type CallContext} from './call-context.js';
+import {confirmCallerWaits, readCloses} from './caller-presence.js';
 import {hasDescriptorForCall, noDescriptorsRefusal} from './check-descriptors.js';
 import {waitForEarlierStreams} from './earlier-streams.js';
 import {type Arrival} from './request-queue.js';
 import {type Refusal} from './refusal.js';
-import {type OutgoingRequest} from './run-at-backend.js';
 
 /** Milliseconds subtracted from the caller's timeout, so that the response arrives before the caller stops waiting. */
 const deadlineMarginMs = 20;
@@ -31,43 +29,9 @@
 /** A configuration that was not confirmed as the newest for this long may lack routes or keys that were added since. */
 const configurationUnconfirmedAfterMs = 1500;
 
-/** Milliseconds after SIGTERM during which new calls are still accepted. The load balancer stops sending calls after two failed readiness checks, one second apart. */
-export const acceptDuringDrainMs = 2600;
-
 /** Resolution of the traffic split between the services of a route. */
 const trafficSplitSteps = 10_000;
 
-export type CallContext = {
-	readonly gateway: GatewayState;
-	readonly request: http.IncomingMessage;
-	readonly response: http.ServerResponse;
-	readonly head: CallerHeaders;
-	/** Whether another daemon sent the call. It is never sent on to a further one. */
-	readonly isFromPeer: boolean;
-	readonly timing: ResponseTiming;
-	readonly caller: CallerPresence;
-	readonly trace: CallTrace;
-	/** Released when the call has ended. Written by the admission. */
-	bodyHold: BodyHold | undefined;
-};
-
-/** Timing of the response as sent to the caller; times are on the steady clock. */
-export type ResponseTiming = {
-	firstByteAt: number | undefined;
-	lastEventAt: number;
-	longestPauseMs: number;
-};
-
-/** An admitted call and the request to send to a backend server. */
-export type AdmittedCall = {
-	readonly call: Call;
-	readonly outgoing: OutgoingRequest;
-	/** Undefined if it is no stream that its caller may take up, or another daemon sent it. */
-	readonly continuity?: Continuity | undefined;
-	/** Until when an answer that has begun may last: the latest moment that the deadline may be. Undefined if the deadline is exact. */
-	readonly answerDeadline?: Deadline | undefined;
-};
-
 export class RefusedCall {
 	constructor(readonly refusal: Refusal) {}
 }
--- a/packages/gateway/src/calls/call-attempts.ts
+++ b/packages/gateway/src/calls/call-attempts.ts
@@ -9,7 +9,7 @@
 import {isVersionServed} from '../origins/continuity.js';
 import {recordAwaited, recordSend} from '../telemetry/call-trace.js';
 import {describeDirectory} from '../telemetry/describe-directory.js';
-import {type AdmittedCall, type CallContext} from './admit-call.js';
+import {type AdmittedCall, type CallContext} from './call-context.js';
 import {getLatencyModel} from './backend-view.js';
 import {hasUnevenLoad, returnToLimit, takeFromLimit} from './backend-limits.js';
 import {type SendResult, type UnsentResult} from './call-outcome.js';
--- a/packages/gateway/src/calls/call-outcome.ts
+++ b/packages/gateway/src/calls/call-outcome.ts
@@ -1,7 +1,7 @@
 /** Results of an attempt that was not sent, and the outcomes of calls that get no answer of a backend server. */
 import {type Call} from '@shallotpass/core/calls/types.js';
 import {makeGoneRefusal} from '../origins/continuity.js';
-import {type CallContext} from './admit-call.js';
+import {type CallContext} from './call-context.js';
 import {type CallProgress} from './call-progress.js';
 import {type Refusal} from './refusal.js';
 import {type AttemptResult} from './run-at-backend.js';
--- a/packages/gateway/src/calls/earlier-streams.ts
+++ b/packages/gateway/src/calls/earlier-streams.ts
@@ -2,7 +2,7 @@
 import type http from 'node:http';
 import {setTimeout as sleep} from 'node:timers/promises';
 import {findTrace} from '../telemetry/call-trace.js';
-import {type CallContext} from './admit-call.js';
+import {type CallContext} from './call-context.js';
 
 /** Interval between looks at the answers before a request. */
 const pollMs = 10;
--- a/packages/gateway/src/calls/hedge-call.ts
+++ b/packages/gateway/src/calls/hedge-call.ts
@@ -6,7 +6,7 @@
 import {computeMissTime, decideHedge, hedgeShare} from '@shallotpass/core/retries/decide-hedge.js';
 import {pauseFor} from '../pause.js';
 import {isInRollout} from '../rollouts/rollout-state.js';
-import {type AdmittedCall, type CallContext} from './admit-call.js';
+import {type AdmittedCall, type CallContext} from './call-context.js';
 import {predictPlainMs} from './backend-view.js';
 import {findSuspension} from './call-attempts.js';
 import {type CallProgress} from './call-progress.js';
--- a/packages/gateway/src/calls/last-on-connection.ts
+++ b/packages/gateway/src/calls/last-on-connection.ts
@@ -1,5 +1,6 @@
 /** Decides which answers of a draining daemon tell their caller that the connection ends. */
-import {acceptDuringDrainMs, type CallContext} from './admit-call.js';
+import {acceptDuringDrainMs} from '../drain-times.js';
+import {type CallContext} from './call-context.js';
 import {hasWaitedForStream} from './earlier-streams.js';
 
 /**
--- a/packages/gateway/src/calls/peer-call.ts
+++ b/packages/gateway/src/calls/peer-call.ts
@@ -14,7 +14,7 @@
 import {type Call} from '@shallotpass/core/calls/types.js';
 import * as z from 'zod';
 import {type GatewayState} from '../gateway-state.js';
-import {type AdmittedCall} from './admit-call.js';
+import {type AdmittedCall} from './call-context.js';
 import {type CallProgress} from './call-progress.js';
 
 export const peerCallPath = '/calls';
--- a/packages/gateway/src/calls/replace-late-body.ts
+++ b/packages/gateway/src/calls/replace-late-body.ts
@@ -1,6 +1,6 @@
 /** Sends a call elsewhere while the body of its answer is late, which is given up only once another backend server has answered. */
 import {listenForAbort} from '@shallotpass/common/listen-for-abort.js';
-import {type AdmittedCall, type CallContext} from './admit-call.js';
+import {type AdmittedCall, type CallContext} from './call-context.js';
 import {type SendResult} from './call-outcome.js';
 import {type CallProgress} from './call-progress.js';
 import {isServerError} from './is-server-error.js';
--- a/packages/gateway/src/calls/send-to-peer.ts
+++ b/packages/gateway/src/calls/send-to-peer.ts
@@ -11,7 +11,7 @@
 import {recordAwaited, recordSend} from '../telemetry/call-trace.js';
 import {inactiveTracker} from '../rollouts/track-result.js';
 import {maxRefusalBytes} from '../read-bounds.js';
-import {type AdmittedCall, type CallContext} from './admit-call.js';
+import {type AdmittedCall, type CallContext} from './call-context.js';
 import {type CallProgress} from './call-progress.js';
 import {confirmCallerWaits} from './caller-presence.js';
 import {
--- a/packages/gateway/src/calls/send-until-accepted.ts
+++ b/packages/gateway/src/calls/send-until-accepted.ts
@@ -8,7 +8,7 @@
 import {isRepeatable, isStream} from '@shallotpass/core/calls/types.js';
 import {pauseFor} from '../pause.js';
 import {recordAwaited} from '../telemetry/call-trace.js';
-import {type AdmittedCall, type CallContext} from './admit-call.js';
+import {type AdmittedCall, type CallContext} from './call-context.js';
 import {
 	discardResponse, recordBrokenAttempt, type SendToPlacement, sendToBestBackend, sendToPlacement,
 } from './call-attempts.js';
--- a/packages/gateway/src/calls/serve-call.ts
+++ b/packages/gateway/src/calls/serve-call.ts
@@ -8,9 +8,8 @@
 import {waitForPoll} from '../loop-monitor.js';
 import {isCutOff} from '../paths/track-paths.js';
 import {recordAwaited, trackCall} from '../telemetry/call-trace.js';
-import {
-	admitCall, type AdmittedCall, type CallContext, RefusedCall,
-} from './admit-call.js';
+import {admitCall, RefusedCall} from './admit-call.js';
+import {type AdmittedCall, type CallContext} from './call-context.js';
 import {recordArrival} from './backend-limits.js';
 import {type CallOutcome, makeDrainOutcome} from './call-outcome.js';
 import {makeProgress} from './call-progress.js';
--- a/packages/gateway/src/calls/serve-peer-call.ts
+++ b/packages/gateway/src/calls/serve-peer-call.ts
@@ -8,7 +8,8 @@
 import {unknownOriginRefusal} from '../origins/continuity.js';
 import {isCutOff} from '../paths/track-paths.js';
 import {trackCall} from '../telemetry/call-trace.js';
-import {type AdmittedCall, type CallContext, noRoomRefusal} from './admit-call.js';
+import {noRoomRefusal} from './admit-call.js';
+import {type AdmittedCall, type CallContext} from './call-context.js';
 import {type CallerPresence, watchCaller} from './caller-presence.js';
 import {isLastOnConnection} from './last-on-connection.js';
 import {
--- a/packages/gateway/src/calls/serve-plain.ts
+++ b/packages/gateway/src/calls/serve-plain.ts
@@ -1,7 +1,7 @@
 /** Serves plain calls, which have a single response, with retries on other backend servers. */
 import {isRepeatable} from '@shallotpass/core/calls/types.js';
 import {trackSurvival} from '../crashes/record-evidence.js';
-import {type AdmittedCall, type CallContext} from './admit-call.js';
+import {type AdmittedCall, type CallContext} from './call-context.js';
 import {
 	recordBrokenAttempt, recordFirstByte,
 } from './call-attempts.js';
--- a/packages/gateway/src/calls/serve-stream.ts
+++ b/packages/gateway/src/calls/serve-stream.ts
@@ -5,7 +5,7 @@
 import {computeWaitUntil} from '../drain-times.js';
 import {pauseFor} from '../pause.js';
 import {recordAwaited} from '../telemetry/call-trace.js';
-import {type AdmittedCall, type CallContext} from './admit-call.js';
+import {type AdmittedCall, type CallContext} from './call-context.js';
 import {
 	discardResponse, findSuspension, recordEvents, recordFirstByte, sendToPlacement,
 } from './call-attempts.js';
--- a/packages/gateway/src/calls/stream-state.ts
+++ b/packages/gateway/src/calls/stream-state.ts
@@ -2,7 +2,7 @@
 import type http from 'node:http';
 import {headerTextSchema} from '@shallotpass/common/value-bounds.js';
 import {type Continuity} from '../origins/continuity.js';
-import {type AdmittedCall, type CallContext} from './admit-call.js';
+import {type AdmittedCall, type CallContext} from './call-context.js';
 import {type CallProgress} from './call-progress.js';
 import {type EventSplitter, makeEventSplitter} from './event-splitter.js';
 import {type Placement} from './place-call.js';
--- a/packages/gateway/src/calls/take-retry.ts
+++ b/packages/gateway/src/calls/take-retry.ts
@@ -4,7 +4,7 @@
 import {type GatewayState} from '../gateway-state.js';
 import {payForRun} from '../quotas/pay-for-run.js';
 import {recordAwaited} from '../telemetry/call-trace.js';
-import {type AdmittedCall, type CallContext} from './admit-call.js';
+import {type AdmittedCall, type CallContext} from './call-context.js';
 import {type CallProgress} from './call-progress.js';
 import {confirmCallerWaits} from './caller-presence.js';
 import {hasAttemptLeft} from './prepare-repeat.js';
--- a/packages/gateway/src/drain-gateway.ts
+++ b/packages/gateway/src/drain-gateway.ts
@@ -1,8 +1,7 @@
 /** Lets a daemon leave: it answers what it owes, tells callers to go elsewhere, and stops. */
 import {setTimeout as sleep} from 'node:timers/promises';
-import {acceptDuringDrainMs} from './calls/admit-call.js';
 import {type CallersListener} from './calls/callers-listener.js';
-import {computeDrainEnd} from './drain-times.js';
+import {acceptDuringDrainMs, computeDrainEnd} from './drain-times.js';
 import {type GatewayState} from './gateway-state.js';
 
 /** Interval between checks while the daemon drains. */
--- a/packages/gateway/src/drain-times.ts
+++ b/packages/gateway/src/drain-times.ts
@@ -4,6 +4,9 @@
 /** Draining ends this long before the platform kills the process. */
 const killMarginMs = 300;
 
+/** Milliseconds after SIGTERM during which new calls are still accepted. The load balancer stops sending calls after two failed readiness checks, one second apart. */
+export const acceptDuringDrainMs = 2600;
+
 /** A caller whose stream has paused for longer than this gives it up, and it has to find another daemon meanwhile. */
 const takeUpMs = 2000;
 
--- a/scripts/soak/src/check-starting-stops.ts
+++ b/scripts/soak/src/check-starting-stops.ts
@@ -1,5 +1,5 @@
 /** Checks that daemons which were stopped while they started answered what they had read. */
-import {acceptDuringDrainMs} from '@shallotpass/gateway/calls/admit-call.js';
+import {acceptDuringDrainMs} from '@shallotpass/gateway/drain-times.js';
 import {type CompletedCall, type History, type StartingStop} from './history.js';
 
 /** A request that is sent shortly before the process exits may cross the close of its connection. */
