Callers' connections and those opened for their calls share the descriptors, and little is counted seldom

Cause: callers' connections were bounded by themselves, and calls by both together, so that callers could come on top of what had been opened for calls; refused connections were in neither count, and a call was taken for one connection, a stream may take two.

Besides: while less than a fifth of the bounds is taken, the account is counted once a second instead of ten times, as each wakes the process; and a client that leaves answers unread did its part at each count, as its output was compared with the sum of before.

--- a/packages/common/src/client-limits/client-account.ts
+++ b/packages/common/src/client-limits/client-account.ts
@@ -21,6 +21,8 @@
 	headBytes: number;
 	/** Bytes of answers that the client has not taken, as of the last count. */
 	outputBytes: number;
+	/** The same as of the count before. */
+	lastOutputBytes: number;
 	/** Bytes of requests that came since `progressAt`. */
 	receivedBytes: number;
 	/** When the client last did its part, on the clock of `performance.now()`: sent a good part of a request, or took an answer. */
@@ -33,7 +35,7 @@
 };
 
 export const makeClientAccount = (socket: net.Socket, listener: ListenerName, answers: OwedAnswers | undefined): ClientAccount => ({
-	socket, listener, answers, bodyBytes: 0, inputBytes: 0, fieldBytes: 0, headBytes: 0, outputBytes: 0, receivedBytes: 0,
+	socket, listener, answers, bodyBytes: 0, inputBytes: 0, fieldBytes: 0, headBytes: 0, outputBytes: 0, lastOutputBytes: 0, receivedBytes: 0,
 	progressAt: performance.now(), hasSentRequest: false, isGivenUp: false, giveUpBody: undefined,
 });
 
--- a/packages/common/src/client-limits/client-ledger.ts
+++ b/packages/common/src/client-limits/client-ledger.ts
@@ -46,14 +46,20 @@
 	readonly setLimits: (limits: ClientLimits) => void;
 	/** Counts what is held, and gives clients up if it is too much. */
 	readonly settle: () => void;
+	/** Counts the connections that are open for calls of clients. Set by the owner. */
+	countOpened: () => number;
 	/** Called with each client that is given up. Set by the owner. */
 	onGivenUp: (client: GivenUpClient) => void;
 	/** Called with each connection that is refused. Set by the owner. */
 	onRefused: (listener: ListenerName) => void;
 };
 
-/** How often is counted what is held. */
+/** How often is counted what is held: seldom while little is, as each time wakes the process. What is charged meanwhile is counted at once if it is much. */
 const countIntervalMs = 100;
+const calmCountIntervalMs = 1000;
+
+/** Share of the limits below which little is held. */
+const calmShare = 0.2;
 
 /** Share of the limits from which clients may send nothing ahead. */
 const tightShare = 0.6;
@@ -89,16 +95,19 @@
 
 	const countOutput = (): void => {
 		for (const account of accounts.values()) {
-			const {socket, outputBytes: before} = account;
-			account.outputBytes = socket.writableLength;
-			if (account.outputBytes < before) {
-				recordProgress(account);
-			}
+			account.lastOutputBytes = account.outputBytes;
+			account.outputBytes = account.socket.writableLength;
 		}
 
 		for (const answers of sources.keys()) {
 			addOutput(accounts, answers);
 		}
+
+		for (const account of accounts.values()) {
+			if (account.outputBytes < account.lastOutputBytes) {
+				recordProgress(account);
+			}
+		}
 	};
 
 	const count = (): void => {
@@ -149,14 +158,16 @@
 		}
 	};
 
+	const isAbove = (share: number): boolean => totals.bytes + uncounted > limits.maxBytes * share || totals.objectBytes + uncounted > limits.maxObjectBytes * share;
+
 	const startTimer = (): void => {
-		timer ??= setInterval(() => {
+		timer ??= setTimeout(() => {
+			timer = undefined;
 			settle();
-			if (accounts.size === 0) {
-				clearInterval(timer);
-				timer = undefined;
+			if (accounts.size > 0) {
+				startTimer();
 			}
-		}, countIntervalMs).unref();
+		}, isAbove(calmShare) ? countIntervalMs : calmCountIntervalMs).unref();
 	};
 
 	const countConnections = (listener: ListenerName): number => connections.get(listener) ?? 0;
@@ -168,7 +179,9 @@
 	/** Makes room for one more connection of the listener. */
 	const makeConnectionRoom = (listener: ListenerName): boolean => {
 		const max = limits.maxConnections[listener];
-		if (countConnections(listener) < max) {
+		// The other listeners need few, which are kept for them.
+		const hasDescriptor = listener !== 'callers' || accounts.size + ledger.countOpened() < limits.maxDescriptors;
+		if (countConnections(listener) < max && hasDescriptor) {
 			return true;
 		}
 
@@ -234,7 +247,7 @@
 
 			return getExcess(bytes) <= 0;
 		},
-		isTight: () => totals.bytes + uncounted > limits.maxBytes * tightShare || totals.objectBytes + uncounted > limits.maxObjectBytes * tightShare,
+		isTight: () => isAbove(tightShare),
 		getTotals() {
 			count();
 			return totals;
@@ -245,6 +258,7 @@
 			limits = changed;
 		},
 		settle,
+		countOpened: () => 0,
 		onGivenUp() {/* set by the owner */},
 		onRefused() {/* set by the owner */},
 	};
--- a/packages/common/src/client-limits/guard-listener.ts
+++ b/packages/common/src/client-limits/guard-listener.ts
@@ -39,6 +39,9 @@
 /** What Node reports of a head that is too large. */
 const makeOverflowError = (): Error => Object.assign(new Error('the fields are too large'), {code: 'HPE_HEADER_OVERFLOW'});
 
+/** Connections that are told so at a time. Further ones are closed, as each takes a descriptor. */
+const maxRefusals = 16;
+
 const refuseConnection = (socket: net.Socket, answers: OwedAnswers, refusal: string): void => {
 	socket.on('error', () => {/* It is closed in any case. */});
 	answers.endOn(socket);
@@ -49,9 +52,19 @@
 /** To be called before the server listens, and after all else that handles its connections was attached. */
 export const guardListener = ({server, listener, ledger, answers, getMaxAhead = () => usualMaxAhead, getMaxFieldBytes = () => usualMaxFieldBytes, refusal = bareRefusal}: GuardOptions): void => {
 	const getMaxAheadNow = (): number => ledger.isTight() ? tightMaxAhead : getMaxAhead();
+	let refusals = 0;
 	server.on('connection', (socket: net.Socket) => {
 		const account = ledger.open(socket, listener, answers);
+		if (account === undefined && refusals >= maxRefusals) {
+			socket.destroy();
+			return;
+		}
+
 		if (account === undefined) {
+			refusals++;
+			socket.once('close', () => {
+				refusals--;
+			});
 			refuseConnection(socket, answers, refusal);
 			return;
 		}
--- a/packages/gateway/src/calls/backend-agent.ts
+++ b/packages/gateway/src/calls/backend-agent.ts
@@ -196,6 +196,16 @@
 		super.reuseSocket(socket, request);
 	}
 
+	/** Counts the connections that no request uses. */
+	countIdle(): number {
+		let count = 0;
+		for (const sockets of Object.values(this.freeSockets)) {
+			count += sockets?.length ?? 0;
+		}
+
+		return count;
+	}
+
 	/** Whether the connection leads to the process that was confirmed, or to none. */
 	isConfirmed(connection: number | undefined): boolean {
 		return connection !== undefined && connection <= this.confirmedConnection;
