--- a/packages/common/src/client-limits/body-blocks.ts
+++ b/packages/common/src/client-limits/body-blocks.ts
@@ -47,6 +47,14 @@
 			}
 
 			const rest = chunk.subarray(fitting);
+			if (rest.length === expectedBytes) {
+				// The whole body, which has a buffer of its own.
+				blocks.push(Buffer.from(rest.buffer, rest.byteOffset, rest.length));
+				used = rest.length;
+				length = rest.length;
+				return;
+			}
+
 			if (rest.length > 0) {
 				// None of the last block is free.
 				addBlock(computeBlockBytes(rest.length));
--- a/packages/common/src/client-limits/input-gate.ts
+++ b/packages/common/src/client-limits/input-gate.ts
@@ -86,6 +86,9 @@
 
 	const onBody = (): void => {
 		hasReadBody = true;
+		if (first.length > 0) {
+			schedulePump();
+		}
 	};
 
 	/** Learns when the body is read, without beginning to read it. */
@@ -115,7 +118,16 @@
 		}
 
 		const unread = answers.findUnread(socket);
-		return unread === undefined ? answers.countOn(socket) >= getMaxAhead() : isBodyKept(unread);
+		if (unread === undefined) {
+			return answers.countOn(socket) >= getMaxAhead();
+		}
+
+		if (isBodyKept(unread)) {
+			watchBody(unread.request);
+			return true;
+		}
+
+		return false;
 	};
 
 	const getMaxPieceBytes = (): number => {
@@ -144,7 +156,7 @@
 		hasReadBody = false;
 		if (unread === undefined) {
 			account.hasSentRequest ||= heads > 0;
-		} else {
+		} else if (unread.request.headers['transfer-encoding'] !== undefined) {
 			watchBody(unread.request);
 		}
 	};
--- a/packages/common/src/loop-turns.ts
+++ b/packages/common/src/loop-turns.ts
@@ -57,7 +57,11 @@
 			const startedAt = performance.now();
 			const result = task();
 			spentMs += performance.now() - startedAt;
-			schedule();
+			// What earlier turns have spent counts until then: a turn of its own costs more than a small task.
+			if (spentMs >= maxTurnMs) {
+				schedule();
+			}
+
 			return result;
 		},
 		enqueue(task) {
