What calls may open is known without asking each backend server

Found by reading the diff: each new connection of a caller, and each call twice, went through all backend servers to count their connections, some 3,000 at the largest site.

--- a/packages/gateway/src/calls/backend-agent.ts
+++ b/packages/gateway/src/calls/backend-agent.ts
@@ -23,6 +23,10 @@
 
 export type BackendAgentOptions = {
 	readonly openConnection?: OpenConnection;
+	/** Called when a connection begins to be opened. */
+	readonly onOpen?: () => void;
+	/** Called when one has closed. */
+	readonly onClose?: () => void;
 	/** Called when a new connection was opened. */
 	readonly onConnected?: () => void;
 	/** Whether an answer turns a call away without naming it, so that a second copy of it looks like the answer to the next call. */
@@ -114,13 +118,14 @@
 	}
 
 	override createConnection(...[options]: Parameters<http.Agent['createConnection']>): net.Socket {
-		const {openConnection = net.connect, onConnected} = this.connectionOptions;
+		const {openConnection = net.connect, onOpen, onClose, onConnected} = this.connectionOptions;
 		const socket: PooledSocket = openConnection({...options as unknown as net.TcpNetConnectOpts, onread: makeReadOptions(() => socket)});
 		if (onConnected !== undefined) {
 			socket.once('connect', onConnected);
 		}
 
 		this.openConnections++;
+		onOpen?.();
 		socket.once('connect', () => {
 			this.lastConnection++;
 			socket.connectionNumber = this.lastConnection;
@@ -134,6 +139,7 @@
 		});
 		socket.once('close', () => {
 			this.openConnections--;
+			onClose?.();
 		});
 		return socket;
 	}
--- a/packages/gateway/src/calls/backend-registry.ts
+++ b/packages/gateway/src/calls/backend-registry.ts
@@ -114,6 +114,8 @@
 	readonly meanSlowness: Map<string, number>;
 	/** Bytes of the largest whole body of a plain answer, by service. */
 	readonly largestBodies: Map<string, number>;
+	/** Open connections to all of them, also to those that were removed. */
+	openConnections: number;
 	readonly openConnection: OpenConnection;
 	readonly isUnnamedRefusal: NonNullable<BackendAgentOptions['isUnnamedRefusal']>;
 	/** Called with the incarnation of a backend server to which a connection was opened. */
@@ -121,7 +123,7 @@
 };
 
 export const makeBackendRegistry = (openConnection: OpenConnection = net.connect, isUnnamedRefusal: BackendRegistry['isUnnamedRefusal'] = () => false): BackendRegistry => ({
-	byId: new Map(), byService: new Map(), versionsByService: new Map(), latencyModels: new Map(), meanSlowness: new Map(), largestBodies: new Map(), openConnection, isUnnamedRefusal, onConnected() {/* set by the owner */},
+	byId: new Map(), byService: new Map(), versionsByService: new Map(), latencyModels: new Map(), meanSlowness: new Map(), largestBodies: new Map(), openConnections: 0, openConnection, isUnnamedRefusal, onConnected() {/* set by the owner */},
 });
 
 /** Each call at the backend server listens, so their number has no bound. */
@@ -138,6 +140,12 @@
 	agent: new BackendAgent({
 		openConnection: registry.openConnection,
 		isUnnamedRefusal: registry.isUnnamedRefusal,
+		onOpen() {
+			registry.openConnections++;
+		},
+		onClose() {
+			registry.openConnections--;
+		},
 		onConnected() {
 			registry.onConnected(formatIncarnation(entry));
 		},
--- a/packages/gateway/src/start-gateway.ts
+++ b/packages/gateway/src/start-gateway.ts
@@ -14,7 +14,6 @@
 import {type OpenConnection} from './calls/backend-agent.js';
 import {makeBackendRegistry} from './calls/backend-registry.js';
 import {makeIsUnnamedRefusal} from './calls/proof-of-answers.js';
-import {countOpenConnections} from './calls/check-descriptors.js';
 import {listReadyBackends} from './calls/count-versions.js';
 import {makeUnfinishedEvents} from './calls/unfinished-events.js';
 import {maxBytesOfUnfinishedEvents} from './read-bounds.js';
@@ -208,7 +207,7 @@
 
 	reportUnfinishedAnswers(state);
 	reportClients(state);
-	ledger.countOpened = () => countOpenConnections(state.registry);
+	ledger.countOpened = () => state.registry.openConnections;
 	clearParts(state);
 	const {signal} = controller;
 	// Each component waits on the signal, some of them several times.
