Input that waits is charged by the buffer that holds it

Cause: what waits to be parsed was charged by its length; its buffer may be twice as large, and the rest of a read holds all of the read.

--- a/packages/common/src/client-limits/input-gate.ts
+++ b/packages/common/src/client-limits/input-gate.ts
@@ -194,8 +194,11 @@
 	};
 
 	const updateReading = (): void => {
-		account.inputBytes = first.length + behind.getLength();
-		if (account.inputBytes >= maxWaitingBytes) {
+		const before = account.inputBytes;
+		// What is left of a read holds all of it.
+		account.inputBytes = first.buffer.byteLength + behind.getCapacity();
+		charge(Math.max(0, account.inputBytes - before));
+		if (first.length + behind.getLength() >= maxWaitingBytes) {
 			isPaused = true;
 			// Node may have resumed it meanwhile.
 			socket.pause();
--- a/packages/common/src/growing-buffer.ts
+++ b/packages/common/src/growing-buffer.ts
@@ -4,6 +4,8 @@
 export type GrowingBuffer = {
 	readonly add: (chunk: Buffer) => void;
 	readonly getLength: () => number;
+	/** Bytes of memory that it takes. */
+	readonly getCapacity: () => number;
 	/** Returns the byte so far before the end, from 1. */
 	readonly getFromEnd: (distance: number) => number | undefined;
 	/** Returns the content and empties the buffer. */
@@ -27,6 +29,7 @@
 			length += chunk.length;
 		},
 		getLength: () => length,
+		getCapacity: () => content.length,
 		getFromEnd: distance => distance <= length ? content[length - distance] : undefined,
 		take() {
 			const taken = content.subarray(0, length);
