The gate of a connection leaves less to the garbage collector, and takes a stated body in one piece

Cause, by profiles of a bare server: garbage collection (10 mark-compacts for 3) and the cutting of bodies. Listeners kept beside a connection by weak maps, whose closures hold the connection, let it live beyond the young generation; each connection and each wait made an empty buffer; a body of a stated length that nobody read yet was parsed in pieces of 256 bytes, collected in blocks and copied.

Change: the listeners stand on the connection, one empty buffer serves all, views are made only of parts, and only bodies in chunks are taken in small pieces while nobody reads them.

--- a/packages/common/src/client-limits/input-gate.ts
+++ b/packages/common/src/client-limits/input-gate.ts
@@ -51,19 +51,23 @@
 type Parse = (piece: Buffer) => void;
 
 const findPieceEnd = (bytes: Buffer, maxBytes: number): number => {
-	const end = bytes.subarray(0, maxBytes).indexOf(endOfHead);
-	return Math.min(maxBytes, end === -1 ? bytes.length : end + endOfHead.length);
+	const searched = bytes.length > maxBytes ? bytes.subarray(0, maxBytes) : bytes;
+	const end = searched.indexOf(endOfHead);
+	return end === -1 ? searched.length : end + endOfHead.length;
 };
 
 /** Bytes of a body that are parsed before they are read, as Node keeps an object for each chunk. */
 const maxUnreadBytes = 128;
 
-/** The same for the framing of its chunks. */
+/** The same for a body in chunks, with their framing. */
 const maxUnreadPieceBytes = 256;
 
-/** Whether what is parsed of the body is only kept by Node, as nobody reads it yet. Those who read it by iteration tell no event. */
+const isInChunks = ({request}: UnreadRequest): boolean => request.headers['transfer-encoding'] !== undefined;
+
+/** Whether nobody reads the body yet. Those who read it by iteration tell no event. */
 const isBodyUnread = ({request}: UnreadRequest): boolean => request.readableFlowing !== true && request.listenerCount('readable') === 0;
 
+/** Whether what is parsed of the body is kept by Node. */
 const isBodyKept = ({request}: UnreadRequest): boolean => request.readableLength >= maxUnreadBytes && request.listenerCount('readable') === 0;
 
 export const openInputGate = ({socket, answers, account, getMaxAhead, getMaxFieldBytes, onTooManyFieldBytes, charge}: GateOptions): void => {
@@ -132,7 +136,7 @@
 
 	const getMaxPieceBytes = (): number => {
 		const unread = answers.findUnread(socket);
-		return unread !== undefined && isBodyUnread(unread) ? maxUnreadPieceBytes : maxPieceBytes;
+		return unread !== undefined && isInChunks(unread) && isBodyUnread(unread) ? maxUnreadPieceBytes : maxPieceBytes;
 	};
 
 	/** Counts what the parser keeps of fields: those of a head that has not ended, or of trailers. */
@@ -147,7 +151,7 @@
 			account.fieldBytes = 0;
 			recordProgress(account);
 			charge(requestBytes);
-		} else if (unread === undefined ? wasInBody || answers.isEndingOn(socket) : hasReadBody || unread.request.readableLength > 0 || unread.request.headers['transfer-encoding'] === undefined) {
+		} else if (unread === undefined ? wasInBody || answers.isEndingOn(socket) : hasReadBody || unread.request.readableLength > 0 || !isInChunks(unread)) {
 			account.fieldBytes = 0;
 		} else {
 			charge(bytes * bytesPerHeadByte);
@@ -156,16 +160,17 @@
 		hasReadBody = false;
 		if (unread === undefined) {
 			account.hasSentRequest ||= heads > 0;
-		} else if (unread.request.headers['transfer-encoding'] !== undefined) {
+		} else if (isInChunks(unread)) {
 			watchBody(unread.request);
 		}
 	};
 
 	const parsePiece = (): void => {
 		const end = findPieceEnd(first, getMaxPieceBytes());
-		const piece = first.subarray(0, end);
+		const isLast = end === first.length;
+		const piece = isLast ? first : first.subarray(0, end);
 		// A part without bytes would hold all that was read with it.
-		first = end === first.length ? nothing : first.subarray(end);
+		first = isLast ? nothing : first.subarray(end);
 		const wasInBody = answers.findUnread(socket) !== undefined;
 		parse(piece);
 		if (isClosed()) {
@@ -256,11 +261,9 @@
 
 	/** Parses soon: the body of the request begins to be read. */
 	function schedulePump(): void {
-		process.nextTick(() => {
-			if (first.length > 0 || behind.getLength() > 0) {
-				pump();
-			}
-		});
+		if (first.length > 0) {
+			process.nextTick(pump);
+		}
 	}
 
 	socket.removeListener('data', parse);
--- a/packages/common/src/close-gently.ts
+++ b/packages/common/src/close-gently.ts
@@ -1,4 +1,5 @@
 /** Closes connections so that their callers can read all that was written to them. */
+import {type EventEmitter} from 'node:events';
 import type http from 'node:http';
 import type net from 'node:net';
 
@@ -17,12 +18,12 @@
 
 const discarded = new WeakSet<net.Socket>();
 
-/** What to call when nothing more of a connection is parsed. */
-const discardListeners = new WeakMap<net.Socket, () => void>();
+/** Event of a connection of which nothing more is parsed. */
+const discardEvent = Symbol('input discarded');
 
-/** Calls `listener` when nothing more of the connection is parsed. A later call replaces it. */
-export const onInputDiscarded = (socket: net.Socket, listener: () => void): void => {
-	discardListeners.set(socket, listener);
+/** Calls `listener` when nothing more of the connection is parsed. */
+export const onInputDiscarded = (socket: EventEmitter, listener: () => void): void => {
+	socket.once(discardEvent, listener);
 };
 
 const closing = new WeakSet<net.Socket>();
@@ -49,7 +50,8 @@
 
 	discarded.add(socket);
 	dropFields(socket);
-	discardListeners.get(socket)?.();
+	const emitter: EventEmitter = socket;
+	emitter.emit(discardEvent);
 	let bytes = 0;
 	// The parser reads as a listener of its own, or below the socket until another one is added.
 	socket.removeAllListeners('data');
--- a/packages/common/src/growing-buffer.ts
+++ b/packages/common/src/growing-buffer.ts
@@ -14,8 +14,11 @@
 
 const minCapacityBytes = 256;
 
+/** One for all: each buffer by itself is work for the garbage collector. */
+const empty = Buffer.alloc(0);
+
 export const makeGrowingBuffer = (): GrowingBuffer => {
-	let content = Buffer.alloc(0);
+	let content: Buffer = empty;
 	let length = 0;
 	return {
 		add(chunk) {
@@ -33,7 +36,7 @@
 		getFromEnd: distance => distance <= length ? content[length - distance] : undefined,
 		take() {
 			const taken = content.subarray(0, length);
-			content = Buffer.alloc(0);
+			content = empty;
 			length = 0;
 			return taken;
 		},
--- a/packages/common/src/owed-answers.ts
+++ b/packages/common/src/owed-answers.ts
@@ -1,4 +1,5 @@
 /** Counts the answers that a process owes. Each request whose head was read is owed one whole answer, until it is delivered or the caller has left. */
+import {type EventEmitter} from 'node:events';
 import type http from 'node:http';
 import type net from 'node:net';
 import {watchConnection} from './watch-connection.js';
@@ -42,7 +43,7 @@
 	readonly list: () => Iterable<{readonly socket: net.Socket; readonly response: http.ServerResponse}>;
 	/** Whether requests that are read from now on are owed nothing. */
 	readonly isEndingOn: (socket: net.Socket) => boolean;
-	/** Calls `listener` each time that an answer on the connection is no longer owed. A later call replaces it. */
+	/** Calls `listener` each time that an answer on the connection is no longer owed. */
 	readonly onEachSettled: (socket: net.Socket, listener: () => void) => void;
 	/** How many heads of requests were read on the connection, and when the last answer was out. */
 	readonly getProgress: (socket: net.Socket) => ConnectionProgress;
@@ -62,6 +63,9 @@
 	readonly lastSettledAt: number | undefined;
 };
 
+/** Event of a connection on which an answer is no longer owed. A listener that is kept beside it, by the connection, would keep both from being collected early. */
+const settledEvent = Symbol('answer settled');
+
 type Connection = {
 	owed: number;
 	/** Whether requests that are read from now on are owed nothing. */
@@ -71,7 +75,6 @@
 	/** Not kept beyond the end of its answer if it was read whole. */
 	newest: UnreadRequest | undefined;
 	reason: string | undefined;
-	onEachSettled: (() => void) | undefined;
 	/** Undefined while there was none, as most connections have none. */
 	settledListeners: Array<() => void> | undefined;
 };
@@ -111,7 +114,7 @@
 		}
 
 		const connection: Connection = {
-			owed: 0, isEnding: false, heads: 0, lastSettledAt: undefined, newest: undefined, reason: undefined, onEachSettled: undefined, settledListeners: undefined,
+			owed: 0, isEnding: false, heads: 0, lastSettledAt: undefined, newest: undefined, reason: undefined, settledListeners: undefined,
 		};
 		connections.set(socket, connection);
 		return connection;
@@ -159,7 +162,8 @@
 				}
 
 				notifySettled(connection);
-				connection.onEachSettled?.();
+				const emitter: EventEmitter = socket;
+				emitter.emit(settledEvent);
 			};
 
 			stopWatching = watchConnection(socket, () => {
@@ -205,7 +209,8 @@
 		list: () => owed,
 		isEndingOn: socket => connections.get(socket)?.isEnding === true,
 		onEachSettled(socket, listener) {
-			getConnection(socket).onEachSettled = listener;
+			const emitter: EventEmitter = socket;
+			emitter.on(settledEvent, listener);
 		},
 		getProgress: socket => getConnection(socket),
 		stateReason(socket, reason) {
