The gate of a connection is made of short functions over plain data

Cause: openInputGate was one function of 200 lines with all of its state in closures, which a newcomer could not follow, and which cost an object for each closure and connection.

What all gates of a listener share is one object. Two help texts of metrics say lease in place of duty.

Conclusion: the same behaviour in parts that have names.

--- a/packages/common/src/client-limits/guard-listener.ts
+++ b/packages/common/src/client-limits/guard-listener.ts
@@ -5,7 +5,7 @@
 import {type OwedAnswers} from '../owed-answers.js';
 import {type ClientLedger} from './client-ledger.js';
 import {type ListenerName} from './client-limits.js';
-import {openInputGate} from './input-gate.js';
+import {type GateRules, openInputGate} from './input-gate.js';
 
 export type GuardOptions = {
 	readonly server: http.Server;
@@ -51,7 +51,18 @@
 
 /** To be called before the server listens, and after all else that handles its connections was attached. */
 export const guardListener = ({server, listener, ledger, answers, getMaxAhead = () => usualMaxAhead, getMaxFieldBytes = () => usualMaxFieldBytes, refusal = bareRefusal}: GuardOptions): void => {
-	const getMaxAheadNow = (): number => ledger.isTight() ? tightMaxAhead : getMaxAhead();
+	const rules: GateRules = {
+		answers,
+		getMaxAhead: () => ledger.isTight() ? tightMaxAhead : getMaxAhead(),
+		getMaxFieldBytes,
+		onTooManyFieldBytes(socket) {
+			if (!server.emit('clientError', makeOverflowError(), socket)) {
+				socket.destroy();
+			}
+		},
+		charge: ledger.charge,
+	};
+
 	let refusals = 0;
 	server.on('connection', (socket: net.Socket) => {
 		const account = ledger.open(socket, listener, answers);
@@ -69,13 +80,6 @@
 			return;
 		}
 
-		openInputGate({
-			socket, answers, account, getMaxAhead: getMaxAheadNow, getMaxFieldBytes, charge: ledger.charge,
-			onTooManyFieldBytes() {
-				if (!server.emit('clientError', makeOverflowError(), socket)) {
-					socket.destroy();
-				}
-			},
-		});
+		openInputGate(account, rules);
 	});
 };
--- a/packages/telemetry/src/metrics.ts
+++ b/packages/telemetry/src/metrics.ts
@@ -45,9 +45,9 @@
 	peerRefusals: describeCounter('peer_refusals_total', 'Peer connections refused'),
 	backends: describeGauge('backends', 'Backend servers by state', ['state']),
 	suspects: describeGauge('suspect_requests', 'Requests suspected of ending backend servers'),
-	fleetHolder: describeGauge('fleet_holder', 'Whether this daemon has the fleet duty of its availability zone, 0 or 1'),
+	fleetHolder: describeGauge('fleet_holder', 'Whether this daemon holds the fleet lease of its availability zone, 0 or 1'),
 	fleetStarts: describeCounter('fleet_starts_total', 'Starts asked of the cloud by what it said', ['reply']),
-	fleetPlaces: describeGauge('fleet_places', 'Places that the work needs and that run, as the holder of the duty sees them', ['what']),
+	fleetPlaces: describeGauge('fleet_places', 'Places that the work needs and that run, as the holder of the lease sees them', ['what']),
 } as const satisfies Record<string, MetricDescription>;
 
 /** Histogram buckets in seconds, from 0.5 ms to 5 minutes. */
