Review case 6: a case that dies of itself exits with 2, and its numbers

Cause: an error that nobody caught in a script ended it with exit 1, as if the rule were broken. Of the first five plays of case 6 one had ended so after 11 s, without a verdict, and was counted as failed; why it ended is not known, its error was not kept. Done: such errors, a signal and a run of more than 118 s end all that the script started, with exit 2. The stand-ins are shared by cases 6, 7 and 9.

--- a/review/stand-ins-2/deployment.js
+++ b/review/stand-ins-2/deployment.js
@@ -112,9 +112,9 @@
 		}));
 		mkdirSync(path.join(folder, 'logs'), {recursive: true});
 		const log = createWriteStream(path.join(folder, 'logs', `${name}.log`), {flags: 'a'});
-		const child = spawn(process.execPath, ['--max-old-space-size=160', '--max-semi-space-size=2', 'target/shallotpassd.mjs'], {
+		const child = keepTrack(spawn(process.execPath, ['--max-old-space-size=160', '--max-semi-space-size=2', 'target/shallotpassd.mjs'], {
 			cwd: root, env: {PATH: process.env.PATH, HOME: process.env.HOME, SHALLOTPASS_CONFIG: settingsPath}, stdio: ['ignore', 'pipe', 'pipe'],
-		});
+		}));
 		child.stdout.pipe(log, {end: false});
 		child.stderr.pipe(log, {end: false});
 		const daemon = {
@@ -165,9 +165,9 @@
 		let sequence = 0;
 		const start = () => {
 			const born = Date.now();
-			const child = fork(path.join(import.meta.dirname, 'engine-process.js'), [JSON.stringify({
+			const child = keepTrack(fork(path.join(import.meta.dirname, 'engine-process.js'), [JSON.stringify({
 				id, host, port, born, eventMs, events, poisonAfterMs,
-			})]);
+			})]));
 			const announce = () => {
 				sequence++;
 				store.put('keyed.servers', id, {
@@ -293,8 +293,40 @@
 	},
 });
 
+/** Processes that were started, so that none outlives the case. */
+const children = new Set();
+const maxRunMs = 118_000;
+
+const endAll = () => {
+	for (const child of children) {
+		child.kill('SIGKILL');
+	}
+};
+
+const keepTrack = child => {
+	children.add(child);
+	child.once('exit', () => {
+		children.delete(child);
+	});
+	return child;
+};
+
+/** A case that cannot go on tells nothing of the rule: it ends what it started, and exits with 2. */
+const giveUp = error => {
+	console.error(error);
+	endAll();
+	process.exit(2); // eslint-disable-line unicorn/no-process-exit -- the state of the case is not known
+};
+
 /** Runs the case, and ends the process with what it returns, or with 2 if it fails. */
 export const runCase = async run => {
+	process.on('uncaughtException', giveUp);
+	process.on('unhandledRejection', giveUp);
+	for (const signal of ['SIGTERM', 'SIGINT', 'SIGHUP']) {
+		process.on(signal, giveUp);
+	}
+
+	setTimeout(giveUp, maxRunMs, new Error('The case takes too long')).unref();
 	try {
 		process.exitCode = await run();
 	} catch (error) {
